--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+BUILD = build
+.PHONY: all install-packages demo check bench format lint clean
+
+all: $(BUILD)/build.ninja
+	ninja -C $(BUILD)
+
+install-packages:
+	tools/install-packages
+
+$(BUILD)/build.ninja:
+	tools/install-packages
+	meson setup $(BUILD)
+
+demo: all
+	tools/demo $(BUILD)
+
+check: all
+	meson test -C $(BUILD) --no-rebuild --print-errorlogs
+
+format:
+	tools/format
+
+lint:
+	tools/lint
+
+clean:
+	rm -rf $(BUILD) build-*
--- /dev/null
+++ b/include/tarragonflow/common/counter.h
@@ -0,0 +1,73 @@
+#ifndef TARRAGONFLOW_COMMON_COUNTER_H
+#define TARRAGONFLOW_COMMON_COUNTER_H
+
+#include <stdatomic.h>
+#include <stdint.h>
+
+/**
+ * The process's own counters: one for each refusal, drop and retry reason.
+ * docs/COUNTERS.md says what an operator does about each; a test compares
+ * the page with this list.
+ */
+#define COUNTER_LIST(X)                                     \
+	X(PACKET_IN, "packets_received")                    \
+	X(PACKET_FORWARDED, "packets_forwarded")            \
+	X(PACKET_DELIVERED, "packets_delivered_to_server")  \
+	X(PACKET_RETURNED, "packets_returned_to_fabric")    \
+	X(PACKET_HANDED_ON, "packets_handed_on")            \
+	X(OPEN_HANDED_ON, "opens_handed_on")                \
+	X(DROP_MALFORMED, "drop_malformed_packet")          \
+	X(DROP_HEADER, "drop_malformed_header")             \
+	X(DROP_AUTH, "drop_bad_tag")                        \
+	X(DROP_NO_CONFIG, "drop_no_configuration")          \
+	X(DROP_NO_SERVICE, "drop_no_such_service")          \
+	X(DROP_NO_MEMBER, "drop_no_backend_server")         \
+	X(DROP_WRONG_SERVICE, "drop_wrong_service")         \
+	X(DROP_WRONG_MEMBER, "drop_wrong_backend_server")   \
+	X(DROP_ZONE_OUT, "drop_zone_out")                   \
+	X(DROP_HOPS, "drop_hop_budget")                     \
+	X(DROP_NO_OWNER, "drop_no_owner")                   \
+	X(DROP_RING_FULL, "drop_ring_full")                 \
+	X(DROP_SEND, "drop_send_failed")                    \
+	X(REFUSE_CONNECTIONS, "refuse_connection_limit")    \
+	X(REFUSE_COLD, "refuse_cold_start")                 \
+	X(REFUSE_DRAINING, "refuse_draining")               \
+	X(REFUSE_TABLE_FULL, "refuse_flow_table_full")      \
+	X(FLOW_OPENED, "flows_opened")                      \
+	X(FLOW_CLOSED, "flows_closed")                      \
+	X(FLOW_EXPIRED, "flows_expired")                    \
+	X(CONTROL_IN, "control_messages_received")          \
+	X(CONTROL_OUT, "control_messages_sent")             \
+	X(CONTROL_BYTES_OUT, "control_bytes_sent")          \
+	X(CONTROL_DROP_MALFORMED, "control_drop_malformed") \
+	X(CONFIG_APPLIED, "config_applied")                 \
+	X(CONFIG_OLDER_IGNORED, "config_older_ignored")     \
+	X(PLATFORM_GET, "platform_calls_get")               \
+	X(PLATFORM_LIST, "platform_calls_list")             \
+	X(PLATFORM_PUT, "platform_calls_put")               \
+	X(PLATFORM_DELETE, "platform_calls_delete")         \
+	X(PLATFORM_WATCH, "platform_calls_watch")           \
+	X(PLATFORM_FAILED, "platform_calls_failed")         \
+	X(PLATFORM_CONFLICT, "platform_conflicts")
+
+enum counter_id {
+#define COUNTER_ENUM(id, name) COUNTER_##id,
+	COUNTER_LIST(COUNTER_ENUM)
+#undef COUNTER_ENUM
+		COUNTER_COUNT
+};
+
+/** All counters of one process or one core; safe to read at any time. */
+struct counters {
+	_Atomic uint64_t value[COUNTER_COUNT];
+};
+
+void counters_init(struct counters *counters);
+void counter_add(struct counters *counters, enum counter_id id, uint64_t n);
+void counter_inc(struct counters *counters, enum counter_id id);
+uint64_t counter_get(const struct counters *counters, enum counter_id id);
+
+/** The exported name of @id, without prefix. */
+const char *counter_name(enum counter_id id);
+
+#endif
--- /dev/null
+++ b/include/tarragonflow/common/log.h
@@ -0,0 +1,23 @@
+#ifndef TARRAGONFLOW_COMMON_LOG_H
+#define TARRAGONFLOW_COMMON_LOG_H
+
+/**
+ * Structured lines for changes of state, `event key=value ...`, over log4c.
+ * Anything that happens per packet or per request is a counter instead.
+ */
+enum log_level {
+	LOG_LEVEL_DEBUG,
+	LOG_LEVEL_INFO,
+	LOG_LEVEL_WARN,
+	LOG_LEVEL_ERROR,
+};
+
+/** Starts logging to standard error from @threshold up. */
+void log_init(enum log_level threshold);
+void log_finish(void);
+
+/** Writes one line: @event, then the formatted `key=value` pairs. */
+void log_event(enum log_level level, const char *event, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+#endif
--- /dev/null
+++ b/include/tarragonflow/flow/agent.h
@@ -0,0 +1,68 @@
+#ifndef TARRAGONFLOW_FLOW_AGENT_H
+#define TARRAGONFLOW_FLOW_AGENT_H
+
+#include "tarragonflow/admit/admit.h"
+#include "tarragonflow/common/counter.h"
+#include "tarragonflow/flow/flow_table.h"
+#include "tarragonflow/net/packet_sink.h"
+#include "tarragonflow/route/view.h"
+
+/**
+ * The agent's packet core: the authority on one backend server. It delivers
+ * the packets of connections that live here, admits or hands on opening
+ * packets, and passes everything else to the next candidate of its chain.
+ */
+struct agent {
+	/** NULL until there is a configuration. */
+	const struct view *view;
+	struct counters *counters;
+	struct flow_table flows;
+	struct admit admit;
+	struct name zone;
+	uint32_t member_id;
+	uint32_t service_id;
+	uint16_t instance_check;
+	/** Time until a silent connection is forgotten, ms. */
+	int64_t idle_timeout_ms;
+};
+
+/** What an agent is, from its settings. */
+struct agent_identity {
+	struct name name;
+	struct name zone;
+	struct name service;
+	uint64_t instance;
+	/** Connections of the warm server. */
+	uint32_t connections;
+	/** Seed of the flow table's hash. */
+	uint64_t seed;
+};
+
+void agent_init(struct agent *agent, const struct agent_identity *identity,
+		struct counters *counters, int64_t now_ms);
+void agent_finish(struct agent *agent);
+
+/** Puts @view in force; the caller keeps it alive. */
+void agent_set_view(struct agent *agent, const struct view *view);
+
+/** Takes no new connections from now on. */
+void agent_drain(struct agent *agent);
+
+/** Handles a datagram from a balancer or another agent. */
+void agent_handle_peer(struct agent *agent, const uint8_t *data, size_t len,
+		       int64_t now_ms, struct packet_sink *sink);
+
+/** Handles a packet that the local backend server sent. */
+void agent_handle_server(struct agent *agent, const uint8_t *data, size_t len,
+			 int64_t now_ms, struct packet_sink *sink);
+
+/** Moves limits and forgets a bounded number of idle connections. */
+void agent_tick(struct agent *agent, int64_t now_ms);
+
+/** When agent_tick() wants to run next, ms. */
+int64_t agent_next_deadline(const struct agent *agent);
+
+/** Connections that are open here. */
+uint32_t agent_open(const struct agent *agent);
+
+#endif
--- /dev/null
+++ b/include/tarragonflow/net/packet.h
@@ -0,0 +1,68 @@
+#ifndef TARRAGONFLOW_NET_PACKET_H
+#define TARRAGONFLOW_NET_PACKET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "tarragonflow/net/endpoint.h"
+
+/**
+ * The header that balancers put in front of a caller's packet. It carries
+ * the whole ordered chain of candidates, so that an agent can pass the
+ * packet on without a view of its own.
+ */
+
+/** Candidates in a chain, at most. */
+#define CHAIN_MAX 8
+
+/** Times one packet may be passed on between processes. */
+#define PACKET_HOP_BUDGET 12
+
+enum candidate_flag {
+	/** May take new connections. */
+	CANDIDATE_TAKES_NEW = 0x1,
+	/** Did not answer probes. */
+	CANDIDATE_SUSPECT = 0x2,
+};
+
+/** One backend server of a chain, by the agent that guards it. */
+struct candidate {
+	struct endpoint data;
+	/** Hash of the member's name. */
+	uint32_t member_id;
+	/** Folded instance of the agent, to tell a reused address. */
+	uint16_t instance_check;
+	/** Bits of enum candidate_flag. */
+	uint8_t flags;
+};
+
+struct packet_header {
+	uint32_t service_id;
+	/** Configuration revision of the process that sent this. */
+	uint64_t config_revision;
+	/** Roster version digest of the process that sent this. */
+	uint64_t roster_version;
+	uint8_t hops_left;
+	/** Index of the candidate that this is now meant for. */
+	uint8_t position;
+	uint8_t n_candidates;
+	/** Bucket of the connection; lets the last one resolve again. */
+	uint32_t bucket;
+	struct candidate candidates[CHAIN_MAX];
+};
+
+/** Bytes of an encoded header with the longest chain. */
+#define PACKET_HEADER_MAX (32 + CHAIN_MAX * 12)
+
+/** Encodes into @out of PACKET_HEADER_MAX; returns the length. */
+size_t packet_header_encode(const struct packet_header *header, uint8_t *out);
+
+/** Returns the header's length in @data, 0 when it is malformed. */
+size_t packet_header_decode(struct packet_header *header, const uint8_t *data,
+			    size_t len);
+
+/** Folds an instance into the 14 bits that a header carries. */
+uint16_t packet_instance_check(uint64_t instance);
+
+#endif
--- /dev/null
+++ b/include/tarragonflow/node/node.h
@@ -0,0 +1,79 @@
+#ifndef TARRAGONFLOW_NODE_NODE_H
+#define TARRAGONFLOW_NODE_NODE_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "tarragonflow/common/clock.h"
+#include "tarragonflow/common/counter.h"
+#include "tarragonflow/common/ring.h"
+#include "tarragonflow/control/control.h"
+#include "tarragonflow/node/settings.h"
+#include "tarragonflow/route/view.h"
+
+/**
+ * What both long-running roles share: a control duty and a platform duty,
+ * each a thread, joined by bounded rings. The packet duty of the role takes
+ * new views from the `views` ring.
+ */
+struct node {
+	const struct settings *settings;
+	struct clock clock;
+	struct counters counters;
+	/** Guards control; the admin API reads under it. */
+	pthread_mutex_t lock;
+	struct control control;
+	int control_fd;
+	/** Requests to the platform duty, results back. */
+	struct ring requests;
+	struct ring results;
+	/** Views to the packet duty, replaced ones back to be freed. */
+	struct ring views;
+	struct ring retired_views;
+	int wake_control;
+	int wake_platform;
+	int wake_packet;
+	/** Set when configuration or roster changed since the last view. */
+	bool view_dirty;
+	/** Next time a view may be computed, ms. */
+	int64_t next_view_ms;
+	/** State that the control duty is to announce. */
+	_Atomic int wanted_state;
+	_Atomic bool stop;
+	/** Connections that are open here, for the admin API. */
+	_Atomic uint32_t open_connections;
+	pthread_t control_thread;
+	pthread_t platform_thread;
+	uint64_t instance;
+};
+
+/** Opens the control socket; the duties start with node_start(). */
+enum status_code node_init(struct node *node, const struct settings *settings,
+			   struct status *status);
+enum status_code node_start(struct node *node, struct status *status);
+
+/** Ends the duties and frees everything. */
+void node_finish(struct node *node);
+
+/** Announces @state through the control duty. */
+void node_set_state(struct node *node, enum member_state state);
+
+/** Wakes a duty through its eventfd. */
+void node_wake(int fd);
+
+/** Empties an eventfd after a wake. */
+void node_wake_clear(int fd);
+
+/** The next view for the packet duty, or NULL. */
+struct view *node_take_view(struct node *node);
+
+/** Gives a replaced view back to be freed. */
+void node_retire_view(struct node *node, struct view *view);
+
+/** Blocks until SIGTERM or SIGINT, which must be blocked already. */
+void node_wait_signal(void);
+
+/** Blocks SIGTERM and SIGINT; call before any thread starts. */
+void node_block_signals(void);
+
+#endif
--- /dev/null
+++ b/include/tarragonflow/node/packet_duty.h
@@ -0,0 +1,35 @@
+#ifndef TARRAGONFLOW_NODE_PACKET_DUTY_H
+#define TARRAGONFLOW_NODE_PACKET_DUTY_H
+
+#include "tarragonflow/flow/agent.h"
+#include "tarragonflow/net/packet_edge.h"
+#include "tarragonflow/node/node.h"
+#include "tarragonflow/route/balancer.h"
+
+/**
+ * The packet duty of either role: a thread that receives, runs the packet
+ * core and sends. It takes new views from the node's ring.
+ */
+struct packet_duty {
+	struct packet_sink sink;
+	struct node *node;
+	pthread_t thread;
+	struct view *view;
+	/** Datagrams from and to our other processes. */
+	int data_fd;
+	/** Agents only: the backend server's side. */
+	struct packet_edge server;
+	struct agent agent;
+	/** Balancers only. */
+	struct balancer balancer;
+	/** Set to make the agent take nothing new. */
+	_Atomic bool drain;
+};
+
+enum status_code packet_duty_start(struct packet_duty *duty, struct node *node,
+				   struct status *status);
+
+/** Ends the thread; the node must still be there. */
+void packet_duty_finish(struct packet_duty *duty);
+
+#endif
--- /dev/null
+++ b/include/tarragonflow/node/settings.h
@@ -0,0 +1,49 @@
+#ifndef TARRAGONFLOW_NODE_SETTINGS_H
+#define TARRAGONFLOW_NODE_SETTINGS_H
+
+#include "tarragonflow/common/json_reader.h"
+#include "tarragonflow/control/control.h"
+#include "tarragonflow/net/endpoint.h"
+#include "tarragonflow/roster/roster.h"
+
+/**
+ * The settings of one long-running process: who and where it is. What it
+ * serves is in the manifest. docs/SETTINGS.md lists the fields.
+ */
+struct settings {
+	enum member_role role;
+	struct name name;
+	struct name zone;
+	struct name deployment;
+	struct endpoint data;
+	struct endpoint control;
+	struct endpoint admin;
+	struct json_text platform;
+	struct endpoint seeds[CONTROL_SEEDS_MAX];
+	size_t n_seeds;
+	int log_level;
+	/** Agents only. */
+	struct name service;
+	struct endpoint server;
+	struct endpoint server_listen;
+	struct endpoint fabric;
+	int64_t connections;
+	int64_t slots;
+	int64_t drain_deadline_s;
+};
+
+/** Reads and checks @root for @role; every error goes to @errors. */
+void settings_read(struct settings *settings, enum member_role role,
+		   const json_t *root, struct json_errors *errors);
+
+/** Reads and checks a file. STATUS_INVALID carries all errors. */
+enum status_code settings_load(struct settings *settings, enum member_role role,
+			       const char *path, struct status *status);
+
+/** The tables of fields, for the settings page and its test. */
+extern const struct field settings_fields[];
+extern const size_t settings_n_fields;
+extern const struct field settings_agent_fields[];
+extern const size_t settings_n_agent_fields;
+
+#endif
--- /dev/null
+++ b/include/tarragonflow/platform/http_platform.h
@@ -0,0 +1,22 @@
+#ifndef TARRAGONFLOW_PLATFORM_HTTP_PLATFORM_H
+#define TARRAGONFLOW_PLATFORM_HTTP_PLATFORM_H
+
+#include <curl/curl.h>
+
+#include "tarragonflow/common/counter.h"
+#include "tarragonflow/platform/platform.h"
+
+/** The platform over HTTP and JSON, through libcurl; for one thread. */
+struct http_platform {
+	struct platform platform;
+	CURL *curl;
+	struct counters *counters;
+	char url[256];
+};
+
+/** @url such as "http://127.0.0.1:4700"; @counters may be NULL. */
+void http_platform_init(struct http_platform *http, const char *url,
+			struct counters *counters);
+void http_platform_finish(struct http_platform *http);
+
+#endif
--- /dev/null
+++ b/include/tarragonflow/platform/platform.h
@@ -0,0 +1,104 @@
+#ifndef TARRAGONFLOW_PLATFORM_PLATFORM_H
+#define TARRAGONFLOW_PLATFORM_PLATFORM_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "tarragonflow/common/status.h"
+#include "tarragonflow/common/str.h"
+
+/**
+ * The platform's object API: values under keys, each with a version that
+ * grows with every write; conditional updates; watches by prefix.
+ * docs/PLATFORM-API.md gives its HTTP form.
+ *
+ * The cores issue requests and take results as messages; a duty makes the
+ * calls through a table of functions, which tests replace by a fake.
+ */
+enum platform_op {
+	PLATFORM_OP_GET,
+	PLATFORM_OP_LIST,
+	PLATFORM_OP_PUT,
+	PLATFORM_OP_DELETE,
+	PLATFORM_OP_WATCH,
+};
+
+/** Longest key, in bytes with the terminator. */
+#define PLATFORM_KEY_MAX 160
+
+/** Bytes of a write token as text, with the terminator. */
+#define PLATFORM_TOKEN_MAX 33
+
+/** Largest value, in bytes. */
+#define PLATFORM_VALUE_MAX (1024 * 1024)
+
+struct platform_request {
+	/** Chosen by the caller; comes back in the result. */
+	uint64_t id;
+	enum platform_op op;
+	/** Key, or prefix for LIST and WATCH. */
+	char key[PLATFORM_KEY_MAX];
+	/**
+	 * PUT, DELETE: version that must be current, 0 for "must not exist".
+	 * WATCH: report changes after this version.
+	 */
+	int64_t version;
+	/** PUT: unique to the write, to recognize it after a lost answer. */
+	char token[PLATFORM_TOKEN_MAX];
+	/** Time the whole call may take, ms; for WATCH also its wait. */
+	int64_t timeout_ms;
+	/** PUT: the value. */
+	struct strbuf value;
+};
+
+struct platform_object {
+	char key[PLATFORM_KEY_MAX];
+	int64_t version;
+	/** Token of the write that made this version. */
+	char token[PLATFORM_TOKEN_MAX];
+	/** The object was deleted (WATCH only). */
+	bool deleted;
+	struct strbuf value;
+};
+
+struct platform_result {
+	uint64_t id;
+	enum platform_op op;
+	/**
+	 * OK; NOT_FOUND; CONFLICT; GONE for a watch past the history;
+	 * UNAVAILABLE when it certainly had no effect; UNKNOWN when a write
+	 * may have taken effect; INVALID when refused.
+	 */
+	struct status status;
+	/** Version of the store (LIST, WATCH) or of the object. */
+	int64_t version;
+	struct platform_object *objects;
+	size_t n_objects;
+};
+
+struct platform {
+	/** Makes one call, blocking at most request->timeout_ms. */
+	void (*call)(struct platform *platform,
+		     const struct platform_request *request,
+		     struct platform_result *result);
+};
+
+void platform_request_init(struct platform_request *request,
+			   enum platform_op op, const char *key);
+void platform_request_finish(struct platform_request *request);
+
+void platform_result_init(struct platform_result *result,
+			  const struct platform_request *request);
+void platform_result_finish(struct platform_result *result);
+
+/** Adds an object with copies of @key and @value; returns it. */
+struct platform_object *platform_result_add(struct platform_result *result,
+					    const char *key, int64_t version,
+					    struct str value);
+
+/** The key of the manifest of @deployment. */
+void platform_manifest_key(char *key, const struct name *deployment);
+
+const char *platform_op_name(enum platform_op op);
+
+#endif
--- /dev/null
+++ b/net/udp.c
@@ -0,0 +1,67 @@
+#include "tarragonflow/net/udp.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#define SOCKET_BUFFER_BYTES (4 * 1024 * 1024)
+
+enum status_code udp_open(const struct endpoint *local, int *fd,
+			  struct status *status)
+{
+	char text[ENDPOINT_TEXT_MAX];
+	int bytes = SOCKET_BUFFER_BYTES;
+	struct sockaddr_in addr;
+
+	*fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (*fd < 0)
+		return status_set(status, STATUS_IO, "socket: %s",
+				  strerror(errno));
+	setsockopt(*fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	setsockopt(*fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+	endpoint_to_sockaddr(local, &addr);
+	if (bind(*fd, (struct sockaddr *)&addr, sizeof(addr)) == 0)
+		return STATUS_OK;
+	status_set(status, STATUS_IO, "cannot bind UDP %s: %s",
+		   endpoint_format(local, text), strerror(errno));
+	close(*fd);
+	*fd = -1;
+	return STATUS_IO;
+}
+
+ssize_t udp_receive(int fd, uint8_t *buf, size_t cap, struct endpoint *from)
+{
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	ssize_t got = recvfrom(fd, buf, cap, 0, (struct sockaddr *)&addr, &len);
+
+	if (got >= 0 && from)
+		endpoint_from_sockaddr(from, &addr);
+	return got;
+}
+
+bool udp_send_two(int fd, const struct endpoint *to, const void *head,
+		  size_t head_len, const void *body, size_t body_len)
+{
+	struct sockaddr_in addr;
+	struct iovec parts[2] = {
+		{(void *)head, head_len},
+		{(void *)body, body_len},
+	};
+	struct msghdr msg = {
+		.msg_name = &addr,
+		.msg_namelen = sizeof(addr),
+		.msg_iov = parts,
+		.msg_iovlen = 2,
+	};
+
+	endpoint_to_sockaddr(to, &addr);
+	return sendmsg(fd, &msg, 0) >= 0;
+}
+
+bool udp_send(int fd, const struct endpoint *to, const void *data, size_t len)
+{
+	return udp_send_two(fd, to, NULL, 0, data, len);
+}
--- /dev/null
+++ b/node/node.c
@@ -0,0 +1,352 @@
+#include "tarragonflow/node/node.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <poll.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "tarragonflow/common/log.h"
+#include "tarragonflow/net/udp.h"
+#include "tarragonflow/platform/http_platform.h"
+
+#define RING_SIZE 64
+#define POLL_MAX_MS 200
+/* Changes that come in bursts are taken into one view. */
+#define VIEW_INTERVAL_MS 50
+
+/** The control core's sink inside a process. */
+struct node_sink {
+	struct control_sink sink;
+	struct node *node;
+};
+
+void node_wake(int fd)
+{
+	uint64_t one = 1;
+
+	while (write(fd, &one, sizeof(one)) < 0 && errno == EINTR)
+		;
+}
+
+void node_wake_clear(int fd)
+{
+	uint64_t count;
+
+	while (read(fd, &count, sizeof(count)) < 0 && errno == EINTR)
+		;
+}
+
+static void sink_send(struct control_sink *sink, const struct endpoint *to,
+		      const uint8_t *data, size_t len)
+{
+	struct node *node = ((struct node_sink *)sink)->node;
+
+	if (!udp_send(node->control_fd, to, data, len))
+		counter_inc(&node->counters, COUNTER_DROP_SEND);
+}
+
+static void free_request(struct platform_request *request)
+{
+	platform_request_finish(request);
+	g_free(request);
+}
+
+static void sink_call(struct control_sink *sink,
+		      const struct platform_request *request)
+{
+	struct node *node = ((struct node_sink *)sink)->node;
+	struct platform_request *copy = g_new(struct platform_request, 1);
+
+	*copy = *request;
+	strbuf_init(&copy->value);
+	strbuf_add(&copy->value, request->value.data, request->value.len);
+	if (!ring_push(&node->requests, copy)) {
+		counter_inc(&node->counters, COUNTER_DROP_RING_FULL);
+		free_request(copy);
+		return;
+	}
+	node_wake(node->wake_platform);
+}
+
+static void sink_changed(struct control_sink *sink)
+{
+	((struct node_sink *)sink)->node->view_dirty = true;
+}
+
+static void view_free(struct view *view)
+{
+	view_finish(view);
+	g_free(view);
+}
+
+static void publish_view(struct node *node, int64_t now_ms)
+{
+	struct view *view;
+
+	while ((view = ring_pop(&node->retired_views)))
+		view_free(view);
+	if (!node->view_dirty || !node->control.manifest.release ||
+	    now_ms < node->next_view_ms)
+		return;
+	view = g_new(struct view, 1);
+	view_init(view, &node->control.manifest, &node->control.roster);
+	if (!ring_push(&node->views, view)) {
+		view_free(view);
+		return;
+	}
+	node->view_dirty = false;
+	node->next_view_ms = now_ms + VIEW_INTERVAL_MS;
+	node_wake(node->wake_packet);
+}
+
+static void receive_messages(struct node *node, struct node_sink *sink)
+{
+	static _Thread_local uint8_t buf[UDP_DATAGRAM_MAX];
+	struct endpoint from;
+	ssize_t len;
+
+	while ((len = udp_receive(node->control_fd, buf, sizeof(buf), &from)) >=
+	       0)
+		control_handle_message(&node->control, &from, buf, (size_t)len,
+				       clock_now(&node->clock), &sink->sink);
+}
+
+static void receive_results(struct node *node, struct node_sink *sink)
+{
+	struct platform_result *result;
+
+	while ((result = ring_pop(&node->results))) {
+		control_handle_result(&node->control, result,
+				      clock_now(&node->clock), &sink->sink);
+		platform_result_finish(result);
+		g_free(result);
+	}
+}
+
+static void apply_wanted_state(struct node *node, struct node_sink *sink)
+{
+	int wanted = atomic_load(&node->wanted_state);
+
+	if (wanted != (int)node->control.options.self.state)
+		control_set_state(&node->control, (enum member_state)wanted,
+				  clock_now(&node->clock), &sink->sink);
+}
+
+static int control_timeout(struct node *node)
+{
+	int64_t wait =
+		control_next_deadline(&node->control) - clock_now(&node->clock);
+
+	if (node->view_dirty)
+		wait = MIN(wait, VIEW_INTERVAL_MS);
+	return (int)CLAMP(wait, 0, POLL_MAX_MS);
+}
+
+static void *control_duty(void *arg)
+{
+	struct node *node = arg;
+	struct node_sink sink = {
+		.sink = {sink_send, sink_call, sink_changed},
+		.node = node,
+	};
+	struct pollfd fds[2] = {
+		{.fd = node->control_fd, .events = POLLIN},
+		{.fd = node->wake_control, .events = POLLIN},
+	};
+
+	while (!atomic_load(&node->stop)) {
+		poll(fds, 2, control_timeout(node));
+		if (fds[1].revents)
+			node_wake_clear(node->wake_control);
+		pthread_mutex_lock(&node->lock);
+		receive_messages(node, &sink);
+		receive_results(node, &sink);
+		apply_wanted_state(node, &sink);
+		control_tick(&node->control, clock_now(&node->clock),
+			     &sink.sink);
+		publish_view(node, clock_now(&node->clock));
+		pthread_mutex_unlock(&node->lock);
+	}
+	return NULL;
+}
+
+static void serve_requests(struct node *node, struct http_platform *http)
+{
+	struct platform_request *request;
+
+	while (!atomic_load(&node->stop) &&
+	       (request = ring_pop(&node->requests))) {
+		struct platform_result *result =
+			g_new(struct platform_result, 1);
+
+		http->platform.call(&http->platform, request, result);
+		free_request(request);
+		while (!ring_push(&node->results, result) &&
+		       !atomic_load(&node->stop))
+			clock_sleep(1);
+		node_wake(node->wake_control);
+	}
+}
+
+static void *platform_duty(void *arg)
+{
+	struct node *node = arg;
+	struct pollfd fd = {.fd = node->wake_platform, .events = POLLIN};
+	struct http_platform http;
+
+	http_platform_init(&http, node->settings->platform.data,
+			   &node->counters);
+	while (!atomic_load(&node->stop)) {
+		poll(&fd, 1, POLL_MAX_MS);
+		if (fd.revents)
+			node_wake_clear(node->wake_platform);
+		serve_requests(node, &http);
+	}
+	http_platform_finish(&http);
+	return NULL;
+}
+
+static void self_from_settings(struct control_options *options,
+			       const struct settings *settings,
+			       uint64_t instance)
+{
+	struct member *self = &options->self;
+
+	memset(options, 0, sizeof(*options));
+	self->name = settings->name;
+	self->zone = settings->zone;
+	self->service = settings->service;
+	self->role = settings->role;
+	self->state = MEMBER_ACTIVE;
+	self->instance = instance;
+	self->data = settings->data;
+	self->control = settings->control;
+	self->admin = settings->admin;
+	self->connections = (uint32_t)settings->connections;
+	self->slots = (uint32_t)settings->slots;
+	options->deployment = settings->deployment;
+	options->n_seeds = settings->n_seeds;
+	memcpy(options->seeds, settings->seeds, sizeof(options->seeds));
+	options->random_seed = instance ^ member_id(&settings->name);
+}
+
+enum status_code node_init(struct node *node, const struct settings *settings,
+			   struct status *status)
+{
+	struct control_options options;
+
+	memset(node, 0, sizeof(*node));
+	if (udp_open(&settings->control, &node->control_fd, status) !=
+	    STATUS_OK)
+		return status->code;
+	node->settings = settings;
+	node->instance = (uint64_t)clock_wall_ms();
+	clock_init_monotonic(&node->clock);
+	counters_init(&node->counters);
+	pthread_mutex_init(&node->lock, NULL);
+	ring_init(&node->requests, RING_SIZE);
+	ring_init(&node->results, RING_SIZE);
+	ring_init(&node->views, RING_SIZE);
+	ring_init(&node->retired_views, RING_SIZE);
+	node->wake_control = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	node->wake_platform = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	node->wake_packet = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	atomic_init(&node->wanted_state, MEMBER_ACTIVE);
+	self_from_settings(&options, settings, node->instance);
+	control_init(&node->control, &options, &node->counters,
+		     clock_now(&node->clock));
+	return STATUS_OK;
+}
+
+enum status_code node_start(struct node *node, struct status *status)
+{
+	if (pthread_create(&node->control_thread, NULL, control_duty, node))
+		return status_set(status, STATUS_INTERNAL,
+				  "cannot start the control duty");
+	if (pthread_create(&node->platform_thread, NULL, platform_duty, node))
+		return status_set(status, STATUS_INTERNAL,
+				  "cannot start the platform duty");
+	return STATUS_OK;
+}
+
+static void drain_rings(struct node *node)
+{
+	struct platform_request *request;
+	struct platform_result *result;
+	struct view *view;
+
+	while ((request = ring_pop(&node->requests)))
+		free_request(request);
+	while ((result = ring_pop(&node->results))) {
+		platform_result_finish(result);
+		g_free(result);
+	}
+	while ((view = ring_pop(&node->views)))
+		view_free(view);
+	while ((view = ring_pop(&node->retired_views)))
+		view_free(view);
+}
+
+void node_finish(struct node *node)
+{
+	atomic_store(&node->stop, true);
+	node_wake(node->wake_control);
+	node_wake(node->wake_platform);
+	pthread_join(node->control_thread, NULL);
+	pthread_join(node->platform_thread, NULL);
+	drain_rings(node);
+	ring_finish(&node->requests);
+	ring_finish(&node->results);
+	ring_finish(&node->views);
+	ring_finish(&node->retired_views);
+	control_finish(&node->control);
+	close(node->control_fd);
+	close(node->wake_control);
+	close(node->wake_platform);
+	close(node->wake_packet);
+	pthread_mutex_destroy(&node->lock);
+}
+
+void node_set_state(struct node *node, enum member_state state)
+{
+	atomic_store(&node->wanted_state, (int)state);
+	node_wake(node->wake_control);
+}
+
+struct view *node_take_view(struct node *node)
+{
+	return ring_pop(&node->views);
+}
+
+void node_retire_view(struct node *node, struct view *view)
+{
+	if (!view)
+		return;
+	if (!ring_push(&node->retired_views, view))
+		view_free(view);
+}
+
+void node_block_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+void node_wait_signal(void)
+{
+	sigset_t set;
+	int signo;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigwait(&set, &signo);
+}
--- /dev/null
+++ b/node/settings.c
@@ -0,0 +1,197 @@
+#include "tarragonflow/node/settings.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PATH_MAX_BYTES 64
+#define CONNECTIONS_MAX 1000000
+#define SLOTS_MAX 10000
+#define DRAIN_DEADLINE_MAX_S (7 * 24 * 3600)
+
+static const char *const log_levels[] = {"debug", "info", "warn", "error",
+					 NULL};
+
+/* Fields of both roles; the agents' table repeats none of them. */
+const struct field settings_fields[] = {
+	{.name = "name",
+	 .type = FIELD_NAME,
+	 .offset = offsetof(struct settings, name),
+	 .required = true,
+	 .help = "stable name of the process; kept through restarts"},
+	{.name = "zone",
+	 .type = FIELD_NAME,
+	 .offset = offsetof(struct settings, zone),
+	 .required = true,
+	 .help = "availability zone it runs in"},
+	{.name = "deployment",
+	 .type = FIELD_NAME,
+	 .offset = offsetof(struct settings, deployment),
+	 .required = true,
+	 .help = "deployment whose manifest it follows"},
+	{.name = "data",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, data),
+	 .required = true,
+	 .help = "UDP address for callers' packets"},
+	{.name = "control",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, control),
+	 .required = true,
+	 .help = "UDP address for control messages"},
+	{.name = "admin",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, admin),
+	 .required = true,
+	 .help = "TCP address of the admin API"},
+	{.name = "platform",
+	 .type = FIELD_TEXT,
+	 .offset = offsetof(struct settings, platform),
+	 .required = true,
+	 .min = 8,
+	 .max = 200,
+	 .help = "URL of the platform's object API"},
+	{.name = "seeds",
+	 .type = FIELD_NESTED,
+	 .help = "control addresses of peers to begin with"},
+	{.name = "log_level",
+	 .type = FIELD_CHOICE,
+	 .offset = offsetof(struct settings, log_level),
+	 .choices = log_levels,
+	 .fallback = 1,
+	 .help = "least severe lines to write"},
+};
+const size_t settings_n_fields = G_N_ELEMENTS(settings_fields);
+
+const struct field settings_agent_fields[] = {
+	{.name = "service",
+	 .type = FIELD_NAME,
+	 .offset = offsetof(struct settings, service),
+	 .required = true,
+	 .help = "service of the backend server"},
+	{.name = "server",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, server),
+	 .required = true,
+	 .help = "UDP address that takes the server's packets"},
+	{.name = "server_listen",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, server_listen),
+	 .required = true,
+	 .help = "UDP address for packets from the server"},
+	{.name = "fabric",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, fabric),
+	 .required = true,
+	 .help = "UDP address of the fabric for answers"},
+	{.name = "connections",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, connections),
+	 .min = 1,
+	 .max = CONNECTIONS_MAX,
+	 .fallback = 2000,
+	 .unit = "connections",
+	 .help = "connections that the warm server carries"},
+	{.name = "slots",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, slots),
+	 .min = 1,
+	 .max = SLOTS_MAX,
+	 .fallback = 5,
+	 .unit = "requests",
+	 .help = "requests that the server runs at once"},
+	{.name = "drain_deadline_s",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, drain_deadline_s),
+	 .min = 0,
+	 .max = DRAIN_DEADLINE_MAX_S,
+	 .fallback = 3600,
+	 .unit = "s",
+	 .help = "time connections are kept after SIGTERM"},
+};
+const size_t settings_n_agent_fields = G_N_ELEMENTS(settings_agent_fields);
+
+static void read_seeds(struct settings *settings, const json_t *root,
+		       struct json_errors *errors)
+{
+	const json_t *seeds = json_reader_array(
+		root, "", "seeds", CONTROL_SEEDS_MAX, false, errors);
+	char path[PATH_MAX_BYTES];
+	const json_t *seed;
+	size_t i;
+
+	json_array_foreach(seeds, i, seed)
+	{
+		const char *text = json_string_value(seed);
+
+		if (text &&
+		    endpoint_parse(&settings->seeds[settings->n_seeds], text)) {
+			settings->n_seeds++;
+			continue;
+		}
+		snprintf(path, sizeof(path), "seeds[%zu]", i);
+		json_errors_add(errors, path,
+				"found %s, allowed is an IPv4 address and "
+				"port, a.b.c.d:port",
+				text ? text : "no string");
+	}
+}
+
+static size_t role_fields(enum member_role role, struct field *fields)
+{
+	size_t n = settings_n_fields;
+
+	memcpy(fields, settings_fields, sizeof(*fields) * n);
+	if (role != MEMBER_AGENT)
+		return n;
+	memcpy(fields + n, settings_agent_fields,
+	       sizeof(*fields) * settings_n_agent_fields);
+	return n + settings_n_agent_fields;
+}
+
+static void check_platform(const struct settings *settings,
+			   struct json_errors *errors)
+{
+	const char *url = settings->platform.data;
+
+	if (!settings->platform.len || g_str_has_prefix(url, "http://") ||
+	    g_str_has_prefix(url, "https://"))
+		return;
+	json_errors_add(errors, "platform",
+			"found \"%s\", allowed is a URL that starts with "
+			"http:// or https://",
+			url);
+}
+
+void settings_read(struct settings *settings, enum member_role role,
+		   const json_t *root, struct json_errors *errors)
+{
+	struct field fields[G_N_ELEMENTS(settings_fields) +
+			    G_N_ELEMENTS(settings_agent_fields)];
+	size_t n = role_fields(role, fields);
+
+	memset(settings, 0, sizeof(*settings));
+	settings->role = role;
+	json_reader_object(root, "", fields, n, settings, errors);
+	if (!json_is_object(root))
+		return;
+	read_seeds(settings, root, errors);
+	check_platform(settings, errors);
+}
+
+enum status_code settings_load(struct settings *settings, enum member_role role,
+			       const char *path, struct status *status)
+{
+	struct json_errors errors;
+	enum status_code code;
+	json_t *root;
+
+	json_errors_init(&errors, path);
+	root = json_reader_load(path, &errors);
+	if (root)
+		settings_read(settings, role, root, &errors);
+	json_decref(root);
+	code = json_errors_status(&errors, status);
+	json_errors_finish(&errors);
+	return code;
+}
--- /dev/null
+++ b/roster/roster.c
@@ -0,0 +1,117 @@
+#include "tarragonflow/roster/roster.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define ROSTER_MIN_CAP 16
+
+void roster_init(struct roster *roster)
+{
+	memset(roster, 0, sizeof(*roster));
+}
+
+void roster_finish(struct roster *roster)
+{
+	g_free(roster->members);
+	roster_init(roster);
+}
+
+/* Index of @name, or of the place where it belongs. */
+static size_t roster_search(const struct roster *roster,
+			    const struct name *name, bool *found)
+{
+	size_t low = 0, high = roster->n;
+
+	*found = false;
+	while (low < high) {
+		size_t mid = low + (high - low) / 2;
+		int order = name_compare(&roster->members[mid].name, name);
+
+		if (!order) {
+			*found = true;
+			return mid;
+		}
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+struct member *roster_find(const struct roster *roster, const struct name *name)
+{
+	bool found;
+	size_t at = roster_search(roster, name, &found);
+
+	return found ? &roster->members[at] : NULL;
+}
+
+bool member_newer(const struct member *a, const struct member *b)
+{
+	if (a->instance != b->instance)
+		return a->instance > b->instance;
+	if (a->sequence != b->sequence)
+		return a->sequence > b->sequence;
+	/* Same word of its own: the graver report of others wins. */
+	return a->state > b->state;
+}
+
+static bool member_same_route(const struct member *a, const struct member *b)
+{
+	return a->instance == b->instance && a->state == b->state &&
+	       a->role == b->role && a->connections == b->connections &&
+	       a->slots == b->slots && name_equal(&a->zone, &b->zone) &&
+	       name_equal(&a->service, &b->service) &&
+	       endpoint_equal(&a->data, &b->data) &&
+	       endpoint_equal(&a->control, &b->control);
+}
+
+static void roster_insert(struct roster *roster, size_t at,
+			  const struct member *entry)
+{
+	if (roster->n == roster->cap) {
+		roster->cap = MAX(roster->cap * 2, ROSTER_MIN_CAP);
+		roster->members =
+			g_renew(struct member, roster->members, roster->cap);
+	}
+	memmove(&roster->members[at + 1], &roster->members[at],
+		(roster->n - at) * sizeof(*roster->members));
+	roster->members[at] = *entry;
+	roster->n++;
+}
+
+enum roster_change roster_merge(struct roster *roster,
+				const struct member *entry, int64_t now_ms)
+{
+	enum roster_change change = ROSTER_CHANGED;
+	bool found;
+	size_t at = roster_search(roster, &entry->name, &found);
+
+	if (!found) {
+		roster_insert(roster, at, entry);
+	} else {
+		if (!member_newer(entry, &roster->members[at]))
+			return ROSTER_UNCHANGED;
+		if (member_same_route(entry, &roster->members[at]))
+			change = ROSTER_REFRESHED;
+		roster->members[at] = *entry;
+	}
+	roster->members[at].heard_ms = now_ms;
+	if (change == ROSTER_CHANGED)
+		roster->version++;
+	return change;
+}
+
+const char *member_state_name(enum member_state state)
+{
+	static const char *const names[] = {"none", "active", "suspect",
+					    "draining", "left"};
+
+	return state <= MEMBER_LEFT ? names[state] : "unknown";
+}
+
+const char *member_role_name(enum member_role role)
+{
+	return role == MEMBER_BALANCER ? "balancer" : "agent";
+}
--- /dev/null
+++ b/route/view.c
@@ -0,0 +1,276 @@
+#include "tarragonflow/route/view.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Enough that the bucket count adds little to the imbalance of the hash. */
+#define BUCKETS_PER_MEMBER 64
+#define BUCKETS_MIN 64
+#define BUCKETS_MAX (1U << 20)
+/* Every process must agree, so these are part of the protocol. */
+#define BUCKET_SEED 0x7461727261676f6eULL
+#define MEMBER_SEED 0
+#define INDEX_EMPTY UINT32_MAX
+
+/** One member's claim on a bucket while its chain is sorted. */
+struct rank {
+	double score;
+	uint16_t member;
+	bool suspect;
+};
+
+uint32_t member_id(const struct name *name)
+{
+	return XXH32(name->data, name->len, MEMBER_SEED);
+}
+
+static uint64_t mix(uint64_t a, uint64_t b)
+{
+	uint64_t words[2] = {a, b};
+
+	return XXH3_64bits(words, sizeof(words));
+}
+
+/* Weighted rendezvous score: -weight / ln(u), u uniform in (0, 1). */
+static double rank_score(uint64_t member_hash, uint32_t bucket, double weight)
+{
+	uint64_t bits = mix(member_hash, bucket) >> 11;
+	double u = ((double)bits + 0.5) / 9007199254740992.0;
+
+	return -weight / log(u);
+}
+
+static bool rank_before(const struct rank *a, const struct rank *b)
+{
+	if (a->suspect != b->suspect)
+		return b->suspect;
+	if (a->score != b->score)
+		return a->score > b->score;
+	return a->member < b->member;
+}
+
+/* Keeps the best @max ranks of a bucket in order. */
+static void rank_insert(struct rank *top, size_t *n, size_t max,
+			const struct rank *rank)
+{
+	size_t at = *n;
+
+	if (at == max) {
+		if (!rank_before(rank, &top[max - 1]))
+			return;
+		at = max - 1;
+	} else {
+		(*n)++;
+	}
+	while (at > 0 && rank_before(rank, &top[at - 1])) {
+		top[at] = top[at - 1];
+		at--;
+	}
+	top[at] = *rank;
+}
+
+static uint32_t bucket_count(size_t n_members)
+{
+	uint64_t want = (uint64_t)n_members * BUCKETS_PER_MEMBER;
+	uint32_t n = BUCKETS_MIN;
+
+	while (n < want && n < BUCKETS_MAX)
+		n *= 2;
+	return n;
+}
+
+static void service_view_build_chains(struct service_view *view,
+				      const uint32_t *weights)
+{
+	size_t len = MIN(view->n_members, CHAIN_MAX);
+
+	view->chain_len = (uint8_t)len;
+	view->n_buckets = bucket_count(view->n_members);
+	view->chains = g_new(uint16_t, view->n_buckets * len);
+	for (uint32_t bucket = 0; bucket < view->n_buckets; bucket++) {
+		struct rank top[CHAIN_MAX] = { 0 };
+		size_t n = 0;
+
+		for (size_t i = 0; i < view->n_members; i++) {
+			const struct candidate *c = &view->members[i];
+			struct rank rank = {
+				.score = rank_score(c->member_id, bucket,
+						    weights[i]),
+				.member = (uint16_t)i,
+				.suspect = c->flags & CANDIDATE_SUSPECT,
+			};
+
+			rank_insert(top, &n, len, &rank);
+		}
+		for (size_t i = 0; i < len; i++)
+			view->chains[bucket * len + i] = top[i].member;
+	}
+}
+
+static bool member_serves(const struct member *member,
+			  const struct service *service,
+			  const struct manifest *manifest)
+{
+	const struct zone *zone;
+
+	if (member->role != MEMBER_AGENT || member->state == MEMBER_LEFT ||
+	    !name_equal(&member->service, &service->name))
+		return false;
+	zone = manifest_zone(manifest, &member->zone);
+	return zone && zone->state == ZONE_IN;
+}
+
+static void candidate_from_member(struct candidate *candidate,
+				  const struct member *member)
+{
+	candidate->data = member->data;
+	candidate->member_id = member_id(&member->name);
+	candidate->instance_check = packet_instance_check(member->instance);
+	candidate->flags = 0;
+	if (member->state == MEMBER_SUSPECT)
+		candidate->flags |= CANDIDATE_SUSPECT;
+	if (member->state != MEMBER_DRAINING)
+		candidate->flags |= CANDIDATE_TAKES_NEW;
+}
+
+static void service_view_init(struct service_view *view,
+			      const struct service *service,
+			      const struct manifest *manifest,
+			      const struct roster *roster)
+{
+	uint32_t *weights = g_new(uint32_t, roster->n);
+
+	memset(view, 0, sizeof(*view));
+	view->service = *service;
+	view->members = g_new(struct candidate, roster->n);
+	for (size_t i = 0; i < roster->n; i++) {
+		const struct member *member = &roster->members[i];
+
+		if (!member_serves(member, service, manifest))
+			continue;
+		weights[view->n_members] = MAX(member->connections, 1);
+		candidate_from_member(&view->members[view->n_members++],
+				      member);
+	}
+	service_view_build_chains(view, weights);
+	g_free(weights);
+}
+
+static uint32_t index_slot(const struct view *view, const struct ip_addr *ip,
+			   uint16_t port)
+{
+	return (uint32_t)XXH3_64bits_withSeed(ip, sizeof(*ip), port) &
+	       view->index_mask;
+}
+
+static void view_build_index(struct view *view)
+{
+	uint32_t size = 2;
+
+	while (size < view->n_services * 2)
+		size *= 2;
+	view->index_mask = size - 1;
+	view->index = g_new(uint32_t, size);
+	for (uint32_t i = 0; i < size; i++)
+		view->index[i] = INDEX_EMPTY;
+	for (uint32_t i = 0; i < view->n_services; i++) {
+		const struct service *service = &view->services[i].service;
+		uint32_t slot = index_slot(view, &service->address,
+					   (uint16_t)service->port);
+
+		while (view->index[slot] != INDEX_EMPTY)
+			slot = (slot + 1) & view->index_mask;
+		view->index[slot] = i;
+	}
+}
+
+static void view_copy_zones_out(struct view *view,
+				const struct manifest *manifest)
+{
+	view->zones_out = g_new(struct name, manifest->n_zones);
+	for (size_t i = 0; i < manifest->n_zones; i++)
+		if (manifest->zones[i].state == ZONE_OUT)
+			view->zones_out[view->n_zones_out++] =
+				manifest->zones[i].name;
+}
+
+void view_init(struct view *view, const struct manifest *manifest,
+	       const struct roster *roster)
+{
+	memset(view, 0, sizeof(*view));
+	view->config_revision = manifest->release;
+	view->roster_version = roster->version;
+	view->seed = BUCKET_SEED;
+	view->n_services = manifest->n_services;
+	view->services = g_new(struct service_view, view->n_services);
+	for (size_t i = 0; i < view->n_services; i++)
+		service_view_init(&view->services[i], &manifest->services[i],
+				  manifest, roster);
+	view_build_index(view);
+	view_copy_zones_out(view, manifest);
+}
+
+void view_finish(struct view *view)
+{
+	for (size_t i = 0; i < view->n_services; i++) {
+		g_free(view->services[i].members);
+		g_free(view->services[i].chains);
+	}
+	g_free(view->services);
+	g_free(view->index);
+	g_free(view->zones_out);
+	memset(view, 0, sizeof(*view));
+}
+
+const struct service_view *view_lookup(const struct view *view,
+				       const struct flow_key *key)
+{
+	uint32_t slot = index_slot(view, &key->dst, key->dst_port);
+
+	while (view->index[slot] != INDEX_EMPTY) {
+		const struct service_view *service =
+			&view->services[view->index[slot]];
+
+		if (service->service.port == key->dst_port &&
+		    ip_addr_equal(&service->service.address, &key->dst))
+			return service;
+		slot = (slot + 1) & view->index_mask;
+	}
+	return NULL;
+}
+
+const struct service_view *view_service(const struct view *view, uint32_t id)
+{
+	for (size_t i = 0; i < view->n_services; i++)
+		if (view->services[i].service.id == id)
+			return &view->services[i];
+	return NULL;
+}
+
+bool view_zone_out(const struct view *view, const struct name *zone)
+{
+	for (size_t i = 0; i < view->n_zones_out; i++)
+		if (name_equal(&view->zones_out[i], zone))
+			return true;
+	return false;
+}
+
+uint32_t view_bucket(const struct view *view,
+		     const struct service_view *service,
+		     const struct flow_key *key)
+{
+	return (uint32_t)flow_key_hash(key, view->seed) &
+	       (service->n_buckets - 1);
+}
+
+void view_chain(const struct service_view *service, uint32_t bucket,
+		struct packet_header *header)
+{
+	const uint16_t *row = &service->chains[bucket * service->chain_len];
+
+	header->n_candidates = service->chain_len;
+	for (int i = 0; i < service->chain_len; i++)
+		header->candidates[i] = service->members[row[i]];
+}
--- /dev/null
+++ b/tarragonflow/commands/run_role.c
@@ -0,0 +1,63 @@
+#include "run_role.h"
+
+#include "tarragonflow/admin/admin.h"
+#include "tarragonflow/common/log.h"
+
+static enum status_code run_duties(struct role *role,
+				   void (*leave)(struct role *role),
+				   struct status *status)
+{
+	struct admin admin;
+
+	if (packet_duty_start(&role->duty, &role->node, status) != STATUS_OK)
+		return status->code;
+	if (admin_start(&admin, &role->node, status) != STATUS_OK)
+		return status->code;
+	if (node_start(&role->node, status) != STATUS_OK)
+		return status->code;
+	log_event(LOG_LEVEL_INFO, "started", "name=%s role=%s zone=%s",
+		  role->settings.name.data,
+		  member_role_name(role->settings.role),
+		  role->settings.zone.data);
+	node_wait_signal();
+	log_event(LOG_LEVEL_INFO, "leaving", "name=%s",
+		  role->settings.name.data);
+	leave(role);
+	admin_finish(&admin);
+	packet_duty_finish(&role->duty);
+	node_finish(&role->node);
+	log_event(LOG_LEVEL_INFO, "stopped", "name=%s",
+		  role->settings.name.data);
+	return STATUS_OK;
+}
+
+enum status_code run_role(const struct command *command,
+			  enum member_role member_role,
+			  void (*leave)(struct role *role), int argc,
+			  char **argv, struct status *status)
+{
+	char *path = NULL;
+	const GOptionEntry entries[] = {
+		{"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		 "JSON settings of this process", "FILE"},
+		{NULL, 0, 0, 0, NULL, NULL, NULL},
+	};
+	struct role role;
+
+	if (command_parse(command, entries, &argc, &argv, 0, 0, status) !=
+	    STATUS_OK)
+		return status->code;
+	if (!path)
+		return status_set(status, STATUS_USAGE,
+				  "--settings FILE is missing");
+	settings_load(&role.settings, member_role, path, status);
+	g_free(path);
+	if (status->code != STATUS_OK)
+		return status->code;
+	node_block_signals();
+	log_init((enum log_level)role.settings.log_level);
+	if (node_init(&role.node, &role.settings, status) == STATUS_OK)
+		run_duties(&role, leave, status);
+	log_finish();
+	return status->code;
+}
--- /dev/null
+++ b/tarragonflow/commands/run_role.h
@@ -0,0 +1,23 @@
+#ifndef TARRAGONFLOW_RUN_ROLE_H
+#define TARRAGONFLOW_RUN_ROLE_H
+
+#include "tarragonflow/commands/command.h"
+#include "tarragonflow/node/packet_duty.h"
+
+/** A running balancer or agent. */
+struct role {
+	struct settings settings;
+	struct node node;
+	struct packet_duty duty;
+};
+
+/**
+ * Runs a role until SIGTERM, then @leave, then ends it. Shared by the
+ * balancer and agent commands.
+ */
+enum status_code run_role(const struct command *command,
+			  enum member_role member_role,
+			  void (*leave)(struct role *role), int argc,
+			  char **argv, struct status *status);
+
+#endif
--- /dev/null
+++ b/tests/standin/object_store.c
@@ -0,0 +1,139 @@
+#include "object_store.h"
+
+#include <string.h>
+
+static int key_order(gconstpointer a, gconstpointer b, gpointer user)
+{
+	(void)user;
+	return strcmp(a, b);
+}
+
+static void object_free(gpointer data)
+{
+	struct platform_object *object = data;
+
+	strbuf_finish(&object->value);
+	g_free(object);
+}
+
+void object_store_init(struct object_store *store)
+{
+	store->objects = g_tree_new_full(key_order, NULL, g_free, object_free);
+	store->version = 1;
+	store->history_from = 0;
+}
+
+void object_store_finish(struct object_store *store)
+{
+	g_tree_destroy(store->objects);
+}
+
+void object_store_forget(struct object_store *store)
+{
+	store->history_from = store->version;
+}
+
+static void copy_out(struct platform_result *result,
+		     const struct platform_object *object)
+{
+	struct platform_object *out =
+		platform_result_add(result, object->key, object->version,
+				    strbuf_str(&object->value));
+
+	out->deleted = object->deleted;
+	memcpy(out->token, object->token, sizeof(out->token));
+}
+
+static void get(struct object_store *store, const char *key,
+		struct platform_result *result)
+{
+	const struct platform_object *object =
+		g_tree_lookup(store->objects, key);
+
+	if (!object || object->deleted) {
+		status_set(&result->status, STATUS_NOT_FOUND, "no %s", key);
+		return;
+	}
+	result->version = object->version;
+	copy_out(result, object);
+}
+
+static void write_object(struct object_store *store,
+			 const struct platform_request *request,
+			 struct platform_result *result)
+{
+	struct platform_object *object =
+		g_tree_lookup(store->objects, request->key);
+	int64_t current = object && !object->deleted ? object->version : 0;
+
+	if (request->value.len > PLATFORM_VALUE_MAX) {
+		status_set(&result->status, STATUS_INVALID, "too large");
+		return;
+	}
+	if (current != request->version) {
+		status_set(&result->status, STATUS_CONFLICT, "version %lld",
+			   (long long)current);
+		return;
+	}
+	if (!object) {
+		object = g_new0(struct platform_object, 1);
+		g_strlcpy(object->key, request->key, sizeof(object->key));
+		g_tree_insert(store->objects, g_strdup(request->key), object);
+	}
+	object->version = ++store->version;
+	object->deleted = request->op == PLATFORM_OP_DELETE;
+	memcpy(object->token, request->token, sizeof(object->token));
+	strbuf_reset(&object->value);
+	strbuf_add(&object->value, request->value.data, request->value.len);
+	result->version = object->version;
+}
+
+/** One walk over the objects under a prefix. */
+struct walk {
+	const struct platform_request *request;
+	struct platform_result *result;
+};
+
+static gboolean visit(gpointer key, gpointer value, gpointer user)
+{
+	const struct platform_object *object = value;
+	struct walk *walk = user;
+
+	if (!g_str_has_prefix(key, walk->request->key))
+		return FALSE;
+	if (walk->request->op == PLATFORM_OP_WATCH) {
+		if (object->version > walk->request->version)
+			copy_out(walk->result, object);
+	} else if (!object->deleted) {
+		copy_out(walk->result, object);
+	}
+	return FALSE;
+}
+
+void object_store_apply(struct object_store *store,
+			const struct platform_request *request,
+			struct platform_result *result)
+{
+	struct walk walk = {request, result};
+
+	platform_result_init(result, request);
+	switch (request->op) {
+	case PLATFORM_OP_GET:
+		get(store, request->key, result);
+		break;
+	case PLATFORM_OP_PUT:
+	case PLATFORM_OP_DELETE:
+		write_object(store, request, result);
+		break;
+	case PLATFORM_OP_WATCH:
+		if (request->version < store->history_from) {
+			status_set(&result->status, STATUS_GONE, "history");
+			break;
+		}
+		/* fall through */
+	case PLATFORM_OP_LIST:
+		result->version = store->version;
+		g_tree_foreach(store->objects, visit, &walk);
+		break;
+	}
+}
--- /dev/null
+++ b/tests/standin/platform.c
@@ -0,0 +1,255 @@
+#include <civetweb.h>
+#include <glib.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "object_store.h"
+#include "standin.h"
+#include "tarragonflow/common/clock.h"
+
+/*
+ * The platform over HTTP and JSON. PUT /fault?down=1, ?slow_ms=N,
+ * ?lose_answers=N and ?forget=1 bring about its failures.
+ */
+#define BODY_MAX (2 * PLATFORM_VALUE_MAX)
+#define WATCH_POLL_MS 20
+#define OBJECTS_URI "/v1/objects/"
+
+struct standin {
+	pthread_mutex_t lock;
+	struct object_store store;
+	bool down;
+	int64_t slow_ms;
+	int lose_answers;
+	uint64_t calls[5];
+};
+
+static int64_t query_int(const struct mg_request_info *info, const char *name)
+{
+	const char *query = info->query_string ? info->query_string : "";
+	char text[32];
+
+	if (mg_get_var(query, strlen(query), name, text, sizeof(text)) < 0)
+		return 0;
+	return g_ascii_strtoll(text, NULL, 10);
+}
+
+static int answer(struct mg_connection *conn, int code, const char *body)
+{
+	mg_printf(conn,
+		  "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+		  "Content-Length: %zu\r\n\r\n%s",
+		  code, mg_get_response_code_text(conn, code), strlen(body),
+		  body);
+	return code;
+}
+
+static int http_code(enum status_code code)
+{
+	switch (code) {
+	case STATUS_OK:
+		return 200;
+	case STATUS_NOT_FOUND:
+		return 404;
+	case STATUS_CONFLICT:
+		return 409;
+	case STATUS_GONE:
+		return 410;
+	default:
+		return 400;
+	}
+}
+
+static json_t *object_json(const struct platform_object *object)
+{
+	struct str value = strbuf_str(&object->value);
+
+	return json_pack("{s:s,s:I,s:s,s:b,s:s%}", "key", object->key,
+			 "version", (json_int_t)object->version, "token",
+			 object->token, "deleted", object->deleted, "value",
+			 value.data, value.len);
+}
+
+static int answer_result(struct mg_connection *conn,
+			 const struct platform_result *result)
+{
+	json_t *objects = json_array();
+	json_t *root;
+	char *text;
+	int code = http_code(result->status.code);
+
+	if (result->op == PLATFORM_OP_GET && result->n_objects) {
+		root = object_json(&result->objects[0]);
+		json_decref(objects);
+	} else {
+		for (size_t i = 0; i < result->n_objects; i++)
+			json_array_append_new(objects,
+					      object_json(&result->objects[i]));
+		root = json_pack("{s:I,s:o,s:s}", "version",
+				 (json_int_t)result->version, "objects",
+				 objects, "error", result->status.message);
+	}
+	text = json_dumps(root, JSON_COMPACT);
+	answer(conn, code, text);
+	free(text);
+	json_decref(root);
+	return code;
+}
+
+static bool read_body(struct mg_connection *conn,
+		      struct platform_request *request)
+{
+	struct strbuf body;
+	char chunk[4096];
+	json_error_t error;
+	json_t *root;
+	int got;
+	const char *token;
+
+	strbuf_init(&body);
+	while ((got = mg_read(conn, chunk, sizeof(chunk))) > 0 &&
+	       body.len < BODY_MAX)
+		strbuf_add(&body, chunk, (size_t)got);
+	root = json_loadb(body.data ? body.data : "", body.len, 0, &error);
+	strbuf_finish(&body);
+	token = json_string_value(json_object_get(root, "token"));
+	if (token)
+		g_strlcpy(request->token, token, sizeof(request->token));
+	strbuf_add(&request->value,
+		   json_string_value(json_object_get(root, "value")),
+		   json_string_length(json_object_get(root, "value")));
+	json_decref(root);
+	return token != NULL;
+}
+
+static int serve(struct standin *standin, struct mg_connection *conn,
+		 struct platform_request *request)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	int64_t waited = 0, wait_ms = query_int(info, "wait_ms");
+	struct platform_result result;
+	bool lose = false;
+	int code;
+
+	pthread_mutex_lock(&standin->lock);
+	standin->calls[request->op]++;
+	if (standin->down) {
+		pthread_mutex_unlock(&standin->lock);
+		mg_close_connection(conn);
+		return 503;
+	}
+	object_store_apply(&standin->store, request, &result);
+	while (request->op == PLATFORM_OP_WATCH && !result.n_objects &&
+	       result.status.code == STATUS_OK && waited < wait_ms &&
+	       !standin->down) {
+		platform_result_finish(&result);
+		pthread_mutex_unlock(&standin->lock);
+		clock_sleep(WATCH_POLL_MS);
+		waited += WATCH_POLL_MS;
+		pthread_mutex_lock(&standin->lock);
+		object_store_apply(&standin->store, request, &result);
+	}
+	if (request->op == PLATFORM_OP_PUT && standin->lose_answers > 0) {
+		standin->lose_answers--;
+		lose = true;
+	}
+	wait_ms = standin->slow_ms;
+	pthread_mutex_unlock(&standin->lock);
+	clock_sleep(wait_ms);
+	if (lose)
+		mg_close_connection(conn);
+	code = lose ? 503 : answer_result(conn, &result);
+	platform_result_finish(&result);
+	return code;
+}
+
+static int handle_objects(struct mg_connection *conn, void *user)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	struct platform_request request;
+	enum platform_op op = PLATFORM_OP_GET;
+	int code;
+
+	if (!strcmp(info->request_method, "PUT"))
+		op = PLATFORM_OP_PUT;
+	else if (!strcmp(info->request_method, "DELETE"))
+		op = PLATFORM_OP_DELETE;
+	platform_request_init(&request, op,
+			      info->local_uri + strlen(OBJECTS_URI));
+	request.version = query_int(info, "version");
+	if (op == PLATFORM_OP_PUT && !read_body(conn, &request))
+		code = answer(conn, 400, "{\"error\":\"token is missing\"}");
+	else
+		code = serve(user, conn, &request);
+	platform_request_finish(&request);
+	return code;
+}
+
+static int handle_prefix(struct mg_connection *conn, void *user)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	const char *query = info->query_string ? info->query_string : "";
+	bool watch = g_str_has_prefix(info->local_uri, "/v1/watch");
+	struct platform_request request;
+	char prefix[PLATFORM_KEY_MAX] = "";
+
+	mg_get_var(query, strlen(query), "prefix", prefix, sizeof(prefix));
+	platform_request_init(
+		&request, watch ? PLATFORM_OP_WATCH : PLATFORM_OP_LIST, prefix);
+	request.version = query_int(info, "after");
+	return serve(user, conn, &request);
+}
+
+static int handle_fault(struct mg_connection *conn, void *user)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	struct standin *standin = user;
+
+	pthread_mutex_lock(&standin->lock);
+	standin->down = query_int(info, "down") != 0;
+	standin->slow_ms = query_int(info, "slow_ms");
+	standin->lose_answers = (int)query_int(info, "lose_answers");
+	if (query_int(info, "forget"))
+		object_store_forget(&standin->store);
+	pthread_mutex_unlock(&standin->lock);
+	return answer(conn, 200, "{}");
+}
+
+int standin_platform(int argc, char **argv)
+{
+	const char *options[] = {"listening_ports", NULL, "num_threads", "64",
+				 NULL};
+	struct standin standin = {.lock = PTHREAD_MUTEX_INITIALIZER};
+	struct mg_context *context;
+	sigset_t set;
+	int signo;
+
+	if (argc != 2) {
+		fprintf(stderr, "usage: standin platform IP:PORT\n");
+		return 2;
+	}
+	options[1] = argv[1];
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	object_store_init(&standin.store);
+	context = mg_start(NULL, &standin, options);
+	if (!context) {
+		fprintf(stderr, "cannot listen on %s\n", argv[1]);
+		return 1;
+	}
+	mg_set_request_handler(context, "/v1/objects/", handle_objects,
+			       &standin);
+	mg_set_request_handler(context, "/v1/list", handle_prefix, &standin);
+	mg_set_request_handler(context, "/v1/watch", handle_prefix, &standin);
+	mg_set_request_handler(context, "/fault", handle_fault, &standin);
+	sigwait(&set, &signo);
+	mg_stop(context);
+	object_store_finish(&standin.store);
+	return 0;
+}
