--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,38 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bench.h"
+
+/*
+ * Usage: bench [GROUP...]; without names, all groups. Writes JSON to the
+ * file that BENCH_JSON names. Exit code 1 when a bound does not hold.
+ */
+static const struct bench_group *const groups[] = {
+	&bench_route,
+};
+
+static bool wanted(int argc, char **argv, const char *name)
+{
+	for (int i = 1; i < argc; i++)
+		if (!strcmp(argv[i], name))
+			return true;
+	return argc < 2;
+}
+
+int main(int argc, char **argv)
+{
+	struct bench bench = {
+		.seed = bench_env("SEED", 1),
+		.figures = json_array(),
+	};
+	const char *path = g_getenv("BENCH_JSON");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(groups); i++)
+		if (wanted(argc, argv, groups[i]->name))
+			groups[i]->run(&bench);
+	if (path && json_dump_file(bench.figures, path, JSON_INDENT(1)))
+		fprintf(stderr, "cannot write %s\n", path);
+	json_decref(bench.figures);
+	return bench.failed ? 1 : 0;
+}
--- a/common/ring.c
+++ b/common/ring.c
@@ -2,6 +2,21 @@
 
 #include <glib.h>
 
+/*
+ * Concurrency Kit orders its accesses by inline assembly, which the thread
+ * sanitizer does not see. This file is built without it, and the order that
+ * the ring gives is told to it instead.
+ */
+#ifdef RING_TELL_TSAN
+void __tsan_acquire(void *addr);
+void __tsan_release(void *addr);
+#define ring_acquire(ring) __tsan_acquire(ring)
+#define ring_release(ring) __tsan_release(ring)
+#else
+#define ring_acquire(ring) ((void)(ring))
+#define ring_release(ring) ((void)(ring))
+#endif
+
 void ring_init(struct ring *ring, unsigned int size)
 {
 	ring->buffer = g_new0(ck_ring_buffer_t, size);
@@ -16,6 +31,7 @@
 
 bool ring_push(struct ring *ring, void *item)
 {
+	ring_release(ring);
 	return ck_ring_enqueue_spsc(&ring->ring, ring->buffer, item);
 }
 
@@ -25,5 +41,6 @@
 
 	if (!ck_ring_dequeue_spsc(&ring->ring, ring->buffer, &item))
 		return NULL;
+	ring_acquire(ring);
 	return item;
 }
--- a/route/view.c
+++ b/route/view.c
@@ -90,7 +90,7 @@
 	view->n_buckets = bucket_count(view->n_members);
 	view->chains = g_new(uint16_t, view->n_buckets * len);
 	for (uint32_t bucket = 0; bucket < view->n_buckets; bucket++) {
-		struct rank top[CHAIN_MAX] = { 0 };
+		struct rank top[CHAIN_MAX] = {0};
 		size_t n = 0;
 
 		for (size_t i = 0; i < view->n_members; i++) {
@@ -140,11 +140,11 @@
 			      const struct manifest *manifest,
 			      const struct roster *roster)
 {
-	uint32_t *weights = g_new(uint32_t, roster->n);
+	uint32_t *weights = g_new0(uint32_t, roster->n);
 
 	memset(view, 0, sizeof(*view));
 	view->service = *service;
-	view->members = g_new(struct candidate, roster->n);
+	view->members = g_new0(struct candidate, roster->n);
 	for (size_t i = 0; i < roster->n; i++) {
 		const struct member *member = &roster->members[i];
 
--- /dev/null
+++ b/tests/scenarios/runner.c
@@ -0,0 +1,412 @@
+#include <lauxlib.h>
+#include <lua.h>
+#include <lualib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+/*
+ * Runs scenarios: Lua scripts with the verbs of docs/SCENARIOS.md over the
+ * real cores. Usage: scenario FILE [SEED].
+ */
+#define DEFAULT_CONNECTIONS 2000
+#define DEFAULT_SLOTS 5
+#define DATA_PORT 4701
+#define CONTROL_PORT 4702
+#define ADMIN_PORT 4703
+#define BALANCER_NET 0x7f4d0100u /* 127.77.1.0 */
+#define AGENT_NET 0x7f4d0200u	 /* 127.77.2.0 */
+#define SERVICE_NET 0x0a4d0000u	 /* 10.77.0.0 */
+#define MAX_SERVICES 64
+
+static struct world world;
+static uint32_t n_balancers, n_agents;
+
+static double field_number(lua_State *lua, const char *name, double fallback)
+{
+	double value;
+
+	lua_getfield(lua, 1, name);
+	value = lua_isnil(lua, -1) ? fallback : luaL_checknumber(lua, -1);
+	lua_pop(lua, 1);
+	return value;
+}
+
+static void set_name(lua_State *lua, struct name *name, const char *text)
+{
+	if (!text || !name_set(name, str_from(text)))
+		luaL_error(lua, "'%s' is not a name", text ? text : "nil");
+}
+
+static void read_zones(lua_State *lua)
+{
+	lua_getfield(lua, 1, "zones");
+	luaL_checktype(lua, -1, LUA_TTABLE);
+	world.manifest.n_zones = lua_rawlen(lua, -1);
+	world.manifest.zones = g_new0(struct zone, world.manifest.n_zones);
+	for (size_t i = 0; i < world.manifest.n_zones; i++) {
+		lua_rawgeti(lua, -1, (lua_Integer)i + 1);
+		set_name(lua, &world.manifest.zones[i].name,
+			 lua_tostring(lua, -1));
+		lua_pop(lua, 1);
+	}
+	lua_pop(lua, 1);
+}
+
+static void member_init(struct member *self, enum member_role role, uint32_t ip,
+			size_t zone)
+{
+	memset(self, 0, sizeof(*self));
+	self->role = role;
+	self->zone = world.manifest.zones[zone % world.manifest.n_zones].name;
+	self->data = (struct endpoint){ip, DATA_PORT};
+	self->control = (struct endpoint){ip, CONTROL_PORT};
+	self->admin = (struct endpoint){ip, ADMIN_PORT};
+}
+
+static void add_balancer(lua_State *lua)
+{
+	char text[NAME_MAX_LEN];
+	struct member self;
+
+	member_init(&self, MEMBER_BALANCER, BALANCER_NET + n_balancers + 1,
+		    n_balancers);
+	n_balancers++;
+	snprintf(text, sizeof(text), "balancer-%u", n_balancers);
+	set_name(lua, &self.name, text);
+	world_add_node(&world, &self);
+}
+
+static void add_agent(lua_State *lua, const struct service *service,
+		      size_t number)
+{
+	char text[2 * NAME_MAX_LEN];
+	struct member self;
+
+	member_init(&self, MEMBER_AGENT, AGENT_NET + ++n_agents, number - 1);
+	self.service = service->name;
+	self.connections = (uint32_t)service->connections;
+	self.slots = (uint32_t)service->slots;
+	snprintf(text, sizeof(text), "%s-%zu", service->name.data, number);
+	set_name(lua, &self.name, text);
+	world_add_node(&world, &self);
+}
+
+static int64_t subfield_int(lua_State *lua, const char *name, int64_t fallback)
+{
+	int64_t value = fallback;
+
+	lua_getfield(lua, -1, name);
+	if (!lua_isnil(lua, -1))
+		value = (int64_t)luaL_checknumber(lua, -1);
+	lua_pop(lua, 1);
+	return value;
+}
+
+/* Reads the service at the top of the stack; returns its servers. */
+static size_t read_service(lua_State *lua, struct service *service, size_t i)
+{
+	uint32_t ip = GUINT32_TO_BE(SERVICE_NET + (uint32_t)(i + 1) * 10);
+
+	lua_getfield(lua, -1, "name");
+	set_name(lua, &service->name, lua_tostring(lua, -1));
+	lua_pop(lua, 1);
+	service->id = service_id(&service->name);
+	ip_addr_from_v4(&service->address, (const uint8_t *)&ip);
+	service->port = 8080;
+	service->connections =
+		subfield_int(lua, "connections", DEFAULT_CONNECTIONS);
+	service->slots = subfield_int(lua, "slots", DEFAULT_SLOTS);
+	service->drain_deadline_s = 3600;
+	service->idle_timeout_s = 3600;
+	return (size_t)subfield_int(lua, "servers", 1);
+}
+
+/* deploy{zones={...}, balancers=N, services={{name=, servers=, ...}}} */
+static int verb_deploy(lua_State *lua)
+{
+	size_t servers[MAX_SERVICES] = { 0 };
+	struct status status;
+
+	status_init(&status);
+	luaL_checktype(lua, 1, LUA_TTABLE);
+	set_name(lua, &world.manifest.deployment, "scenario");
+	world.manifest.release = 1;
+	read_zones(lua);
+	lua_getfield(lua, 1, "services");
+	luaL_checktype(lua, -1, LUA_TTABLE);
+	world.manifest.n_services = lua_rawlen(lua, -1);
+	if (world.manifest.n_services > MAX_SERVICES)
+		return luaL_error(lua, "too many services");
+	world.manifest.services =
+		g_new0(struct service, world.manifest.n_services);
+	for (size_t i = 0; i < world.manifest.n_services; i++) {
+		lua_rawgeti(lua, -1, (lua_Integer)i + 1);
+		servers[i] = read_service(lua, &world.manifest.services[i], i);
+		lua_pop(lua, 1);
+	}
+	lua_pop(lua, 1);
+	if (world_apply(&world, &status) != STATUS_OK)
+		return luaL_error(lua, "apply: %s", status.message);
+	for (int i = (int)field_number(lua, "balancers", 3); i > 0; i--)
+		add_balancer(lua);
+	for (size_t i = 0; i < world.manifest.n_services; i++)
+		for (size_t j = 1; j <= servers[i]; j++)
+			add_agent(lua, &world.manifest.services[i], j);
+	return 0;
+}
+
+static const struct service *check_service(lua_State *lua, const char *text)
+{
+	const struct service *service;
+	struct name name;
+
+	set_name(lua, &name, text);
+	service = manifest_service(&world.manifest, &name);
+	if (!service)
+		luaL_error(lua, "no service '%s'", text);
+	return service;
+}
+
+/* load{service=, connections=, over_ms=, lines=, gap_ms=} */
+static int verb_load(lua_State *lua)
+{
+	int n = (int)field_number(lua, "connections", 100);
+	int over_ms = (int)field_number(lua, "over_ms", 1000);
+	int lines = (int)field_number(lua, "lines", 10);
+	int gap_ms = (int)field_number(lua, "gap_ms", 500);
+	const struct service *service;
+
+	lua_getfield(lua, 1, "service");
+	service = check_service(lua, lua_tostring(lua, -1));
+	for (int i = 0; i < n; i++)
+		caller_pool_add(&world.callers, service,
+				world.now_ms + g_rand_int_range(world.rand, 0,
+								over_ms + 1),
+				lines, gap_ms);
+	return 0;
+}
+
+static struct world_node *check_node(lua_State *lua)
+{
+	const char *name = luaL_checkstring(lua, 1);
+	struct world_node *node = world_find_node(&world, name);
+
+	if (!node)
+		luaL_error(lua, "no process '%s'", name);
+	return node;
+}
+
+static int verb_run(lua_State *lua)
+{
+	world_run(&world, (int64_t)luaL_checknumber(lua, 1));
+	return 0;
+}
+
+static int verb_kill(lua_State *lua)
+{
+	world_kill_node(check_node(lua));
+	return 0;
+}
+
+static int verb_start(lua_State *lua)
+{
+	world_start_node(check_node(lua));
+	return 0;
+}
+
+static int verb_add_balancer(lua_State *lua)
+{
+	add_balancer(lua);
+	return 0;
+}
+
+static int verb_drain(lua_State *lua)
+{
+	struct world_node *node = check_node(lua);
+
+	if (node->options.self.role == MEMBER_AGENT)
+		agent_drain(&node->agent);
+	control_set_state(&node->control, MEMBER_DRAINING, world.now_ms,
+			  &node->control_sink);
+	return 0;
+}
+
+static int verb_pause(lua_State *lua)
+{
+	check_node(lua)->paused_until_ms =
+		world.now_ms + (int64_t)luaL_checknumber(lua, 2);
+	return 0;
+}
+
+/* cut(name, side): 0 reaches everybody, else only the same side */
+static int verb_cut(lua_State *lua)
+{
+	check_node(lua)->side = (int)luaL_checkinteger(lua, 2);
+	return 0;
+}
+
+static int verb_cut_platform(lua_State *lua)
+{
+	check_node(lua)->platform_cut = lua_toboolean(lua, 2);
+	return 0;
+}
+
+/* network{data_loss=, control_loss=, delay_min_ms=, ...} */
+static int verb_network(lua_State *lua)
+{
+	struct world_faults *faults = &world.faults;
+
+	faults->data_loss = field_number(lua, "data_loss", faults->data_loss);
+	faults->data_double =
+		field_number(lua, "data_double", faults->data_double);
+	faults->control_loss =
+		field_number(lua, "control_loss", faults->control_loss);
+	faults->control_double =
+		field_number(lua, "control_double", faults->control_double);
+	faults->delay_min_ms = (int64_t)field_number(
+		lua, "delay_min_ms", (double)faults->delay_min_ms);
+	faults->delay_max_ms = (int64_t)field_number(
+		lua, "delay_max_ms", (double)faults->delay_max_ms);
+	return 0;
+}
+
+/* platform{down=0|1, latency_ms=, lose_answers=, forget=1} */
+static int verb_platform(lua_State *lua)
+{
+	struct world_platform *platform = &world.platform;
+
+	platform->down = field_number(lua, "down", platform->down) != 0;
+	platform->latency_ms = (int64_t)field_number(
+		lua, "latency_ms", (double)platform->latency_ms);
+	platform->lose_answers =
+		(int)field_number(lua, "lose_answers", platform->lose_answers);
+	if (field_number(lua, "forget", 0) != 0)
+		object_store_forget(&platform->store);
+	return 0;
+}
+
+/* zone(name, "in"|"out"): in the next manifest to be applied */
+static int verb_zone(lua_State *lua)
+{
+	const char *state = luaL_checkstring(lua, 2);
+	struct name name;
+
+	set_name(lua, &name, luaL_checkstring(lua, 1));
+	for (size_t i = 0; i < world.manifest.n_zones; i++) {
+		if (!name_equal(&world.manifest.zones[i].name, &name))
+			continue;
+		world.manifest.zones[i].state = strcmp(state, "out") ? ZONE_IN
+								     : ZONE_OUT;
+		return 0;
+	}
+	return luaL_error(lua, "no zone '%s'", name.data);
+}
+
+/* apply([release]): the next release, or the one given; true if accepted */
+static int verb_apply(lua_State *lua)
+{
+	int64_t before = world.manifest.release;
+	struct status status;
+
+	status_init(&status);
+	world.manifest.release =
+		(int64_t)luaL_optnumber(lua, 1, (double)(before + 1));
+	if (world_apply(&world, &status) != STATUS_OK)
+		world.manifest.release = before;
+	lua_pushboolean(lua, status.code == STATUS_OK);
+	lua_pushstring(lua, status_name(status.code));
+	return 2;
+}
+
+static int verb_figure(lua_State *lua)
+{
+	double value;
+
+	if (!world_figure(&world, luaL_checkstring(lua, 1), &value))
+		return luaL_error(lua, "no figure '%s'", lua_tostring(lua, 1));
+	lua_pushnumber(lua, value);
+	return 1;
+}
+
+static bool compare(lua_State *lua, double got, const char *op, double bound)
+{
+	if (!strcmp(op, "=="))
+		return got == bound;
+	if (!strcmp(op, "<="))
+		return got <= bound;
+	if (!strcmp(op, ">="))
+		return got >= bound;
+	luaL_error(lua, "operator '%s' is not ==, <= or >=", op);
+	return false;
+}
+
+/* expect(figure, op, bound): prints the line of proof, ends on failure */
+static int verb_expect(lua_State *lua)
+{
+	const char *name = luaL_checkstring(lua, 1);
+	const char *op = luaL_checkstring(lua, 2);
+	double bound = luaL_checknumber(lua, 3);
+	double value;
+
+	if (lua_isnumber(lua, 4))
+		value = lua_tonumber(lua, 4);
+	else if (!world_figure(&world, name, &value))
+		return luaL_error(lua, "no figure '%s'", name);
+	printf("%s %g %s %g\n", name, value, op, bound);
+	if (!compare(lua, value, op, bound))
+		return luaL_error(lua, "%s is %f, expected %s %f", name, value,
+				  op, bound);
+	return 0;
+}
+
+static const luaL_Reg verbs[] = {
+	{"deploy", verb_deploy},
+	{"load", verb_load},
+	{"run", verb_run},
+	{"kill", verb_kill},
+	{"start", verb_start},
+	{"add_balancer", verb_add_balancer},
+	{"drain", verb_drain},
+	{"pause", verb_pause},
+	{"cut", verb_cut},
+	{"cut_platform", verb_cut_platform},
+	{"network", verb_network},
+	{"platform", verb_platform},
+	{"zone", verb_zone},
+	{"apply", verb_apply},
+	{"figure", verb_figure},
+	{"expect", verb_expect},
+	{NULL, NULL},
+};
+
+int main(int argc, char **argv)
+{
+	const char *seed = getenv("SEED");
+	lua_State *lua;
+	int failed;
+
+	if (argc < 2) {
+		fprintf(stderr, "usage: scenario FILE [SEED]\n");
+		return 2;
+	}
+	if (argc > 2)
+		seed = argv[2];
+	world_init(&world,
+		   (uint32_t)g_ascii_strtoull(seed ? seed : "1", NULL, 10));
+	lua = luaL_newstate();
+	luaL_openlibs(lua);
+	lua_pushglobaltable(lua);
+	luaL_setfuncs(lua, verbs, 0);
+	lua_pop(lua, 1);
+	failed = luaL_dofile(lua, argv[1]);
+	if (failed)
+		fprintf(stderr, "FAIL %s\n", lua_tostring(lua, -1));
+	else
+		printf("OK %s\n", argv[1]);
+	lua_close(lua);
+	world_finish(&world);
+	return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tests/scenarios/world.c
@@ -0,0 +1,677 @@
+#include "world.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "tarragonflow/manifest/apply.h"
+
+#define DEFAULT_DELAY_MS 1
+#define PLATFORM_LATENCY_MS 5
+#define WORLD_EPOCH_MS 1000000
+
+enum event_kind {
+	EVENT_DATA,
+	EVENT_CONTROL,
+	EVENT_TO_CALLER,
+	EVENT_RESULT,
+};
+
+/** Something that arrives at a later time. */
+struct event {
+	int64_t at_ms;
+	uint64_t order;
+	enum event_kind kind;
+	struct endpoint to;
+	struct strbuf data;
+	/** EVENT_RESULT: for whom, and which of its runs. */
+	struct world_node *node;
+	uint64_t instance;
+	struct platform_result result;
+};
+
+/** A watch that waits at the platform. */
+struct watch {
+	struct world_node *node;
+	uint64_t instance;
+	int64_t until_ms;
+	struct platform_request request;
+};
+
+static void event_free(gpointer data)
+{
+	struct event *event = data;
+
+	strbuf_finish(&event->data);
+	if (event->kind == EVENT_RESULT)
+		platform_result_finish(&event->result);
+	g_free(event);
+}
+
+static int event_order(gconstpointer a, gconstpointer b, gpointer user)
+{
+	const struct event *x = a, *y = b;
+
+	(void)user;
+	if (x->at_ms != y->at_ms)
+		return x->at_ms < y->at_ms ? -1 : 1;
+	return x->order < y->order ? -1 : 1;
+}
+
+static struct event *event_add(struct world *world, enum event_kind kind,
+			       int64_t delay_ms)
+{
+	struct event *event = g_new0(struct event, 1);
+
+	event->kind = kind;
+	event->at_ms = world->now_ms + delay_ms;
+	event->order = world->next_event++;
+	g_sequence_insert_sorted(world->events, event, event_order, NULL);
+	return event;
+}
+
+static int64_t random_delay(struct world *world)
+{
+	return g_rand_int_range(world->rand, (int)world->faults.delay_min_ms,
+				(int)world->faults.delay_max_ms + 1);
+}
+
+static bool chance(struct world *world, double share)
+{
+	return share > 0 && g_rand_double(world->rand) < share;
+}
+
+static void transmit(struct world *world, enum event_kind kind,
+		     const struct endpoint *to, const void *head,
+		     size_t head_len, const void *body, size_t body_len)
+{
+	bool control = kind == EVENT_CONTROL;
+	double loss = control ? world->faults.control_loss
+			      : world->faults.data_loss;
+	double twice = control ? world->faults.control_double
+			       : world->faults.data_double;
+	int copies = chance(world, twice) ? 2 : 1;
+
+	if (chance(world, loss))
+		return;
+	while (copies--) {
+		struct event *event =
+			event_add(world, kind, random_delay(world));
+
+		event->to = *to;
+		strbuf_add(&event->data, head, head_len);
+		strbuf_add(&event->data, body, body_len);
+	}
+}
+
+static struct world_node *node_of_control(struct control_sink *sink)
+{
+	return (struct world_node *)((char *)sink -
+				     offsetof(struct world_node, control_sink));
+}
+
+static struct world_node *node_of_packets(struct packet_sink *sink)
+{
+	return (struct world_node *)((char *)sink -
+				     offsetof(struct world_node, packet_sink));
+}
+
+static struct world_node *node_of_backend(struct backend *backend)
+{
+	return (struct world_node *)((char *)backend -
+				     offsetof(struct world_node, backend));
+}
+
+static struct world_node *node_at(struct world *world,
+				  const struct endpoint *to, bool control)
+{
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world->nodes, i);
+		const struct member *self = &node->options.self;
+
+		if (endpoint_equal(control ? &self->control : &self->data, to))
+			return node;
+	}
+	return NULL;
+}
+
+static bool sides_meet(const struct world_node *a, const struct world_node *b)
+{
+	return !a->side || !b->side || a->side == b->side;
+}
+
+static void sink_send(struct control_sink *sink, const struct endpoint *to,
+		      const uint8_t *data, size_t len)
+{
+	struct world_node *node = node_of_control(sink);
+	struct world_node *peer = node_at(node->world, to, true);
+
+	node->world->control_messages++;
+	node->world->control_bytes += len;
+	if (peer && sides_meet(node, peer))
+		transmit(node->world, EVENT_CONTROL, to, NULL, 0, data, len);
+}
+
+static void sink_changed(struct control_sink *sink)
+{
+	node_of_control(sink)->view_dirty = true;
+}
+
+static void answer_later(struct world_node *node, uint64_t instance,
+			 const struct platform_result *result, int64_t delay_ms)
+{
+	struct event *event = event_add(node->world, EVENT_RESULT, delay_ms);
+
+	event->node = node;
+	event->instance = instance;
+	event->result = *result;
+}
+
+static void watch_free(gpointer data)
+{
+	struct watch *watch = data;
+
+	platform_request_finish(&watch->request);
+	g_free(watch);
+}
+
+static void watch_add(struct world_node *node,
+		      const struct platform_request *request)
+{
+	struct watch *watch = g_new0(struct watch, 1);
+
+	watch->node = node;
+	watch->instance = node->options.self.instance;
+	watch->until_ms = node->world->now_ms + request->timeout_ms;
+	watch->request = *request;
+	strbuf_init(&watch->request.value);
+	g_ptr_array_add(node->world->watches, watch);
+}
+
+static void sink_call(struct control_sink *sink,
+		      const struct platform_request *request)
+{
+	struct world_node *node = node_of_control(sink);
+	struct world_platform *platform = &node->world->platform;
+	uint64_t instance = node->options.self.instance;
+	struct platform_result result;
+
+	platform->calls[request->op]++;
+	if (platform->down || node->platform_cut) {
+		platform_result_init(&result, request);
+		status_set(&result.status, STATUS_UNAVAILABLE, "down");
+		answer_later(node, instance, &result, request->timeout_ms);
+		return;
+	}
+	if (request->op == PLATFORM_OP_WATCH &&
+	    request->version >= platform->store.history_from) {
+		watch_add(node, request);
+		return;
+	}
+	object_store_apply(&platform->store, request, &result);
+	if (request->op == PLATFORM_OP_PUT && platform->lose_answers > 0) {
+		platform->lose_answers--;
+		status_set(&result.status, STATUS_UNKNOWN, "answer lost");
+		answer_later(node, instance, &result, request->timeout_ms);
+		return;
+	}
+	answer_later(node, instance, &result, platform->latency_ms);
+}
+
+/* Answers the watches that have something to tell or waited long enough. */
+static void serve_watches(struct world *world)
+{
+	struct world_platform *platform = &world->platform;
+
+	for (guint i = world->watches->len; i-- > 0;) {
+		struct watch *watch = g_ptr_array_index(world->watches, i);
+		struct platform_result result;
+		bool due = world->now_ms >= watch->until_ms;
+
+		if (platform->down || watch->node->platform_cut) {
+			platform_result_init(&result, &watch->request);
+			status_set(&result.status, STATUS_UNAVAILABLE, "down");
+			due = true;
+		} else {
+			object_store_apply(&platform->store, &watch->request,
+					   &result);
+		}
+		if (!due && !result.n_objects &&
+		    result.status.code == STATUS_OK) {
+			platform_result_finish(&result);
+			continue;
+		}
+		answer_later(watch->node, watch->instance, &result,
+			     platform->latency_ms);
+		g_ptr_array_remove_index_fast(world->watches, i);
+	}
+}
+
+static void to_peer(struct packet_sink *sink, const struct endpoint *to,
+		    const struct packet_header *header, const uint8_t *inner,
+		    size_t len)
+{
+	struct world_node *node = node_of_packets(sink);
+	struct world_node *peer = node_at(node->world, to, false);
+	uint8_t head[PACKET_HEADER_MAX];
+	size_t head_len = packet_header_encode(header, head);
+
+	if (peer && sides_meet(node, peer))
+		transmit(node->world, EVENT_DATA, to, head, head_len, inner,
+			 len);
+}
+
+static void to_server(struct packet_sink *sink, const uint8_t *inner,
+		      size_t len)
+{
+	struct world_node *node = node_of_packets(sink);
+
+	backend_handle(&node->backend, inner, len);
+}
+
+static void to_fabric(struct packet_sink *sink, const uint8_t *inner,
+		      size_t len)
+{
+	static const struct endpoint callers = {0, 0};
+
+	transmit(node_of_packets(sink)->world, EVENT_TO_CALLER, &callers, NULL,
+		 0, inner, len);
+}
+
+static bool node_runs(const struct world_node *node)
+{
+	return node->up && node->world->now_ms >= node->paused_until_ms;
+}
+
+static void from_backend(struct backend *backend, const uint8_t *data,
+			 size_t len)
+{
+	struct world_node *node = node_of_backend(backend);
+
+	if (node_runs(node))
+		agent_handle_server(&node->agent, data, len,
+				    node->world->now_ms, &node->packet_sink);
+}
+
+static void from_callers(struct caller_pool *pool, const uint8_t *data,
+			 size_t len)
+{
+	struct world *world = (struct world *)pool;
+	struct world_node *balancers[64];
+	int n = 0;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world->nodes, i);
+
+		if (node->up && node->options.self.role == MEMBER_BALANCER &&
+		    n < (int)G_N_ELEMENTS(balancers))
+			balancers[n++] = node;
+	}
+	if (!n)
+		return;
+	n = g_rand_int_range(world->rand, 0, n);
+	transmit(world, EVENT_DATA, &balancers[n]->options.self.data, NULL, 0,
+		 data, len);
+}
+
+void world_init(struct world *world, uint32_t seed)
+{
+	memset(world, 0, sizeof(*world));
+	caller_pool_init(&world->callers, seed);
+	world->callers.send = from_callers;
+	world->rand = g_rand_new_with_seed(seed + 1);
+	world->now_ms = WORLD_EPOCH_MS;
+	world->faults.delay_min_ms = DEFAULT_DELAY_MS;
+	world->faults.delay_max_ms = DEFAULT_DELAY_MS;
+	world->platform.latency_ms = PLATFORM_LATENCY_MS;
+	object_store_init(&world->platform.store);
+	manifest_init(&world->manifest);
+	world->nodes = g_ptr_array_new();
+	world->events = g_sequence_new(event_free);
+	world->watches = g_ptr_array_new_with_free_func(watch_free);
+}
+
+static void node_stop(struct world_node *node)
+{
+	if (!node->up)
+		return;
+	node->up = false;
+	control_finish(&node->control);
+	if (node->options.self.role == MEMBER_AGENT)
+		agent_finish(&node->agent);
+	if (node->view) {
+		view_finish(node->view);
+		g_free(node->view);
+		node->view = NULL;
+	}
+}
+
+void world_finish(struct world *world)
+{
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world->nodes, i);
+
+		node_stop(node);
+		backend_finish(&node->backend);
+		g_free(node);
+	}
+	g_ptr_array_free(world->nodes, TRUE);
+	g_ptr_array_free(world->watches, TRUE);
+	g_sequence_free(world->events);
+	object_store_finish(&world->platform.store);
+	manifest_finish(&world->manifest);
+	caller_pool_finish(&world->callers);
+	g_rand_free(world->rand);
+}
+
+static void start_agent(struct world_node *node)
+{
+	const struct member *self = &node->options.self;
+	struct agent_identity identity = {
+		.name = self->name,
+		.zone = self->zone,
+		.service = self->service,
+		.instance = self->instance,
+		.connections = self->connections,
+		.seed = self->instance,
+	};
+
+	agent_init(&node->agent, &identity, &node->counters,
+		   node->world->now_ms);
+}
+
+void world_start_node(struct world_node *node)
+{
+	struct world *world = node->world;
+
+	node_stop(node);
+	node->options.self.instance = (uint64_t)world->now_ms;
+	node->options.self.sequence = 0;
+	node->options.self.state = MEMBER_ACTIVE;
+	node->options.random_seed = g_rand_int(world->rand);
+	node->up = true;
+	node->view_dirty = false;
+	node->paused_until_ms = 0;
+	node->top_release = 0;
+	control_init(&node->control, &node->options, &node->counters,
+		     world->now_ms);
+	balancer_init(&node->balancer, &node->counters);
+	if (node->options.self.role == MEMBER_AGENT)
+		start_agent(node);
+}
+
+void world_kill_node(struct world_node *node)
+{
+	node_stop(node);
+}
+
+struct world_node *world_add_node(struct world *world,
+				  const struct member *self)
+{
+	struct world_node *node = g_new0(struct world_node, 1);
+	const struct service *service =
+		manifest_service(&world->manifest, &self->service);
+	static const struct ip_addr none;
+
+	node->world = world;
+	node->options.self = *self;
+	node->options.deployment = world->manifest.deployment;
+	node->control_sink.send = sink_send;
+	node->control_sink.call = sink_call;
+	node->control_sink.changed = sink_changed;
+	node->packet_sink.to_peer = to_peer;
+	node->packet_sink.to_server = to_server;
+	node->packet_sink.to_fabric = to_fabric;
+	counters_init(&node->counters);
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct world_node *peer =
+			g_ptr_array_index(world->nodes, i);
+
+		if (peer->options.self.role == MEMBER_BALANCER &&
+		    node->options.n_seeds < 3)
+			node->options.seeds[node->options.n_seeds++] =
+				peer->options.self.control;
+	}
+	backend_init(&node->backend, service ? service->name.data : "",
+		     service ? &service->address : &none);
+	node->backend.send = from_backend;
+	g_ptr_array_add(world->nodes, node);
+	world_start_node(node);
+	return node;
+}
+
+struct world_node *world_find_node(struct world *world, const char *name)
+{
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world->nodes, i);
+
+		if (!strcmp(node->options.self.name.data, name))
+			return node;
+	}
+	return NULL;
+}
+
+/** An operator's own way to the platform. */
+struct operator_platform {
+	struct platform platform;
+	struct world *world;
+};
+
+static void operator_call(struct platform *platform,
+			  const struct platform_request *request,
+			  struct platform_result *result)
+{
+	struct world_platform *fake =
+		&((struct operator_platform *)platform)->world->platform;
+
+	fake->calls[request->op]++;
+	if (fake->down) {
+		platform_result_init(result, request);
+		status_set(&result->status, STATUS_UNAVAILABLE, "down");
+		return;
+	}
+	object_store_apply(&fake->store, request, result);
+	if (request->op == PLATFORM_OP_PUT && fake->lose_answers > 0) {
+		fake->lose_answers--;
+		status_set(&result->status, STATUS_UNKNOWN, "answer lost");
+	}
+}
+
+enum status_code world_apply(struct world *world, struct status *status)
+{
+	struct operator_platform operator= {{operator_call}, world};
+
+	return apply_manifest(&operator.platform, &world->manifest, status);
+}
+
+static void deliver_data(struct world *world, const struct event *event)
+{
+	struct world_node *node = node_at(world, &event->to, false);
+	const uint8_t *data = (const uint8_t *)event->data.data;
+
+	if (!node || !node_runs(node))
+		return;
+	if (node->options.self.role == MEMBER_AGENT)
+		agent_handle_peer(&node->agent, data, event->data.len,
+				  world->now_ms, &node->packet_sink);
+	else
+		balancer_handle(&node->balancer, data, event->data.len,
+				&node->packet_sink);
+}
+
+static void deliver_control(struct world *world, const struct event *event)
+{
+	struct world_node *node = node_at(world, &event->to, true);
+	static const struct endpoint unknown = {0, 0};
+
+	if (node && node_runs(node))
+		control_handle_message(&node->control, &unknown,
+				       (const uint8_t *)event->data.data,
+				       event->data.len, world->now_ms,
+				       &node->control_sink);
+}
+
+static void deliver_result(struct world *world, struct event *event)
+{
+	struct world_node *node = event->node;
+
+	if (node_runs(node) && node->options.self.instance == event->instance)
+		control_handle_result(&node->control, &event->result,
+				      world->now_ms, &node->control_sink);
+}
+
+static void deliver(struct world *world, struct event *event)
+{
+	uint64_t words[4] = {(uint64_t)event->at_ms, event->kind, event->to.ip,
+			     event->data.len};
+
+	world->trace = XXH3_64bits_withSeed(words, sizeof(words), world->trace);
+	switch (event->kind) {
+	case EVENT_DATA:
+		deliver_data(world, event);
+		break;
+	case EVENT_CONTROL:
+		deliver_control(world, event);
+		break;
+	case EVENT_TO_CALLER:
+		caller_pool_receive(&world->callers,
+				    (const uint8_t *)event->data.data,
+				    event->data.len, world->now_ms);
+		break;
+	case EVENT_RESULT:
+		deliver_result(world, event);
+		break;
+	}
+}
+
+static void deliver_due(struct world *world, int64_t until_ms)
+{
+	for (;;) {
+		GSequenceIter *first = g_sequence_get_begin_iter(world->events);
+		struct event *event;
+
+		if (g_sequence_iter_is_end(first))
+			return;
+		event = g_sequence_get(first);
+		if (event->at_ms > until_ms)
+			return;
+		world->now_ms = MAX(world->now_ms, event->at_ms);
+		deliver(world, event);
+		g_sequence_remove(first);
+	}
+}
+
+static void refresh_view(struct world_node *node)
+{
+	struct view *view;
+
+	if (!node->view_dirty || !node->control.manifest.release)
+		return;
+	node->view_dirty = false;
+	view = g_new(struct view, 1);
+	view_init(view, &node->control.manifest, &node->control.roster);
+	if (node->options.self.role == MEMBER_AGENT)
+		agent_set_view(&node->agent, view);
+	else
+		balancer_set_view(&node->balancer, view);
+	if (node->view) {
+		view_finish(node->view);
+		g_free(node->view);
+	}
+	node->view = view;
+}
+
+static void tick_node(struct world *world, struct world_node *node)
+{
+	int64_t release;
+
+	if (!node_runs(node))
+		return;
+	if (world->now_ms >= control_next_deadline(&node->control))
+		control_tick(&node->control, world->now_ms,
+			     &node->control_sink);
+	if (node->options.self.role == MEMBER_AGENT)
+		agent_tick(&node->agent, world->now_ms);
+	refresh_view(node);
+	release = node->control.manifest.release;
+	if (release < node->top_release)
+		world->reverts++;
+	node->top_release = MAX(node->top_release, release);
+}
+
+void world_run(struct world *world, int64_t ms)
+{
+	int64_t end_ms = world->now_ms + ms;
+
+	while (world->now_ms < end_ms) {
+		int64_t next_ms = MIN(world->now_ms + WORLD_TICK_MS, end_ms);
+
+		deliver_due(world, next_ms);
+		world->now_ms = next_ms;
+		serve_watches(world);
+		for (guint i = 0; i < world->nodes->len; i++)
+			tick_node(world, g_ptr_array_index(world->nodes, i));
+		caller_pool_step(&world->callers, world->now_ms);
+	}
+}
+
+/* Sums, over processes, what one of them contributes to a figure. */
+static double sum_nodes(struct world *world, const char *name)
+{
+	double sum = 0;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world->nodes, i);
+
+		if (!strcmp(name, "wrong_service_packets"))
+			sum += (double)node->backend.wrong_service;
+		else if (!strcmp(name, "lagging"))
+			sum += node->up && node->control.manifest.release <
+						   world->manifest.release;
+		for (int id = 0; id < COUNTER_COUNT; id++)
+			if (!strcmp(name, counter_name((enum counter_id)id)))
+				sum += (double)counter_get(&node->counters,
+							   (enum counter_id)id);
+	}
+	return sum;
+}
+
+static bool is_node_figure(const char *name)
+{
+	if (!strcmp(name, "wrong_service_packets") || !strcmp(name, "lagging"))
+		return true;
+	for (int id = 0; id < COUNTER_COUNT; id++)
+		if (!strcmp(name, counter_name((enum counter_id)id)))
+			return true;
+	return false;
+}
+
+bool world_figure(struct world *world, const char *name, double *value)
+{
+	const struct {
+		const char *name;
+		double value;
+	} figures[] = {
+		{"now_ms", (double)(world->now_ms - WORLD_EPOCH_MS)},
+		{"connections", world->callers.callers->len},
+		{"open", (double)world->callers.open},
+		{"finished", (double)world->callers.finished},
+		{"broken", (double)world->callers.broken},
+		{"refused", (double)world->callers.refused},
+		{"wrong_answers", (double)world->callers.wrong_service},
+		{"caller_retries", (double)world->callers.retries},
+		{"reverts", (double)world->reverts},
+		{"control_bytes", (double)world->control_bytes},
+		{"control_messages", (double)world->control_messages},
+		{"trace", (double)(world->trace >> 12)},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(figures); i++)
+		if (!strcmp(figures[i].name, name)) {
+			*value = figures[i].value;
+			return true;
+		}
+	if (!is_node_figure(name))
+		return false;
+	*value = sum_nodes(world, name);
+	return true;
+}
--- /dev/null
+++ b/tests/scenarios/world.h
@@ -0,0 +1,107 @@
+#ifndef TARRAGONFLOW_TESTS_WORLD_H
+#define TARRAGONFLOW_TESTS_WORLD_H
+
+#include <glib.h>
+
+#include "tarragonflow/control/control.h"
+#include "tarragonflow/flow/agent.h"
+#include "tarragonflow/route/balancer.h"
+#include "tests/standin/backend.h"
+#include "tests/standin/caller_pool.h"
+#include "tests/standin/object_store.h"
+
+/**
+ * The real cores of one deployment under a virtual clock, with fakes at
+ * their interfaces: a network that loses, doubles and delays, a platform,
+ * callers and backend servers. The same seed gives the same run.
+ */
+struct world_faults {
+	/** Shares of messages, 0 to 1. */
+	double data_loss, data_double;
+	double control_loss, control_double;
+	/** One way, ms. */
+	int64_t delay_min_ms, delay_max_ms;
+};
+
+struct world_platform {
+	struct object_store store;
+	bool down;
+	/** Time an answer takes, ms. */
+	int64_t latency_ms;
+	/** Writes that take effect while their answer is lost. */
+	int lose_answers;
+	uint64_t calls[5];
+};
+
+/** One balancer or agent with all its cores. */
+struct world_node {
+	struct control_sink control_sink;
+	struct packet_sink packet_sink;
+	struct backend backend;
+	struct world *world;
+	struct control_options options;
+	struct counters counters;
+	struct control control;
+	struct balancer balancer;
+	struct agent agent;
+	struct view *view;
+	bool up;
+	bool view_dirty;
+	/** The process does nothing before this time, ms. */
+	int64_t paused_until_ms;
+	/** Greatest release seen in force; a smaller one later is a revert. */
+	int64_t top_release;
+	/** Network partition that it is in; 0 reaches everybody. */
+	int side;
+	/** Cannot reach the platform. */
+	bool platform_cut;
+};
+
+struct world {
+	struct caller_pool callers;
+	GRand *rand;
+	int64_t now_ms;
+	struct world_faults faults;
+	struct world_platform platform;
+	struct manifest manifest;
+	/** Of struct world_node, by pointer. */
+	GPtrArray *nodes;
+	/** Future events, soonest first. */
+	GSequence *events;
+	uint64_t next_event;
+	/** Watches that wait at the platform. */
+	GPtrArray *watches;
+	uint64_t control_bytes, control_messages;
+	uint64_t reverts;
+	/** Hash over all deliveries, to compare runs. */
+	uint64_t trace;
+};
+
+/** Time between two rounds of ticks, ms. */
+#define WORLD_TICK_MS 10
+
+void world_init(struct world *world, uint32_t seed);
+void world_finish(struct world *world);
+
+/** Adds a process; it starts at once. */
+struct world_node *world_add_node(struct world *world,
+				  const struct member *self);
+
+struct world_node *world_find_node(struct world *world, const char *name);
+
+/** Starts a stopped process as a new instance with nothing kept. */
+void world_start_node(struct world_node *node);
+
+/** Ends a process at once; its backend server goes on. */
+void world_kill_node(struct world_node *node);
+
+/** Puts world->manifest on the platform as its next release. */
+enum status_code world_apply(struct world *world, struct status *status);
+
+/** Lets @ms pass. */
+void world_run(struct world *world, int64_t ms);
+
+/** A figure of the whole run by name; false when there is none. */
+bool world_figure(struct world *world, const char *name, double *value);
+
+#endif
--- /dev/null
+++ b/tests/standin/backend.c
@@ -0,0 +1,106 @@
+#include "backend.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define REPLY_MAX 1300
+
+static guint key_hash(gconstpointer key)
+{
+	return (guint)flow_key_hash(key, 0);
+}
+
+static gboolean key_equal(gconstpointer a, gconstpointer b)
+{
+	return !memcmp(a, b, sizeof(struct flow_key));
+}
+
+void backend_init(struct backend *backend, const char *service,
+		  const struct ip_addr *address)
+{
+	memset(backend, 0, sizeof(*backend));
+	backend->service = service;
+	backend->address = *address;
+	backend->connections =
+		g_hash_table_new_full(key_hash, key_equal, g_free, NULL);
+}
+
+void backend_finish(struct backend *backend)
+{
+	g_hash_table_destroy(backend->connections);
+}
+
+void backend_restart(struct backend *backend)
+{
+	g_hash_table_remove_all(backend->connections);
+	backend->peak = 0;
+}
+
+static void reply(struct backend *backend, const struct inner_packet *packet,
+		  uint8_t flags, const char *payload, size_t len)
+{
+	struct inner_spec spec = {
+		.seq = packet->ack,
+		.ack = packet->seq + packet->payload_len,
+		.flags = flags,
+		.payload = payload,
+		.payload_len = len,
+	};
+	uint8_t out[REPLY_MAX + 100];
+
+	if (packet->flags & (TCP_SYN | TCP_FIN))
+		spec.ack++;
+	flow_key_reverse(&spec.key, &packet->key);
+	backend->send(backend, out, inner_build(&spec, out, sizeof(out)));
+}
+
+static void echo(struct backend *backend, const struct inner_packet *packet)
+{
+	char text[REPLY_MAX];
+	int len;
+
+	if (!packet->payload_len)
+		return;
+	len = snprintf(text, sizeof(text), "%s %.*s", backend->service,
+		       packet->payload_len,
+		       (const char *)packet->data + packet->len -
+			       packet->payload_len);
+	reply(backend, packet, TCP_ACK, text,
+	      (size_t)MIN(len, (int)sizeof(text) - 1));
+}
+
+static void open_connection(struct backend *backend,
+			    const struct inner_packet *packet)
+{
+	if (!g_hash_table_contains(backend->connections, &packet->key)) {
+		g_hash_table_add(backend->connections,
+				 g_memdup2(&packet->key, sizeof(packet->key)));
+		backend->opened++;
+		backend->peak = MAX(backend->peak,
+				    g_hash_table_size(backend->connections));
+	}
+	reply(backend, packet, TCP_SYN | TCP_ACK, NULL, 0);
+}
+
+void backend_handle(struct backend *backend, const uint8_t *data, size_t len)
+{
+	struct inner_packet packet;
+
+	if (!inner_parse(&packet, data, len))
+		return;
+	if (!ip_addr_equal(&packet.key.dst, &backend->address)) {
+		backend->wrong_service++;
+	} else if (inner_opens(&packet)) {
+		open_connection(backend, &packet);
+	} else if (packet.flags & TCP_RST) {
+		g_hash_table_remove(backend->connections, &packet.key);
+	} else if (packet.flags & TCP_FIN) {
+		g_hash_table_remove(backend->connections, &packet.key);
+		reply(backend, &packet, TCP_FIN | TCP_ACK, NULL, 0);
+	} else if (!g_hash_table_contains(backend->connections, &packet.key)) {
+		backend->resets++;
+		reply(backend, &packet, TCP_RST | TCP_ACK, NULL, 0);
+	} else {
+		echo(backend, &packet);
+	}
+}
--- /dev/null
+++ b/tests/standin/backend.h
@@ -0,0 +1,35 @@
+#ifndef TARRAGONFLOW_TESTS_BACKEND_H
+#define TARRAGONFLOW_TESTS_BACKEND_H
+
+#include <glib.h>
+
+#include "tarragonflow/net/inner.h"
+
+/**
+ * A backend server as a pure core: answers opening packets, echoes payloads
+ * behind its service's name, resets what it does not know.
+ */
+struct backend {
+	/** Hands one packet back to the agent. */
+	void (*send)(struct backend *backend, const uint8_t *data, size_t len);
+	const char *service;
+	struct ip_addr address;
+	/** Set of struct flow_key. */
+	GHashTable *connections;
+	unsigned long opened, wrong_service, resets;
+	/** Most connections at once since the last backend_restart(). */
+	unsigned int peak;
+};
+
+/** @service must outlive the backend. */
+void backend_init(struct backend *backend, const char *service,
+		  const struct ip_addr *address);
+void backend_finish(struct backend *backend);
+
+/** Forgets all connections, as a restarted server does. */
+void backend_restart(struct backend *backend);
+
+/** Takes a packet that the agent delivers. */
+void backend_handle(struct backend *backend, const uint8_t *data, size_t len);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_manifest.c
@@ -0,0 +1,272 @@
+#include <glib.h>
+#include <string.h>
+
+#include "tarragonflow/manifest/apply.h"
+#include "tarragonflow/manifest/manifest.h"
+#include "tarragonflow/node/settings.h"
+#include "tests/standin/object_store.h"
+
+#define ZONES "\"zones\":[{\"name\":\"tas-a\"}]"
+#define SERVICE(name, address, port) \
+	"{\"name\":\"" name "\",\"address\":\"" address "\",\"port\":" port "}"
+#define HEAD "{\"deployment\":\"huon\",\"release\":1," ZONES ","
+
+/** A document and the texts that its errors must contain. */
+struct bad_case {
+	const char *text;
+	const char *errors[4];
+};
+
+static const struct bad_case bad_manifests[] = {
+	{"{", {"m.json: (document): line 1"}},
+	{"[]", {"m.json: (document): found an array, allowed is an object"}},
+	{"{\"release\":1,\"release\":2}", {"duplicate"}},
+	{"{}",
+	 {"deployment: missing", "release: missing", "zones: missing",
+	  "services: missing"}},
+	{HEAD "\"services\":[],\"colour\":1}", {"colour: unknown field"}},
+	{"{\"deployment\":\"Huon\",\"release\":0,\"zones\":{},\"services\":[]}",
+	 {"deployment: found \"Huon\"", "release: found 0, allowed is 1 to",
+	  "zones: found an object, allowed is an array"}},
+	{HEAD "\"services\":[" SERVICE("a", "10.0.0.1", "0") "]}",
+	 {"services[0].port: found 0, allowed is 1 to 65535"}},
+	{HEAD "\"services\":[" SERVICE("a", "10.0.0", "1") "]}",
+	 {"services[0].address: found \"10.0.0\", allowed is an IPv4 or IPv6"}},
+	{HEAD "\"services\":[" SERVICE("a", "10.0.0.1", "1") "," SERVICE(
+		 "a", "10.0.0.1", "1") "]}",
+	 {"services[1].name: found \"a\"",
+	  "services[1].address: overlaps the address and port of services[0]"}},
+	{"{\"deployment\":\"huon\",\"release\":1,\"zones\":[{\"name\":\"z\"},"
+	 "{\"name\":\"z\",\"state\":\"up\"}],\"services\":[]}",
+	 {"zones[1].state: found \"up\", allowed is \"in\", \"out\"",
+	  "zones[1].name: found \"z\" again"}},
+	{"{\"deployment\":\"huon\",\"release\":\"1\",\"zones\":[],"
+	 "\"services\":[]}",
+	 {"release: found a string, allowed is an integer"}},
+	{"{\"deployment\":\"huon\",\"release\":1.5,\"zones\":[],"
+	 "\"services\":[]}",
+	 {"release: found a fractional number"}},
+};
+
+static void test_bad_manifests(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_manifests); i++) {
+		const struct bad_case *c = &bad_manifests[i];
+		struct manifest manifest;
+		struct status status;
+
+		status_init(&status);
+		manifest_init(&manifest);
+		g_assert_cmpint(manifest_parse(&manifest, str_from(c->text),
+					       "m.json", &status),
+				==, STATUS_INVALID);
+		for (int j = 0; j < 4 && c->errors[j]; j++)
+			if (!strstr(status.message, c->errors[j]))
+				g_error("'%s' not in '%s'", c->errors[j],
+					status.message);
+		manifest_finish(&manifest);
+	}
+}
+
+static void test_round_trip(void)
+{
+	static const char text[] = HEAD "\"services\":[" SERVICE(
+		"orders", "10.0.0.1", "80") "," SERVICE("photos", "fd00::1",
+							"80") "]}";
+	struct manifest a, b;
+	struct strbuf first, second;
+	struct status status;
+
+	status_init(&status);
+	manifest_init(&a);
+	manifest_init(&b);
+	strbuf_init(&first);
+	strbuf_init(&second);
+	g_assert_cmpint(manifest_parse(&a, str_from(text), "m", &status), ==,
+			STATUS_OK);
+	manifest_write(&a, &first);
+	g_assert_cmpint(manifest_parse(&b, strbuf_str(&first), "m", &status),
+			==, STATUS_OK);
+	manifest_write(&b, &second);
+	g_assert_cmpstr(first.data, ==, second.data);
+	g_assert_cmpuint(b.n_services, ==, 2);
+	strbuf_finish(&first);
+	strbuf_finish(&second);
+	manifest_finish(&a);
+	manifest_finish(&b);
+}
+
+/** A platform whose next PUTs go wrong in a chosen way. */
+struct fake_platform {
+	struct platform platform;
+	struct object_store store;
+	/** PUTs that take effect but whose answer is lost. */
+	int lose_answers;
+	/** PUTs that are lost on their way. */
+	int lose_requests;
+	/** Another operator's release that gets in before the next PUT. */
+	const char *rival;
+};
+
+static void rival_write(struct fake_platform *fake, const char *key)
+{
+	struct platform_request request;
+	struct platform_result result;
+
+	platform_request_init(&request, PLATFORM_OP_GET, key);
+	object_store_apply(&fake->store, &request, &result);
+	request.op = PLATFORM_OP_PUT;
+	request.version = result.version;
+	platform_result_finish(&result);
+	strbuf_add(&request.value, fake->rival, strlen(fake->rival));
+	fake->rival = NULL;
+	object_store_apply(&fake->store, &request, &result);
+	platform_result_finish(&result);
+	platform_request_finish(&request);
+}
+
+static void fake_call(struct platform *platform,
+		      const struct platform_request *request,
+		      struct platform_result *result)
+{
+	struct fake_platform *fake = (struct fake_platform *)platform;
+	bool put = request->op == PLATFORM_OP_PUT;
+
+	if (put && fake->rival)
+		rival_write(fake, request->key);
+	if (put && fake->lose_requests) {
+		fake->lose_requests--;
+		platform_result_init(result, request);
+		status_set(&result->status, STATUS_UNKNOWN, "lost");
+		return;
+	}
+	object_store_apply(&fake->store, request, result);
+	if (put && fake->lose_answers) {
+		fake->lose_answers--;
+		status_set(&result->status, STATUS_UNKNOWN, "lost");
+	}
+}
+
+static const struct {
+	const char *name;
+	int64_t in_force, release;
+	int lose_answers, lose_requests;
+	const char *rival;
+	enum status_code code;
+	int64_t after;
+} apply_cases[] = {
+	{"first", 0, 1, 0, 0, NULL, STATUS_OK, 1},
+	{"newer", 1, 2, 0, 0, NULL, STATUS_OK, 2},
+	{"same", 2, 2, 0, 0, NULL, STATUS_STALE, 2},
+	{"older", 3, 2, 0, 0, NULL, STATUS_STALE, 3},
+	{"answer lost", 1, 2, 1, 0, NULL, STATUS_OK, 2},
+	{"request lost", 1, 2, 0, 1, NULL, STATUS_CONFLICT, 1},
+	{"rival", 1, 2, 0, 0,
+	 "{\"deployment\":\"huon\",\"release\":7,\"zones\":[],\"services\":[]}",
+	 STATUS_CONFLICT, 7},
+};
+
+static void set_release(struct manifest *manifest, int64_t release)
+{
+	manifest_init(manifest);
+	name_set(&manifest->deployment, str_from("huon"));
+	manifest->release = release;
+}
+
+static int64_t stored_release(struct fake_platform *fake)
+{
+	struct platform_request request;
+	struct platform_result result;
+	struct manifest manifest;
+	struct status status;
+	int64_t release;
+
+	status_init(&status);
+	manifest_init(&manifest);
+	platform_request_init(&request, PLATFORM_OP_GET,
+			      "tarragonflow/huon/manifest");
+	object_store_apply(&fake->store, &request, &result);
+	manifest_parse(&manifest, strbuf_str(&result.objects[0].value), "p",
+		       &status);
+	release = manifest.release;
+	manifest_finish(&manifest);
+	platform_result_finish(&result);
+	return release;
+}
+
+static void test_apply(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(apply_cases); i++) {
+		struct fake_platform fake = {.platform = {fake_call}};
+		struct manifest manifest;
+		struct status status;
+
+		status_init(&status);
+		object_store_init(&fake.store);
+		if (apply_cases[i].in_force) {
+			set_release(&manifest, apply_cases[i].in_force);
+			g_assert_cmpint(apply_manifest(&fake.platform,
+						       &manifest, &status),
+					==, STATUS_OK);
+		}
+		fake.lose_answers = apply_cases[i].lose_answers;
+		fake.lose_requests = apply_cases[i].lose_requests;
+		fake.rival = apply_cases[i].rival;
+		set_release(&manifest, apply_cases[i].release);
+		g_test_message("%s", apply_cases[i].name);
+		g_assert_cmpint(
+			apply_manifest(&fake.platform, &manifest, &status), ==,
+			apply_cases[i].code);
+		g_assert_cmpint(stored_release(&fake), ==,
+				apply_cases[i].after);
+		object_store_finish(&fake.store);
+	}
+}
+
+#define SETTINGS                                                \
+	"\"name\":\"b\",\"zone\":\"z\",\"deployment\":\"d\","   \
+	"\"data\":\"127.0.0.1:1\",\"control\":\"127.0.0.1:2\"," \
+	"\"admin\":\"127.0.0.1:3\",\"platform\":\"http://127.0.0.1:4\""
+
+static const struct bad_case bad_settings[] = {
+	{"{}",
+	 {"name: missing", "zone: missing", "data: missing",
+	  "platform: missing"}},
+	{"{" SETTINGS ",\"service\":\"orders\"}", {"service: unknown field"}},
+	{"{" SETTINGS ",\"seeds\":[\"127.0.0.1:1\",\"nobody\",3]}",
+	 {"seeds[1]: found nobody", "seeds[2]: found no string"}},
+	{"{" SETTINGS ",\"log_level\":\"loud\"}",
+	 {"log_level: found \"loud\", allowed is \"debug\""}},
+};
+
+static void test_bad_settings(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_settings); i++) {
+		const struct bad_case *c = &bad_settings[i];
+		struct json_errors errors;
+		struct settings settings;
+		json_t *root;
+
+		json_errors_init(&errors, "s.json");
+		root = json_reader_parse(str_from(c->text), &errors);
+		g_assert_nonnull(root);
+		settings_read(&settings, MEMBER_BALANCER, root, &errors);
+		for (int j = 0; j < 4 && c->errors[j]; j++)
+			if (!errors.count ||
+			    !strstr(errors.text.data, c->errors[j]))
+				g_error("'%s' not in '%s'", c->errors[j],
+					errors.text.data);
+		json_decref(root);
+		json_errors_finish(&errors);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/manifest/bad", test_bad_manifests);
+	g_test_add_func("/manifest/round-trip", test_round_trip);
+	g_test_add_func("/manifest/apply", test_apply);
+	g_test_add_func("/settings/bad", test_bad_settings);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/unit/test_net.c
@@ -0,0 +1,158 @@
+#include <glib.h>
+#include <string.h>
+
+#include "tarragonflow/net/endpoint.h"
+#include "tarragonflow/net/inner.h"
+#include "tarragonflow/net/packet.h"
+
+static void test_endpoint(void)
+{
+	static const struct {
+		const char *text;
+		bool good;
+	} cases[] = {
+		{"127.0.0.1:80", true},	    {"255.255.255.255:65535", true},
+		{"127.0.0.1", false},	    {"127.0.0.1:0", false},
+		{"127.0.0.1:65536", false}, {"127.0.0.1:-1", false},
+		{"localhost:80", false},    {"1.2.3:4", false},
+		{"1.2.3.4:5x", false},
+	};
+	char text[ENDPOINT_TEXT_MAX];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct endpoint endpoint;
+
+		g_assert_cmpint(endpoint_parse(&endpoint, cases[i].text), ==,
+				cases[i].good);
+		if (cases[i].good)
+			g_assert_cmpstr(endpoint_format(&endpoint, text), ==,
+					cases[i].text);
+	}
+}
+
+static void make_spec(struct inner_spec *spec, const char *src, const char *dst)
+{
+	memset(spec, 0, sizeof(*spec));
+	g_assert_true(ip_addr_parse(&spec->key.src, src));
+	g_assert_true(ip_addr_parse(&spec->key.dst, dst));
+	spec->key.src_port = 1234;
+	spec->key.dst_port = 80;
+	spec->seq = 0xfffffff0;
+	spec->ack = 7;
+	spec->flags = TCP_ACK;
+	spec->payload = "hello";
+	spec->payload_len = 5;
+}
+
+static void test_inner_round_trip(void)
+{
+	static const char *const pairs[][2] = {
+		{"10.0.0.1", "10.0.0.2"},
+		{"fd00::1", "fd00::2"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(pairs); i++) {
+		struct inner_packet packet;
+		struct inner_spec spec;
+		uint8_t out[128];
+		size_t len;
+
+		make_spec(&spec, pairs[i][0], pairs[i][1]);
+		len = inner_build(&spec, out, sizeof(out));
+		g_assert_true(inner_parse(&packet, out, len));
+		g_assert_cmpmem(&packet.key, sizeof(packet.key), &spec.key,
+				sizeof(spec.key));
+		g_assert_cmpuint(packet.seq, ==, spec.seq);
+		g_assert_cmpuint(packet.payload_len, ==, 5);
+		g_assert_false(inner_opens(&packet));
+	}
+}
+
+static void test_inner_truncated(void)
+{
+	struct inner_packet packet;
+	struct inner_spec spec;
+	uint8_t out[128];
+	size_t len;
+
+	make_spec(&spec, "10.0.0.1", "10.0.0.2");
+	len = inner_build(&spec, out, sizeof(out));
+	for (size_t cut = 0; cut < len; cut++)
+		g_assert_false(inner_parse(&packet, out, cut));
+	out[6] = 0x20; /* more fragments follow */
+	g_assert_false(inner_parse(&packet, out, len));
+}
+
+static void make_header(struct packet_header *header)
+{
+	memset(header, 0, sizeof(*header));
+	header->service_id = 0x01020304;
+	header->config_revision = 1ULL << 40;
+	header->roster_version = 9;
+	header->hops_left = PACKET_HOP_BUDGET;
+	header->position = 2;
+	header->n_candidates = 3;
+	header->bucket = 511;
+	for (uint8_t i = 0; i < 3; i++) {
+		header->candidates[i].data.ip = 0x7f000001u + i;
+		header->candidates[i].data.port = 4701;
+		header->candidates[i].member_id = 77u + i;
+		header->candidates[i].instance_check = 0x3fff;
+		header->candidates[i].flags = i;
+	}
+}
+
+static void test_header_round_trip(void)
+{
+	struct packet_header in, out;
+	uint8_t wire[PACKET_HEADER_MAX];
+	size_t len;
+
+	make_header(&in);
+	memset(&out, 0, sizeof(out));
+	len = packet_header_encode(&in, wire);
+	g_assert_cmpuint(packet_header_decode(&out, wire, len), ==, len);
+	g_assert_cmpuint(out.bucket, ==, in.bucket);
+	for (int i = 0; i < 3; i++) {
+		g_assert_cmpuint(out.candidates[i].member_id, ==,
+				 in.candidates[i].member_id);
+		g_assert_cmpuint(out.candidates[i].flags, ==,
+				 in.candidates[i].flags);
+		g_assert_cmpuint(out.candidates[i].instance_check, ==, 0x3fff);
+	}
+	for (size_t cut = 0; cut < len; cut++)
+		g_assert_cmpuint(packet_header_decode(&out, wire, cut), ==, 0);
+}
+
+static void test_header_malformed(void)
+{
+	/* Byte to change, and to what. */
+	static const struct {
+		int at;
+		uint8_t value;
+	} cases[] = {
+		{0, 0}, {2, 2}, {24, 3}, {25, 0}, {25, 9}, {26, 1},
+	};
+	struct packet_header header;
+	uint8_t wire[PACKET_HEADER_MAX];
+	size_t len;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		make_header(&header);
+		len = packet_header_encode(&header, wire);
+		wire[cases[i].at] = cases[i].value;
+		g_assert_cmpuint(packet_header_decode(&header, wire, len), ==,
+				 0);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/net/endpoint", test_endpoint);
+	g_test_add_func("/net/inner-round-trip", test_inner_round_trip);
+	g_test_add_func("/net/inner-truncated", test_inner_truncated);
+	g_test_add_func("/net/header-round-trip", test_header_round_trip);
+	g_test_add_func("/net/header-malformed", test_header_malformed);
+	return g_test_run();
+}
