--- a/tests/scenarios/runner.c
+++ b/tests/scenarios/runner.c
@@ -127,7 +127,7 @@
 /* deploy{zones={...}, balancers=N, services={{name=, servers=, ...}}} */
 static int verb_deploy(lua_State *lua)
 {
-	size_t servers[MAX_SERVICES] = { 0 };
+	size_t servers[MAX_SERVICES] = {0};
 	struct status status;
 
 	status_init(&status);
