Split configuration and platform calls out of the control core

Cause: control.c held configuration, platform calls and gossip together, and each is about to grow. Change: config_store (the manifest in force, never reverts) and platform_sync (when the platform is called, what is learnt) are pure sub-cores that the control core drives.

--- a/admin/admin.c
+++ b/admin/admin.c
@@ -30,7 +30,7 @@
 	int64_t release;
 
 	pthread_mutex_lock(&node->lock);
-	release = node->control.manifest.release;
+	release = node->control.config.manifest.release;
 	pthread_mutex_unlock(&node->lock);
 	if (!release)
 		return answer(conn, HTTP_UNAVAILABLE, "text/plain",
@@ -91,9 +91,9 @@
 	root = json_pack(
 		"{s:s,s:s,s:I,s:I,s:o}", "name", node->settings->name.data,
 		"deployment", node->settings->deployment.data, "release",
-		(json_int_t)node->control.manifest.release, "connections",
-		(json_int_t)atomic_load(&node->open_connections), "members",
-		members);
+		(json_int_t)node->control.config.manifest.release,
+		"connections", (json_int_t)atomic_load(&node->open_connections),
+		"members", members);
 	pthread_mutex_unlock(&node->lock);
 	return root;
 }
--- a/control/control.c
+++ b/control/control.c
@@ -7,11 +7,16 @@
 
 #define GOSSIP_INTERVAL_MS 200
 #define ANNOUNCE_INTERVAL_MS 1000
-#define PLATFORM_RETRY_MS 1000
-#define PLATFORM_TIMEOUT_MS 3000
-#define WATCH_WAIT_MS 20000
 #define ANNOUNCE_FANOUT 4
 
+/** The platform core's way out into the control core. */
+struct sync_out {
+	struct platform_sync_out out;
+	struct control *control;
+	struct control_sink *sink;
+	int64_t now_ms;
+};
+
 /* xorshift64*; the state is never zero. */
 static uint64_t random_next(struct control *control)
 {
@@ -29,7 +34,8 @@
 	struct member *self = &control->options.self;
 
 	self->sequence++;
-	self->config_revision = (uint64_t)control->manifest.release;
+	self->config_revision =
+		(uint64_t)config_store_release(&control->config);
 	roster_merge(&control->roster, self, now_ms);
 }
 
@@ -37,24 +43,31 @@
 		  const struct control_options *options,
 		  struct counters *counters, int64_t now_ms)
 {
+	const struct platform_sync_options sync_options = {
+		.deployment = options->deployment,
+		.name = options->self.name,
+		.zone = options->self.zone,
+		.role = options->self.role,
+		.random_seed = options->random_seed,
+	};
+
 	memset(control, 0, sizeof(*control));
 	control->options = *options;
 	control->counters = counters;
 	control->random_state = options->random_seed | 1;
 	roster_init(&control->roster);
-	manifest_init(&control->manifest);
-	strbuf_init(&control->manifest_text);
+	config_store_init(&control->config, &options->deployment, counters);
+	platform_sync_init(&control->platform, &sync_options, counters, now_ms);
 	control->next_gossip_ms = now_ms;
 	control->next_announce_ms = now_ms;
-	control->next_platform_ms = now_ms;
 	self_refresh(control, now_ms);
 }
 
 void control_finish(struct control *control)
 {
 	roster_finish(&control->roster);
-	manifest_finish(&control->manifest);
-	strbuf_finish(&control->manifest_text);
+	config_store_finish(&control->config);
+	platform_sync_finish(&control->platform);
 }
 
 static void send_message(struct control *control, const struct endpoint *to,
@@ -125,44 +138,19 @@
 {
 	struct message message = {
 		.kind = MESSAGE_CONFIG,
-		.manifest = strbuf_str(&control->manifest_text),
-		.config_revision = control->manifest.release,
+		.manifest = strbuf_str(&control->config.text),
+		.config_revision = config_store_release(&control->config),
 	};
 
 	send_message(control, to, &message, sink);
 }
 
-/*
- * Puts @text in force when it is newer than what is. Everything that brings
- * a configuration goes through here, so a release never reverts.
- */
 static void config_offer(struct control *control, struct str text,
 			 const char *source, int64_t now_ms,
 			 struct control_sink *sink)
 {
-	struct manifest manifest;
-	struct status status;
-
-	manifest_init(&manifest);
-	status_init(&status);
-	if (manifest_parse(&manifest, text, source, &status) != STATUS_OK) {
-		counter_inc(control->counters, COUNTER_CONTROL_DROP_MALFORMED);
-		manifest_finish(&manifest);
-		return;
-	}
-	if (manifest.release <= control->manifest.release ||
-	    !name_equal(&manifest.deployment, &control->options.deployment)) {
-		counter_inc(control->counters, COUNTER_CONFIG_OLDER_IGNORED);
-		manifest_finish(&manifest);
+	if (!config_store_offer(&control->config, text, source))
 		return;
-	}
-	manifest_finish(&control->manifest);
-	control->manifest = manifest;
-	strbuf_reset(&control->manifest_text);
-	strbuf_add(&control->manifest_text, text.data, text.len);
-	counter_inc(control->counters, COUNTER_CONFIG_APPLIED);
-	log_event(LOG_LEVEL_INFO, "config-applied", "release=%lld source=%s",
-		  (long long)manifest.release, source);
 	self_refresh(control, now_ms);
 	control->next_announce_ms = now_ms;
 	sink->changed(sink);
@@ -175,7 +163,7 @@
 {
 	struct message pull = {.kind = MESSAGE_PULL};
 	uint64_t theirs = message->from.config_revision;
-	uint64_t ours = (uint64_t)control->manifest.release;
+	uint64_t ours = (uint64_t)config_store_release(&control->config);
 
 	if (theirs < ours && message->kind != MESSAGE_CONFIG)
 		send_config(control, &message->from.control, sink);
@@ -225,6 +213,7 @@
 		strbuf_finish(&storage);
 		return;
 	}
+	platform_sync_heard(&control->platform, now_ms);
 	changed = take_member(control, &message.from, now_ms) == ROSTER_CHANGED;
 	for (size_t i = 0; i < message.n_members; i++)
 		if (take_member(control, &message.members[i], now_ms) ==
@@ -238,54 +227,60 @@
 	strbuf_finish(&storage);
 }
 
-static void call_platform(struct control *control, enum platform_op op,
-			  struct control_sink *sink)
+static void sync_call(struct platform_sync_out *out,
+		      const struct platform_request *request)
 {
-	struct platform_request request;
-	char key[PLATFORM_KEY_MAX];
-
-	platform_manifest_key(key, &control->options.deployment);
-	platform_request_init(&request, op, key);
-	request.id = ++control->next_call_id;
-	request.version = control->watch_version;
-	request.timeout_ms = op == PLATFORM_OP_WATCH ? WATCH_WAIT_MS
-						     : PLATFORM_TIMEOUT_MS;
-	control->call_pending = true;
-	sink->call(sink, &request);
-	platform_request_finish(&request);
+	struct sync_out *self = (struct sync_out *)out;
+
+	self->sink->call(self->sink, request);
+}
+
+static void sync_config(struct platform_sync_out *out, struct str text)
+{
+	struct sync_out *self = (struct sync_out *)out;
+
+	config_offer(self->control, text, "platform", self->now_ms, self->sink);
+}
+
+static void sync_member(struct platform_sync_out *out,
+			const struct member *entry)
+{
+	struct sync_out *self = (struct sync_out *)out;
+
+	if (take_member(self->control, entry, self->now_ms) == ROSTER_CHANGED)
+		self->sink->changed(self->sink);
+}
+
+static void sync_out_init(struct sync_out *self, struct control *control,
+			  int64_t now_ms, struct control_sink *sink)
+{
+	self->out.call = sync_call;
+	self->out.config = sync_config;
+	self->out.member = sync_member;
+	self->control = control;
+	self->sink = sink;
+	self->now_ms = now_ms;
 }
 
 void control_handle_result(struct control *control,
 			   const struct platform_result *result, int64_t now_ms,
 			   struct control_sink *sink)
 {
-	control->call_pending = false;
-	control->next_platform_ms = now_ms + PLATFORM_RETRY_MS;
-	if (result->status.code == STATUS_GONE)
-		control->watch_version = 0;
-	if (result->status.code != STATUS_OK)
-		return;
-	if (result->version > control->watch_version)
-		control->watch_version = result->version;
-	for (size_t i = 0; i < result->n_objects; i++)
-		if (!result->objects[i].deleted)
-			config_offer(control,
-				     strbuf_str(&result->objects[i].value),
-				     "platform", now_ms, sink);
-	if (control->options.self.role == MEMBER_BALANCER)
-		control->next_platform_ms = now_ms;
+	struct sync_out self;
+
+	sync_out_init(&self, control, now_ms, sink);
+	platform_sync_handle_result(&control->platform, result,
+				    &control->roster, now_ms, &self.out);
 }
 
-/* Balancers watch; agents ask only while they have nothing. */
 static void platform_step(struct control *control, int64_t now_ms,
 			  struct control_sink *sink)
 {
-	if (control->call_pending || now_ms < control->next_platform_ms)
-		return;
-	if (!control->watch_version)
-		call_platform(control, PLATFORM_OP_GET, sink);
-	else if (control->options.self.role == MEMBER_BALANCER)
-		call_platform(control, PLATFORM_OP_WATCH, sink);
+	struct sync_out self;
+
+	sync_out_init(&self, control, now_ms, sink);
+	platform_sync_tick(&control->platform, &control->roster, now_ms,
+			   &self.out);
 }
 
 static void announce(struct control *control, struct control_sink *sink)
@@ -313,8 +308,7 @@
 {
 	int64_t next = MIN(control->next_gossip_ms, control->next_announce_ms);
 
-	if (!control->call_pending)
-		next = MIN(next, MAX(control->next_platform_ms, next));
+	next = MIN(next, platform_sync_next_deadline(&control->platform));
 	return next;
 }
 
--- /dev/null
+++ b/include/tarragonflow/control/config_store.h
@@ -0,0 +1,36 @@
+#ifndef TARRAGONFLOW_CONTROL_CONFIG_STORE_H
+#define TARRAGONFLOW_CONTROL_CONFIG_STORE_H
+
+#include "tarragonflow/common/counter.h"
+#include "tarragonflow/manifest/manifest.h"
+
+/**
+ * The configuration of one process: the manifest in force and its canonical
+ * text. Everything that brings a configuration, from the platform or a peer,
+ * goes through config_store_offer(), so a release never reverts.
+ */
+struct config_store {
+	struct name deployment;
+	struct counters *counters;
+	/** Release 0 until there is a configuration. */
+	struct manifest manifest;
+	/** The canonical text of the manifest in force. */
+	struct strbuf text;
+};
+
+void config_store_init(struct config_store *store,
+		       const struct name *deployment,
+		       struct counters *counters);
+void config_store_finish(struct config_store *store);
+
+/** The release in force, 0 when there is none. */
+int64_t config_store_release(const struct config_store *store);
+
+/**
+ * Puts @text in force when it is a valid manifest of the deployment with a
+ * greater release; true when it was. @source says where it came from.
+ */
+bool config_store_offer(struct config_store *store, struct str text,
+			const char *source);
+
+#endif
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -2,8 +2,9 @@
 #define TARRAGONFLOW_CONTROL_CONTROL_H
 
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/control/config_store.h"
 #include "tarragonflow/control/message.h"
-#include "tarragonflow/manifest/manifest.h"
+#include "tarragonflow/control/platform_sync.h"
 #include "tarragonflow/platform/platform.h"
 #include "tarragonflow/roster/roster.h"
 
@@ -41,18 +42,11 @@
 	struct control_options options;
 	struct counters *counters;
 	struct roster roster;
-	/** Release 0 until there is a configuration. */
-	struct manifest manifest;
-	/** The canonical text of the manifest in force. */
-	struct strbuf manifest_text;
+	struct config_store config;
+	struct platform_sync platform;
 	uint64_t random_state;
 	int64_t next_gossip_ms;
 	int64_t next_announce_ms;
-	int64_t next_platform_ms;
-	/** Version of the platform's store that the watch has reached. */
-	int64_t watch_version;
-	bool call_pending;
-	uint64_t next_call_id;
 	/** Where the rotating window of gossiped entries stands. */
 	size_t gossip_cursor;
 };
--- a/node/node.c
+++ b/node/node.c
@@ -88,11 +88,11 @@
 
 	while ((view = ring_pop(&node->retired_views)))
 		view_free(view);
-	if (!node->view_dirty || !node->control.manifest.release ||
+	if (!node->view_dirty || !node->control.config.manifest.release ||
 	    now_ms < node->next_view_ms)
 		return;
 	view = g_new(struct view, 1);
-	view_init(view, &node->control.manifest, &node->control.roster);
+	view_init(view, &node->control.config.manifest, &node->control.roster);
 	if (!ring_push(&node->views, view)) {
 		view_free(view);
 		return;
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -564,11 +564,11 @@
 {
 	struct view *view;
 
-	if (!node->view_dirty || !node->control.manifest.release)
+	if (!node->view_dirty || !node->control.config.manifest.release)
 		return;
 	node->view_dirty = false;
 	view = g_new(struct view, 1);
-	view_init(view, &node->control.manifest, &node->control.roster);
+	view_init(view, &node->control.config.manifest, &node->control.roster);
 	if (node->options.self.role == MEMBER_AGENT)
 		agent_set_view(&node->agent, view);
 	else
@@ -592,7 +592,7 @@
 	if (node->options.self.role == MEMBER_AGENT)
 		agent_tick(&node->agent, world->now_ms);
 	refresh_view(node);
-	release = node->control.manifest.release;
+	release = node->control.config.manifest.release;
 	if (release < node->top_release)
 		world->reverts++;
 	node->top_release = MAX(node->top_release, release);
@@ -625,8 +625,9 @@
 		if (!strcmp(name, "wrong_service_packets"))
 			sum += (double)node->backend.wrong_service;
 		else if (!strcmp(name, "lagging"))
-			sum += node->up && node->control.manifest.release <
-						   world->manifest.release;
+			sum += node->up &&
+			       node->control.config.manifest.release <
+				       world->manifest.release;
 		for (int id = 0; id < COUNTER_COUNT; id++)
 			if (!strcmp(name, counter_name((enum counter_id)id)))
 				sum += (double)counter_get(&node->counters,
