--- a/admit/admit.c
+++ b/admit/admit.c
@@ -3,47 +3,186 @@
 #include <glib.h>
 #include <string.h>
 
+#include "tarragonflow/net/packet.h"
+
+/* An answer is slow at this many times the usual time, and some slack. */
+#define SLOW_FACTOR 4
+#define SLOW_SLACK_MS 5
+#define SLOW_SIGNS 3
+#define RESET_SIGNS 4
+/* Growth of the usual time at each step: a lasting change is learned. */
+#define USUAL_GROWTH 1.02
+/* A server that never was quick is taken as it is after this time. */
+#define ACCEPT_SLOW_MS 60000
+#define DEFAULT_ANSWER_MS 50
+#define BACK_OFF_MIN_MS 500
+#define BACK_OFF_MAX_MS 8000
+#define USUAL_MIN_MS 1.0
+
 static uint32_t cold_limit(const struct admit *admit)
 {
 	return MAX(admit->connections_max / ADMIT_COLD_SHARE, 1);
 }
 
-void admit_init(struct admit *admit, uint32_t connections_max, int64_t now_ms)
+void admit_init(struct admit *admit, uint32_t connections_max,
+		uint32_t slots_max, int64_t now_ms)
 {
 	memset(admit, 0, sizeof(*admit));
 	admit->connections_max = connections_max;
+	admit->slots_max = MAX(slots_max, 1);
 	admit->limit = cold_limit(admit);
+	admit->answer_ms = DEFAULT_ANSWER_MS;
 	admit->next_step_ms = now_ms + ADMIT_STEP_MS;
+	admit->last_good_ms = now_ms;
+	admit->back_off_ms = BACK_OFF_MIN_MS;
 }
 
-enum admit_verdict admit_open(struct admit *admit)
+enum admit_verdict admit_open(struct admit *admit, int64_t now_ms)
 {
 	if (admit->draining)
 		return ADMIT_DRAINING;
+	if (now_ms < admit->down_until_ms)
+		return ADMIT_DOWN;
 	if (admit->open >= admit->connections_max)
 		return ADMIT_FULL;
 	if (admit->open >= admit->limit)
 		return ADMIT_COLD;
-	admit->open++;
+	admit_take_over(admit);
 	return ADMIT_YES;
 }
 
+void admit_take_over(struct admit *admit)
+{
+	admit->open++;
+	admit->peak = MAX(admit->peak, admit->open);
+}
+
 void admit_close(struct admit *admit)
 {
 	if (admit->open)
 		admit->open--;
 }
 
-void admit_answered(struct admit *admit)
+uint32_t admit_slots(const struct admit *admit)
+{
+	uint64_t slots = (uint64_t)admit->slots_max * admit->limit /
+			 admit->connections_max;
+
+	return (uint32_t)MAX(slots, 1);
+}
+
+enum admit_verdict admit_slot_take(struct admit *admit, int64_t now_ms)
+{
+	if (now_ms < admit->down_until_ms)
+		return ADMIT_DOWN;
+	if (admit->slots_used >= admit->slots_max)
+		return ADMIT_FULL;
+	if (admit->slots_used >= admit_slots(admit))
+		return ADMIT_COLD;
+	admit->slots_used++;
+	return ADMIT_YES;
+}
+
+void admit_slot_release(struct admit *admit)
 {
-	admit->answered++;
+	if (admit->slots_used)
+		admit->slots_used--;
 }
 
-void admit_turn_cold(struct admit *admit, int64_t now_ms)
+static void clear_signs(struct admit *admit)
+{
+	admit->good = 0;
+	admit->slow = 0;
+	admit->resets = 0;
+	admit->peak = admit->open;
+}
+
+static void turn_cold(struct admit *admit, int64_t now_ms)
 {
 	admit->limit = cold_limit(admit);
-	admit->answered = 0;
 	admit->next_step_ms = now_ms + ADMIT_STEP_MS;
+	admit->last_good_ms = now_ms;
+	clear_signs(admit);
+}
+
+void admit_accepted(struct admit *admit)
+{
+	admit->back_off_ms = BACK_OFF_MIN_MS;
+	admit->good++;
+}
+
+static void slow_sign(struct admit *admit, int64_t now_ms)
+{
+	admit->slow++;
+	if (admit->slow >= SLOW_SIGNS && admit->limit > cold_limit(admit))
+		turn_cold(admit, now_ms);
+}
+
+static bool is_slow(const struct admit *admit, int64_t took_ms)
+{
+	if (admit->usual_ms <= 0)
+		return took_ms > admit->answer_ms;
+	return (double)took_ms > admit->usual_ms * SLOW_FACTOR + SLOW_SLACK_MS;
+}
+
+void admit_answered(struct admit *admit, int64_t took_ms, int64_t now_ms)
+{
+	bool slow = is_slow(admit, took_ms);
+	double ms = MAX((double)took_ms, USUAL_MIN_MS);
+
+	if (slow && now_ms - admit->last_good_ms > ACCEPT_SLOW_MS) {
+		admit->usual_ms = ms;
+		slow = false;
+	}
+	if (slow) {
+		slow_sign(admit, now_ms);
+		return;
+	}
+	admit->good++;
+	admit->last_good_ms = now_ms;
+	if (admit->usual_ms <= 0 || ms < admit->usual_ms)
+		admit->usual_ms = ms;
+}
+
+void admit_unanswered(struct admit *admit, int64_t now_ms)
+{
+	slow_sign(admit, now_ms);
+}
+
+bool admit_reset(struct admit *admit, int64_t now_ms)
+{
+	if (++admit->resets < RESET_SIGNS)
+		return false;
+	turn_cold(admit, now_ms);
+	return true;
+}
+
+void admit_refused(struct admit *admit, int64_t now_ms)
+{
+	turn_cold(admit, now_ms);
+	admit->down_until_ms = now_ms + admit->back_off_ms;
+	admit->back_off_ms = MIN(admit->back_off_ms * 2, BACK_OFF_MAX_MS);
+}
+
+void admit_hear_usual(struct admit *admit, uint16_t usual_ms)
+{
+	if (usual_ms && (admit->usual_ms <= 0 || usual_ms < admit->usual_ms))
+		admit->usual_ms = usual_ms;
+}
+
+uint16_t admit_load_unit(const struct admit *admit)
+{
+	return (uint16_t)MAX(PACKET_LOAD_SCALE / admit->connections_max, 1);
+}
+
+uint16_t admit_load(const struct admit *admit, int64_t now_ms)
+{
+	uint64_t load = (uint64_t)admit->open * PACKET_LOAD_SCALE;
+
+	if (admit->draining || now_ms < admit->down_until_ms ||
+	    admit->open >= admit->limit)
+		return PACKET_LOAD_FULL;
+	return (uint16_t)(load / admit->connections_max);
 }
 
 void admit_drain(struct admit *admit)
@@ -51,13 +190,20 @@
 	admit->draining = true;
 }
 
+/* Proven: the limit was used and the answers came as usual. */
+static bool may_rise(const struct admit *admit)
+{
+	return admit->good && !admit->slow && admit->peak >= admit->limit / 2 &&
+	       admit->limit < admit->connections_max;
+}
+
 void admit_tick(struct admit *admit, int64_t now_ms)
 {
 	if (now_ms < admit->next_step_ms)
 		return;
 	admit->next_step_ms = now_ms + ADMIT_STEP_MS;
-	/* Doubles after a step in which the server proved itself. */
-	if (admit->answered && admit->limit < admit->connections_max)
+	if (may_rise(admit))
 		admit->limit = MIN(admit->limit * 2, admit->connections_max);
-	admit->answered = 0;
+	admit->usual_ms *= USUAL_GROWTH;
+	clear_signs(admit);
 }
--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -107,6 +107,7 @@
 		g_malloc(sizeof(*packets) * PACKETS);
 	struct encode_sink sink = {.sink = {.to_peer = encode}};
 	size_t len = make_packets(packets, bench->seed);
+	static const struct endpoint origin = {1, 1};
 	struct counters counters;
 	struct balancer balancer;
 	struct view view;
@@ -115,7 +116,7 @@
 
 	counters_init(&counters);
 	make_view(&view);
-	balancer_init(&balancer, &counters);
+	balancer_init(&balancer, &origin, &counters);
 	balancer_set_view(&balancer, &view);
 	base = floor_ns(packets, len, &sink);
 	start = bench_now_ns();
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -3,22 +3,30 @@
 #include <glib.h>
 #include <string.h>
 
-/* Flows are never limited by memory before the admission limit is. */
-#define TABLE_SLACK 2
-#define TABLE_MIN_FLOWS 1024
+#include "tarragonflow/flow/agent_route.h"
+
+/* Open, half-open and lately closed connections, over the admission limit. */
+#define TABLE_SLACK_PERCENT 150
+#define TABLE_MIN_FLOWS 48
 #define CLOSING_LINGER_MS 10000
 #define HALF_OPEN_TIMEOUT_MS 30000
 #define DEFAULT_IDLE_TIMEOUT_MS 3600000
 #define EXPIRY_SLOTS_PER_TICK 512
-#define FIN_FROM_CALLER 1
-#define FIN_FROM_SERVER 2
-#define FIN_BOTH (FIN_FROM_CALLER | FIN_FROM_SERVER)
+/* Under pressure a handshake that takes longer gives way. */
+#define HALF_OPEN_GRACE_MS 5000
+#define ROOM_SCAN_SLOTS 64
+/* Distance of a packet from its connection's sequence numbers, bytes. */
+#define SEQ_WINDOW (1 << 26)
+#define SYN_REPEAT_MS 900
+#define REFILL_MS 1000
+#define SEARCHES_PER_REFILL 2000
+#define HINTS_PER_REFILL 500
+#define RESET_BYTES 64
 
 void agent_init(struct agent *agent, const struct agent_identity *identity,
 		struct counters *counters, int64_t now_ms)
 {
-	uint32_t max =
-		MAX(identity->connections * TABLE_SLACK, TABLE_MIN_FLOWS);
+	uint32_t max = identity->connections * TABLE_SLACK_PERCENT / 100;
 
 	memset(agent, 0, sizeof(*agent));
 	agent->counters = counters;
@@ -27,8 +35,13 @@
 	agent->service_id = service_id(&identity->service);
 	agent->instance_check = packet_instance_check(identity->instance);
 	agent->idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
-	flow_table_init(&agent->flows, max, identity->seed);
-	admit_init(&agent->admit, identity->connections, now_ms);
+	agent->searches_left = SEARCHES_PER_REFILL;
+	agent->hints_left = HINTS_PER_REFILL;
+	agent->next_refill_ms = now_ms + REFILL_MS;
+	flow_table_init(&agent->flows, MAX(max, TABLE_MIN_FLOWS),
+			identity->seed);
+	admit_init(&agent->admit, identity->connections, identity->slots,
+		   now_ms);
 }
 
 void agent_finish(struct agent *agent)
@@ -38,12 +51,13 @@
 
 void agent_set_view(struct agent *agent, const struct view *view)
 {
-	const struct service_view *service =
-		view_service(view, agent->service_id);
-
 	agent->view = view;
-	if (service)
-		agent->idle_timeout_ms = service->service.idle_timeout_s * 1000;
+	agent->service = view_service(view, agent->service_id);
+	agent->zone_in = view_zone_in(view, &agent->zone);
+	if (!agent->service)
+		return;
+	agent->idle_timeout_ms = agent->service->service.idle_timeout_s * 1000;
+	agent->admit.answer_ms = agent->service->service.answer_ms;
 }
 
 void agent_drain(struct agent *agent)
@@ -53,7 +67,7 @@
 
 uint32_t agent_open(const struct agent *agent)
 {
-	return agent->flows.used;
+	return agent->admit.open;
 }
 
 static void count(struct agent *agent, enum counter_id id)
@@ -70,14 +84,43 @@
 	count(agent, COUNTER_FLOW_CLOSED);
 }
 
-/* Follows the packet's flags; @fin_bit says who sent it. */
+static void flow_forget(struct agent *agent, struct flow *flow)
+{
+	if (flow->state != FLOW_CLOSING)
+		admit_close(&agent->admit);
+	flow_table_remove(&agent->flows, flow);
+}
+
+static uint32_t seq_after(const struct inner_packet *packet)
+{
+	uint32_t next = packet->seq + packet->payload_len;
+
+	return packet->flags & (TCP_SYN | TCP_FIN) ? next + 1 : next;
+}
+
+static bool seq_near(uint32_t a, uint32_t b)
+{
+	int32_t distance = (int32_t)(a - b);
+
+	return distance > -SEQ_WINDOW && distance < SEQ_WINDOW;
+}
+
+static void seq_advance(uint32_t *next, uint32_t seq)
+{
+	if ((int32_t)(seq - *next) > 0)
+		*next = seq;
+}
+
+/* Follows FIN and RST; @fin_bit says who sent the packet. */
 static void flow_track(struct agent *agent, struct flow *flow, uint8_t flags,
 		       uint8_t fin_bit, int64_t now_ms)
 {
-	flow->last_ms = now_ms;
+	const uint8_t both = FLOW_CALLER_FIN | FLOW_SERVER_FIN;
+
+	flow->last_ms = (uint32_t)now_ms;
 	if (flags & TCP_FIN)
-		flow->fins |= fin_bit;
-	if ((flags & TCP_RST) || flow->fins == FIN_BOTH)
+		flow->bits |= fin_bit;
+	if ((flags & TCP_RST) || (flow->bits & both) == both)
 		flow_close(agent, flow);
 }
 
@@ -88,82 +131,246 @@
 	sink->to_server(sink, packet->data, packet->len);
 }
 
-/* Sends the packet to the next candidate, or drops it after the last. */
-static void pass_on(struct agent *agent, struct packet_header *header,
-		    const struct inner_packet *packet, struct packet_sink *sink)
+/* Makes the local server give up a handshake that the caller gave up. */
+static void reset_server(struct agent *agent, const struct flow *flow,
+			 struct packet_sink *sink)
 {
-	bool opens = inner_opens(packet);
+	struct inner_spec spec = {
+		.seq = flow->caller_seq,
+		.flags = TCP_RST,
+	};
+	uint8_t out[RESET_BYTES];
 
-	if (!header->hops_left) {
-		count(agent, COUNTER_DROP_HOPS);
-		return;
-	}
-	header->hops_left--;
-	for (header->position++; header->position < header->n_candidates;
-	     header->position++) {
-		const struct candidate *next =
-			&header->candidates[header->position];
-
-		if (opens && !(next->flags & CANDIDATE_TAKES_NEW))
-			continue;
-		count(agent, opens ? COUNTER_OPEN_HANDED_ON
-				   : COUNTER_PACKET_HANDED_ON);
-		sink->to_peer(sink, &next->data, header, packet->data,
-			      packet->len);
+	if (!agent->service)
 		return;
+	memcpy(spec.key.src.bytes, flow->src, sizeof(flow->src));
+	spec.key.src_port = flow->src_port;
+	spec.key.dst = agent->service->service.address;
+	spec.key.dst_port = (uint16_t)agent->service->service.port;
+	sink->to_server(sink, out, inner_build(&spec, out, sizeof(out)));
+}
+
+static uint32_t flow_age(const struct flow *flow, int64_t now_ms)
+{
+	return (uint32_t)now_ms - flow->last_ms;
+}
+
+/* Half-open connections give way first, then the longest closed one. */
+static bool make_room(struct agent *agent, bool half_open_only, int64_t now_ms,
+		      struct packet_sink *sink)
+{
+	struct flow_table *flows = &agent->flows;
+	struct flow *victim = NULL;
+
+	for (uint32_t i = 0; i < ROOM_SCAN_SLOTS && i <= flows->mask; i++) {
+		struct flow *flow =
+			&flows->slots[(flows->cursor + i) & flows->mask];
+
+		if (flow->state == FLOW_HALF_OPEN &&
+		    (uint32_t)now_ms - flow->mark_ms > HALF_OPEN_GRACE_MS) {
+			victim = flow;
+			break;
+		}
+		if (flow->state == FLOW_CLOSING && !half_open_only &&
+		    (!victim ||
+		     flow_age(flow, now_ms) > flow_age(victim, now_ms)))
+			victim = flow;
 	}
-	count(agent, COUNTER_DROP_NO_OWNER);
+	flows->cursor = (flows->cursor + ROOM_SCAN_SLOTS) & flows->mask;
+	if (!victim)
+		return false;
+	if (victim->state == FLOW_HALF_OPEN)
+		reset_server(agent, victim, sink);
+	count(agent, COUNTER_FLOW_EVICTED);
+	flow_forget(agent, victim);
+	return true;
 }
 
 static void count_refusal(struct agent *agent, enum admit_verdict verdict)
 {
-	switch (verdict) {
-	case ADMIT_FULL:
-		count(agent, COUNTER_REFUSE_CONNECTIONS);
-		break;
-	case ADMIT_COLD:
-		count(agent, COUNTER_REFUSE_COLD);
-		break;
-	case ADMIT_DRAINING:
-		count(agent, COUNTER_REFUSE_DRAINING);
-		break;
-	case ADMIT_YES:
-		break;
-	}
+	static const enum counter_id reasons[] = {
+		[ADMIT_FULL] = COUNTER_REFUSE_CONNECTIONS,
+		[ADMIT_COLD] = COUNTER_REFUSE_COLD,
+		[ADMIT_DRAINING] = COUNTER_REFUSE_DRAINING,
+		[ADMIT_DOWN] = COUNTER_REFUSE_SERVER_DOWN,
+	};
+
+	count(agent, reasons[verdict]);
+}
+
+static enum admit_verdict ask_admission(struct agent *agent, int64_t now_ms,
+					struct packet_sink *sink)
+{
+	enum admit_verdict verdict = admit_open(&agent->admit, now_ms);
+
+	if (verdict != ADMIT_FULL && verdict != ADMIT_COLD)
+		return verdict;
+	if (!make_room(agent, true, now_ms, sink))
+		return verdict;
+	return admit_open(&agent->admit, now_ms);
 }
 
 static void handle_open(struct agent *agent, struct packet_header *header,
 			const struct inner_packet *packet, int64_t now_ms,
 			struct packet_sink *sink)
 {
-	enum admit_verdict verdict = admit_open(&agent->admit);
+	enum admit_verdict verdict;
 	struct flow *flow;
 
+	if (agent_place(agent, header, packet, now_ms, sink))
+		return;
+	verdict = ask_admission(agent, now_ms, sink);
 	if (verdict != ADMIT_YES) {
 		count_refusal(agent, verdict);
-		pass_on(agent, header, packet, sink);
+		agent_pass_on(agent, header, packet, now_ms, sink);
 		return;
 	}
 	flow = flow_table_insert(&agent->flows, &packet->key);
+	if (!flow && make_room(agent, false, now_ms, sink))
+		flow = flow_table_insert(&agent->flows, &packet->key);
 	if (!flow) {
 		admit_close(&agent->admit);
 		count(agent, COUNTER_REFUSE_TABLE_FULL);
-		pass_on(agent, header, packet, sink);
+		agent_pass_on(agent, header, packet, now_ms, sink);
 		return;
 	}
-	flow->opened_ms = now_ms;
-	flow->last_ms = now_ms;
+	flow->mark_ms = (uint32_t)now_ms;
+	flow->last_ms = (uint32_t)now_ms;
 	flow->syn_seq = packet->seq;
+	flow->caller_seq = seq_after(packet);
 	count(agent, COUNTER_FLOW_OPENED);
 	deliver(agent, packet, sink);
 }
 
-/* A SYN on a closed flow's 5-tuple opens a new connection. */
-static bool flow_reusable(const struct flow *flow,
-			  const struct inner_packet *packet)
+/* What a flow of the packet's 5-tuple has to do with the packet. */
+enum claim {
+	/** It is of this connection. */
+	CLAIM_OURS,
+	/** It is of another connection with the same 5-tuple. */
+	CLAIM_FOREIGN,
+	/** A late copy of a closed connection's SYN. */
+	CLAIM_LATE,
+	/** It opens a new connection in place of this one. */
+	CLAIM_REOPENS,
+	/** The caller chose the SYN-ACK of another server. */
+	CLAIM_LOST,
+};
+
+static enum claim claim_open(const struct flow *flow,
+			     const struct inner_packet *packet)
+{
+	bool same = packet->seq == flow->syn_seq;
+
+	if (flow->state == FLOW_OPEN)
+		return CLAIM_OURS;
+	if (!same)
+		return CLAIM_REOPENS;
+	return flow->state == FLOW_CLOSING ? CLAIM_LATE : CLAIM_OURS;
+}
+
+/* A half-open entry takes only what answers its own server's SYN-ACK. */
+static enum claim claim_half_open(const struct flow *flow,
+				  const struct inner_packet *packet)
 {
-	return flow->state == FLOW_CLOSING && inner_opens(packet) &&
-	       packet->seq != flow->syn_seq;
+	if (!(packet->flags & TCP_ACK))
+		return packet->seq == flow->caller_seq ? CLAIM_OURS
+						       : CLAIM_FOREIGN;
+	if (!(flow->bits & FLOW_ANSWERED))
+		return CLAIM_FOREIGN;
+	if (packet->ack == flow->server_seq)
+		return CLAIM_OURS;
+	return packet->seq == flow->caller_seq ? CLAIM_LOST : CLAIM_FOREIGN;
+}
+
+static enum claim claim(const struct flow *flow,
+			const struct inner_packet *packet)
+{
+	if (inner_opens(packet))
+		return claim_open(flow, packet);
+	if (flow->state == FLOW_HALF_OPEN)
+		return claim_half_open(flow, packet);
+	if (!seq_near(packet->seq, flow->caller_seq) ||
+	    ((packet->flags & TCP_ACK) &&
+	     !seq_near(packet->ack, flow->server_seq)))
+		return CLAIM_FOREIGN;
+	return CLAIM_OURS;
+}
+
+static void handle_ours(struct agent *agent, struct flow *flow,
+			const struct packet_header *header,
+			const struct inner_packet *packet, int64_t now_ms,
+			struct packet_sink *sink)
+{
+	if (inner_opens(packet)) {
+		if (flow->state == FLOW_HALF_OPEN &&
+		    !(flow->bits & FLOW_ANSWERED) &&
+		    (uint32_t)now_ms - flow->mark_ms > SYN_REPEAT_MS)
+			admit_unanswered(&agent->admit, now_ms);
+		deliver(agent, packet, sink);
+		return;
+	}
+	agent_hint(agent, header, packet, sink);
+	if (flow->state == FLOW_HALF_OPEN)
+		flow->state = FLOW_OPEN;
+	if (packet->payload_len && !(flow->bits & FLOW_ASKED)) {
+		flow->bits |= FLOW_ASKED;
+		flow->mark_ms = (uint32_t)now_ms;
+	}
+	seq_advance(&flow->caller_seq, seq_after(packet));
+	flow_track(agent, flow, packet->flags, FLOW_CALLER_FIN, now_ms);
+	deliver(agent, packet, sink);
+}
+
+static void handle_foreign(struct agent *agent, struct packet_header *header,
+			   const struct inner_packet *packet, int64_t now_ms,
+			   struct packet_sink *sink)
+{
+	if (!inner_opens(packet) || !agent->service || !agent->zone_in) {
+		agent_pass_on(agent, header, packet, now_ms, sink);
+		return;
+	}
+	handle_open(agent, header, packet, now_ms, sink);
+}
+
+static void handle_flow(struct agent *agent, struct packet_header *header,
+			const struct inner_packet *packet, int64_t now_ms,
+			struct packet_sink *sink)
+{
+	struct flow *flow = flow_table_find(&agent->flows, &packet->key);
+
+	switch (flow ? claim(flow, packet) : CLAIM_FOREIGN) {
+	case CLAIM_OURS:
+		handle_ours(agent, flow, header, packet, now_ms, sink);
+		return;
+	case CLAIM_LATE:
+		count(agent, COUNTER_DROP_LATE);
+		return;
+	case CLAIM_LOST:
+		count(agent, COUNTER_OPEN_LOST_RACE);
+		reset_server(agent, flow, sink);
+		flow_forget(agent, flow);
+		break;
+	case CLAIM_REOPENS:
+		if (flow->state == FLOW_HALF_OPEN)
+			reset_server(agent, flow, sink);
+		flow_forget(agent, flow);
+		break;
+	case CLAIM_FOREIGN:
+		break;
+	}
+	handle_foreign(agent, header, packet, now_ms, sink);
+}
+
+static bool to_our_service(const struct agent *agent,
+			   const struct inner_packet *packet)
+{
+	const struct service *service;
+
+	if (!agent->service)
+		return true;
+	service = &agent->service->service;
+	return packet->key.dst_port == service->port &&
+	       ip_addr_equal(&packet->key.dst, &service->address);
 }
 
 /* True when the header addresses this very agent and service. */
@@ -176,23 +383,44 @@
 		count(agent, COUNTER_DROP_WRONG_SERVICE);
 		return false;
 	}
+	if (header->kind == PACKET_LOAD)
+		return true;
 	if (self->member_id != agent->member_id) {
 		count(agent, COUNTER_DROP_WRONG_MEMBER);
 		return false;
 	}
-	if (view_zone_out(agent->view, &agent->zone)) {
-		count(agent, COUNTER_DROP_ZONE_OUT);
-		return false;
-	}
+	/* The flow table decides; the sender only knows an older run of us. */
+	if (self->instance_check != agent->instance_check)
+		count(agent, COUNTER_STALE_INSTANCE);
 	return true;
 }
 
+static void handle_data(struct agent *agent, struct packet_header *header,
+			const uint8_t *data, size_t len, int64_t now_ms,
+			struct packet_sink *sink)
+{
+	struct inner_packet packet;
+
+	if (!inner_parse(&packet, data, len)) {
+		count(agent, COUNTER_DROP_MALFORMED);
+		return;
+	}
+	if (!to_our_service(agent, &packet)) {
+		count(agent, COUNTER_DROP_WRONG_SERVICE);
+		return;
+	}
+	if (!agent->zone_in) {
+		count(agent, COUNTER_ZONE_OUT_PASSED);
+		agent_pass_on(agent, header, &packet, now_ms, sink);
+		return;
+	}
+	handle_flow(agent, header, &packet, now_ms, sink);
+}
+
 void agent_handle_peer(struct agent *agent, const uint8_t *data, size_t len,
 		       int64_t now_ms, struct packet_sink *sink)
 {
 	struct packet_header header;
-	struct inner_packet packet;
-	struct flow *flow;
 	size_t header_len;
 
 	count(agent, COUNTER_PACKET_IN);
@@ -201,31 +429,51 @@
 		return;
 	}
 	header_len = packet_header_decode(&header, data, len);
-	if (!header_len) {
+	if (!header_len || header.kind == PACKET_OWNER) {
 		count(agent, COUNTER_DROP_HEADER);
 		return;
 	}
-	if (!inner_parse(&packet, data + header_len, len - header_len)) {
-		count(agent, COUNTER_DROP_MALFORMED);
-		return;
-	}
 	if (!meant_for_us(agent, &header))
 		return;
-	flow = flow_table_find(&agent->flows, &packet.key);
-	if (flow && flow_reusable(flow, &packet)) {
-		flow_table_remove(&agent->flows, flow);
-		flow = NULL;
+	agent_hear_load(agent, &header, now_ms);
+	if (header.kind == PACKET_DATA)
+		handle_data(agent, &header, data + header_len, len - header_len,
+			    now_ms, sink);
+}
+
+/* True when the server refused; its RST is not the caller's business. */
+static bool take_refusal(struct agent *agent, struct flow *flow,
+			 const struct inner_packet *packet, int64_t now_ms)
+{
+	if (!(packet->flags & TCP_RST) || flow->state != FLOW_HALF_OPEN ||
+	    (flow->bits & FLOW_ANSWERED))
+		return false;
+	count(agent, COUNTER_REFUSE_BY_SERVER);
+	admit_refused(&agent->admit, now_ms);
+	flow_forget(agent, flow);
+	return true;
+}
+
+static void note_answer(struct agent *agent, struct flow *flow,
+			const struct inner_packet *packet, int64_t now_ms)
+{
+	if ((packet->flags & TCP_SYN) && flow->state == FLOW_HALF_OPEN) {
+		if (!(flow->bits & FLOW_ANSWERED))
+			admit_accepted(&agent->admit);
+		flow->bits |= FLOW_ANSWERED;
+		flow->server_seq = packet->seq + 1;
 	}
-	if (flow) {
-		if (flow->state == FLOW_HALF_OPEN && (packet.flags & TCP_ACK))
-			flow->state = FLOW_OPEN;
-		flow_track(agent, flow, packet.flags, FIN_FROM_CALLER, now_ms);
-		deliver(agent, &packet, sink);
-	} else if (inner_opens(&packet)) {
-		handle_open(agent, &header, &packet, now_ms, sink);
-	} else {
-		pass_on(agent, &header, &packet, sink);
+	if (packet->payload_len && (flow->bits & FLOW_ASKED) &&
+	    !(flow->bits & FLOW_SERVED)) {
+		flow->bits |= FLOW_SERVED;
+		admit_answered(&agent->admit, (uint32_t)now_ms - flow->mark_ms,
+			       now_ms);
 	}
+	/* A reset without a FIN before: the server forgot the connection. */
+	if ((packet->flags & TCP_RST) && flow->state == FLOW_OPEN &&
+	    !(flow->bits & (FLOW_CALLER_FIN | FLOW_SERVER_FIN)) &&
+	    admit_reset(&agent->admit, now_ms))
+		count(agent, COUNTER_TURNED_COLD);
 }
 
 void agent_handle_server(struct agent *agent, const uint8_t *data, size_t len,
@@ -245,12 +493,12 @@
 		count(agent, COUNTER_DROP_NO_OWNER);
 		return;
 	}
-	if (!flow->answered && (packet.flags & TCP_SYN)) {
-		flow->answered = 1;
-		flow->server_seq = packet.seq;
-		admit_answered(&agent->admit);
-	}
-	flow_track(agent, flow, packet.flags, FIN_FROM_SERVER, now_ms);
+	if (take_refusal(agent, flow, &packet, now_ms))
+		return;
+	note_answer(agent, flow, &packet, now_ms);
+	if (!(packet.flags & TCP_RST))
+		seq_advance(&flow->server_seq, seq_after(&packet));
+	flow_track(agent, flow, packet.flags, FLOW_SERVER_FIN, now_ms);
 	count(agent, COUNTER_PACKET_RETURNED);
 	sink->to_fabric(sink, data, len);
 }
@@ -269,20 +517,29 @@
 
 static void expire_slot(struct agent *agent, struct flow *flow, int64_t now_ms)
 {
-	if (now_ms - flow->last_ms < flow_timeout(agent, flow))
+	if (flow_age(flow, now_ms) < flow_timeout(agent, flow))
 		return;
-	if (flow->state != FLOW_CLOSING) {
-		admit_close(&agent->admit);
+	if (flow->state != FLOW_CLOSING)
 		count(agent, COUNTER_FLOW_EXPIRED);
-	}
-	flow_table_remove(&agent->flows, flow);
+	flow_forget(agent, flow);
+}
+
+static void refill(struct agent *agent, int64_t now_ms)
+{
+	if (now_ms < agent->next_refill_ms)
+		return;
+	agent->next_refill_ms = now_ms + REFILL_MS;
+	agent->searches_left = SEARCHES_PER_REFILL;
+	agent->hints_left = HINTS_PER_REFILL;
 }
 
-void agent_tick(struct agent *agent, int64_t now_ms)
+void agent_tick(struct agent *agent, int64_t now_ms, struct packet_sink *sink)
 {
 	struct flow_table *flows = &agent->flows;
 
 	admit_tick(&agent->admit, now_ms);
+	refill(agent, now_ms);
+	agent_tell_load(agent, now_ms, sink);
 	for (int i = 0; i < EXPIRY_SLOTS_PER_TICK; i++) {
 		struct flow *flow = &flows->slots[flows->cursor];
 
@@ -294,5 +551,5 @@
 
 int64_t agent_next_deadline(const struct agent *agent)
 {
-	return agent->admit.next_step_ms;
+	return MIN(agent->admit.next_step_ms, agent->next_notice_ms);
 }
--- /dev/null
+++ b/flow/agent_route.c
@@ -0,0 +1,368 @@
+#include "tarragonflow/flow/agent_route.h"
+
+#include <glib.h>
+
+#define NO_CANDIDATE (-1)
+/* Services whose servers carry this few compare all candidates. */
+#define FEW_CONNECTIONS 64
+/* A peer is clearly better when it has this share less, 1/40. */
+#define MARGIN_SHARE 40
+/* Detours after which a balancer is told the owner. */
+#define HINT_HOPS 2
+#define HASH_HIGH_SHIFT 32
+#define RESET_BYTES 64
+#define NOTICE_INTERVAL_MS 200
+#define NOTICE_INTERVAL_FEW_MS 10
+#define NOTICE_REPEAT_MS 500
+#define NOTICE_PEERS 8
+#define NOTICE_CHANGE_SHARE 100
+
+static void count(struct agent *agent, enum counter_id id)
+{
+	counter_inc(agent->counters, id);
+}
+
+static bool visited(const struct packet_header *header, int i)
+{
+	return header->visited & (1U << i);
+}
+
+static void stamp_load(struct agent *agent, struct packet_header *header,
+		       int64_t now_ms)
+{
+	header->load = admit_load(&agent->admit, now_ms);
+	header->usual_ms = (uint16_t)agent->admit.usual_ms;
+}
+
+static void send_to(struct agent *agent, struct packet_header *header, int i,
+		    const struct inner_packet *packet, int64_t now_ms,
+		    struct packet_sink *sink)
+{
+	const struct candidate *next = &header->candidates[i];
+	bool opens = inner_opens(packet);
+
+	if (!header->hops_left) {
+		count(agent, COUNTER_DROP_HOPS);
+		return;
+	}
+	header->hops_left--;
+	header->position = (uint8_t)i;
+	stamp_load(agent, header, now_ms);
+	if (opens)
+		open_memory_put(&agent->handed_on, packet, next->member_id,
+				now_ms);
+	count(agent, opens ? COUNTER_OPEN_HANDED_ON : COUNTER_PACKET_HANDED_ON);
+	sink->to_peer(sink, &next->data, header, packet->data, packet->len);
+}
+
+/* Of those that take new connections, the one with the least known load. */
+static int next_taker(const struct agent *agent,
+		      const struct packet_header *header, int64_t now_ms)
+{
+	int best = NO_CANDIDATE;
+	uint16_t best_load = PACKET_LOAD_FULL;
+
+	for (int i = 0; i < header->n_candidates; i++) {
+		const struct candidate *candidate = &header->candidates[i];
+		uint16_t load = peer_load_of(&agent->peers,
+					     candidate->member_id, now_ms);
+
+		if (visited(header, i) ||
+		    !(candidate->flags & CANDIDATE_TAKES_NEW) ||
+		    (best != NO_CANDIDATE && load >= best_load))
+			continue;
+		best = i;
+		best_load = load;
+	}
+	return best;
+}
+
+static int next_unvisited(const struct packet_header *header)
+{
+	for (int i = 0; i < header->n_candidates; i++)
+		if (!visited(header, i))
+			return i;
+	return NO_CANDIDATE;
+}
+
+/* Draining candidates come last: they may hold the first copy of a SYN. */
+static int next_candidate(const struct agent *agent,
+			  const struct packet_header *header, bool opens,
+			  int64_t now_ms)
+{
+	int next = opens ? next_taker(agent, header, now_ms) : NO_CANDIDATE;
+
+	return next == NO_CANDIDATE ? next_unvisited(header) : next;
+}
+
+static bool has_suspect(const struct agent *agent)
+{
+	for (size_t i = 0; i < agent->service->n_members; i++)
+		if (agent->service->members[i].flags & CANDIDATE_SUSPECT)
+			return true;
+	return false;
+}
+
+static void send_reset(const struct inner_packet *packet,
+		       struct packet_sink *sink)
+{
+	struct inner_spec spec = {
+		.ack = packet->seq + 1 + packet->payload_len,
+		.flags = TCP_RST | TCP_ACK,
+	};
+	uint8_t out[RESET_BYTES];
+
+	flow_key_reverse(&spec.key, &packet->key);
+	sink->to_fabric(sink, out, inner_build(&spec, out, sizeof(out)));
+}
+
+/*
+ * Nobody is left to ask. The caller is told so only when every member of a
+ * view that is not older than the sender's was asked; otherwise it repeats.
+ */
+static void give_up(struct agent *agent, const struct packet_header *header,
+		    const struct inner_packet *packet, bool asked_all,
+		    struct packet_sink *sink)
+{
+	if (!inner_opens(packet)) {
+		count(agent, COUNTER_DROP_NO_OWNER);
+		return;
+	}
+	if (!asked_all || has_suspect(agent) ||
+	    (uint64_t)agent->view->config_revision < header->config_revision) {
+		count(agent, COUNTER_DROP_OPEN_UNSURE);
+		return;
+	}
+	count(agent, COUNTER_REFUSE_NO_ROOM);
+	send_reset(packet, sink);
+}
+
+/* Whether a chain of our own view replaced the used one. */
+static bool resolve_again(struct agent *agent, struct packet_header *header,
+			  bool *asked_all)
+{
+	*asked_all = false;
+	if (!agent->service || header->resolves >= PACKET_RESOLVES_MAX)
+		return false;
+	if (!agent->searches_left) {
+		count(agent, COUNTER_DROP_SEARCH_LIMIT);
+		return false;
+	}
+	agent->searches_left--;
+	if (!view_resolve(agent->service, header)) {
+		*asked_all = true;
+		return false;
+	}
+	count(agent, COUNTER_CHAIN_RESOLVED);
+	return true;
+}
+
+void agent_pass_on(struct agent *agent, struct packet_header *header,
+		   const struct inner_packet *packet, int64_t now_ms,
+		   struct packet_sink *sink)
+{
+	bool opens = inner_opens(packet), asked_all;
+	int next;
+
+	header->visited |= (uint8_t)(1U << header->position);
+	header->from = header->position;
+	next = next_candidate(agent, header, opens, now_ms);
+	if (next == NO_CANDIDATE && resolve_again(agent, header, &asked_all))
+		next = next_candidate(agent, header, opens, now_ms);
+	if (next == NO_CANDIDATE)
+		give_up(agent, header, packet, asked_all, sink);
+	else
+		send_to(agent, header, next, packet, now_ms, sink);
+}
+
+static int index_of(const struct packet_header *header, uint32_t member_id)
+{
+	for (int i = 0; i < header->n_candidates; i++)
+		if (header->candidates[i].member_id == member_id)
+			return i;
+	return NO_CANDIDATE;
+}
+
+/* Sends a repeated SYN the way of its first copy; false when that is gone. */
+static bool place_repeat(struct agent *agent, struct packet_header *header,
+			 const struct inner_packet *packet, uint32_t member_id,
+			 int64_t now_ms, struct packet_sink *sink)
+{
+	int i = index_of(header, member_id);
+
+	if (i != NO_CANDIDATE &&
+	    (header->candidates[i].flags & CANDIDATE_SUSPECT))
+		return false;
+	count(agent, COUNTER_OPEN_REPEATED);
+	if (i == NO_CANDIDATE || visited(header, i)) {
+		agent_pass_on(agent, header, packet, now_ms, sink);
+		return true;
+	}
+	header->visited |= (uint8_t)(1U << header->position);
+	header->from = header->position;
+	send_to(agent, header, i, packet, now_ms, sink);
+	return true;
+}
+
+static bool few(const struct agent *agent)
+{
+	return agent->admit.connections_max <= FEW_CONNECTIONS;
+}
+
+static uint16_t margin(const struct agent *agent, uint16_t load)
+{
+	uint16_t unit = admit_load_unit(&agent->admit);
+
+	return few(agent) ? unit : MAX(unit, load / MARGIN_SHARE);
+}
+
+/*
+ * The choice of two: the next candidate, when its load is clearly less. With
+ * few connections for each server chance weighs more, so all are compared.
+ */
+static int better_candidate(const struct agent *agent,
+			    const struct packet_header *header, int64_t now_ms)
+{
+	uint16_t own = admit_load(&agent->admit, now_ms);
+	int best = NO_CANDIDATE;
+	int64_t limit = (int64_t)own - margin(agent, own);
+
+	if (own == PACKET_LOAD_FULL)
+		return NO_CANDIDATE;
+	for (int i = 0; i < header->n_candidates; i++) {
+		const struct candidate *candidate = &header->candidates[i];
+		uint16_t load;
+
+		if (i == header->position || visited(header, i) ||
+		    candidate->flags != CANDIDATE_TAKES_NEW)
+			continue;
+		load = peer_load_of(&agent->peers, candidate->member_id,
+				    now_ms);
+		if (load <= limit) {
+			best = i;
+			limit = (int64_t)load - 1;
+		}
+		if (!few(agent))
+			break;
+	}
+	return best;
+}
+
+bool agent_place(struct agent *agent, struct packet_header *header,
+		 const struct inner_packet *packet, int64_t now_ms,
+		 struct packet_sink *sink)
+{
+	uint32_t before = open_memory_get(&agent->handed_on, packet, now_ms);
+	int best;
+
+	if (before && place_repeat(agent, header, packet, before, now_ms, sink))
+		return true;
+	if (header->placed)
+		return false;
+	best = better_candidate(agent, header, now_ms);
+	if (best == NO_CANDIDATE)
+		return false;
+	header->placed = true;
+	header->visited |= (uint8_t)(1U << header->position);
+	header->from = header->position;
+	peer_load_add(&agent->peers, header->candidates[best].member_id,
+		      admit_load_unit(&agent->admit));
+	count(agent, COUNTER_OPEN_PLACED);
+	send_to(agent, header, best, packet, now_ms, sink);
+	return true;
+}
+
+void agent_hear_load(struct agent *agent, const struct packet_header *header,
+		     int64_t now_ms)
+{
+	uint32_t member_id;
+
+	if (header->from >= header->n_candidates)
+		return;
+	member_id = header->candidates[header->from].member_id;
+	if (member_id == agent->member_id)
+		return;
+	peer_load_hear(&agent->peers, member_id, header->load, now_ms);
+	admit_hear_usual(&agent->admit, header->usual_ms);
+}
+
+void agent_hint(struct agent *agent, const struct packet_header *header,
+		const struct inner_packet *packet, struct packet_sink *sink)
+{
+	int hops = PACKET_HOP_BUDGET - header->hops_left;
+	struct packet_header hint = {
+		.service_id = agent->service_id,
+		.config_revision = (uint64_t)agent->view->config_revision,
+		.roster_version = agent->view->roster_version,
+		.kind = PACKET_OWNER,
+		.from = 0,
+		.n_candidates = 1,
+	};
+
+	if (hops < HINT_HOPS || !header->origin.port || !agent->hints_left)
+		return;
+	agent->hints_left--;
+	hint.flow_hash =
+		(uint32_t)(flow_key_hash(&packet->key, agent->view->seed) >>
+			   HASH_HIGH_SHIFT);
+	hint.candidates[0] = header->candidates[header->position];
+	count(agent, COUNTER_HINT_SENT);
+	sink->to_peer(sink, &header->origin, &hint, NULL, 0);
+}
+
+static bool load_due(const struct agent *agent, uint16_t load, int64_t now_ms)
+{
+	int change = ABS((int)load - (int)agent->told_load);
+	int worth = few(agent) ? 1 : MAX(load / NOTICE_CHANGE_SHARE, 1);
+
+	if (now_ms < agent->next_notice_ms)
+		return false;
+	return change >= worth || now_ms - agent->told_ms >= NOTICE_REPEAT_MS;
+}
+
+static void tell_peer(struct agent *agent, const struct candidate *self,
+		      const struct candidate *peer, int64_t now_ms,
+		      struct packet_sink *sink)
+{
+	struct packet_header notice = {
+		.service_id = agent->service_id,
+		.config_revision = (uint64_t)agent->view->config_revision,
+		.roster_version = agent->view->roster_version,
+		.kind = PACKET_LOAD,
+		.n_candidates = 1,
+		.candidates = {*self},
+	};
+
+	stamp_load(agent, &notice, now_ms);
+	count(agent, COUNTER_LOAD_SENT);
+	sink->to_peer(sink, &peer->data, &notice, NULL, 0);
+}
+
+void agent_tell_load(struct agent *agent, int64_t now_ms,
+		     struct packet_sink *sink)
+{
+	const struct service_view *service = agent->service;
+	uint16_t load = admit_load(&agent->admit, now_ms);
+	const struct candidate *self;
+	size_t n;
+
+	if (!service || !agent->zone_in || !load_due(agent, load, now_ms))
+		return;
+	self = view_member(service, agent->member_id);
+	if (!self)
+		return;
+	agent->next_notice_ms = now_ms + (few(agent) ? NOTICE_INTERVAL_FEW_MS
+						     : NOTICE_INTERVAL_MS);
+	agent->told_load = load;
+	agent->told_ms = now_ms;
+	n = MIN(service->n_members,
+		MAX(NOTICE_PEERS, service->n_members / NOTICE_PEERS));
+	while (n--) {
+		agent->notice_cursor =
+			(agent->notice_cursor + 1) % service->n_members;
+		if (&service->members[agent->notice_cursor] != self)
+			tell_peer(agent, self,
+				  &service->members[agent->notice_cursor],
+				  now_ms, sink);
+	}
+}
--- a/flow/flow_table.c
+++ b/flow/flow_table.c
@@ -2,8 +2,11 @@
 
 #include <glib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define SLOTS_MIN 64
+/* Address and port, which lie next to each other in struct flow. */
+#define KEY_BYTES (offsetof(struct flow, src_port) + sizeof(uint16_t))
 
 void flow_table_init(struct flow_table *table, uint32_t max, uint64_t seed)
 {
@@ -26,18 +29,34 @@
 }
 
 static uint32_t home_slot(const struct flow_table *table,
-			  const struct flow_key *key)
+			  const struct flow *flow)
 {
-	return (uint32_t)flow_key_hash(key, table->seed) & table->mask;
+	return (uint32_t)XXH3_64bits_withSeed(flow->src, KEY_BYTES,
+					      table->seed) &
+	       table->mask;
+}
+
+static void flow_set_key(struct flow *flow, const struct flow_key *key)
+{
+	memcpy(flow->src, key->src.bytes, sizeof(flow->src));
+	flow->src_port = key->src_port;
+}
+
+static bool flow_same_key(const struct flow *a, const struct flow *b)
+{
+	return !memcmp(a->src, b->src, KEY_BYTES);
 }
 
 struct flow *flow_table_find(const struct flow_table *table,
 			     const struct flow_key *key)
 {
-	uint32_t slot = home_slot(table, key);
+	struct flow wanted;
+	uint32_t slot;
 
+	flow_set_key(&wanted, key);
+	slot = home_slot(table, &wanted);
 	while (table->slots[slot].state != FLOW_FREE) {
-		if (!memcmp(&table->slots[slot].key, key, sizeof(*key)))
+		if (flow_same_key(&table->slots[slot], &wanted))
 			return &table->slots[slot];
 		slot = (slot + 1) & table->mask;
 	}
@@ -47,19 +66,18 @@
 struct flow *flow_table_insert(struct flow_table *table,
 			       const struct flow_key *key)
 {
-	uint32_t slot = home_slot(table, key);
-	struct flow *flow;
+	struct flow wanted = {.state = FLOW_HALF_OPEN};
+	uint32_t slot;
 
 	if (table->used == table->max_used)
 		return NULL;
+	flow_set_key(&wanted, key);
+	slot = home_slot(table, &wanted);
 	while (table->slots[slot].state != FLOW_FREE)
 		slot = (slot + 1) & table->mask;
-	flow = &table->slots[slot];
-	memset(flow, 0, sizeof(*flow));
-	flow->key = *key;
-	flow->state = FLOW_HALF_OPEN;
+	table->slots[slot] = wanted;
 	table->used++;
-	return flow;
+	return &table->slots[slot];
 }
 
 void flow_table_remove(struct flow_table *table, struct flow *flow)
@@ -74,7 +92,7 @@
 		slot = (slot + 1) & table->mask;
 		if (table->slots[slot].state == FLOW_FREE)
 			break;
-		home = home_slot(table, &table->slots[slot].key);
+		home = home_slot(table, &table->slots[slot]);
 		if (((slot - home) & table->mask) <
 		    ((slot - hole) & table->mask))
 			continue;
@@ -84,3 +102,8 @@
 	table->slots[hole].state = FLOW_FREE;
 	table->used--;
 }
+
+size_t flow_table_bytes(const struct flow_table *table)
+{
+	return ((size_t)table->mask + 1) * sizeof(*table->slots);
+}
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -5,15 +5,21 @@
 #include <stdint.h>
 
 /**
- * Admission of new connections at the one backend server that an agent
- * guards. Every start is cold: the limit begins at a small share of the
- * server's connections and rises only on proven success.
+ * Admission of new connections and of running requests at the one backend
+ * server that an agent guards; both are counted here, exactly. Every start
+ * is cold: the limits begin at one slot and a small share of the
+ * connections, rise only on proven success, and fall back at once on signs
+ * of a cold spell. What is open stays open.
  */
 enum admit_verdict {
 	ADMIT_YES,
+	/** All connections or slots of the warm server are in use. */
 	ADMIT_FULL,
+	/** All that the server may take while it is cold are in use. */
 	ADMIT_COLD,
 	ADMIT_DRAINING,
+	/** The server refused connections; see down_until_ms. */
+	ADMIT_DOWN,
 };
 
 struct admit {
@@ -21,12 +27,26 @@
 	uint32_t connections_max;
 	/** Connections allowed now. */
 	uint32_t limit;
-	/** Connections open now. */
-	uint32_t open;
-	/** Connections that the server answered since the last step. */
-	uint32_t answered;
+	/** Connections open now, and the most since the last step. */
+	uint32_t open, peak;
+	/** Requests that the warm server runs at once. */
+	uint32_t slots_max;
+	/** Requests running now. */
+	uint32_t slots_used;
+	/** Signs since the last step. */
+	uint32_t good, slow, resets;
+	/** Usual time of a first answer, ms; 0 is unknown. */
+	double usual_ms;
+	/** What proves a warm server while usual_ms is unknown, ms. */
+	int64_t answer_ms;
 	/** Next time the limit may rise, ms. */
 	int64_t next_step_ms;
+	/** Last time of a good answer or a turn to cold, ms. */
+	int64_t last_good_ms;
+	/** Takes nothing new before this time, ms. */
+	int64_t down_until_ms;
+	/** Next wait after a refusal by the server, ms. */
+	int64_t back_off_ms;
 	bool draining;
 };
 
@@ -36,19 +56,49 @@
 /** Time between two rises of the limit, ms. */
 #define ADMIT_STEP_MS 1000
 
-void admit_init(struct admit *admit, uint32_t connections_max, int64_t now_ms);
+void admit_init(struct admit *admit, uint32_t connections_max,
+		uint32_t slots_max, int64_t now_ms);
 
 /** Asks for one more connection; counts it when the answer is yes. */
-enum admit_verdict admit_open(struct admit *admit);
+enum admit_verdict admit_open(struct admit *admit, int64_t now_ms);
+
+/** Counts a connection that is open already, whatever the limit. */
+void admit_take_over(struct admit *admit);
 
 /** A connection ended. */
 void admit_close(struct admit *admit);
 
-/** The server answered a new connection. */
-void admit_answered(struct admit *admit);
+/** Asks for a slot; counts it when the answer is yes. */
+enum admit_verdict admit_slot_take(struct admit *admit, int64_t now_ms);
+
+void admit_slot_release(struct admit *admit);
+
+/** Requests allowed at once now. */
+uint32_t admit_slots(const struct admit *admit);
+
+/** The server accepted a connection. */
+void admit_accepted(struct admit *admit);
+
+/** The server gave its first answer on a connection after @took_ms. */
+void admit_answered(struct admit *admit, int64_t took_ms, int64_t now_ms);
+
+/** The server left an opening packet without an answer. */
+void admit_unanswered(struct admit *admit, int64_t now_ms);
+
+/** The server reset a connection; returns true when it turned cold. */
+bool admit_reset(struct admit *admit, int64_t now_ms);
+
+/** The server refused a connection. */
+void admit_refused(struct admit *admit, int64_t now_ms);
+
+/** The agent of another server of the service told its usual time, ms. */
+void admit_hear_usual(struct admit *admit, uint16_t usual_ms);
+
+/** Load to compare with others: 0 to PACKET_LOAD_SCALE, or _FULL. */
+uint16_t admit_load(const struct admit *admit, int64_t now_ms);
 
-/** The server gave signs of a cold start: back to the cold limit. */
-void admit_turn_cold(struct admit *admit, int64_t now_ms);
+/** The load of one connection. */
+uint16_t admit_load_unit(const struct admit *admit);
 
 /** Takes nothing new from now on. */
 void admit_drain(struct admit *admit);
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -24,7 +24,7 @@
 	X(DROP_NO_MEMBER, "drop_no_backend_server")         \
 	X(DROP_WRONG_SERVICE, "drop_wrong_service")         \
 	X(DROP_WRONG_MEMBER, "drop_wrong_backend_server")   \
-	X(DROP_ZONE_OUT, "drop_zone_out")                   \
+	X(ZONE_OUT_PASSED, "zone_out_handed_on")            \
 	X(DROP_HOPS, "drop_hop_budget")                     \
 	X(DROP_NO_OWNER, "drop_no_owner")                   \
 	X(DROP_RING_FULL, "drop_ring_full")                 \
@@ -48,6 +48,23 @@
 	X(PLATFORM_DELETE, "platform_calls_delete")         \
 	X(PLATFORM_WATCH, "platform_calls_watch")           \
 	X(PLATFORM_FAILED, "platform_calls_failed")         \
+	X(HINT_SENT, "owner_hints_sent")                    \
+	X(HINT_RECEIVED, "owner_hints_received")            \
+	X(HINT_USED, "owner_hints_used")                    \
+	X(LOAD_SENT, "load_notices_sent")                   \
+	X(CHAIN_RESOLVED, "chains_resolved_again")          \
+	X(OPEN_PLACED, "opens_placed_by_load")              \
+	X(OPEN_REPEATED, "opens_repeated")                  \
+	X(OPEN_LOST_RACE, "opens_lost_race")                \
+	X(STALE_INSTANCE, "stale_instance")                 \
+	X(DROP_SEARCH_LIMIT, "drop_search_limit")           \
+	X(DROP_OPEN_UNSURE, "drop_open_unsure")             \
+	X(DROP_LATE, "drop_late_open")                      \
+	X(REFUSE_NO_ROOM, "refuse_no_room")                 \
+	X(REFUSE_SERVER_DOWN, "refuse_server_down")         \
+	X(REFUSE_BY_SERVER, "refuse_by_server")             \
+	X(TURNED_COLD, "turned_cold")                       \
+	X(FLOW_EVICTED, "flows_evicted")                    \
 	X(PLATFORM_CONFLICT, "platform_conflicts")
 
 enum counter_id {
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -4,6 +4,8 @@
 #include "tarragonflow/admit/admit.h"
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/flow/flow_table.h"
+#include "tarragonflow/flow/open_memory.h"
+#include "tarragonflow/flow/peer_load.h"
 #include "tarragonflow/net/packet_sink.h"
 #include "tarragonflow/route/view.h"
 
@@ -15,15 +17,29 @@
 struct agent {
 	/** NULL until there is a configuration. */
 	const struct view *view;
+	/** Our service in the view, NULL when the view has none. */
+	const struct service_view *service;
 	struct counters *counters;
 	struct flow_table flows;
 	struct admit admit;
+	struct open_memory handed_on;
+	struct peer_loads peers;
 	struct name zone;
 	uint32_t member_id;
 	uint32_t service_id;
 	uint16_t instance_check;
+	/** Whether the view has our zone in service. */
+	bool zone_in;
 	/** Time until a silent connection is forgotten, ms. */
 	int64_t idle_timeout_ms;
+	/** Searches and hints that may still be sent in this second. */
+	uint32_t searches_left, hints_left;
+	int64_t next_refill_ms;
+	/** Load notices: when, to whom next, and what was told last. */
+	int64_t next_notice_ms;
+	size_t notice_cursor;
+	uint16_t told_load;
+	int64_t told_ms;
 };
 
 /** What an agent is, from its settings. */
@@ -34,6 +50,8 @@
 	uint64_t instance;
 	/** Connections of the warm server. */
 	uint32_t connections;
+	/** Requests that the warm server runs at once. */
+	uint32_t slots;
 	/** Seed of the flow table's hash. */
 	uint64_t seed;
 };
@@ -56,8 +74,11 @@
 void agent_handle_server(struct agent *agent, const uint8_t *data, size_t len,
 			 int64_t now_ms, struct packet_sink *sink);
 
-/** Moves limits and forgets a bounded number of idle connections. */
-void agent_tick(struct agent *agent, int64_t now_ms);
+/**
+ * Moves limits, tells the other agents of the service our load, and forgets
+ * a bounded number of idle connections.
+ */
+void agent_tick(struct agent *agent, int64_t now_ms, struct packet_sink *sink);
 
 /** When agent_tick() wants to run next, ms. */
 int64_t agent_next_deadline(const struct agent *agent);
--- a/include/tarragonflow/flow/flow_table.h
+++ b/include/tarragonflow/flow/flow_table.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGONFLOW_FLOW_FLOW_TABLE_H
 #define TARRAGONFLOW_FLOW_FLOW_TABLE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -8,7 +9,9 @@
 
 /**
  * The connections that live at one backend server. Open addressing with a
- * fixed number of slots, so nothing is allocated on the packet path.
+ * fixed number of slots, so nothing is allocated on the packet path. All
+ * connections of a table go to the one address and port of its service, so
+ * only the caller's half of the key is kept.
  */
 enum flow_state {
 	FLOW_FREE = 0,
@@ -19,21 +22,33 @@
 	FLOW_CLOSING,
 };
 
+enum flow_bit {
+	FLOW_CALLER_FIN = 0x1,
+	FLOW_SERVER_FIN = 0x2,
+	/** The server's SYN-ACK was seen; server_seq is known. */
+	FLOW_ANSWERED = 0x4,
+	/** The caller sent its first payload at mark_ms. */
+	FLOW_ASKED = 0x8,
+	/** The server's first payload was seen. */
+	FLOW_SERVED = 0x10,
+};
+
+/** Times are ms modulo 2^32. */
 struct flow {
-	struct flow_key key;
-	/** Last packet in either direction, ms. */
-	int64_t last_ms;
-	/** When the caller opened it, ms. */
-	int64_t opened_ms;
+	uint8_t src[16];
+	uint16_t src_port;
+	/** One of enum flow_state. */
+	uint8_t state;
+	/** Bits of enum flow_bit. */
+	uint8_t bits;
+	/** Last packet in either direction. */
+	uint32_t last_ms;
+	/** The SYN, then the caller's first payload. */
+	uint32_t mark_ms;
 	/** Sequence number of the caller's SYN. */
 	uint32_t syn_seq;
-	/** Sequence number of the server's SYN-ACK. */
-	uint32_t server_seq;
-	uint8_t state;
-	/** Bits: 1 caller's FIN seen, 2 server's FIN seen. */
-	uint8_t fins;
-	/** Whether server_seq is known. */
-	uint8_t answered;
+	/** Next sequence numbers of the caller and the server. */
+	uint32_t caller_seq, server_seq;
 };
 
 struct flow_table {
@@ -61,4 +76,7 @@
 
 void flow_table_remove(struct flow_table *table, struct flow *flow);
 
+/** Bytes of memory that the slots take. */
+size_t flow_table_bytes(const struct flow_table *table);
+
 #endif
--- a/include/tarragonflow/manifest/manifest.h
+++ b/include/tarragonflow/manifest/manifest.h
@@ -47,6 +47,10 @@
 	int64_t drain_deadline_s;
 	/** Time until a connection without packets is forgotten, in s. */
 	int64_t idle_timeout_s;
+	/** Time within which a warm server's first answer comes, in ms. */
+	int64_t answer_ms;
+	/** Size of the table of chains, a power of two. */
+	int64_t buckets;
 };
 
 struct manifest {
--- a/include/tarragonflow/net/packet.h
+++ b/include/tarragonflow/net/packet.h
@@ -17,7 +17,31 @@
 #define CHAIN_MAX 8
 
 /** Times one packet may be passed on between processes. */
-#define PACKET_HOP_BUDGET 12
+#define PACKET_HOP_BUDGET 64
+
+/** Chains that agents may resolve anew for one packet. */
+#define PACKET_RESOLVES_MAX 8
+
+/** A load that says: full, cold, draining or not known. */
+#define PACKET_LOAD_FULL 0xffff
+
+/** The load of a server with all its connections in use. */
+#define PACKET_LOAD_SCALE 60000
+
+/** Index of a sender that is not in the chain. */
+#define PACKET_FROM_OUTSIDE 0xff
+
+enum packet_kind {
+	/** A caller's packet follows. */
+	PACKET_DATA = 0,
+	/** Tells the load of the only candidate; nothing follows. */
+	PACKET_LOAD = 1,
+	/**
+	 * Tells that the only candidate owns the connection whose hash stands
+	 * in `flow_hash`. Advice that is safe to lose.
+	 */
+	PACKET_OWNER = 2,
+};
 
 enum candidate_flag {
 	/** May take new connections. */
@@ -47,13 +71,33 @@
 	/** Index of the candidate that this is now meant for. */
 	uint8_t position;
 	uint8_t n_candidates;
-	/** Bucket of the connection; lets the last one resolve again. */
-	uint32_t bucket;
+	/** One of enum packet_kind. */
+	uint8_t kind;
+	/** Candidates that had the packet, by index. */
+	uint8_t visited;
+	/** Index of the sender, or PACKET_FROM_OUTSIDE. */
+	uint8_t from;
+	/** Times an agent replaced the chain by one of its own view. */
+	uint8_t resolves;
+	/** Load of the sender's backend server. */
+	uint16_t load;
+	/** Usual time of a first answer at the sender, ms; 0 is unknown. */
+	uint16_t usual_ms;
+	/** Balancer that took the packet from the fabric. */
+	struct endpoint origin;
+	/** Set once an agent chose the candidate by load. */
+	bool placed;
+	union {
+		/** Lets the last candidate resolve again. */
+		uint32_t bucket;
+		/** PACKET_OWNER: low bits of the connection's hash. */
+		uint32_t flow_hash;
+	};
 	struct candidate candidates[CHAIN_MAX];
 };
 
 /** Bytes of an encoded header with the longest chain. */
-#define PACKET_HEADER_MAX (32 + CHAIN_MAX * 12)
+#define PACKET_HEADER_MAX (44 + CHAIN_MAX * 12)
 
 /** Encodes into @out of PACKET_HEADER_MAX; returns the length. */
 size_t packet_header_encode(const struct packet_header *header, uint8_t *out);
--- a/include/tarragonflow/route/balancer.h
+++ b/include/tarragonflow/route/balancer.h
@@ -5,23 +5,38 @@
 #include "tarragonflow/net/packet_sink.h"
 #include "tarragonflow/route/view.h"
 
+/** Owner hints that a balancer remembers, a power of two. */
+#define BALANCER_HINTS 4096
+
+/** What an agent said about the owner of a connection. */
+struct owner_hint {
+	/** High half of the connection's hash. */
+	uint32_t flow_hash;
+	/** 0 when the entry is free. */
+	uint32_t member_id;
+};
+
 /**
  * The balancer's packet core: takes any packet of any connection and sends
  * it to the first candidate of its chain. Keeps nothing per connection that
- * correctness needs.
+ * correctness needs; a hint only saves the way through other agents.
  */
 struct balancer {
 	/** NULL until there is a configuration. */
 	const struct view *view;
 	struct counters *counters;
+	/** Where agents send hints to; without a port they send none. */
+	struct endpoint origin;
+	struct owner_hint hints[BALANCER_HINTS];
 };
 
-void balancer_init(struct balancer *balancer, struct counters *counters);
+void balancer_init(struct balancer *balancer, const struct endpoint *origin,
+		   struct counters *counters);
 
 /** Puts @view in force; the caller keeps it alive. */
 void balancer_set_view(struct balancer *balancer, const struct view *view);
 
-/** Handles one packet from the fabric. */
+/** Handles one packet from the fabric, or an agent's hint. */
 void balancer_handle(struct balancer *balancer, const uint8_t *data, size_t len,
 		     struct packet_sink *sink);
 
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -21,8 +21,13 @@
 	struct service service;
 	/** Members of the service that are not out of service. */
 	struct candidate *members;
+	/** Weight of each member in the rendezvous order. */
+	uint32_t *weights;
 	size_t n_members;
-	/** A power of two. */
+	/**
+	 * A power of two. It comes from the manifest and not from the number
+	 * of members: another number of buckets reorders every chain.
+	 */
 	uint32_t n_buckets;
 	/** Length of every chain: min(n_members, CHAIN_MAX). */
 	uint8_t chain_len;
@@ -40,9 +45,9 @@
 	/** Open-addressed index of services by address and port. */
 	uint32_t *index;
 	uint32_t index_mask;
-	/** Names of the zones that are out, for the agents' own check. */
-	struct name *zones_out;
-	size_t n_zones_out;
+	/** Names of the zones that are in, for the agents' own check. */
+	struct name *zones_in;
+	size_t n_zones_in;
 };
 
 /** Computes a view of @manifest and @roster. */
@@ -56,9 +61,6 @@
 
 const struct service_view *view_service(const struct view *view, uint32_t id);
 
-/** Whether the zone called @zone is out in this view. */
-bool view_zone_out(const struct view *view, const struct name *zone);
-
 /** The bucket of @key in @service. */
 uint32_t view_bucket(const struct view *view,
 		     const struct service_view *service,
@@ -68,6 +70,22 @@
 void view_chain(const struct service_view *service, uint32_t bucket,
 		struct packet_header *header);
 
+/**
+ * Replaces the chain of @header by members of this view that the packet has
+ * not met: first all that are not in the chain, later those that come behind
+ * the chain's last one. Returns false when there is none. Takes time in
+ * proportion to the members.
+ */
+bool view_resolve(const struct service_view *service,
+		  struct packet_header *header);
+
+/** The member with identifier @id, or NULL. */
+const struct candidate *view_member(const struct service_view *service,
+				    uint32_t id);
+
+/** Whether the manifest of this view knows @zone and has it in service. */
+bool view_zone_in(const struct view *view, const struct name *zone);
+
 /** The identifier of the member called @name in packet headers. */
 uint32_t member_id(const struct name *name);
 
--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -11,6 +11,9 @@
 #define SLOTS_MAX 10000
 #define DRAIN_DEADLINE_MAX_S (7 * 24 * 3600)
 #define IDLE_TIMEOUT_MAX_S (24 * 3600)
+#define ANSWER_MAX_MS 600000
+#define BUCKETS_MIN 64
+#define BUCKETS_MAX 65536
 
 static const char *const zone_states[] = {"in", "out", NULL};
 static const char *const guards[] = {"none", "orders", NULL};
@@ -110,6 +113,22 @@
 	 .fallback = 3600,
 	 .unit = "s",
 	 .help = "time until a silent connection is forgotten"},
+	{.name = "answer_ms",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct service, answer_ms),
+	 .min = 1,
+	 .max = ANSWER_MAX_MS,
+	 .fallback = 20,
+	 .unit = "ms",
+	 .help = "time within which a warm server's first answer comes"},
+	{.name = "buckets",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct service, buckets),
+	 .min = BUCKETS_MIN,
+	 .max = BUCKETS_MAX,
+	 .fallback = 1024,
+	 .help = "size of the table of chains, 64 for each backend server "
+		 "that is planned; rounded up to a power of two"},
 };
 const size_t manifest_n_service_fields = G_N_ELEMENTS(manifest_service_fields);
 
@@ -273,14 +292,17 @@
 {
 	char address[IP_ADDR_TEXT_MAX];
 
-	return json_pack(
-		"{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:I}", "name", service->name.data,
-		"address", ip_addr_format(&service->address, address), "port",
-		(json_int_t)service->port, "guard", guards[service->guard],
-		"connections", (json_int_t)service->connections, "slots",
-		(json_int_t)service->slots, "drain_deadline_s",
-		(json_int_t)service->drain_deadline_s, "idle_timeout_s",
-		(json_int_t)service->idle_timeout_s);
+	return json_pack("{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "name",
+			 service->name.data, "address",
+			 ip_addr_format(&service->address, address), "port",
+			 (json_int_t)service->port, "guard",
+			 guards[service->guard], "connections",
+			 (json_int_t)service->connections, "slots",
+			 (json_int_t)service->slots, "drain_deadline_s",
+			 (json_int_t)service->drain_deadline_s,
+			 "idle_timeout_s", (json_int_t)service->idle_timeout_s,
+			 "answer_ms", (json_int_t)service->answer_ms, "buckets",
+			 (json_int_t)service->buckets);
 }
 
 void manifest_write(const struct manifest *manifest, struct strbuf *out)
--- a/net/packet.c
+++ b/net/packet.c
@@ -3,53 +3,94 @@
 #include <string.h>
 
 #define MAGIC 0x5446
-#define VERSION 1
-#define FIXED_BYTES 32
+#define VERSION 2
+#define FIXED_BYTES 44
 #define CANDIDATE_BYTES 12
+/* Shares a byte with the kind. */
+#define PLACED_BIT 0x80
 #define FLAG_BITS 2
 #define FLAG_MASK 0x3
 #define CHECK_MASK 0x3fff
 
-static uint8_t *put(uint8_t *p, uint64_t v, int bytes)
+static uint8_t *put_u16(uint8_t *p, uint16_t v)
 {
-	for (int i = bytes - 1; i >= 0; i--)
-		*p++ = (uint8_t)(v >> (8 * i));
-	return p;
+	v = __builtin_bswap16(v);
+	memcpy(p, &v, sizeof(v));
+	return p + sizeof(v);
 }
 
-static uint64_t get(const uint8_t **p, int bytes)
+static uint8_t *put_u32(uint8_t *p, uint32_t v)
 {
-	uint64_t v = 0;
+	v = __builtin_bswap32(v);
+	memcpy(p, &v, sizeof(v));
+	return p + sizeof(v);
+}
+
+static uint8_t *put_u64(uint8_t *p, uint64_t v)
+{
+	v = __builtin_bswap64(v);
+	memcpy(p, &v, sizeof(v));
+	return p + sizeof(v);
+}
 
-	for (int i = 0; i < bytes; i++)
-		v = v << 8 | *(*p)++;
-	return v;
+static uint16_t get_u16(const uint8_t **p)
+{
+	uint16_t v;
+
+	memcpy(&v, *p, sizeof(v));
+	*p += sizeof(v);
+	return __builtin_bswap16(v);
+}
+
+static uint32_t get_u32(const uint8_t **p)
+{
+	uint32_t v;
+
+	memcpy(&v, *p, sizeof(v));
+	*p += sizeof(v);
+	return __builtin_bswap32(v);
+}
+
+static uint64_t get_u64(const uint8_t **p)
+{
+	uint64_t v;
+
+	memcpy(&v, *p, sizeof(v));
+	*p += sizeof(v);
+	return __builtin_bswap64(v);
 }
 
 size_t packet_header_encode(const struct packet_header *header, uint8_t *out)
 {
 	uint8_t *p = out;
 
-	p = put(p, MAGIC, 2);
-	p = put(p, VERSION, 1);
-	p = put(p, header->hops_left, 1);
-	p = put(p, header->service_id, 4);
-	p = put(p, header->config_revision, 8);
-	p = put(p, header->roster_version, 8);
-	p = put(p, header->position, 1);
-	p = put(p, header->n_candidates, 1);
-	p = put(p, 0, 2);
-	p = put(p, header->bucket, 4);
+	p = put_u16(p, MAGIC);
+	*p++ = VERSION;
+	*p++ = header->hops_left;
+	p = put_u32(p, header->service_id);
+	p = put_u64(p, header->config_revision);
+	p = put_u64(p, header->roster_version);
+	*p++ = header->position;
+	*p++ = header->n_candidates;
+	*p++ = (uint8_t)(header->kind | (header->placed ? PLACED_BIT : 0));
+	*p++ = header->visited;
+	p = put_u32(p, header->bucket);
+	*p++ = header->from;
+	*p++ = header->resolves;
+	p = put_u16(p, header->load);
+	p = put_u16(p, header->usual_ms);
+	p = put_u32(p, header->origin.ip);
+	p = put_u16(p, header->origin.port);
 	for (int i = 0; i < header->n_candidates; i++) {
 		const struct candidate *candidate = &header->candidates[i];
+		uint16_t bits =
+			(uint16_t)(candidate->instance_check << FLAG_BITS |
+				   (candidate->flags & FLAG_MASK));
 
-		p = put(p, candidate->data.ip, 4);
-		p = put(p, candidate->data.port, 2);
-		p = put(p,
-			(uint64_t)candidate->instance_check << FLAG_BITS |
-				(candidate->flags & FLAG_MASK),
-			2);
-		p = put(p, candidate->member_id, 4);
+		p = put_u32(p, candidate->data.ip);
+		p = put_u16(p, candidate->data.port);
+		p = put_u16(p, bits);
+		p = put_u32(p, candidate->member_id);
 	}
 	return (size_t)(p - out);
 }
@@ -58,31 +99,41 @@
 {
 	uint16_t bits;
 
-	candidate->data.ip = (uint32_t)get(p, 4);
-	candidate->data.port = (uint16_t)get(p, 2);
-	bits = (uint16_t)get(p, 2);
+	candidate->data.ip = get_u32(p);
+	candidate->data.port = get_u16(p);
+	bits = get_u16(p);
 	candidate->instance_check = bits >> FLAG_BITS;
 	candidate->flags = bits & FLAG_MASK;
-	candidate->member_id = (uint32_t)get(p, 4);
+	candidate->member_id = get_u32(p);
 }
 
 size_t packet_header_decode(struct packet_header *header, const uint8_t *data,
 			    size_t len)
 {
 	const uint8_t *p = data;
+	uint8_t kind;
 
-	if (len < FIXED_BYTES || get(&p, 2) != MAGIC || get(&p, 1) != VERSION)
-		return 0;
-	header->hops_left = (uint8_t)get(&p, 1);
-	header->service_id = (uint32_t)get(&p, 4);
-	header->config_revision = get(&p, 8);
-	header->roster_version = get(&p, 8);
-	header->position = (uint8_t)get(&p, 1);
-	header->n_candidates = (uint8_t)get(&p, 1);
-	if (get(&p, 2))
+	if (len < FIXED_BYTES || get_u16(&p) != MAGIC || *p++ != VERSION)
 		return 0;
-	header->bucket = (uint32_t)get(&p, 4);
-	if (!header->n_candidates || header->n_candidates > CHAIN_MAX ||
+	header->hops_left = *p++;
+	header->service_id = get_u32(&p);
+	header->config_revision = get_u64(&p);
+	header->roster_version = get_u64(&p);
+	header->position = *p++;
+	header->n_candidates = *p++;
+	kind = *p++;
+	header->placed = kind & PLACED_BIT;
+	header->kind = kind & (uint8_t)~PLACED_BIT;
+	header->visited = *p++;
+	header->bucket = get_u32(&p);
+	header->from = *p++;
+	header->resolves = *p++;
+	header->load = get_u16(&p);
+	header->usual_ms = get_u16(&p);
+	header->origin.ip = get_u32(&p);
+	header->origin.port = get_u16(&p);
+	if (header->kind > PACKET_OWNER || !header->n_candidates ||
+	    header->n_candidates > CHAIN_MAX ||
 	    header->position >= header->n_candidates ||
 	    len < FIXED_BYTES + (size_t)header->n_candidates * CANDIDATE_BYTES)
 		return 0;
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -106,7 +106,7 @@
 {
 	if (atomic_load(&duty->drain))
 		agent_drain(&duty->agent);
-	agent_tick(&duty->agent, clock_now(&duty->node->clock));
+	agent_tick(&duty->agent, clock_now(&duty->node->clock), &duty->sink);
 	atomic_store(&duty->node->open_connections, agent_open(&duty->agent));
 }
 
@@ -147,6 +147,7 @@
 		.service = settings->service,
 		.instance = duty->node->instance,
 		.connections = (uint32_t)settings->connections,
+		.slots = (uint32_t)settings->slots,
 		.seed = duty->node->instance,
 	};
 
@@ -172,7 +173,7 @@
 		return status->code;
 	if (is_agent(duty) && init_agent(duty, status) != STATUS_OK)
 		return status->code;
-	balancer_init(&duty->balancer, &node->counters);
+	balancer_init(&duty->balancer, &node->settings->data, &node->counters);
 	if (pthread_create(&duty->thread, NULL, packet_thread, duty))
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the packet duty");
--- a/route/view.c
+++ b/route/view.c
@@ -5,10 +5,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Enough that the bucket count adds little to the imbalance of the hash. */
-#define BUCKETS_PER_MEMBER 64
 #define BUCKETS_MIN 64
-#define BUCKETS_MAX (1U << 20)
 /* Every process must agree, so these are part of the protocol. */
 #define BUCKET_SEED 0x7461727261676f6eULL
 #define MEMBER_SEED 0
@@ -71,36 +68,42 @@
 	top[at] = *rank;
 }
 
-static uint32_t bucket_count(size_t n_members)
+static uint32_t bucket_count(const struct service *service)
 {
-	uint64_t want = (uint64_t)n_members * BUCKETS_PER_MEMBER;
 	uint32_t n = BUCKETS_MIN;
 
-	while (n < want && n < BUCKETS_MAX)
+	while (n < service->buckets)
 		n *= 2;
 	return n;
 }
 
-static void service_view_build_chains(struct service_view *view,
-				      const uint32_t *weights)
+static struct rank member_rank(const struct service_view *view, size_t i,
+			       uint32_t bucket)
+{
+	const struct candidate *candidate = &view->members[i];
+	struct rank rank = {
+		.score = rank_score(candidate->member_id, bucket,
+				    view->weights[i]),
+		.member = (uint16_t)i,
+		.suspect = candidate->flags & CANDIDATE_SUSPECT,
+	};
+
+	return rank;
+}
+
+static void service_view_build_chains(struct service_view *view)
 {
 	size_t len = MIN(view->n_members, CHAIN_MAX);
 
 	view->chain_len = (uint8_t)len;
-	view->n_buckets = bucket_count(view->n_members);
+	view->n_buckets = bucket_count(&view->service);
 	view->chains = g_new(uint16_t, view->n_buckets * len);
 	for (uint32_t bucket = 0; bucket < view->n_buckets; bucket++) {
 		struct rank top[CHAIN_MAX] = {0};
 		size_t n = 0;
 
 		for (size_t i = 0; i < view->n_members; i++) {
-			const struct candidate *c = &view->members[i];
-			struct rank rank = {
-				.score = rank_score(c->member_id, bucket,
-						    weights[i]),
-				.member = (uint16_t)i,
-				.suspect = c->flags & CANDIDATE_SUSPECT,
-			};
+			struct rank rank = member_rank(view, i, bucket);
 
 			rank_insert(top, &n, len, &rank);
 		}
@@ -140,22 +143,24 @@
 			      const struct manifest *manifest,
 			      const struct roster *roster)
 {
-	uint32_t *weights = g_new0(uint32_t, roster->n);
+	size_t n = 0;
 
 	memset(view, 0, sizeof(*view));
 	view->service = *service;
-	view->members = g_new0(struct candidate, roster->n);
+	for (size_t i = 0; i < roster->n; i++)
+		n += member_serves(&roster->members[i], service, manifest);
+	view->members = g_new0(struct candidate, n);
+	view->weights = g_new0(uint32_t, n);
 	for (size_t i = 0; i < roster->n; i++) {
 		const struct member *member = &roster->members[i];
 
 		if (!member_serves(member, service, manifest))
 			continue;
-		weights[view->n_members] = MAX(member->connections, 1);
+		view->weights[view->n_members] = MAX(member->connections, 1);
 		candidate_from_member(&view->members[view->n_members++],
 				      member);
 	}
-	service_view_build_chains(view, weights);
-	g_free(weights);
+	service_view_build_chains(view);
 }
 
 static uint32_t index_slot(const struct view *view, const struct ip_addr *ip,
@@ -186,13 +191,12 @@
 	}
 }
 
-static void view_copy_zones_out(struct view *view,
-				const struct manifest *manifest)
+static void view_copy_zones(struct view *view, const struct manifest *manifest)
 {
-	view->zones_out = g_new(struct name, manifest->n_zones);
+	view->zones_in = g_new(struct name, manifest->n_zones);
 	for (size_t i = 0; i < manifest->n_zones; i++)
-		if (manifest->zones[i].state == ZONE_OUT)
-			view->zones_out[view->n_zones_out++] =
+		if (manifest->zones[i].state == ZONE_IN)
+			view->zones_in[view->n_zones_in++] =
 				manifest->zones[i].name;
 }
 
@@ -209,18 +213,19 @@
 		service_view_init(&view->services[i], &manifest->services[i],
 				  manifest, roster);
 	view_build_index(view);
-	view_copy_zones_out(view, manifest);
+	view_copy_zones(view, manifest);
 }
 
 void view_finish(struct view *view)
 {
 	for (size_t i = 0; i < view->n_services; i++) {
 		g_free(view->services[i].members);
+		g_free(view->services[i].weights);
 		g_free(view->services[i].chains);
 	}
 	g_free(view->services);
 	g_free(view->index);
-	g_free(view->zones_out);
+	g_free(view->zones_in);
 	memset(view, 0, sizeof(*view));
 }
 
@@ -249,10 +254,10 @@
 	return NULL;
 }
 
-bool view_zone_out(const struct view *view, const struct name *zone)
+bool view_zone_in(const struct view *view, const struct name *zone)
 {
-	for (size_t i = 0; i < view->n_zones_out; i++)
-		if (name_equal(&view->zones_out[i], zone))
+	for (size_t i = 0; i < view->n_zones_in; i++)
+		if (name_equal(&view->zones_in[i], zone))
 			return true;
 	return false;
 }
@@ -274,3 +279,61 @@
 	for (int i = 0; i < service->chain_len; i++)
 		header->candidates[i] = service->members[row[i]];
 }
+
+static bool in_chain(const struct packet_header *header, uint32_t id)
+{
+	for (int i = 0; i < header->n_candidates; i++)
+		if (header->candidates[i].member_id == id)
+			return true;
+	return false;
+}
+
+const struct candidate *view_member(const struct service_view *service,
+				    uint32_t id)
+{
+	for (size_t i = 0; i < service->n_members; i++)
+		if (service->members[i].member_id == id)
+			return &service->members[i];
+	return NULL;
+}
+
+/* The rank behind which a chain that was resolved before goes on. */
+static bool last_rank(const struct service_view *service,
+		      const struct packet_header *header, struct rank *rank)
+{
+	const struct candidate *last =
+		&header->candidates[header->n_candidates - 1];
+	const struct candidate *member = view_member(service, last->member_id);
+
+	if (!header->resolves || !member)
+		return false;
+	*rank = member_rank(service, (size_t)(member - service->members),
+			    header->bucket);
+	return true;
+}
+
+bool view_resolve(const struct service_view *service,
+		  struct packet_header *header)
+{
+	struct rank top[CHAIN_MAX], after;
+	bool goes_on = last_rank(service, header, &after);
+	size_t n = 0;
+
+	for (size_t i = 0; i < service->n_members; i++) {
+		struct rank rank = member_rank(service, i, header->bucket);
+
+		if (in_chain(header, service->members[i].member_id) ||
+		    (goes_on && !rank_before(&after, &rank)))
+			continue;
+		rank_insert(top, &n, CHAIN_MAX, &rank);
+	}
+	if (!n)
+		return false;
+	for (size_t i = 0; i < n; i++)
+		header->candidates[i] = service->members[top[i].member];
+	header->n_candidates = (uint8_t)n;
+	header->visited = 0;
+	header->from = PACKET_FROM_OUTSIDE;
+	header->resolves++;
+	return true;
+}
--- a/tests/scenarios/runner.c
+++ b/tests/scenarios/runner.c
@@ -13,6 +13,8 @@
  */
 #define DEFAULT_CONNECTIONS 2000
 #define DEFAULT_SLOTS 5
+#define DEFAULT_ANSWER_MS 20
+#define DEFAULT_BUCKETS 1024
 #define DATA_PORT 4701
 #define CONTROL_PORT 4702
 #define ADMIN_PORT 4703
@@ -121,6 +123,8 @@
 	service->slots = subfield_int(lua, "slots", DEFAULT_SLOTS);
 	service->drain_deadline_s = 3600;
 	service->idle_timeout_s = 3600;
+	service->answer_ms = subfield_int(lua, "answer_ms", DEFAULT_ANSWER_MS);
+	service->buckets = subfield_int(lua, "buckets", DEFAULT_BUCKETS);
 	return (size_t)subfield_int(lua, "servers", 1);
 }
 
