Watch and call the platform from two duties; pull large manifests over TCP

Cause: one thread made all calls, so a waiting watch of 20 s held up every other call and a stop; a manifest larger than a datagram could not reach peers, and what is known about reaching the platform did not spread. Change: platform_duty (one for watches, one for the rest; a stop ends the call under way through curl's multi interface), pull_duty and net/tcp (frames over TCP at the control address; manifests over 1,200 bytes are announced by revision and pulled), ages of the last contact with the platform on every control message. The world's platform moved into world_platform.c.

--- a/control/config_store.c
+++ b/control/config_store.c
@@ -62,3 +62,27 @@
 		  (long long)manifest.release, source);
 	return true;
 }
+
+bool config_store_start_pull(struct config_store *store, int64_t release,
+			     int64_t now_ms)
+{
+	if (release <= store->manifest.release || now_ms < store->pull_until_ms)
+		return false;
+	store->pull_until_ms = now_ms + CONFIG_PULL_TIMEOUT_MS;
+	counter_inc(store->counters, COUNTER_CONFIG_PULLED);
+	return true;
+}
+
+void config_store_end_pull(struct config_store *store)
+{
+	store->pull_until_ms = 0;
+}
+
+struct str config_store_datagram(const struct config_store *store)
+{
+	static const struct str too_large = {"", 0};
+
+	if (store->text.len > CONFIG_DATAGRAM_MAX)
+		return too_large;
+	return strbuf_str(&store->text);
+}
--- a/control/control.c
+++ b/control/control.c
@@ -70,14 +70,21 @@
 	platform_sync_finish(&control->platform);
 }
 
+static void encode_message(struct control *control, struct message *message,
+			   struct strbuf *wire)
+{
+	message->from = control->options.self;
+	message->ages = platform_sync_ages(&control->platform, control->now_ms);
+	message_encode(message, wire);
+}
+
 static void send_message(struct control *control, const struct endpoint *to,
 			 struct message *message, struct control_sink *sink)
 {
 	struct strbuf wire;
 
 	strbuf_init(&wire);
-	message->from = control->options.self;
-	message_encode(message, &wire);
+	encode_message(control, message, &wire);
 	counter_inc(control->counters, COUNTER_CONTROL_OUT);
 	counter_add(control->counters, COUNTER_CONTROL_BYTES_OUT, wire.len);
 	sink->send(sink, to, (const uint8_t *)wire.data, wire.len);
@@ -138,7 +145,7 @@
 {
 	struct message message = {
 		.kind = MESSAGE_CONFIG,
-		.manifest = strbuf_str(&control->config.text),
+		.manifest = config_store_datagram(&control->config),
 		.config_revision = config_store_release(&control->config),
 	};
 
@@ -149,6 +156,7 @@
 			 const char *source, int64_t now_ms,
 			 struct control_sink *sink)
 {
+	config_store_end_pull(&control->config);
 	if (!config_store_offer(&control->config, text, source))
 		return;
 	self_refresh(control, now_ms);
@@ -167,10 +175,25 @@
 
 	if (theirs < ours && message->kind != MESSAGE_CONFIG)
 		send_config(control, &message->from.control, sink);
-	else if (theirs > ours)
+	else if (theirs > ours && message->kind != MESSAGE_CONFIG)
 		send_message(control, &message->from.control, &pull, sink);
 }
 
+static void pull_config(struct control *control, const struct message *message,
+			int64_t now_ms, struct control_sink *sink)
+{
+	struct message pull = {.kind = MESSAGE_PULL};
+	struct strbuf wire;
+
+	if (!config_store_start_pull(&control->config, message->config_revision,
+				     now_ms))
+		return;
+	strbuf_init(&wire);
+	encode_message(control, &pull, &wire);
+	sink->pull(sink, &message->from.control, strbuf_str(&wire));
+	strbuf_finish(&wire);
+}
+
 static enum roster_change
 take_member(struct control *control, const struct member *entry, int64_t now_ms)
 {
@@ -206,6 +229,7 @@
 	bool changed;
 
 	(void)from;
+	control->now_ms = now_ms;
 	strbuf_init(&storage);
 	counter_inc(control->counters, COUNTER_CONTROL_IN);
 	if (!message_decode(&message, data, len, &storage)) {
@@ -213,13 +237,15 @@
 		strbuf_finish(&storage);
 		return;
 	}
-	platform_sync_heard(&control->platform, now_ms);
+	platform_sync_heard(&control->platform, &message.ages, now_ms);
 	changed = take_member(control, &message.from, now_ms) == ROSTER_CHANGED;
 	for (size_t i = 0; i < message.n_members; i++)
 		if (take_member(control, &message.members[i], now_ms) ==
 		    ROSTER_CHANGED)
 			changed = true;
-	if (message.kind == MESSAGE_CONFIG)
+	if (message.kind == MESSAGE_CONFIG && !message.manifest.len)
+		pull_config(control, &message, now_ms, sink);
+	else if (message.kind == MESSAGE_CONFIG)
 		config_offer(control, message.manifest, "peer", now_ms, sink);
 	compare_revisions(control, &message, sink);
 	if (changed)
@@ -227,6 +253,35 @@
 	strbuf_finish(&storage);
 }
 
+bool control_answer_pull(struct control *control, const uint8_t *data,
+			 size_t len, struct strbuf *out)
+{
+	struct message answer = {.kind = MESSAGE_CONFIG};
+	struct message pull;
+	struct strbuf storage;
+	bool good;
+
+	strbuf_init(&storage);
+	good = message_decode(&pull, data, len, &storage) &&
+	       pull.kind == MESSAGE_PULL;
+	strbuf_finish(&storage);
+	if (!good) {
+		counter_inc(control->counters, COUNTER_CONTROL_DROP_MALFORMED);
+		return false;
+	}
+	answer.manifest = strbuf_str(&control->config.text);
+	answer.config_revision = config_store_release(&control->config);
+	encode_message(control, &answer, out);
+	counter_add(control->counters, COUNTER_CONTROL_BYTES_OUT, out->len);
+	return true;
+}
+
+void control_pull_failed(struct control *control)
+{
+	counter_inc(control->counters, COUNTER_CONFIG_PULL_FAILED);
+	config_store_end_pull(&control->config);
+}
+
 static void sync_call(struct platform_sync_out *out,
 		      const struct platform_request *request)
 {
@@ -268,6 +323,7 @@
 {
 	struct sync_out self;
 
+	control->now_ms = now_ms;
 	sync_out_init(&self, control, now_ms, sink);
 	platform_sync_handle_result(&control->platform, result,
 				    &control->roster, now_ms, &self.out);
@@ -292,6 +348,7 @@
 void control_tick(struct control *control, int64_t now_ms,
 		  struct control_sink *sink)
 {
+	control->now_ms = now_ms;
 	if (now_ms >= control->next_announce_ms) {
 		control->next_announce_ms = now_ms + ANNOUNCE_INTERVAL_MS;
 		self_refresh(control, now_ms);
@@ -315,6 +372,7 @@
 void control_set_state(struct control *control, enum member_state state,
 		       int64_t now_ms, struct control_sink *sink)
 {
+	control->now_ms = now_ms;
 	control->options.self.state = state;
 	self_refresh(control, now_ms);
 	announce(control, sink);
--- a/control/message.c
+++ b/control/message.c
@@ -65,6 +65,17 @@
 	return true;
 }
 
+/* Zero on the wire stands for never. */
+static uint32_t age_to_wire(uint32_t age_ms)
+{
+	return age_ms == PLATFORM_AGE_NEVER ? 0 : age_ms + 1;
+}
+
+static uint32_t age_from_wire(uint32_t wire)
+{
+	return wire ? wire - 1 : PLATFORM_AGE_NEVER;
+}
+
 void message_encode(const struct message *message, struct strbuf *out)
 {
 	Control__Message wire = CONTROL__MESSAGE__INIT;
@@ -91,6 +102,8 @@
 		wire.config = &config;
 	}
 	wire.nonce = message->nonce;
+	wire.platform_any_age = age_to_wire(message->ages.any_ms);
+	wire.platform_watcher_age = age_to_wire(message->ages.watcher_ms);
 	if (message->has_target) {
 		member_to_wire(&message->target, &target);
 		wire.target = &target;
@@ -133,6 +146,8 @@
 			return false;
 	message->n_members = wire->n_members;
 	message->nonce = wire->nonce;
+	message->ages.any_ms = age_from_wire(wire->platform_any_age);
+	message->ages.watcher_ms = age_from_wire(wire->platform_watcher_age);
 	if (wire->target) {
 		message->has_target = true;
 		if (!member_from_wire(&message->target, wire->target))
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -72,12 +72,25 @@
 		start_call(sync, PLATFORM_OP_WATCH, out);
 }
 
-void platform_sync_heard(struct platform_sync *sync, int64_t now_ms)
+void platform_sync_heard(struct platform_sync *sync,
+			 const struct platform_ages *ages, int64_t now_ms)
 {
 	(void)sync;
+	(void)ages;
 	(void)now_ms;
 }
 
+struct platform_ages platform_sync_ages(const struct platform_sync *sync,
+					int64_t now_ms)
+{
+	const struct platform_ages ages = {PLATFORM_AGE_NEVER,
+					   PLATFORM_AGE_NEVER};
+
+	(void)sync;
+	(void)now_ms;
+	return ages;
+}
+
 int64_t platform_sync_next_deadline(const struct platform_sync *sync)
 {
 	return sync->call_pending ? INT64_MAX : sync->next_call_ms;
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -42,6 +42,8 @@
 	X(CONTROL_DROP_MALFORMED, "control_drop_malformed") \
 	X(CONFIG_APPLIED, "config_applied")                 \
 	X(CONFIG_OLDER_IGNORED, "config_older_ignored")     \
+	X(CONFIG_PULLED, "config_pulled")                   \
+	X(CONFIG_PULL_FAILED, "config_pull_failed")         \
 	X(PLATFORM_GET, "platform_calls_get")               \
 	X(PLATFORM_LIST, "platform_calls_list")             \
 	X(PLATFORM_PUT, "platform_calls_put")               \
--- a/include/tarragonflow/control/config_store.h
+++ b/include/tarragonflow/control/config_store.h
@@ -16,8 +16,16 @@
 	struct manifest manifest;
 	/** The canonical text of the manifest in force. */
 	struct strbuf text;
+	/** A pull is under way until this time at most, ms; 0 for none. */
+	int64_t pull_until_ms;
 };
 
+/** Manifests up to this size ride in a datagram; larger ones are pulled. */
+#define CONFIG_DATAGRAM_MAX 1200
+
+/** Time a pull may take, ms. */
+#define CONFIG_PULL_TIMEOUT_MS 2000
+
 void config_store_init(struct config_store *store,
 		       const struct name *deployment,
 		       struct counters *counters);
@@ -33,4 +41,17 @@
 bool config_store_offer(struct config_store *store, struct str text,
 			const char *source);
 
+/**
+ * True, and a pull is noted as under way, when @release is newer than what
+ * is in force and none is under way.
+ */
+bool config_store_start_pull(struct config_store *store, int64_t release,
+			     int64_t now_ms);
+
+/** The pull ended. */
+void config_store_end_pull(struct config_store *store);
+
+/** The text as a datagram may carry it: empty when it is too large. */
+struct str config_store_datagram(const struct config_store *store);
+
 #endif
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -21,6 +21,13 @@
 	/** Starts a platform call; its result comes back as an input. */
 	void (*call)(struct control_sink *sink,
 		     const struct platform_request *request);
+	/**
+	 * Sends the frame @request over TCP to the control address @peer; the
+	 * answer comes back through control_handle_message(), a failure
+	 * through control_pull_failed().
+	 */
+	void (*pull)(struct control_sink *sink, const struct endpoint *peer,
+		     struct str request);
 	/** Configuration or roster changed: routing must be computed anew. */
 	void (*changed)(struct control_sink *sink);
 };
@@ -45,6 +52,8 @@
 	struct config_store config;
 	struct platform_sync platform;
 	uint64_t random_state;
+	/** Time of the input that is being handled, ms. */
+	int64_t now_ms;
 	int64_t next_gossip_ms;
 	int64_t next_announce_ms;
 	/** Where the rotating window of gossiped entries stands. */
@@ -67,6 +76,16 @@
 			   const struct platform_result *result, int64_t now_ms,
 			   struct control_sink *sink);
 
+/**
+ * Answers a pull that a peer sent over TCP: appends the frame with our
+ * configuration to @out; false when @data is not a valid pull.
+ */
+bool control_answer_pull(struct control *control, const uint8_t *data,
+			 size_t len, struct strbuf *out);
+
+/** The pull that was under way brought no answer. */
+void control_pull_failed(struct control *control);
+
 /** Does what is due at @now_ms. */
 void control_tick(struct control *control, int64_t now_ms,
 		  struct control_sink *sink);
--- a/include/tarragonflow/control/message.h
+++ b/include/tarragonflow/control/message.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "tarragonflow/common/str.h"
+#include "tarragonflow/platform/platform.h"
 #include "tarragonflow/roster/roster.h"
 
 /**
@@ -30,9 +31,14 @@
 	struct member from;
 	struct member members[MESSAGE_MEMBERS_MAX];
 	size_t n_members;
-	/** Canonical manifest of a CONFIG; points into the decoded data. */
+	/**
+	 * Canonical manifest of a CONFIG; points into the decoded data. Empty
+	 * when it is too large for a datagram: it is pulled over TCP then.
+	 */
 	struct str manifest;
 	int64_t config_revision;
+	/** What the sender knows about contacts with the platform. */
+	struct platform_ages ages;
 	uint64_t nonce;
 	/** Whom a PING_REQUEST is about; has_target says if it is set. */
 	struct member target;
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -54,8 +54,13 @@
 				 const struct roster *roster, int64_t now_ms,
 				 struct platform_sync_out *out);
 
-/** A peer's message arrived: peers can be reached. */
-void platform_sync_heard(struct platform_sync *sync, int64_t now_ms);
+/** A peer's message arrived with what it knows about the platform. */
+void platform_sync_heard(struct platform_sync *sync,
+			 const struct platform_ages *ages, int64_t now_ms);
+
+/** What to tell peers about contacts with the platform. */
+struct platform_ages platform_sync_ages(const struct platform_sync *sync,
+					int64_t now_ms);
 
 /** When platform_sync_tick() wants to run next, ms. */
 int64_t platform_sync_next_deadline(const struct platform_sync *sync);
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -8,13 +8,15 @@
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/common/ring.h"
 #include "tarragonflow/control/control.h"
+#include "tarragonflow/node/platform_duty.h"
+#include "tarragonflow/node/pull_duty.h"
 #include "tarragonflow/node/settings.h"
 #include "tarragonflow/route/view.h"
 
 /**
- * What both long-running roles share: a control duty and a platform duty,
- * each a thread, joined by bounded rings. The packet duty of the role takes
- * new views from the `views` ring.
+ * What both long-running roles share: a control duty, two platform duties
+ * and a pull duty, all threads, joined by bounded rings. The packet duty of the
+ * role takes new views from the `views` ring.
  */
 struct node {
 	const struct settings *settings;
@@ -24,14 +26,14 @@
 	pthread_mutex_t lock;
 	struct control control;
 	int control_fd;
-	/** Requests to the platform duty, results back. */
-	struct ring requests;
-	struct ring results;
+	/** Watches, and all other calls of the platform. */
+	struct platform_duty watches;
+	struct platform_duty calls;
+	struct pull_duty pulls;
 	/** Views to the packet duty, replaced ones back to be freed. */
 	struct ring views;
 	struct ring retired_views;
 	int wake_control;
-	int wake_platform;
 	int wake_packet;
 	/** Set when configuration or roster changed since the last view. */
 	bool view_dirty;
@@ -43,7 +45,6 @@
 	/** Connections that are open here, for the admin API. */
 	_Atomic uint32_t open_connections;
 	pthread_t control_thread;
-	pthread_t platform_thread;
 	uint64_t instance;
 };
 
--- a/include/tarragonflow/platform/http_platform.h
+++ b/include/tarragonflow/platform/http_platform.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_PLATFORM_HTTP_PLATFORM_H
 
 #include <curl/curl.h>
+#include <stdatomic.h>
 
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/platform/platform.h"
@@ -10,6 +11,9 @@
 struct http_platform {
 	struct platform platform;
 	CURL *curl;
+	/** Drives `curl`, so that another thread can end a call. */
+	CURLM *multi;
+	_Atomic bool cancelled;
 	struct counters *counters;
 	char url[256];
 };
@@ -19,4 +23,10 @@
 			struct counters *counters);
 void http_platform_finish(struct http_platform *http);
 
+/**
+ * Ends the call under way and all later ones with STATUS_UNAVAILABLE, or
+ * STATUS_UNKNOWN for a write; from any thread.
+ */
+void http_platform_cancel(struct http_platform *http);
+
 #endif
--- a/include/tarragonflow/platform/platform.h
+++ b/include/tarragonflow/platform/platform.h
@@ -76,6 +76,17 @@
 	size_t n_objects;
 };
 
+/** Time since the platform was last reached, ms, as known here. */
+struct platform_ages {
+	/** By any process. */
+	uint32_t any_ms;
+	/** By a process that is chosen to watch. */
+	uint32_t watcher_ms;
+};
+
+/** No process is known to have reached the platform. */
+#define PLATFORM_AGE_NEVER UINT32_MAX
+
 struct platform {
 	/** Makes one call, blocking at most request->timeout_ms. */
 	void (*call)(struct platform *platform,
--- a/node/node.c
+++ b/node/node.c
@@ -10,7 +10,6 @@
 
 #include "tarragonflow/common/log.h"
 #include "tarragonflow/net/udp.h"
-#include "tarragonflow/platform/http_platform.h"
 
 #define RING_SIZE 64
 #define POLL_MAX_MS 200
@@ -48,27 +47,25 @@
 		counter_inc(&node->counters, COUNTER_DROP_SEND);
 }
 
-static void free_request(struct platform_request *request)
+static void sink_call(struct control_sink *sink,
+		      const struct platform_request *request)
 {
-	platform_request_finish(request);
-	g_free(request);
+	struct node *node = ((struct node_sink *)sink)->node;
+	struct platform_duty *duty = request->op == PLATFORM_OP_WATCH
+					     ? &node->watches
+					     : &node->calls;
+
+	if (!platform_duty_submit(duty, request))
+		counter_inc(&node->counters, COUNTER_DROP_RING_FULL);
 }
 
-static void sink_call(struct control_sink *sink,
-		      const struct platform_request *request)
+static void sink_pull(struct control_sink *sink, const struct endpoint *peer,
+		      struct str request)
 {
 	struct node *node = ((struct node_sink *)sink)->node;
-	struct platform_request *copy = g_new(struct platform_request, 1);
 
-	*copy = *request;
-	strbuf_init(&copy->value);
-	strbuf_add(&copy->value, request->value.data, request->value.len);
-	if (!ring_push(&node->requests, copy)) {
+	if (!pull_duty_submit(&node->pulls, peer, request))
 		counter_inc(&node->counters, COUNTER_DROP_RING_FULL);
-		free_request(copy);
-		return;
-	}
-	node_wake(node->wake_platform);
 }
 
 static void sink_changed(struct control_sink *sink)
@@ -114,11 +111,12 @@
 				       clock_now(&node->clock), &sink->sink);
 }
 
-static void receive_results(struct node *node, struct node_sink *sink)
+static void receive_results(struct node *node, struct platform_duty *duty,
+			    struct node_sink *sink)
 {
 	struct platform_result *result;
 
-	while ((result = ring_pop(&node->results))) {
+	while ((result = platform_duty_take(duty))) {
 		control_handle_result(&node->control, result,
 				      clock_now(&node->clock), &sink->sink);
 		platform_result_finish(result);
@@ -126,6 +124,23 @@
 	}
 }
 
+static void receive_pulled(struct node *node, struct node_sink *sink)
+{
+	struct pull_job *job;
+
+	while ((job = pull_duty_take(&node->pulls))) {
+		if (job->good)
+			control_handle_message(
+				&node->control, &job->peer,
+				(const uint8_t *)job->answer.data,
+				job->answer.len, clock_now(&node->clock),
+				&sink->sink);
+		else
+			control_pull_failed(&node->control);
+		pull_job_free(job);
+	}
+}
+
 static void apply_wanted_state(struct node *node, struct node_sink *sink)
 {
 	int wanted = atomic_load(&node->wanted_state);
@@ -149,7 +164,7 @@
 {
 	struct node *node = arg;
 	struct node_sink sink = {
-		.sink = {sink_send, sink_call, sink_changed},
+		.sink = {sink_send, sink_call, sink_pull, sink_changed},
 		.node = node,
 	};
 	struct pollfd fds[2] = {
@@ -163,7 +178,9 @@
 			node_wake_clear(node->wake_control);
 		pthread_mutex_lock(&node->lock);
 		receive_messages(node, &sink);
-		receive_results(node, &sink);
+		receive_results(node, &node->watches, &sink);
+		receive_results(node, &node->calls, &sink);
+		receive_pulled(node, &sink);
 		apply_wanted_state(node, &sink);
 		control_tick(&node->control, clock_now(&node->clock),
 			     &sink.sink);
@@ -173,40 +190,19 @@
 	return NULL;
 }
 
-static void serve_requests(struct node *node, struct http_platform *http)
+static bool answer_pull(struct pull_duty *duty, struct str request,
+			struct strbuf *out)
 {
-	struct platform_request *request;
-
-	while (!atomic_load(&node->stop) &&
-	       (request = ring_pop(&node->requests))) {
-		struct platform_result *result =
-			g_new(struct platform_result, 1);
-
-		http->platform.call(&http->platform, request, result);
-		free_request(request);
-		while (!ring_push(&node->results, result) &&
-		       !atomic_load(&node->stop))
-			clock_sleep(1);
-		node_wake(node->wake_control);
-	}
-}
-
-static void *platform_duty(void *arg)
-{
-	struct node *node = arg;
-	struct pollfd fd = {.fd = node->wake_platform, .events = POLLIN};
-	struct http_platform http;
-
-	http_platform_init(&http, node->settings->platform.data,
-			   &node->counters);
-	while (!atomic_load(&node->stop)) {
-		poll(&fd, 1, POLL_MAX_MS);
-		if (fd.revents)
-			node_wake_clear(node->wake_platform);
-		serve_requests(node, &http);
-	}
-	http_platform_finish(&http);
-	return NULL;
+	struct node *node =
+		(struct node *)((char *)duty - offsetof(struct node, pulls));
+	bool good;
+
+	pthread_mutex_lock(&node->lock);
+	good = control_answer_pull(&node->control,
+				   (const uint8_t *)request.data, request.len,
+				   out);
+	pthread_mutex_unlock(&node->lock);
+	return good;
 }
 
 static void self_from_settings(struct control_options *options,
@@ -242,22 +238,30 @@
 	if (udp_open(&settings->control, &node->control_fd, status) !=
 	    STATUS_OK)
 		return status->code;
+	node->wake_control = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	if (pull_duty_init(&node->pulls, &settings->control, node->wake_control,
+			   status) != STATUS_OK) {
+		close(node->wake_control);
+		close(node->control_fd);
+		return status->code;
+	}
 	node->settings = settings;
 	node->instance = (uint64_t)clock_wall_ms();
 	clock_init_monotonic(&node->clock);
 	counters_init(&node->counters);
 	pthread_mutex_init(&node->lock, NULL);
-	ring_init(&node->requests, RING_SIZE);
-	ring_init(&node->results, RING_SIZE);
 	ring_init(&node->views, RING_SIZE);
 	ring_init(&node->retired_views, RING_SIZE);
-	node->wake_control = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-	node->wake_platform = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	node->wake_packet = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	atomic_init(&node->wanted_state, MEMBER_ACTIVE);
 	self_from_settings(&options, settings, node->instance);
 	control_init(&node->control, &options, &node->counters,
 		     clock_now(&node->clock));
+	platform_duty_init(&node->watches, settings->platform.data,
+			   &node->counters, node->wake_control);
+	platform_duty_init(&node->calls, settings->platform.data,
+			   &node->counters, node->wake_control);
+	node->pulls.answer = answer_pull;
 	return STATUS_OK;
 }
 
@@ -266,24 +270,16 @@
 	if (pthread_create(&node->control_thread, NULL, control_duty, node))
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the control duty");
-	if (pthread_create(&node->platform_thread, NULL, platform_duty, node))
-		return status_set(status, STATUS_INTERNAL,
-				  "cannot start the platform duty");
-	return STATUS_OK;
+	if (platform_duty_start(&node->watches, status) != STATUS_OK ||
+	    platform_duty_start(&node->calls, status) != STATUS_OK)
+		return status->code;
+	return pull_duty_start(&node->pulls, status);
 }
 
 static void drain_rings(struct node *node)
 {
-	struct platform_request *request;
-	struct platform_result *result;
 	struct view *view;
 
-	while ((request = ring_pop(&node->requests)))
-		free_request(request);
-	while ((result = ring_pop(&node->results))) {
-		platform_result_finish(result);
-		g_free(result);
-	}
 	while ((view = ring_pop(&node->views)))
 		view_free(view);
 	while ((view = ring_pop(&node->retired_views)))
@@ -294,18 +290,19 @@
 {
 	atomic_store(&node->stop, true);
 	node_wake(node->wake_control);
-	node_wake(node->wake_platform);
 	pthread_join(node->control_thread, NULL);
-	pthread_join(node->platform_thread, NULL);
+	platform_duty_stop(&node->watches);
+	platform_duty_stop(&node->calls);
+	pull_duty_stop(&node->pulls);
+	platform_duty_finish(&node->watches);
+	platform_duty_finish(&node->calls);
+	pull_duty_finish(&node->pulls);
 	drain_rings(node);
-	ring_finish(&node->requests);
-	ring_finish(&node->results);
 	ring_finish(&node->views);
 	ring_finish(&node->retired_views);
 	control_finish(&node->control);
 	close(node->control_fd);
 	close(node->wake_control);
-	close(node->wake_platform);
 	close(node->wake_packet);
 	pthread_mutex_destroy(&node->lock);
 }
--- /dev/null
+++ b/node/platform_duty.c
@@ -0,0 +1,132 @@
+#include "tarragonflow/node/platform_duty.h"
+
+#include <glib.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "tarragonflow/common/clock.h"
+#include "tarragonflow/node/node.h"
+
+#define RING_SIZE 64
+#define POLL_MAX_MS 200
+
+void platform_duty_init(struct platform_duty *duty, const char *url,
+			struct counters *counters, int wake_results)
+{
+	memset(duty, 0, sizeof(*duty));
+	ring_init(&duty->requests, RING_SIZE);
+	ring_init(&duty->results, RING_SIZE);
+	http_platform_init(&duty->http, url, counters);
+	duty->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	duty->wake_results = wake_results;
+	atomic_init(&duty->stop, false);
+}
+
+static void free_request(struct platform_request *request)
+{
+	platform_request_finish(request);
+	g_free(request);
+}
+
+static void free_result(struct platform_result *result)
+{
+	platform_result_finish(result);
+	g_free(result);
+}
+
+static void push_result(struct platform_duty *duty,
+			struct platform_result *result)
+{
+	while (!ring_push(&duty->results, result)) {
+		if (atomic_load(&duty->stop)) {
+			free_result(result);
+			return;
+		}
+		clock_sleep(1);
+	}
+	node_wake(duty->wake_results);
+}
+
+static void serve_requests(struct platform_duty *duty)
+{
+	struct platform *platform = &duty->http.platform;
+	struct platform_request *request;
+	struct platform_result *result;
+
+	while (!atomic_load(&duty->stop) &&
+	       (request = ring_pop(&duty->requests))) {
+		result = g_new(struct platform_result, 1);
+		platform->call(platform, request, result);
+		free_request(request);
+		push_result(duty, result);
+	}
+}
+
+static void *duty_thread(void *arg)
+{
+	struct platform_duty *duty = arg;
+	struct pollfd fd = {.fd = duty->wake, .events = POLLIN};
+
+	while (!atomic_load(&duty->stop)) {
+		poll(&fd, 1, POLL_MAX_MS);
+		if (fd.revents)
+			node_wake_clear(duty->wake);
+		serve_requests(duty);
+	}
+	return NULL;
+}
+
+enum status_code platform_duty_start(struct platform_duty *duty,
+				     struct status *status)
+{
+	if (pthread_create(&duty->thread, NULL, duty_thread, duty))
+		return status_set(status, STATUS_INTERNAL,
+				  "cannot start a platform duty");
+	return STATUS_OK;
+}
+
+void platform_duty_stop(struct platform_duty *duty)
+{
+	atomic_store(&duty->stop, true);
+	http_platform_cancel(&duty->http);
+	node_wake(duty->wake);
+	pthread_join(duty->thread, NULL);
+}
+
+void platform_duty_finish(struct platform_duty *duty)
+{
+	struct platform_request *request;
+	struct platform_result *result;
+
+	while ((request = ring_pop(&duty->requests)))
+		free_request(request);
+	while ((result = ring_pop(&duty->results)))
+		free_result(result);
+	ring_finish(&duty->requests);
+	ring_finish(&duty->results);
+	http_platform_finish(&duty->http);
+	close(duty->wake);
+}
+
+bool platform_duty_submit(struct platform_duty *duty,
+			  const struct platform_request *request)
+{
+	struct platform_request *copy = g_new(struct platform_request, 1);
+
+	*copy = *request;
+	strbuf_init(&copy->value);
+	strbuf_add(&copy->value, request->value.data, request->value.len);
+	if (!ring_push(&duty->requests, copy)) {
+		free_request(copy);
+		return false;
+	}
+	node_wake(duty->wake);
+	return true;
+}
+
+struct platform_result *platform_duty_take(struct platform_duty *duty)
+{
+	return ring_pop(&duty->results);
+}
--- /dev/null
+++ b/node/pull_duty.c
@@ -0,0 +1,161 @@
+#include "tarragonflow/node/pull_duty.h"
+
+#include <glib.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "tarragonflow/control/config_store.h"
+#include "tarragonflow/net/tcp.h"
+#include "tarragonflow/node/node.h"
+
+#define RING_SIZE 4
+#define POLL_MAX_MS 200
+/* A peer that stalls holds the server up for this long at most. */
+#define SERVE_TIMEOUT_MS 1000
+#define REQUEST_MAX 4096
+
+enum status_code pull_duty_init(struct pull_duty *duty,
+				const struct endpoint *control, int wake_done,
+				struct status *status)
+{
+	memset(duty, 0, sizeof(*duty));
+	if (tcp_listen(control, &duty->listen_fd, status) != STATUS_OK)
+		return status->code;
+	clock_init_monotonic(&duty->clock);
+	ring_init(&duty->wanted, RING_SIZE);
+	ring_init(&duty->done, RING_SIZE);
+	duty->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	duty->wake_done = wake_done;
+	atomic_init(&duty->stop, false);
+	return STATUS_OK;
+}
+
+static void serve(struct pull_duty *duty, int fd)
+{
+	int64_t deadline_ms = clock_now(&duty->clock) + SERVE_TIMEOUT_MS;
+	struct strbuf request, answer;
+
+	strbuf_init(&request);
+	strbuf_init(&answer);
+	if (tcp_receive_frame(fd, &request, REQUEST_MAX, &duty->clock,
+			      deadline_ms) &&
+	    duty->answer(duty, strbuf_str(&request), &answer))
+		tcp_send_frame(fd, strbuf_str(&answer), &duty->clock,
+			       deadline_ms);
+	strbuf_finish(&request);
+	strbuf_finish(&answer);
+}
+
+static void *server_thread(void *arg)
+{
+	struct pull_duty *duty = arg;
+	struct pollfd fd = {.fd = duty->listen_fd, .events = POLLIN};
+
+	while (!atomic_load(&duty->stop)) {
+		int peer;
+
+		if (poll(&fd, 1, POLL_MAX_MS) <= 0)
+			continue;
+		peer = tcp_accept(duty->listen_fd);
+		if (peer < 0)
+			continue;
+		serve(duty, peer);
+		close(peer);
+	}
+	return NULL;
+}
+
+static void run_job(struct pull_duty *duty, struct pull_job *job)
+{
+	int64_t deadline_ms = clock_now(&duty->clock) + CONFIG_PULL_TIMEOUT_MS;
+	int fd = tcp_connect(&job->peer, &duty->clock, deadline_ms);
+
+	if (fd < 0)
+		return;
+	job->good = tcp_send_frame(fd, strbuf_str(&job->request), &duty->clock,
+				   deadline_ms) &&
+		    tcp_receive_frame(fd, &job->answer, TCP_FRAME_MAX,
+				      &duty->clock, deadline_ms);
+	close(fd);
+}
+
+static void *client_thread(void *arg)
+{
+	struct pull_duty *duty = arg;
+	struct pollfd fd = {.fd = duty->wake, .events = POLLIN};
+	struct pull_job *job;
+
+	while (!atomic_load(&duty->stop)) {
+		poll(&fd, 1, POLL_MAX_MS);
+		if (fd.revents)
+			node_wake_clear(duty->wake);
+		while (!atomic_load(&duty->stop) &&
+		       (job = ring_pop(&duty->wanted))) {
+			run_job(duty, job);
+			if (!ring_push(&duty->done, job))
+				pull_job_free(job);
+			node_wake(duty->wake_done);
+		}
+	}
+	return NULL;
+}
+
+enum status_code pull_duty_start(struct pull_duty *duty, struct status *status)
+{
+	if (pthread_create(&duty->server_thread, NULL, server_thread, duty) ||
+	    pthread_create(&duty->client_thread, NULL, client_thread, duty))
+		return status_set(status, STATUS_INTERNAL,
+				  "cannot start the pull duty");
+	return STATUS_OK;
+}
+
+void pull_duty_stop(struct pull_duty *duty)
+{
+	atomic_store(&duty->stop, true);
+	node_wake(duty->wake);
+	pthread_join(duty->server_thread, NULL);
+	pthread_join(duty->client_thread, NULL);
+}
+
+void pull_duty_finish(struct pull_duty *duty)
+{
+	struct pull_job *job;
+
+	while ((job = ring_pop(&duty->wanted)))
+		pull_job_free(job);
+	while ((job = ring_pop(&duty->done)))
+		pull_job_free(job);
+	ring_finish(&duty->wanted);
+	ring_finish(&duty->done);
+	close(duty->listen_fd);
+	close(duty->wake);
+}
+
+bool pull_duty_submit(struct pull_duty *duty, const struct endpoint *peer,
+		      struct str request)
+{
+	struct pull_job *job = g_new0(struct pull_job, 1);
+
+	job->peer = *peer;
+	strbuf_add(&job->request, request.data, request.len);
+	if (!ring_push(&duty->wanted, job)) {
+		pull_job_free(job);
+		return false;
+	}
+	node_wake(duty->wake);
+	return true;
+}
+
+struct pull_job *pull_duty_take(struct pull_duty *duty)
+{
+	return ring_pop(&duty->done);
+}
+
+void pull_job_free(struct pull_job *job)
+{
+	strbuf_finish(&job->request);
+	strbuf_finish(&job->answer);
+	g_free(job);
+}
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -426,7 +426,7 @@
   (ProtobufCMessageInit) control__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__message__field_descriptors[6] =
+static const ProtobufCFieldDescriptor control__message__field_descriptors[8] =
 {
   {
     "kind",
@@ -500,6 +500,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "platform_any_age",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Message, platform_any_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "platform_watcher_age",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Message, platform_watcher_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__message__field_indices_by_name[] = {
   3,   /* field[3] = config */
@@ -507,12 +531,14 @@
   0,   /* field[0] = kind */
   2,   /* field[2] = members */
   4,   /* field[4] = nonce */
+  6,   /* field[6] = platform_any_age */
+  7,   /* field[7] = platform_watcher_age */
   5,   /* field[5] = target */
 };
 static const ProtobufCIntRange control__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor control__message__descriptor =
 {
@@ -522,7 +548,7 @@
   "Control__Message",
   "control",
   sizeof(Control__Message),
-  6,
+  8,
   control__message__field_descriptors,
   control__message__field_indices_by_name,
   1,  control__message__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -33,7 +33,8 @@
    */
   CONTROL__KIND__KIND_PULL = 2,
   /*
-   * Carries a configuration.
+   * Carries a configuration, or only its revision when it is too large for a
+   * datagram and to be pulled over TCP.
    */
   CONTROL__KIND__KIND_CONFIG = 3,
   /*
@@ -108,10 +109,16 @@
    * Whom a PING_REQUEST is about.
    */
   Control__Member *target;
+  /*
+   * Time since anybody, and since a chosen watcher, reached the platform, as
+   * far as the sender knows, in ms plus one; 0 when it knows of nobody.
+   */
+  uint32_t platform_any_age;
+  uint32_t platform_watcher_age;
 };
 #define CONTROL__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__message__descriptor) \
-    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL }
+    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0 }
 
 
 /* Control__Member methods */
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -1,42 +1,12 @@
-#include "world.h"
+#include "world_internal.h"
 
 #include <string.h>
 #include <xxhash.h>
 
-#include "tarragonflow/manifest/apply.h"
-
 #define DEFAULT_DELAY_MS 1
-#define PLATFORM_LATENCY_MS 5
+#define RETRANSMIT_MS 200
 #define WORLD_EPOCH_MS 1000000
 
-enum event_kind {
-	EVENT_DATA,
-	EVENT_CONTROL,
-	EVENT_TO_CALLER,
-	EVENT_RESULT,
-};
-
-/** Something that arrives at a later time. */
-struct event {
-	int64_t at_ms;
-	uint64_t order;
-	enum event_kind kind;
-	struct endpoint to;
-	struct strbuf data;
-	/** EVENT_RESULT: for whom, and which of its runs. */
-	struct world_node *node;
-	uint64_t instance;
-	struct platform_result result;
-};
-
-/** A watch that waits at the platform. */
-struct watch {
-	struct world_node *node;
-	uint64_t instance;
-	int64_t until_ms;
-	struct platform_request request;
-};
-
 static void event_free(gpointer data)
 {
 	struct event *event = data;
@@ -57,8 +27,8 @@
 	return x->order < y->order ? -1 : 1;
 }
 
-static struct event *event_add(struct world *world, enum event_kind kind,
-			       int64_t delay_ms)
+struct event *world_event_add(struct world *world, enum event_kind kind,
+			      int64_t delay_ms)
 {
 	struct event *event = g_new0(struct event, 1);
 
@@ -95,7 +65,7 @@
 		return;
 	while (copies--) {
 		struct event *event =
-			event_add(world, kind, random_delay(world));
+			world_event_add(world, kind, random_delay(world));
 
 		event->to = *to;
 		strbuf_add(&event->data, head, head_len);
@@ -151,99 +121,49 @@
 		transmit(node->world, EVENT_CONTROL, to, NULL, 0, data, len);
 }
 
-static void sink_changed(struct control_sink *sink)
+static void sink_call(struct control_sink *sink,
+		      const struct platform_request *request)
 {
-	node_of_control(sink)->view_dirty = true;
+	world_platform_call(node_of_control(sink), request);
 }
 
-static void answer_later(struct world_node *node, uint64_t instance,
-			 const struct platform_result *result, int64_t delay_ms)
+/* TCP hides losses and pays for them with time. */
+static int64_t stream_delay(struct world *world)
 {
-	struct event *event = event_add(node->world, EVENT_RESULT, delay_ms);
+	int64_t delay_ms = random_delay(world);
+	int64_t timeout_ms = RETRANSMIT_MS;
 
-	event->node = node;
-	event->instance = instance;
-	event->result = *result;
+	while (chance(world, world->faults.control_loss)) {
+		delay_ms += timeout_ms;
+		timeout_ms *= 2;
+	}
+	return delay_ms;
 }
 
-static void watch_free(gpointer data)
+static struct event *stream_event(struct world_node *node, enum event_kind kind,
+				  const struct endpoint *peer, int64_t delay_ms)
 {
-	struct watch *watch = data;
+	struct event *event = world_event_add(node->world, kind, delay_ms);
 
-	platform_request_finish(&watch->request);
-	g_free(watch);
+	event->to = *peer;
+	event->node = node;
+	event->instance = node->options.self.instance;
+	return event;
 }
 
-static void watch_add(struct world_node *node,
-		      const struct platform_request *request)
-{
-	struct watch *watch = g_new0(struct watch, 1);
-
-	watch->node = node;
-	watch->instance = node->options.self.instance;
-	watch->until_ms = node->world->now_ms + request->timeout_ms;
-	watch->request = *request;
-	strbuf_init(&watch->request.value);
-	g_ptr_array_add(node->world->watches, watch);
-}
-
-static void sink_call(struct control_sink *sink,
-		      const struct platform_request *request)
+static void sink_pull(struct control_sink *sink, const struct endpoint *peer,
+		      struct str request)
 {
 	struct world_node *node = node_of_control(sink);
-	struct world_platform *platform = &node->world->platform;
-	uint64_t instance = node->options.self.instance;
-	struct platform_result result;
-
-	platform->calls[request->op]++;
-	if (platform->down || node->platform_cut) {
-		platform_result_init(&result, request);
-		status_set(&result.status, STATUS_UNAVAILABLE, "down");
-		answer_later(node, instance, &result, request->timeout_ms);
-		return;
-	}
-	if (request->op == PLATFORM_OP_WATCH &&
-	    request->version >= platform->store.history_from) {
-		watch_add(node, request);
-		return;
-	}
-	object_store_apply(&platform->store, request, &result);
-	if (request->op == PLATFORM_OP_PUT && platform->lose_answers > 0) {
-		platform->lose_answers--;
-		status_set(&result.status, STATUS_UNKNOWN, "answer lost");
-		answer_later(node, instance, &result, request->timeout_ms);
-		return;
-	}
-	answer_later(node, instance, &result, platform->latency_ms);
+	struct event *event =
+		stream_event(node, EVENT_PULL, peer, stream_delay(node->world));
+
+	strbuf_add(&event->data, request.data, request.len);
 }
 
-/* Answers the watches that have something to tell or waited long enough. */
-static void serve_watches(struct world *world)
+static void sink_changed(struct control_sink *sink)
 {
-	struct world_platform *platform = &world->platform;
-
-	for (guint i = world->watches->len; i-- > 0;) {
-		struct watch *watch = g_ptr_array_index(world->watches, i);
-		struct platform_result result;
-		bool due = world->now_ms >= watch->until_ms;
-
-		if (platform->down || watch->node->platform_cut) {
-			platform_result_init(&result, &watch->request);
-			status_set(&result.status, STATUS_UNAVAILABLE, "down");
-			due = true;
-		} else {
-			object_store_apply(&platform->store, &watch->request,
-					   &result);
-		}
-		if (!due && !result.n_objects &&
-		    result.status.code == STATUS_OK) {
-			platform_result_finish(&result);
-			continue;
-		}
-		answer_later(watch->node, watch->instance, &result,
-			     platform->latency_ms);
-		g_ptr_array_remove_index_fast(world->watches, i);
-	}
+	node_of_control(sink)->view_dirty = true;
 }
 
 static void to_peer(struct packet_sink *sink, const struct endpoint *to,
@@ -322,12 +242,10 @@
 	world->now_ms = WORLD_EPOCH_MS;
 	world->faults.delay_min_ms = DEFAULT_DELAY_MS;
 	world->faults.delay_max_ms = DEFAULT_DELAY_MS;
-	world->platform.latency_ms = PLATFORM_LATENCY_MS;
-	object_store_init(&world->platform.store);
+	world_platform_init(world);
 	manifest_init(&world->manifest);
 	world->nodes = g_ptr_array_new();
 	world->events = g_sequence_new(event_free);
-	world->watches = g_ptr_array_new_with_free_func(watch_free);
 }
 
 static void node_stop(struct world_node *node)
@@ -355,9 +273,8 @@
 		g_free(node);
 	}
 	g_ptr_array_free(world->nodes, TRUE);
-	g_ptr_array_free(world->watches, TRUE);
 	g_sequence_free(world->events);
-	object_store_finish(&world->platform.store);
+	world_platform_finish(world);
 	manifest_finish(&world->manifest);
 	caller_pool_finish(&world->callers);
 	g_rand_free(world->rand);
@@ -417,6 +334,7 @@
 	node->options.deployment = world->manifest.deployment;
 	node->control_sink.send = sink_send;
 	node->control_sink.call = sink_call;
+	node->control_sink.pull = sink_pull;
 	node->control_sink.changed = sink_changed;
 	node->packet_sink.to_peer = to_peer;
 	node->packet_sink.to_server = to_server;
@@ -450,39 +368,6 @@
 	return NULL;
 }
 
-/** An operator's own way to the platform. */
-struct operator_platform {
-	struct platform platform;
-	struct world *world;
-};
-
-static void operator_call(struct platform *platform,
-			  const struct platform_request *request,
-			  struct platform_result *result)
-{
-	struct world_platform *fake =
-		&((struct operator_platform *)platform)->world->platform;
-
-	fake->calls[request->op]++;
-	if (fake->down) {
-		platform_result_init(result, request);
-		status_set(&result->status, STATUS_UNAVAILABLE, "down");
-		return;
-	}
-	object_store_apply(&fake->store, request, result);
-	if (request->op == PLATFORM_OP_PUT && fake->lose_answers > 0) {
-		fake->lose_answers--;
-		status_set(&result->status, STATUS_UNKNOWN, "answer lost");
-	}
-}
-
-enum status_code world_apply(struct world *world, struct status *status)
-{
-	struct operator_platform operator= {{operator_call}, world};
-
-	return apply_manifest(&operator.platform, &world->manifest, status);
-}
-
 static void deliver_data(struct world *world, const struct event *event)
 {
 	struct world_node *node = node_at(world, &event->to, false);
@@ -519,6 +404,40 @@
 				      world->now_ms, &node->control_sink);
 }
 
+/* A pull arrives at the peer; its answer, or failure, goes back. */
+static void deliver_pull(struct world *world, struct event *event)
+{
+	struct world_node *peer = node_at(world, &event->to, true);
+	int64_t delay_ms = stream_delay(world);
+	struct event *back;
+
+	if (!peer || !node_runs(peer) || !sides_meet(event->node, peer) ||
+	    delay_ms > CONFIG_PULL_TIMEOUT_MS) {
+		stream_event(event->node, EVENT_PULLED, &event->to,
+			     CONFIG_PULL_TIMEOUT_MS);
+		return;
+	}
+	back = stream_event(event->node, EVENT_PULLED, &event->to, delay_ms);
+	back->instance = event->instance;
+	control_answer_pull(&peer->control, (const uint8_t *)event->data.data,
+			    event->data.len, &back->data);
+}
+
+static void deliver_pulled(struct world *world, const struct event *event)
+{
+	struct world_node *node = event->node;
+
+	if (!node_runs(node) || node->options.self.instance != event->instance)
+		return;
+	if (!event->data.len)
+		control_pull_failed(&node->control);
+	else
+		control_handle_message(&node->control, &event->to,
+				       (const uint8_t *)event->data.data,
+				       event->data.len, world->now_ms,
+				       &node->control_sink);
+}
+
 static void deliver(struct world *world, struct event *event)
 {
 	uint64_t words[4] = {(uint64_t)event->at_ms, event->kind, event->to.ip,
@@ -540,6 +459,12 @@
 	case EVENT_RESULT:
 		deliver_result(world, event);
 		break;
+	case EVENT_PULL:
+		deliver_pull(world, event);
+		break;
+	case EVENT_PULLED:
+		deliver_pulled(world, event);
+		break;
 	}
 }
 
@@ -607,7 +532,7 @@
 
 		deliver_due(world, next_ms);
 		world->now_ms = next_ms;
-		serve_watches(world);
+		world_platform_serve(world);
 		for (guint i = 0; i < world->nodes->len; i++)
 			tick_node(world, g_ptr_array_index(world->nodes, i));
 		caller_pool_step(&world->callers, world->now_ms);
