Benches for pipeline, flows, rings and start-up; linear view and checks

Cause: the view allocated room for the whole roster in every service, and the manifest compared all pairs of services: both grow with the square. Ruled out: chain building, which is linear in members at fixed services. Change: members are sorted by service once; names, identifiers and addresses are compared after sorting. New bench groups.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -47,5 +47,9 @@
 int64_t bench_now_ns(void);
 
 extern const struct bench_group bench_route;
+extern const struct bench_group bench_pipeline;
+extern const struct bench_group bench_flows;
+extern const struct bench_group bench_ring;
+extern const struct bench_group bench_startup;
 
 #endif
--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -189,27 +190,82 @@
 		}
 }
 
-static void check_service_pair(const struct manifest *manifest, size_t i,
-			       size_t j, struct json_errors *errors)
+static int service_id_order(const void *a, const void *b)
+{
+	const struct service *x = *(const struct service *const *)a;
+	const struct service *y = *(const struct service *const *)b;
+
+	if (x->id != y->id)
+		return x->id < y->id ? -1 : 1;
+	return x < y ? -1 : 1;
+}
+
+static int service_address_order(const void *a, const void *b)
+{
+	const struct service *x = *(const struct service *const *)a;
+	const struct service *y = *(const struct service *const *)b;
+	int order = memcmp(&x->address, &y->address, sizeof(x->address));
+
+	if (order)
+		return order;
+	if (x->port != y->port)
+		return x->port < y->port ? -1 : 1;
+	return x < y ? -1 : 1;
+}
+
+static void add_id_error(const struct manifest *manifest,
+			 const struct service *first,
+			 const struct service *again,
+			 struct json_errors *errors)
 {
-	const struct service *a = &manifest->services[i];
-	const struct service *b = &manifest->services[j];
 	char path[PATH_MAX_BYTES];
 
-	if (a->id == b->id) {
-		snprintf(path, sizeof(path), "services[%zu].name", i);
-		json_errors_add(errors, path,
-				"found \"%s\", allowed is a name whose "
-				"identifier differs from services[%zu]",
-				a->name.data, j);
-	}
-	if (a->port == b->port && ip_addr_equal(&a->address, &b->address)) {
-		snprintf(path, sizeof(path), "services[%zu].address", i);
-		json_errors_add(errors, path,
-				"overlaps the address and port of "
-				"services[%zu]",
-				j);
-	}
+	snprintf(path, sizeof(path), "services[%td].name",
+		 again - manifest->services);
+	json_errors_add(errors, path,
+			"found \"%s\", allowed is a name whose identifier "
+			"differs from services[%td]",
+			again->name.data, first - manifest->services);
+}
+
+static void add_address_error(const struct manifest *manifest,
+			      const struct service *first,
+			      const struct service *again,
+			      struct json_errors *errors)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "services[%td].address",
+		 again - manifest->services);
+	json_errors_add(errors, path,
+			"overlaps the address and port of services[%td]",
+			first - manifest->services);
+}
+
+/* Sorting brings what must differ side by side. */
+static void check_services(const struct manifest *manifest,
+			   struct json_errors *errors)
+{
+	size_t n = manifest->n_services;
+	const struct service **sorted;
+
+	if (!n)
+		return;
+	sorted = g_new(const struct service *, n);
+	for (size_t i = 0; i < n; i++)
+		sorted[i] = &manifest->services[i];
+	qsort(sorted, n, sizeof(*sorted), service_id_order);
+	for (size_t i = 1; i < n; i++)
+		if (sorted[i - 1]->id == sorted[i]->id)
+			add_id_error(manifest, sorted[i - 1], sorted[i],
+				     errors);
+	qsort(sorted, n, sizeof(*sorted), service_address_order);
+	for (size_t i = 1; i < n; i++)
+		if (sorted[i - 1]->port == sorted[i]->port &&
+		    ip_addr_equal(&sorted[i - 1]->address, &sorted[i]->address))
+			add_address_error(manifest, sorted[i - 1], sorted[i],
+					  errors);
+	g_free(sorted);
 }
 
 void manifest_read(struct manifest *manifest, const json_t *root,
@@ -222,9 +278,7 @@
 	read_zones(manifest, root, errors);
 	read_services(manifest, root, errors);
 	check_zones(manifest, errors);
-	for (size_t i = 0; i < manifest->n_services; i++)
-		for (size_t j = 0; j < i; j++)
-			check_service_pair(manifest, i, j, errors);
+	check_services(manifest, errors);
 }
 
 static enum status_code manifest_take(struct manifest *manifest, json_t *root,
--- a/route/view.c
+++ b/route/view.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -109,19 +110,74 @@
 	}
 }
 
+/** The members that may serve something, in order of service. */
+struct servers {
+	const struct member **members;
+	size_t n;
+};
+
+static int servers_order(const void *a, const void *b)
+{
+	const struct member *x = *(const struct member *const *)a;
+	const struct member *y = *(const struct member *const *)b;
+	int order = name_compare(&x->service, &y->service);
+
+	return order ? order : name_compare(&x->name, &y->name);
+}
+
 static bool member_serves(const struct member *member,
-			  const struct service *service,
 			  const struct manifest *manifest)
 {
 	const struct zone *zone;
 
-	if (member->role != MEMBER_AGENT || member->state == MEMBER_LEFT ||
-	    !name_equal(&member->service, &service->name))
+	if (member->role != MEMBER_AGENT || member->state == MEMBER_LEFT)
 		return false;
 	zone = manifest_zone(manifest, &member->zone);
 	return zone && zone->state == ZONE_IN;
 }
 
+static void servers_init(struct servers *servers,
+			 const struct manifest *manifest,
+			 const struct roster *roster)
+{
+	servers->n = 0;
+	servers->members = g_new(const struct member *, roster->n);
+	for (size_t i = 0; i < roster->n; i++)
+		if (member_serves(&roster->members[i], manifest))
+			servers->members[servers->n++] = &roster->members[i];
+	if (servers->n)
+		qsort(servers->members, servers->n, sizeof(*servers->members),
+		      servers_order);
+}
+
+/* Index of the first member of @service or a later one. */
+static size_t servers_first(const struct servers *servers,
+			    const struct name *service)
+{
+	size_t low = 0, high = servers->n;
+
+	while (low < high) {
+		size_t mid = low + (high - low) / 2;
+
+		if (name_compare(&servers->members[mid]->service, service) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return low;
+}
+
+static size_t servers_count(const struct servers *servers, size_t first,
+			    const struct name *service)
+{
+	size_t end = first;
+
+	while (end < servers->n &&
+	       name_equal(&servers->members[end]->service, service))
+		end++;
+	return end - first;
+}
+
 static void candidate_from_member(struct candidate *candidate,
 				  const struct member *member)
 {
@@ -137,22 +193,21 @@
 
 static void service_view_init(struct service_view *view,
 			      const struct service *service,
-			      const struct manifest *manifest,
-			      const struct roster *roster)
+			      const struct servers *servers)
 {
-	uint32_t *weights = g_new0(uint32_t, roster->n);
+	size_t first = servers_first(servers, &service->name);
+	uint32_t *weights;
 
 	memset(view, 0, sizeof(*view));
 	view->service = *service;
-	view->members = g_new0(struct candidate, roster->n);
-	for (size_t i = 0; i < roster->n; i++) {
-		const struct member *member = &roster->members[i];
-
-		if (!member_serves(member, service, manifest))
-			continue;
-		weights[view->n_members] = MAX(member->connections, 1);
-		candidate_from_member(&view->members[view->n_members++],
-				      member);
+	view->n_members = servers_count(servers, first, &service->name);
+	view->members = g_new0(struct candidate, view->n_members);
+	weights = g_new0(uint32_t, view->n_members);
+	for (size_t i = 0; i < view->n_members; i++) {
+		const struct member *member = servers->members[first + i];
+
+		weights[i] = MAX(member->connections, 1);
+		candidate_from_member(&view->members[i], member);
 	}
 	service_view_build_chains(view, weights);
 	g_free(weights);
@@ -199,7 +254,10 @@
 void view_init(struct view *view, const struct manifest *manifest,
 	       const struct roster *roster)
 {
+	struct servers servers;
+
 	memset(view, 0, sizeof(*view));
+	servers_init(&servers, manifest, roster);
 	view->config_revision = manifest->release;
 	view->roster_version = roster->version;
 	view->seed = BUCKET_SEED;
@@ -207,7 +265,8 @@
 	view->services = g_new(struct service_view, view->n_services);
 	for (size_t i = 0; i < view->n_services; i++)
 		service_view_init(&view->services[i], &manifest->services[i],
-				  manifest, roster);
+				  &servers);
+	g_free(servers.members);
 	view_build_index(view);
 	view_copy_zones_out(view, manifest);
 }
