--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -254,12 +254,12 @@
 	sorted = g_new(const struct service *, n);
 	for (size_t i = 0; i < n; i++)
 		sorted[i] = &manifest->services[i];
-	qsort(sorted, n, sizeof(*sorted), service_id_order);
+	qsort(sorted, n, sizeof(const struct service *), service_id_order);
 	for (size_t i = 1; i < n; i++)
 		if (sorted[i - 1]->id == sorted[i]->id)
 			add_id_error(manifest, sorted[i - 1], sorted[i],
 				     errors);
-	qsort(sorted, n, sizeof(*sorted), service_address_order);
+	qsort(sorted, n, sizeof(const struct service *), service_address_order);
 	for (size_t i = 1; i < n; i++)
 		if (sorted[i - 1]->port == sorted[i]->port &&
 		    ip_addr_equal(&sorted[i - 1]->address, &sorted[i]->address))
--- a/route/view.c
+++ b/route/view.c
@@ -146,8 +146,8 @@
 		if (member_serves(&roster->members[i], manifest))
 			servers->members[servers->n++] = &roster->members[i];
 	if (servers->n)
-		qsort(servers->members, servers->n, sizeof(*servers->members),
-		      servers_order);
+		qsort(servers->members, servers->n,
+		      sizeof(const struct member *), servers_order);
 }
 
 /* Index of the first member of @service or a later one. */
