--- a/tests/unit/test_keyring.c
+++ b/tests/unit/test_keyring.c
@@ -23,8 +23,8 @@
 	uint8_t data[15], tag[KEYRING_TAG_BYTES], id;
 	struct keyring keyring;
 
-	for (uint8_t i = 0; i < sizeof(data); i++)
-		data[i] = i;
+	for (size_t i = 0; i < sizeof(data); i++)
+		data[i] = (uint8_t)i;
 	keyring_init(&keyring);
 	add(&keyring, 7, KEY_A);
 	keyring_sign(&keyring, data, sizeof(data), &id, tag);
