--- a/bench/bench.h
+++ b/bench/bench.h
@@ -51,5 +51,6 @@
 extern const struct bench_group bench_flows;
 extern const struct bench_group bench_ring;
 extern const struct bench_group bench_startup;
+extern const struct bench_group bench_release;
 
 #endif
--- a/bench/main.c
+++ b/bench/main.c
@@ -10,7 +10,7 @@
  */
 static const struct bench_group *const groups[] = {
 	&bench_route, &bench_pipeline, &bench_flows,
-	&bench_ring,  &bench_startup,
+	&bench_ring,  &bench_startup,  &bench_release,
 };
 
 static bool wanted(int argc, char **argv, const char *name)
