--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -61,7 +61,8 @@
 
 	counters_init(&counters);
 	bench_make_view(&view, bench_env("SERVERS", 7), &data);
-	balancer_init(&balancer, &data, &counters);
+	balancer_init(&balancer, &counters);
+	balancer_set_origin(&balancer, &data);
 	balancer_set_view(&balancer, &view);
 	base = floor_ns(packets, len, &sink);
 	start = bench_now_ns();
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -6,7 +6,7 @@
 #include "tarragonflow/flow/agent_route.h"
 
 /* Open, half-open and lately closed connections, over the admission limit. */
-#define TABLE_SLACK_PERCENT 150
+#define TABLE_SLACK_PERCENT 140
 #define TABLE_MIN_FLOWS 48
 #define CLOSING_LINGER_MS 10000
 #define HALF_OPEN_TIMEOUT_MS 30000
@@ -26,7 +26,8 @@
 void agent_init(struct agent *agent, const struct agent_identity *identity,
 		struct counters *counters, int64_t now_ms)
 {
-	uint32_t max = identity->connections * TABLE_SLACK_PERCENT / 100;
+	uint32_t max = (uint32_t)((uint64_t)identity->connections *
+				  TABLE_SLACK_PERCENT / 100);
 
 	memset(agent, 0, sizeof(*agent));
 	agent->counters = counters;
--- a/flow/flow_table.c
+++ b/flow/flow_table.c
@@ -12,8 +12,8 @@
 {
 	uint32_t size = SLOTS_MIN;
 
-	/* At most three quarters full, so that probes stay short. */
-	while (size / 4 * 3 < max)
+	/* At most seven eighths full, so that probes stay short. */
+	while (size / 8 * 7 < max)
 		size *= 2;
 	memset(table, 0, sizeof(*table));
 	table->slots = g_new0(struct flow, size);
--- a/include/tarragonflow/route/balancer.h
+++ b/include/tarragonflow/route/balancer.h
@@ -30,8 +30,11 @@
 	struct owner_hint hints[BALANCER_HINTS];
 };
 
-void balancer_init(struct balancer *balancer, const struct endpoint *origin,
-		   struct counters *counters);
+void balancer_init(struct balancer *balancer, struct counters *counters);
+
+/** Agents send owner hints to @origin from now on. */
+void balancer_set_origin(struct balancer *balancer,
+			 const struct endpoint *origin);
 
 /** Puts @view in force; the caller keeps it alive. */
 void balancer_set_view(struct balancer *balancer, const struct view *view);
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -173,7 +173,8 @@
 		return status->code;
 	if (is_agent(duty) && init_agent(duty, status) != STATUS_OK)
 		return status->code;
-	balancer_init(&duty->balancer, &node->settings->data, &node->counters);
+	balancer_init(&duty->balancer, &node->counters);
+	balancer_set_origin(&duty->balancer, &node->settings->data);
 	if (pthread_create(&duty->thread, NULL, packet_thread, duty))
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the packet duty");
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -6,14 +6,18 @@
 
 #define HASH_HIGH_SHIFT 32
 
-void balancer_init(struct balancer *balancer, const struct endpoint *origin,
-		   struct counters *counters)
+void balancer_init(struct balancer *balancer, struct counters *counters)
 {
 	memset(balancer, 0, sizeof(*balancer));
-	balancer->origin = *origin;
 	balancer->counters = counters;
 }
 
+void balancer_set_origin(struct balancer *balancer,
+			 const struct endpoint *origin)
+{
+	balancer->origin = *origin;
+}
+
 void balancer_set_view(struct balancer *balancer, const struct view *view)
 {
 	balancer->view = view;
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -312,8 +312,8 @@
 	node->top_release = 0;
 	control_init(&node->control, &node->options, &node->counters,
 		     world->now_ms);
-	balancer_init(&node->balancer, &node->options.self.data,
-		      &node->counters);
+	balancer_init(&node->balancer, &node->counters);
+	balancer_set_origin(&node->balancer, &node->options.self.data);
 	if (node->options.self.role == MEMBER_AGENT)
 		start_agent(node);
 }
