--- /dev/null
+++ b/control/anti_entropy.c
@@ -0,0 +1,155 @@
+#include "tarragonflow/control/anti_entropy.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define HASH_BITS 64
+#define HALF_BYTE_BITS 4
+
+static uint64_t name_hash(const struct name *name)
+{
+	return XXH3_64bits(name->data, name->len);
+}
+
+static bool prefix_matches(const struct roster_digest *digest, uint64_t hash)
+{
+	uint32_t bits = digest->depth * HALF_BYTE_BITS;
+
+	return !bits || !((hash ^ digest->prefix) >> (HASH_BITS - bits));
+}
+
+/* The half-byte of @hash that follows the prefix. */
+static uint32_t child_of(const struct roster_digest *digest, uint64_t hash)
+{
+	uint32_t shift = HASH_BITS - HALF_BYTE_BITS * (digest->depth + 1);
+
+	return hash >> shift & (DIGEST_FANOUT - 1);
+}
+
+static uint32_t entry_sum(const struct member *member, uint64_t hash)
+{
+	uint64_t words[4] = {hash, member->instance, member->sequence,
+			     member->state};
+
+	return (uint32_t)XXH3_64bits(words, sizeof(words));
+}
+
+/* Sums and counts of the children of @digest's part. */
+static void scan(struct roster_digest *digest, const struct roster *roster,
+		 size_t *counts)
+{
+	memset(digest->sums, 0, sizeof(digest->sums));
+	for (size_t i = 0; i < roster->n; i++) {
+		const struct member *member = &roster->members[i];
+		uint64_t hash = name_hash(&member->name);
+		uint32_t child;
+
+		if (!prefix_matches(digest, hash))
+			continue;
+		child = child_of(digest, hash);
+		digest->sums[child] ^= entry_sum(member, hash);
+		counts[child]++;
+	}
+}
+
+void digest_compute(struct roster_digest *digest, const struct roster *roster)
+{
+	size_t counts[DIGEST_FANOUT] = {0};
+
+	scan(digest, roster, counts);
+}
+
+bool digest_covers(const struct roster_digest *digest, const struct name *name)
+{
+	uint64_t hash = name_hash(name);
+
+	return prefix_matches(digest, hash) &&
+	       digest->mask >> child_of(digest, hash) & 1;
+}
+
+static void send_child(const struct roster *roster,
+		       const struct roster_digest *digest, uint32_t child,
+		       struct anti_entropy_out *out)
+{
+	struct roster_digest part = {.depth = digest->depth + 1};
+	uint32_t shift = HASH_BITS - HALF_BYTE_BITS * part.depth;
+
+	part.prefix = digest->prefix | (uint64_t)child << shift;
+	digest_compute(&part, roster);
+	out->digest(out, &part);
+}
+
+void anti_entropy_compare(const struct roster *roster,
+			  const struct roster_digest *theirs,
+			  struct anti_entropy_out *out)
+{
+	struct roster_digest ours = *theirs;
+	size_t counts[DIGEST_FANOUT] = {0};
+	size_t grouped = 0;
+	int messages = 0;
+
+	scan(&ours, roster, counts);
+	ours.mask = 0;
+	for (uint32_t i = 0;
+	     i < DIGEST_FANOUT && messages < EXCHANGE_MESSAGES_MAX; i++) {
+		if (ours.sums[i] == theirs->sums[i])
+			continue;
+		if (counts[i] > EXCHANGE_MEMBERS_MAX &&
+		    ours.depth + 1 < DIGEST_DEPTH_MAX) {
+			send_child(roster, &ours, i, out);
+			messages++;
+			continue;
+		}
+		if (ours.mask && grouped + counts[i] > EXCHANGE_MEMBERS_MAX) {
+			out->exchange(out, &ours);
+			messages++;
+			ours.mask = 0;
+			grouped = 0;
+		}
+		ours.mask |= 1U << i;
+		grouped += counts[i];
+	}
+	if (ours.mask && messages < EXCHANGE_MESSAGES_MAX)
+		out->exchange(out, &ours);
+}
+
+static const struct message_entry *find_entry(const struct message *exchange,
+					      const struct name *name)
+{
+	for (size_t i = 0; i < exchange->n_members; i++)
+		if (name_equal(&exchange->members[i].member.name, name))
+			return &exchange->members[i];
+	return NULL;
+}
+
+size_t anti_entropy_missing(const struct roster *roster,
+			    const struct message *exchange,
+			    const struct member **members, size_t max)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < roster->n && n < max; i++) {
+		const struct member *member = &roster->members[i];
+		const struct message_entry *entry;
+
+		if (!digest_covers(&exchange->digest, &member->name))
+			continue;
+		entry = find_entry(exchange, &member->name);
+		if (!entry || member_newer(member, &entry->member))
+			members[n++] = member;
+	}
+	return n;
+}
+
+size_t anti_entropy_part(const struct roster *roster,
+			 const struct roster_digest *digest,
+			 const struct member **members, size_t max)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < roster->n && n < max; i++)
+		if (digest_covers(digest, &roster->members[i].name))
+			members[n++] = &roster->members[i];
+	return n;
+}
--- a/control/control.c
+++ b/control/control.c
@@ -3,42 +3,34 @@
 #include <glib.h>
 #include <string.h>
 
+#include "context.h"
 #include "tarragonflow/common/log.h"
 
 #define GOSSIP_INTERVAL_MS 200
-#define ANNOUNCE_INTERVAL_MS 1000
+#define GOSSIP_FANOUT 2
 #define ANNOUNCE_FANOUT 4
+/* Between two comparisons with a random peer, ms. */
+#define EXCHANGE_INTERVAL_MS 5000
+#define JOIN_INTERVAL_MS 400
+#define JOIN_FANOUT 3
+/* One in so many comparisons goes to a seed or to a member held for gone. */
+#define FAR_SHARE 3
+/* A new configuration is sent to some peers; then others are only told. */
+#define PUSHES_PER_CONFIG 2
+#define PUSH_INTERVAL_MS 150
+#define PUSH_MS 4000
+/* The duty runs at least five times a second. */
+#define PAUSE_MS 2000
+#define WAKE_ASK_INTERVAL_MS 300
+#define WAKE_ASK_FANOUT 3
+#define WAKE_GIVE_UP_MS 10000
 
 /** The platform core's way out into the control core. */
 struct sync_out {
 	struct platform_sync_out out;
-	struct control *control;
-	struct control_sink *sink;
-	int64_t now_ms;
+	struct control_context *context;
 };
 
-/* xorshift64*; the state is never zero. */
-static uint64_t random_next(struct control *control)
-{
-	uint64_t x = control->random_state;
-
-	x ^= x >> 12;
-	x ^= x << 25;
-	x ^= x >> 27;
-	control->random_state = x;
-	return x * 0x2545f4914f6cdd1dULL;
-}
-
-static void self_refresh(struct control *control, int64_t now_ms)
-{
-	struct member *self = &control->options.self;
-
-	self->sequence++;
-	self->config_revision =
-		(uint64_t)config_store_release(&control->config);
-	roster_merge(&control->roster, self, now_ms);
-}
-
 void control_init(struct control *control,
 		  const struct control_options *options,
 		  struct counters *counters, int64_t now_ms)
@@ -50,17 +42,31 @@
 		.role = options->self.role,
 		.random_seed = options->random_seed,
 	};
+	int64_t bytes_per_s = options->bytes_per_s ? options->bytes_per_s
+						   : CONTROL_BYTES_PER_S;
 
 	memset(control, 0, sizeof(*control));
 	control->options = *options;
 	control->counters = counters;
-	control->random_state = options->random_seed | 1;
+	random_init(&control->random, options->random_seed);
 	roster_init(&control->roster);
 	config_store_init(&control->config, &options->deployment, counters);
 	platform_sync_init(&control->platform, &sync_options, counters, now_ms);
+	failure_detector_init(&control->detector, &control->roster,
+			      &options->self.name,
+			      random_next(&control->random), now_ms);
+	gossip_queue_init(&control->queue);
+	byte_budget_init(&control->budget, bytes_per_s, now_ms);
+	zone_monitor_init(&control->zones);
+	replay_guard_init(&control->replays);
+	control->started_ms = now_ms;
+	control->ran_ms = now_ms;
 	control->next_gossip_ms = now_ms;
-	control->next_announce_ms = now_ms;
-	self_refresh(control, now_ms);
+	control->next_exchange_ms = now_ms;
+	control->options.self.sequence++;
+	roster_merge(&control->roster, &control->options.self, now_ms);
+	gossip_queue_put(&control->queue, GOSSIP_JOIN, &options->self.name,
+			 true);
 }
 
 void control_finish(struct control *control)
@@ -68,132 +74,210 @@
 	roster_finish(&control->roster);
 	config_store_finish(&control->config);
 	platform_sync_finish(&control->platform);
+	failure_detector_finish(&control->detector);
+	gossip_queue_finish(&control->queue);
+	replay_guard_finish(&control->replays);
 }
 
-static void send_message(struct control *control, const struct endpoint *to,
-			 struct message *message, struct control_sink *sink)
+void control_own_changed(struct control_context *context,
+			 enum gossip_class class)
 {
-	struct strbuf wire;
+	struct control *control = context->control;
+	struct member *self = &control->options.self;
 
-	strbuf_init(&wire);
-	message->from = control->options.self;
-	message_encode(message, &wire);
-	counter_inc(control->counters, COUNTER_CONTROL_OUT);
-	counter_add(control->counters, COUNTER_CONTROL_BYTES_OUT, wire.len);
-	sink->send(sink, to, (const uint8_t *)wire.data, wire.len);
-	strbuf_finish(&wire);
+	self->config_revision =
+		(uint64_t)config_store_release(&control->config);
+	roster_merge(&control->roster, self, context->now_ms);
+	gossip_queue_put(&control->queue, class, &self->name, false);
 }
 
-/* The next entries of the roster, in turn. */
-static void fill_members(struct control *control, struct message *message)
+static void ask_after_wake(struct control_context *context)
 {
-	size_t n = MIN(control->roster.n, MESSAGE_MEMBERS_MAX);
+	struct control *control = context->control;
+	struct control_wake *wake = &control->wake;
+
+	wake->next_ask_ms = context->now_ms + WAKE_ASK_INTERVAL_MS;
+	for (int i = 0; i < WAKE_ASK_FANOUT; i++) {
+		const struct member *peer = outbound_pick(context);
 
-	for (size_t i = 0; i < n; i++) {
-		control->gossip_cursor =
-			(control->gossip_cursor + 1) % control->roster.n;
-		message->members[i] =
-			control->roster.members[control->gossip_cursor];
+		if (!peer)
+			continue;
+		outbound_pull(context, &peer->control, wake->nonce);
+		outbound_digest(context, &peer->control);
 	}
-	message->n_members = n;
 }
 
-static bool pick_peer(struct control *control, struct endpoint *to)
+static void wake_up(struct control_context *context, int64_t gap_ms)
 {
-	const struct roster *roster = &control->roster;
-	size_t known = roster->n - 1;
-	size_t pick =
-		random_next(control) % (known + control->options.n_seeds + 1);
+	struct control *control = context->control;
+	struct control_wake *wake = &control->wake;
+
+	counter_inc(control->counters, COUNTER_PAUSE_DETECTED);
+	log_event(LOG_LEVEL_WARN, "paused", "gap_ms=%lld", (long long)gap_ms);
+	wake->stale = true;
+	wake->nonce = (uint32_t)random_next(&control->random) | 1;
+	wake->release = -1;
+	wake->give_up_ms = context->now_ms + WAKE_GIVE_UP_MS;
+	failure_detector_hold(&control->detector, wake->give_up_ms,
+			      context->now_ms);
+	control->n_pulls = 0;
+	ask_after_wake(context);
+}
 
-	if (pick < control->options.n_seeds) {
-		*to = control->options.seeds[pick];
-		return !endpoint_equal(to, &control->options.self.control);
-	}
-	for (size_t i = 0; i < roster->n; i++) {
-		const struct member *member =
-			&roster->members[(pick + i) % roster->n];
+/* Fresh again once we have what a peer had in force after our question. */
+static void wake_step(struct control_context *context)
+{
+	struct control *control = context->control;
+	struct control_wake *wake = &control->wake;
+	bool told = wake->release >= 0 &&
+		    config_store_release(&control->config) >= wake->release;
 
-		if (member->state == MEMBER_LEFT ||
-		    name_equal(&member->name, &control->options.self.name))
-			continue;
-		*to = member->control;
-		return true;
+	if (!wake->stale)
+		return;
+	if (told || context->now_ms >= wake->give_up_ms) {
+		wake->stale = false;
+		context->sink->changed(context->sink);
+		return;
 	}
-	return false;
+	if (context->now_ms >= wake->next_ask_ms)
+		ask_after_wake(context);
 }
 
-static void gossip(struct control *control, struct control_sink *sink)
+/* Every input begins here: finds out about pauses. */
+static void context_init(struct control_context *context,
+			 struct control *control, struct control_sink *sink,
+			 int64_t now_ms)
 {
-	struct message message = {.kind = MESSAGE_GOSSIP};
-	struct endpoint to;
+	int64_t gap_ms = now_ms - control->ran_ms;
+
+	context->control = control;
+	context->sink = sink;
+	context->now_ms = now_ms;
+	control->ran_ms = now_ms;
+	byte_budget_fill(&control->budget, now_ms);
+	if (gap_ms >= PAUSE_MS)
+		wake_up(context, gap_ms);
+}
 
-	if (!pick_peer(control, &to))
-		return;
-	fill_members(control, &message);
-	send_message(control, &to, &message, sink);
+bool control_stale(const struct control *control)
+{
+	return control->wake.stale;
 }
 
-static void send_config(struct control *control, const struct endpoint *to,
-			struct control_sink *sink)
+static const struct member *accusable(const struct member *member)
 {
-	struct message message = {
-		.kind = MESSAGE_CONFIG,
-		.manifest = strbuf_str(&control->config.text),
-		.config_revision = config_store_release(&control->config),
-	};
+	return member->state == MEMBER_SUSPECT ? member : NULL;
+}
 
-	send_message(control, to, &message, sink);
+static struct control_context *context_of(struct detector_out *out)
+{
+	return ((struct detector_edge *)out)->context;
 }
 
-static void config_offer(struct control *control, struct str text,
-			 const char *source, int64_t now_ms,
-			 struct control_sink *sink)
+static void edge_ping(struct detector_out *out, const struct member *to,
+		      uint32_t nonce)
 {
-	if (!config_store_offer(&control->config, text, source))
-		return;
-	self_refresh(control, now_ms);
-	control->next_announce_ms = now_ms;
-	sink->changed(sink);
+	outbound_send_filled(context_of(out), &to->control, MESSAGE_PING, nonce,
+			     accusable(to));
 }
 
-/* Whoever is behind learns it from the first message that meets it. */
-static void compare_revisions(struct control *control,
-			      const struct message *message,
-			      struct control_sink *sink)
+static void edge_ping_request(struct detector_out *out,
+			      const struct member *helper,
+			      const struct member *target, uint32_t nonce)
 {
-	struct message pull = {.kind = MESSAGE_PULL};
-	uint64_t theirs = message->from.config_revision;
-	uint64_t ours = (uint64_t)config_store_release(&control->config);
+	struct control_context *context = context_of(out);
+	struct message message;
 
-	if (theirs < ours && message->kind != MESSAGE_CONFIG)
-		send_config(control, &message->from.control, sink);
-	else if (theirs > ours)
-		send_message(control, &message->from.control, &pull, sink);
+	outbound_init(context, &message, MESSAGE_PING_REQUEST, false);
+	message.nonce = nonce;
+	message.target = *target;
+	outbound_send(context, &helper->control, &message);
 }
 
-static enum roster_change
-take_member(struct control *control, const struct member *entry, int64_t now_ms)
+static void edge_relay_answer(struct detector_out *out,
+			      const struct endpoint *to, bool alive,
+			      uint32_t nonce)
 {
-	struct member *self = &control->options.self;
-	enum roster_change change;
-
-	if (!name_equal(&entry->name, &self->name)) {
-		change = roster_merge(&control->roster, entry, now_ms);
-		if (change == ROSTER_CHANGED)
-			log_event(LOG_LEVEL_INFO, "member",
-				  "name=%s role=%s service=%s zone=%s state=%s",
-				  entry->name.data,
-				  member_role_name(entry->role),
-				  entry->service.data, entry->zone.data,
-				  member_state_name(entry->state));
-		return change;
+	outbound_send_filled(context_of(out), to,
+			     alive ? MESSAGE_ACK : MESSAGE_NACK, nonce, NULL);
+}
+
+static void edge_suspect(struct detector_out *out, const struct member *member)
+{
+	struct control_context *context = context_of(out);
+	struct member entry = *member;
+
+	entry.state = MEMBER_SUSPECT;
+	counter_inc(context->control->counters, COUNTER_MEMBER_SUSPECTED);
+	inbound_entry(context, &entry, true);
+}
+
+static void edge_dead(struct detector_out *out, const struct member *member)
+{
+	struct control_context *context = context_of(out);
+	struct member entry = *member;
+
+	entry.state = MEMBER_LEFT;
+	counter_inc(context->control->counters, COUNTER_MEMBER_DECLARED_DEAD);
+	inbound_entry(context, &entry, true);
+}
+
+static bool edge_in_scope(struct detector_out *out, const struct member *member)
+{
+	return outbound_in_region(context_of(out)->control, member);
+}
+
+void detector_edge_init(struct detector_edge *edge,
+			struct control_context *context)
+{
+	static const struct detector_out out = {
+		.ping = edge_ping,
+		.ping_request = edge_ping_request,
+		.relay_answer = edge_relay_answer,
+		.suspect = edge_suspect,
+		.dead = edge_dead,
+		.in_scope = edge_in_scope,
+	};
+
+	edge->out = out;
+	edge->context = context;
+}
+
+/* Opens and checks a datagram; counts why it is dropped. */
+static bool accept_message(struct control *control, const uint8_t *data,
+			   size_t len, struct message *message,
+			   struct strbuf *storage)
+{
+	const struct member *from = &message->from.member;
+	enum counter_id reason = COUNTER_CONTROL_DROP_REPLAY;
+	struct str body;
+
+	if (!auth_open(&control->options.keys, &control->options.self.control,
+		       data, len, &body)) {
+		counter_inc(control->counters, COUNTER_CONTROL_DROP_AUTH);
+		return false;
+	}
+	if (!message_decode(message, (const uint8_t *)body.data, body.len,
+			    storage)) {
+		counter_inc(control->counters, COUNTER_CONTROL_DROP_MALFORMED);
+		return false;
 	}
-	/* Somebody says something about us that we did not say: refute. */
-	if (member_newer(entry, self) && entry->instance == self->instance) {
-		self->sequence = entry->sequence;
-		self_refresh(control, now_ms);
+	if (name_equal(&from->name, &control->options.self.name)) {
+		counter_inc(control->counters, COUNTER_CONTROL_DROP_OWN_NAME);
+		return false;
 	}
-	return ROSTER_UNCHANGED;
+	switch (replay_guard_check(&control->replays, &from->name,
+				   from->instance, message->number)) {
+	case REPLAY_FRESH:
+		return true;
+	case REPLAY_OLD_INSTANCE:
+		reason = COUNTER_CONTROL_DROP_OLD;
+		break;
+	case REPLAY_REPEATED:
+		break;
+	}
+	counter_inc(control->counters, reason);
+	return false;
 }
 
 void control_handle_message(struct control *control,
@@ -201,122 +285,243 @@
 			    size_t len, int64_t now_ms,
 			    struct control_sink *sink)
 {
+	struct control_context context;
 	struct message message;
 	struct strbuf storage;
-	bool changed;
 
 	(void)from;
 	strbuf_init(&storage);
 	counter_inc(control->counters, COUNTER_CONTROL_IN);
-	if (!message_decode(&message, data, len, &storage)) {
-		counter_inc(control->counters, COUNTER_CONTROL_DROP_MALFORMED);
-		strbuf_finish(&storage);
-		return;
+	context_init(&context, control, sink, now_ms);
+	if (accept_message(control, data, len, &message, &storage)) {
+		platform_sync_heard(&control->platform, now_ms);
+		inbound_message(&context, &message);
+		wake_step(&context);
 	}
-	platform_sync_heard(&control->platform, now_ms);
-	changed = take_member(control, &message.from, now_ms) == ROSTER_CHANGED;
-	for (size_t i = 0; i < message.n_members; i++)
-		if (take_member(control, &message.members[i], now_ms) ==
-		    ROSTER_CHANGED)
-			changed = true;
-	if (message.kind == MESSAGE_CONFIG)
-		config_offer(control, message.manifest, "peer", now_ms, sink);
-	compare_revisions(control, &message, sink);
-	if (changed)
-		sink->changed(sink);
 	strbuf_finish(&storage);
 }
 
 static void sync_call(struct platform_sync_out *out,
 		      const struct platform_request *request)
 {
-	struct sync_out *self = (struct sync_out *)out;
+	struct control_sink *sink = ((struct sync_out *)out)->context->sink;
 
-	self->sink->call(self->sink, request);
+	sink->call(sink, request);
 }
 
 static void sync_config(struct platform_sync_out *out, struct str text)
 {
-	struct sync_out *self = (struct sync_out *)out;
-
-	config_offer(self->control, text, "platform", self->now_ms, self->sink);
+	inbound_config(((struct sync_out *)out)->context, text, "platform");
 }
 
 static void sync_member(struct platform_sync_out *out,
 			const struct member *entry)
 {
-	struct sync_out *self = (struct sync_out *)out;
-
-	if (take_member(self->control, entry, self->now_ms) == ROSTER_CHANGED)
-		self->sink->changed(self->sink);
+	inbound_entry(((struct sync_out *)out)->context, entry, false);
 }
 
-static void sync_out_init(struct sync_out *self, struct control *control,
-			  int64_t now_ms, struct control_sink *sink)
+static void sync_out_init(struct sync_out *self,
+			  struct control_context *context)
 {
 	self->out.call = sync_call;
 	self->out.config = sync_config;
 	self->out.member = sync_member;
-	self->control = control;
-	self->sink = sink;
-	self->now_ms = now_ms;
+	self->context = context;
 }
 
 void control_handle_result(struct control *control,
 			   const struct platform_result *result, int64_t now_ms,
 			   struct control_sink *sink)
 {
+	struct control_context context;
 	struct sync_out self;
 
-	sync_out_init(&self, control, now_ms, sink);
+	context_init(&context, control, sink, now_ms);
+	sync_out_init(&self, &context);
 	platform_sync_handle_result(&control->platform, result,
 				    &control->roster, now_ms, &self.out);
 }
 
-static void platform_step(struct control *control, int64_t now_ms,
-			  struct control_sink *sink)
+/* A seed, or a member held for gone: heals what was split. */
+static const struct endpoint *far_peer(struct control *control)
 {
-	struct sync_out self;
+	const struct roster *roster = &control->roster;
+	size_t n_seeds = control->options.n_seeds;
+	size_t start = random_below(&control->random, roster->n);
 
-	sync_out_init(&self, control, now_ms, sink);
-	platform_sync_tick(&control->platform, &control->roster, now_ms,
-			   &self.out);
+	if (n_seeds && random_below(&control->random, 2))
+		return &control->options
+				.seeds[random_below(&control->random, n_seeds)];
+	for (size_t i = 0; i < roster->n; i++) {
+		const struct member *member =
+			&roster->members[(start + i) % roster->n];
+
+		if (member->state == MEMBER_LEFT)
+			return &member->control;
+	}
+	return NULL;
+}
+
+static void exchange_once(struct control_context *context, bool joining)
+{
+	struct control *control = context->control;
+	const struct endpoint *to = NULL;
+	const struct member *peer;
+
+	if (joining || !random_below(&control->random, FAR_SHARE))
+		to = far_peer(control);
+	if (!to) {
+		peer = outbound_pick(context);
+		to = peer ? &peer->control : NULL;
+	}
+	if (to)
+		outbound_digest(context, to);
 }
 
-static void announce(struct control *control, struct control_sink *sink)
+static void exchange_step(struct control_context *context)
 {
-	for (int i = 0; i < ANNOUNCE_FANOUT; i++)
-		gossip(control, sink);
+	struct control *control = context->control;
+	bool joining = control->roster.n == 1;
+	int64_t interval_ms = EXCHANGE_INTERVAL_MS;
+
+	if (context->now_ms < control->next_exchange_ms)
+		return;
+	if (context->now_ms == control->started_ms)
+		for (size_t i = 0;
+		     i < MIN(control->options.n_seeds, JOIN_FANOUT); i++)
+			outbound_digest(context, &control->options.seeds[i]);
+	else
+		exchange_once(context, joining);
+	if (joining)
+		interval_ms = JOIN_INTERVAL_MS;
+	control->next_exchange_ms =
+		context->now_ms + interval_ms / 2 +
+		(int64_t)random_below(&control->random, (size_t)interval_ms);
 }
 
-void control_tick(struct control *control, int64_t now_ms,
-		  struct control_sink *sink)
+/* A random member that is known to lack our release. */
+static const struct member *pick_behind(struct control *control)
 {
-	if (now_ms >= control->next_announce_ms) {
-		control->next_announce_ms = now_ms + ANNOUNCE_INTERVAL_MS;
-		self_refresh(control, now_ms);
-		announce(control, sink);
+	const struct roster *roster = &control->roster;
+	size_t start = random_below(&control->random, roster->n);
+	uint64_t ours = (uint64_t)config_store_release(&control->config);
+
+	for (size_t i = 0; i < roster->n; i++) {
+		const struct member *member =
+			&roster->members[(start + i) % roster->n];
+
+		if (member->state != MEMBER_LEFT &&
+		    member->config_revision < ours)
+			return member;
 	}
-	if (now_ms >= control->next_gossip_ms) {
-		control->next_gossip_ms = now_ms + GOSSIP_INTERVAL_MS;
-		gossip(control, sink);
+	return NULL;
+}
+
+void control_push_begin(struct control_context *context)
+{
+	struct control *control = context->control;
+
+	control->pushes_left = PUSHES_PER_CONFIG;
+	control->push_until_ms = context->now_ms + PUSH_MS;
+	control->next_push_ms =
+		context->now_ms +
+		(int64_t)random_below(&control->random, PUSH_INTERVAL_MS);
+}
+
+static void push_step(struct control_context *context)
+{
+	struct control *control = context->control;
+	const struct member *peer;
+	struct message notice;
+
+	outbound_configs(context);
+	if (context->now_ms >= control->push_until_ms ||
+	    context->now_ms < control->next_push_ms)
+		return;
+	control->next_push_ms = context->now_ms + PUSH_INTERVAL_MS;
+	peer = pick_behind(control);
+	if (!peer)
+		return;
+	if (control->pushes_left) {
+		control->pushes_left--;
+		outbound_want_config(context, &peer->control);
+	} else {
+		outbound_init(context, &notice, MESSAGE_GOSSIP, false);
+		outbound_send(context, &peer->control, &notice);
 	}
-	platform_step(control, now_ms, sink);
+}
+
+static void zone_step(struct control_context *context)
+{
+	struct control *control = context->control;
+	struct zone_report report;
+
+	if (!control->suspicions_changed)
+		return;
+	control->suspicions_changed = false;
+	if (!zone_monitor_find(&control->zones, &control->roster,
+			       context->now_ms, &report))
+		return;
+	counter_inc(control->counters, COUNTER_ZONE_REPORTED);
+	log_event(LOG_LEVEL_WARN, "zone-lost", "zone=%s", report.zone.data);
+	inbound_apply_zone(context, &report);
+}
+
+static void gossip_step(struct control_context *context)
+{
+	struct control *control = context->control;
+
+	if (context->now_ms < control->next_gossip_ms)
+		return;
+	control->next_gossip_ms = context->now_ms + GOSSIP_INTERVAL_MS;
+	zone_step(context);
+	outbound_gossip(context, GOSSIP_FANOUT);
+}
+
+void control_tick(struct control *control, int64_t now_ms,
+		  struct control_sink *sink)
+{
+	struct control_context context;
+	struct detector_edge edge;
+	struct sync_out sync;
+
+	context_init(&context, control, sink, now_ms);
+	detector_edge_init(&edge, &context);
+	sync_out_init(&sync, &context);
+	wake_step(&context);
+	push_step(&context);
+	failure_detector_tick(&control->detector, now_ms, &edge.out);
+	gossip_step(&context);
+	exchange_step(&context);
+	platform_sync_tick(&control->platform, &control->roster, now_ms,
+			   &sync.out);
 }
 
 int64_t control_next_deadline(const struct control *control)
 {
-	int64_t next = MIN(control->next_gossip_ms, control->next_announce_ms);
+	int64_t next = MIN(control->next_gossip_ms, control->next_exchange_ms);
 
+	next = MIN(next, failure_detector_next_deadline(&control->detector));
 	next = MIN(next, platform_sync_next_deadline(&control->platform));
+	if (control->next_push_ms < control->push_until_ms)
+		next = MIN(next, control->next_push_ms);
 	return next;
 }
 
+void control_set_keys(struct control *control, const struct auth_keys *keys)
+{
+	control->options.keys = *keys;
+}
+
 void control_set_state(struct control *control, enum member_state state,
 		       int64_t now_ms, struct control_sink *sink)
 {
+	struct control_context context;
+
+	context_init(&context, control, sink, now_ms);
 	control->options.self.state = state;
-	self_refresh(control, now_ms);
-	announce(control, sink);
+	control->options.self.sequence++;
+	control_own_changed(&context, GOSSIP_OWN);
+	outbound_gossip(&context, ANNOUNCE_FANOUT);
 	sink->changed(sink);
 }
--- a/control/message.c
+++ b/control/message.c
@@ -5,16 +5,23 @@
 
 #include "proto/control.pb-c.h"
 
-static void member_to_wire(const struct member *member, Control__Member *wire)
+/* Field number and length in front of an embedded message. */
+#define EMBEDDED_HEAD_BYTES 2
+
+static void member_to_wire(const struct member *member, bool brief,
+			   Control__Member *wire)
 {
 	control__member__init(wire);
 	wire->name = (char *)member->name.data;
-	wire->zone = (char *)member->zone.data;
-	wire->service = (char *)member->service.data;
-	wire->role = member->role;
 	wire->state = member->state;
 	wire->instance = member->instance;
 	wire->sequence = member->sequence;
+	wire->config_revision = member->config_revision;
+	if (brief)
+		return;
+	wire->zone = (char *)member->zone.data;
+	wire->service = (char *)member->service.data;
+	wire->role = member->role;
 	wire->data_ip = member->data.ip;
 	wire->data_port = member->data.port;
 	wire->control_ip = member->control.ip;
@@ -23,7 +30,41 @@
 	wire->admin_port = member->admin.port;
 	wire->connections = member->connections;
 	wire->slots = member->slots;
-	wire->config_revision = member->config_revision;
+}
+
+/* The sender's control address is always told, so that it can be answered. */
+static void from_to_wire(const struct message_entry *from,
+			 Control__Member *wire)
+{
+	member_to_wire(&from->member, from->brief, wire);
+	wire->control_ip = from->member.control.ip;
+	wire->control_port = from->member.control.port;
+}
+
+size_t message_entry_bytes(const struct message_entry *entry)
+{
+	Control__Member wire;
+
+	member_to_wire(&entry->member, entry->brief, &wire);
+	return control__member__get_packed_size(&wire) + EMBEDDED_HEAD_BYTES;
+}
+
+static void zone_to_wire(const struct zone_report *report,
+			 Control__ZoneReport *wire)
+{
+	control__zone_report__init(wire);
+	wire->zone = (char *)report->zone.data;
+	wire->id = report->id;
+	wire->state = report->state;
+}
+
+size_t message_zone_bytes(const struct zone_report *report)
+{
+	Control__ZoneReport wire;
+
+	zone_to_wire(report, &wire);
+	return control__zone_report__get_packed_size(&wire) +
+	       EMBEDDED_HEAD_BYTES;
 }
 
 static bool name_from_wire(struct name *name, const char *text, bool optional)
@@ -35,16 +76,18 @@
 	return name_set(name, str_from(text));
 }
 
-static bool member_from_wire(struct member *member, const Control__Member *wire)
+static bool member_from_wire(struct member *member, bool *brief,
+			     const Control__Member *wire)
 {
 	bool agent = wire->role == MEMBER_AGENT;
 
 	memset(member, 0, sizeof(*member));
+	*brief = !*wire->zone;
 	if (!name_from_wire(&member->name, wire->name, false) ||
-	    !name_from_wire(&member->zone, wire->zone, false) ||
+	    !name_from_wire(&member->zone, wire->zone, *brief) ||
 	    !name_from_wire(&member->service, wire->service, !agent))
 		return false;
-	if ((wire->role != MEMBER_BALANCER && !agent) ||
+	if ((!*brief && wire->role != MEMBER_BALANCER && !agent) ||
 	    wire->state < MEMBER_ACTIVE || wire->state > MEMBER_LEFT ||
 	    wire->data_port > UINT16_MAX || wire->control_port > UINT16_MAX ||
 	    wire->admin_port > UINT16_MAX)
@@ -65,36 +108,83 @@
 	return true;
 }
 
-void message_encode(const struct message *message, struct strbuf *out)
-{
-	Control__Message wire = CONTROL__MESSAGE__INIT;
-	Control__Member members[MESSAGE_MEMBERS_MAX];
-	Control__Member *pointers[MESSAGE_MEMBERS_MAX];
-	Control__Config config = CONTROL__CONFIG__INIT;
+/* Wire forms of the parts of one message, for as long as it is packed. */
+struct wire_parts {
 	Control__Member from, target;
-	uint8_t *packed;
-	size_t len;
+	Control__Member members[MESSAGE_MEMBERS_MAX];
+	Control__Member *member_pointers[MESSAGE_MEMBERS_MAX];
+	Control__ZoneReport zones[MESSAGE_ZONES_MAX];
+	Control__ZoneReport *zone_pointers[MESSAGE_ZONES_MAX];
+	Control__Config config;
+	Control__Digest digest;
+};
 
-	wire.kind = (Control__Kind)message->kind;
-	member_to_wire(&message->from, &from);
-	wire.from = &from;
+static void config_to_wire(const struct message *message,
+			   Control__Message *wire, struct wire_parts *parts)
+{
+	if (message->kind != MESSAGE_CONFIG)
+		return;
+	control__config__init(&parts->config);
+	parts->config.revision = (uint64_t)message->config_revision;
+	parts->config.manifest.data = (uint8_t *)message->manifest.data;
+	parts->config.manifest.len = message->manifest.len;
+	wire->config = &parts->config;
+}
+
+static void digest_to_wire(const struct message *message,
+			   Control__Message *wire, struct wire_parts *parts)
+{
+	if (message->kind != MESSAGE_DIGEST &&
+	    message->kind != MESSAGE_EXCHANGE)
+		return;
+	control__digest__init(&parts->digest);
+	parts->digest.depth = message->digest.depth;
+	parts->digest.prefix = message->digest.prefix;
+	parts->digest.mask = message->digest.mask;
+	if (message->kind == MESSAGE_DIGEST) {
+		parts->digest.n_sums = DIGEST_FANOUT;
+		parts->digest.sums = (uint32_t *)message->digest.sums;
+	}
+	wire->digest = &parts->digest;
+}
+
+static void message_to_wire(const struct message *message,
+			    Control__Message *wire, struct wire_parts *parts)
+{
+	wire->kind = (Control__Kind)message->kind;
+	wire->number = message->number;
+	wire->nonce = message->nonce;
+	from_to_wire(&message->from, &parts->from);
+	wire->from = &parts->from;
 	for (size_t i = 0; i < message->n_members; i++) {
-		member_to_wire(&message->members[i], &members[i]);
-		pointers[i] = &members[i];
+		member_to_wire(&message->members[i].member,
+			       message->members[i].brief, &parts->members[i]);
+		parts->member_pointers[i] = &parts->members[i];
 	}
-	wire.n_members = message->n_members;
-	wire.members = pointers;
-	if (message->kind == MESSAGE_CONFIG) {
-		config.revision = (uint64_t)message->config_revision;
-		config.manifest.data = (uint8_t *)message->manifest.data;
-		config.manifest.len = message->manifest.len;
-		wire.config = &config;
+	wire->n_members = message->n_members;
+	wire->members = parts->member_pointers;
+	for (size_t i = 0; i < message->n_zones; i++) {
+		zone_to_wire(&message->zones[i], &parts->zones[i]);
+		parts->zone_pointers[i] = &parts->zones[i];
 	}
-	wire.nonce = message->nonce;
-	if (message->has_target) {
-		member_to_wire(&message->target, &target);
-		wire.target = &target;
+	wire->n_zones = message->n_zones;
+	wire->zones = parts->zone_pointers;
+	if (message->kind == MESSAGE_PING_REQUEST) {
+		member_to_wire(&message->target, true, &parts->target);
+		wire->target = &parts->target;
 	}
+	config_to_wire(message, wire, parts);
+	digest_to_wire(message, wire, parts);
+}
+
+void message_encode(const struct message *message, struct strbuf *out)
+{
+	Control__Message wire = CONTROL__MESSAGE__INIT;
+	struct wire_parts parts;
+	uint8_t *packed;
+	size_t len;
+
+	message_to_wire(message, &wire, &parts);
 	len = control__message__get_packed_size(&wire);
 	packed = g_malloc(len);
 	control__message__pack(&wire, packed);
@@ -117,30 +207,77 @@
 	return true;
 }
 
+static bool digest_from_wire(struct message *message,
+			     const Control__Digest *wire)
+{
+	bool sums = message->kind == MESSAGE_DIGEST;
+
+	if (!wire)
+		return !sums && message->kind != MESSAGE_EXCHANGE;
+	if (wire->depth >= DIGEST_DEPTH_MAX ||
+	    wire->n_sums != (sums ? DIGEST_FANOUT : 0))
+		return false;
+	message->digest.depth = wire->depth;
+	message->digest.prefix = wire->prefix;
+	message->digest.mask = wire->mask;
+	if (sums)
+		memcpy(message->digest.sums, wire->sums,
+		       sizeof(message->digest.sums));
+	return true;
+}
+
+static bool target_from_wire(struct message *message,
+			     const Control__Member *wire)
+{
+	bool brief;
+
+	if (!wire)
+		return message->kind != MESSAGE_PING_REQUEST;
+	return member_from_wire(&message->target, &brief, wire);
+}
+
+static bool entries_from_wire(struct message *message,
+			      const Control__Message *wire)
+{
+	if (wire->n_members > MESSAGE_MEMBERS_MAX ||
+	    wire->n_zones > MESSAGE_ZONES_MAX)
+		return false;
+	for (size_t i = 0; i < wire->n_members; i++)
+		if (!member_from_wire(&message->members[i].member,
+				      &message->members[i].brief,
+				      wire->members[i]))
+			return false;
+	for (size_t i = 0; i < wire->n_zones; i++) {
+		const Control__ZoneReport *zone = wire->zones[i];
+
+		if (!name_from_wire(&message->zones[i].zone, zone->zone,
+				    false) ||
+		    zone->state < MEMBER_ACTIVE || zone->state > MEMBER_LEFT)
+			return false;
+		message->zones[i].id = zone->id;
+		message->zones[i].state = (enum member_state)zone->state;
+	}
+	message->n_members = wire->n_members;
+	message->n_zones = wire->n_zones;
+	return true;
+}
+
 static bool message_from_wire(struct message *message,
 			      const Control__Message *wire,
 			      struct strbuf *storage)
 {
 	if (wire->kind < CONTROL__KIND__KIND_GOSSIP ||
-	    wire->kind > CONTROL__KIND__KIND_PING_REQUEST || !wire->from ||
-	    wire->n_members > MESSAGE_MEMBERS_MAX)
+	    wire->kind > CONTROL__KIND__KIND_EXCHANGE || !wire->from)
 		return false;
 	message->kind = (enum message_kind)wire->kind;
-	if (!member_from_wire(&message->from, wire->from))
-		return false;
-	for (size_t i = 0; i < wire->n_members; i++)
-		if (!member_from_wire(&message->members[i], wire->members[i]))
-			return false;
-	message->n_members = wire->n_members;
+	message->number = wire->number;
 	message->nonce = wire->nonce;
-	if (wire->target) {
-		message->has_target = true;
-		if (!member_from_wire(&message->target, wire->target))
-			return false;
-	} else if (message->kind == MESSAGE_PING_REQUEST) {
-		return false;
-	}
-	return config_from_wire(message, wire->config, storage);
+	return member_from_wire(&message->from.member, &message->from.brief,
+				wire->from) &&
+	       entries_from_wire(message, wire) &&
+	       target_from_wire(message, wire->target) &&
+	       digest_from_wire(message, wire->digest) &&
+	       config_from_wire(message, wire->config, storage);
 }
 
 bool message_decode(struct message *message, const uint8_t *data, size_t len,
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -40,6 +40,17 @@
 	X(CONTROL_OUT, "control_messages_sent")             \
 	X(CONTROL_BYTES_OUT, "control_bytes_sent")          \
 	X(CONTROL_DROP_MALFORMED, "control_drop_malformed") \
+	X(CONTROL_DROP_AUTH, "control_drop_bad_tag")        \
+	X(CONTROL_DROP_REPLAY, "control_drop_replayed")     \
+	X(CONTROL_DROP_OLD, "control_drop_old_instance")    \
+	X(CONTROL_DROP_OWN_NAME, "control_drop_own_name")   \
+	X(CONTROL_DELAYED, "control_delayed_by_budget")     \
+	X(GOSSIP_FULL, "gossip_queue_full")                 \
+	X(MEMBER_SUSPECTED, "members_suspected")            \
+	X(MEMBER_DECLARED_DEAD, "members_declared_dead")    \
+	X(SUSPICION_REFUTED, "suspicions_refuted")          \
+	X(ZONE_REPORTED, "zone_losses_reported")            \
+	X(PAUSE_DETECTED, "pauses_detected")                \
 	X(CONFIG_APPLIED, "config_applied")                 \
 	X(CONFIG_OLDER_IGNORED, "config_older_ignored")     \
 	X(PLATFORM_GET, "platform_calls_get")               \
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -2,9 +2,15 @@
 #define TARRAGONFLOW_CONTROL_CONTROL_H
 
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/common/random.h"
+#include "tarragonflow/control/auth.h"
+#include "tarragonflow/control/byte_budget.h"
 #include "tarragonflow/control/config_store.h"
+#include "tarragonflow/control/failure_detector.h"
+#include "tarragonflow/control/gossip_queue.h"
 #include "tarragonflow/control/message.h"
 #include "tarragonflow/control/platform_sync.h"
+#include "tarragonflow/control/zone_monitor.h"
 #include "tarragonflow/platform/platform.h"
 #include "tarragonflow/roster/roster.h"
 
@@ -28,6 +34,12 @@
 /** Peers that are known from the settings, at most. */
 #define CONTROL_SEEDS_MAX 16
 
+/** Peers that wait for our configuration, at most. */
+#define CONTROL_PULLS_MAX 16
+
+/** Control bytes that a process sends in a second, when not set. */
+#define CONTROL_BYTES_PER_S 3072
+
 struct control_options {
 	/** Our entry; sequence and revision are kept by the core. */
 	struct member self;
@@ -36,6 +48,22 @@
 	size_t n_seeds;
 	/** Seed of the core's random numbers. */
 	uint64_t random_seed;
+	struct auth_keys keys;
+	/** Control bytes sent in a second; 0: CONTROL_BYTES_PER_S. */
+	int64_t bytes_per_s;
+};
+
+/** The way back to fresh views after the process did not run. */
+struct control_wake {
+	/** Set until a peer has told us where the others stand. */
+	bool stale;
+	/** Matches the answer with our question. */
+	uint32_t nonce;
+	int64_t next_ask_ms;
+	/** Nobody answers: go on alone after this, ms. */
+	int64_t give_up_ms;
+	/** Release that a peer has in force. */
+	int64_t release;
 };
 
 struct control {
@@ -44,11 +72,31 @@
 	struct roster roster;
 	struct config_store config;
 	struct platform_sync platform;
-	uint64_t random_state;
+	struct random random;
+	struct failure_detector detector;
+	struct gossip_queue queue;
+	struct byte_budget budget;
+	struct zone_monitor zones;
+	struct replay_guard replays;
+	struct control_wake wake;
+	/** Number of our last message. */
+	uint64_t number;
+	int64_t started_ms;
+	/** When the core ran last, ms; a long gap is a pause. */
+	int64_t ran_ms;
 	int64_t next_gossip_ms;
-	int64_t next_announce_ms;
-	/** Where the rotating window of gossiped entries stands. */
-	size_t gossip_cursor;
+	int64_t next_exchange_ms;
+	int64_t next_pull_ms;
+	/** Peers that wait for our configuration. */
+	struct endpoint pulls[CONTROL_PULLS_MAX];
+	size_t n_pulls;
+	/** Peers that a new configuration is still to be pushed to. */
+	unsigned int pushes_left;
+	int64_t next_push_ms;
+	/** Until then peers that lag are told that there is a release, ms. */
+	int64_t push_until_ms;
+	/** A member became suspected since zones were last looked at. */
+	bool suspicions_changed;
 };
 
 void control_init(struct control *control,
@@ -74,6 +122,15 @@
 /** When control_tick() wants to run next, ms. */
 int64_t control_next_deadline(const struct control *control);
 
+/**
+ * True after a pause until a peer has told where the others stand; views
+ * may be old then.
+ */
+bool control_stale(const struct control *control);
+
+/** Replaces the keys; messages under keys left out are dropped from now. */
+void control_set_keys(struct control *control, const struct auth_keys *keys);
+
 /** Changes our own state and announces it at once. */
 void control_set_state(struct control *control, enum member_state state,
 		       int64_t now_ms, struct control_sink *sink);
--- a/include/tarragonflow/manifest/manifest.h
+++ b/include/tarragonflow/manifest/manifest.h
@@ -29,6 +29,8 @@
 
 struct zone {
 	struct name name;
+	/** Zones of one region probe one another; empty: one region. */
+	struct name region;
 	int state;
 };
 
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -21,6 +21,8 @@
 	struct json_text platform;
 	struct endpoint seeds[CONTROL_SEEDS_MAX];
 	size_t n_seeds;
+	struct auth_keys control_keys;
+	int64_t control_bytes_per_s;
 	int log_level;
 	/** Agents only. */
 	struct name service;
@@ -43,6 +45,8 @@
 /** The tables of fields, for the settings page and its test. */
 extern const struct field settings_fields[];
 extern const size_t settings_n_fields;
+extern const struct field settings_key_fields[];
+extern const size_t settings_n_key_fields;
 extern const struct field settings_agent_fields[];
 extern const size_t settings_n_agent_fields;
 
--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -45,6 +45,10 @@
 	 .offset = offsetof(struct zone, name),
 	 .required = true,
 	 .help = "name of the availability zone"},
+	{.name = "region",
+	 .type = FIELD_NAME,
+	 .offset = offsetof(struct zone, region),
+	 .help = "region of the zone; processes probe within their region"},
 	{.name = "state",
 	 .type = FIELD_CHOICE,
 	 .offset = offsetof(struct zone, state),
@@ -265,8 +269,13 @@
 
 static json_t *zone_json(const struct zone *zone)
 {
-	return json_pack("{s:s,s:s}", "name", zone->name.data, "state",
-			 zone_states[zone->state]);
+	json_t *object = json_pack("{s:s,s:s}", "name", zone->name.data,
+				   "state", zone_states[zone->state]);
+
+	if (zone->region.len)
+		json_object_set_new(object, "region",
+				    json_string(zone->region.data));
+	return object;
 }
 
 static json_t *service_json(const struct service *service)
--- a/node/node.c
+++ b/node/node.c
@@ -229,6 +229,8 @@
 	self->slots = (uint32_t)settings->slots;
 	options->deployment = settings->deployment;
 	options->n_seeds = settings->n_seeds;
+	options->keys = settings->control_keys;
+	options->bytes_per_s = settings->control_bytes_per_s;
 	memcpy(options->seeds, settings->seeds, sizeof(options->seeds));
 	options->random_seed = instance ^ member_id(&settings->name);
 }
--- a/node/settings.c
+++ b/node/settings.c
@@ -7,6 +7,7 @@
 #define PATH_MAX_BYTES 64
 #define CONNECTIONS_MAX 1000000
 #define SLOTS_MAX 10000
+#define CONTROL_BYTES_MAX (1024 * 1024)
 #define DRAIN_DEADLINE_MAX_S (7 * 24 * 3600)
 
 static const char *const log_levels[] = {"debug", "info", "warn", "error",
@@ -54,6 +55,17 @@
 	{.name = "seeds",
 	 .type = FIELD_NESTED,
 	 .help = "control addresses of peers to begin with"},
+	{.name = "control_keys",
+	 .type = FIELD_NESTED,
+	 .help = "keys of control messages; the first signs, all verify"},
+	{.name = "control_bytes_per_s",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, control_bytes_per_s),
+	 .min = 1024,
+	 .max = CONTROL_BYTES_MAX,
+	 .fallback = CONTROL_BYTES_PER_S,
+	 .unit = "bytes/s",
+	 .help = "control bytes that the process sends in a second"},
 	{.name = "log_level",
 	 .type = FIELD_CHOICE,
 	 .offset = offsetof(struct settings, log_level),
@@ -63,6 +75,30 @@
 };
 const size_t settings_n_fields = G_N_ELEMENTS(settings_fields);
 
+/** One element of control_keys. */
+struct key_settings {
+	int64_t id;
+	struct json_text key;
+};
+
+const struct field settings_key_fields[] = {
+	{.name = "id",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct key_settings, id),
+	 .required = true,
+	 .min = 1,
+	 .max = UINT8_MAX,
+	 .help = "number of the key in messages"},
+	{.name = "key",
+	 .type = FIELD_TEXT,
+	 .offset = offsetof(struct key_settings, key),
+	 .required = true,
+	 .min = 2 * AUTH_KEY_BYTES,
+	 .max = 2 * AUTH_KEY_BYTES,
+	 .help = "32 random bytes as hexadecimal digits"},
+};
+const size_t settings_n_key_fields = G_N_ELEMENTS(settings_key_fields);
+
 const struct field settings_agent_fields[] = {
 	{.name = "service",
 	 .type = FIELD_NAME,
@@ -137,6 +173,34 @@
 	}
 }
 
+static void read_keys(struct settings *settings, const json_t *root,
+		      struct json_errors *errors)
+{
+	const json_t *keys = json_reader_array(root, "", "control_keys",
+					       AUTH_KEYS_MAX, false, errors);
+	char path[PATH_MAX_BYTES];
+	const json_t *key;
+	size_t i;
+
+	json_array_foreach(keys, i, key)
+	{
+		struct key_settings fields = {0};
+		unsigned int before = errors->count;
+
+		snprintf(path, sizeof(path), "control_keys[%zu]", i);
+		json_reader_object(key, path, settings_key_fields,
+				   settings_n_key_fields, &fields, errors);
+		if (errors->count == before &&
+		    !auth_keys_add(
+			    &settings->control_keys, fields.id,
+			    (struct str){fields.key.data, fields.key.len}))
+			json_errors_add(errors, path,
+					"found a doubled id or a key that is "
+					"not hexadecimal, allowed are 64 "
+					"hexadecimal digits and another id");
+	}
+}
+
 static size_t role_fields(enum member_role role, struct field *fields)
 {
 	size_t n = settings_n_fields;
@@ -176,6 +240,7 @@
 	if (!json_is_object(root))
 		return;
 	read_seeds(settings, root, errors);
+	read_keys(settings, root, errors);
 	check_platform(settings, errors);
 }
 
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -97,6 +97,96 @@
   assert(message->base.descriptor == &control__config__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   control__zone_report__init
+                     (Control__ZoneReport         *message)
+{
+  static const Control__ZoneReport init_value = CONTROL__ZONE_REPORT__INIT;
+  *message = init_value;
+}
+size_t control__zone_report__get_packed_size
+                     (const Control__ZoneReport *message)
+{
+  assert(message->base.descriptor == &control__zone_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__zone_report__pack
+                     (const Control__ZoneReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__zone_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__zone_report__pack_to_buffer
+                     (const Control__ZoneReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__zone_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__ZoneReport *
+       control__zone_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__ZoneReport *)
+     protobuf_c_message_unpack (&control__zone_report__descriptor,
+                                allocator, len, data);
+}
+void   control__zone_report__free_unpacked
+                     (Control__ZoneReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__zone_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   control__digest__init
+                     (Control__Digest         *message)
+{
+  static const Control__Digest init_value = CONTROL__DIGEST__INIT;
+  *message = init_value;
+}
+size_t control__digest__get_packed_size
+                     (const Control__Digest *message)
+{
+  assert(message->base.descriptor == &control__digest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__digest__pack
+                     (const Control__Digest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__digest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__digest__pack_to_buffer
+                     (const Control__Digest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__digest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__Digest *
+       control__digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__Digest *)
+     protobuf_c_message_unpack (&control__digest__descriptor,
+                                allocator, len, data);
+}
+void   control__digest__free_unpacked
+                     (Control__Digest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__digest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   control__message__init
                      (Control__Message         *message)
 {
@@ -426,7 +516,148 @@
   (ProtobufCMessageInit) control__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__message__field_descriptors[6] =
+static const ProtobufCFieldDescriptor control__zone_report__field_descriptors[3] =
+{
+  {
+    "zone",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Control__ZoneReport, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Control__ZoneReport, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__ZoneReport, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__zone_report__field_indices_by_name[] = {
+  1,   /* field[1] = id */
+  2,   /* field[2] = state */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange control__zone_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor control__zone_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.ZoneReport",
+  "ZoneReport",
+  "Control__ZoneReport",
+  "control",
+  sizeof(Control__ZoneReport),
+  3,
+  control__zone_report__field_descriptors,
+  control__zone_report__field_indices_by_name,
+  1,  control__zone_report__number_ranges,
+  (ProtobufCMessageInit) control__zone_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor control__digest__field_descriptors[4] =
+{
+  {
+    "depth",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Digest, depth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefix",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Control__Digest, prefix),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sums",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Control__Digest, n_sums),
+    offsetof(Control__Digest, sums),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mask",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Digest, mask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__digest__field_indices_by_name[] = {
+  0,   /* field[0] = depth */
+  3,   /* field[3] = mask */
+  1,   /* field[1] = prefix */
+  2,   /* field[2] = sums */
+};
+static const ProtobufCIntRange control__digest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor control__digest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.Digest",
+  "Digest",
+  "Control__Digest",
+  "control",
+  sizeof(Control__Digest),
+  4,
+  control__digest__field_descriptors,
+  control__digest__field_indices_by_name,
+  1,  control__digest__number_ranges,
+  (ProtobufCMessageInit) control__digest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor control__message__field_descriptors[9] =
 {
   {
     "kind",
@@ -480,7 +711,7 @@
     "nonce",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
     offsetof(Control__Message, nonce),
     NULL,
@@ -500,19 +731,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__Message, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Control__Message, n_zones),
+    offsetof(Control__Message, zones),
+    &control__zone_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Control__Message, digest),
+    &control__digest__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__message__field_indices_by_name[] = {
   3,   /* field[3] = config */
+  8,   /* field[8] = digest */
   1,   /* field[1] = from */
   0,   /* field[0] = kind */
   2,   /* field[2] = members */
   4,   /* field[4] = nonce */
+  6,   /* field[6] = number */
   5,   /* field[5] = target */
+  7,   /* field[7] = zones */
 };
 static const ProtobufCIntRange control__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor control__message__descriptor =
 {
@@ -522,14 +792,14 @@
   "Control__Message",
   "control",
   sizeof(Control__Message),
-  6,
+  9,
   control__message__field_descriptors,
   control__message__field_indices_by_name,
   1,  control__message__number_ranges,
   (ProtobufCMessageInit) control__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue control__kind__enum_values_by_number[7] =
+static const ProtobufCEnumValue control__kind__enum_values_by_number[10] =
 {
   { "KIND_NONE", "CONTROL__KIND__KIND_NONE", 0 },
   { "KIND_GOSSIP", "CONTROL__KIND__KIND_GOSSIP", 1 },
@@ -538,15 +808,21 @@
   { "KIND_PING", "CONTROL__KIND__KIND_PING", 4 },
   { "KIND_ACK", "CONTROL__KIND__KIND_ACK", 5 },
   { "KIND_PING_REQUEST", "CONTROL__KIND__KIND_PING_REQUEST", 6 },
+  { "KIND_NACK", "CONTROL__KIND__KIND_NACK", 7 },
+  { "KIND_DIGEST", "CONTROL__KIND__KIND_DIGEST", 8 },
+  { "KIND_EXCHANGE", "CONTROL__KIND__KIND_EXCHANGE", 9 },
 };
 static const ProtobufCIntRange control__kind__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{0, 10}
 };
-static const ProtobufCEnumValueIndex control__kind__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex control__kind__enum_values_by_name[10] =
 {
   { "KIND_ACK", 5 },
   { "KIND_CONFIG", 3 },
+  { "KIND_DIGEST", 8 },
+  { "KIND_EXCHANGE", 9 },
   { "KIND_GOSSIP", 1 },
+  { "KIND_NACK", 7 },
   { "KIND_NONE", 0 },
   { "KIND_PING", 4 },
   { "KIND_PING_REQUEST", 6 },
@@ -559,9 +835,9 @@
   "Kind",
   "Control__Kind",
   "control",
-  7,
+  10,
   control__kind__enum_values_by_number,
-  7,
+  10,
   control__kind__enum_values_by_name,
   1,
   control__kind__value_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -17,6 +17,8 @@
 
 typedef struct Control__Member Control__Member;
 typedef struct Control__Config Control__Config;
+typedef struct Control__ZoneReport Control__ZoneReport;
+typedef struct Control__Digest Control__Digest;
 typedef struct Control__Message Control__Message;
 
 
@@ -25,11 +27,11 @@
 typedef enum _Control__Kind {
   CONTROL__KIND__KIND_NONE = 0,
   /*
-   * Roster entries, pushed to a random peer.
+   * Roster entries and zone reports.
    */
   CONTROL__KIND__KIND_GOSSIP = 1,
   /*
-   * Asks for the configuration and the whole roster.
+   * Asks for the sender's whole entry, and its configuration when newer.
    */
   CONTROL__KIND__KIND_PULL = 2,
   /*
@@ -41,14 +43,26 @@
    */
   CONTROL__KIND__KIND_PING = 4,
   CONTROL__KIND__KIND_ACK = 5,
-  CONTROL__KIND__KIND_PING_REQUEST = 6
+  CONTROL__KIND__KIND_PING_REQUEST = 6,
+  CONTROL__KIND__KIND_NACK = 7,
+  /*
+   * Anti-entropy: sums of a part of the roster.
+   */
+  CONTROL__KIND__KIND_DIGEST = 8,
+  /*
+   * Anti-entropy: the sender's entries of the part that `digest` names; asks
+   * for the receiver's.
+   */
+  CONTROL__KIND__KIND_EXCHANGE = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CONTROL__KIND)
 } Control__Kind;
 
 /* --- messages --- */
 
 /*
- * One entry of the roster; see include/tarragonflow/roster/roster.h.
+ * One entry of the roster; see include/tarragonflow/roster/roster.h. Without
+ * a zone it is brief: name, instance, sequence, state and config_revision of
+ * a member that the receiver knows.
  */
 struct  Control__Member
 {
@@ -89,29 +103,75 @@
     , 0, {0,NULL} }
 
 
+/*
+ * A state of all members of an availability zone at once.
+ */
+struct  Control__ZoneReport
+{
+  ProtobufCMessage base;
+  char *zone;
+  /*
+   * Tells reports on one zone apart; the greater one is the later.
+   */
+  uint64_t id;
+  uint32_t state;
+};
+#define CONTROL__ZONE_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__zone_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Sums over the roster for anti-entropy: the members whose hashed names
+ * begin with the first `depth` half-bytes of `prefix`, by the next half-byte.
+ */
+struct  Control__Digest
+{
+  ProtobufCMessage base;
+  uint32_t depth;
+  uint64_t prefix;
+  size_t n_sums;
+  uint32_t *sums;
+  /*
+   * In an EXCHANGE: the next half-bytes that are meant, one bit each.
+   */
+  uint32_t mask;
+};
+#define CONTROL__DIGEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__digest__descriptor) \
+    , 0, 0, 0,NULL, 0 }
+
+
 struct  Control__Message
 {
   ProtobufCMessage base;
   Control__Kind kind;
   /*
-   * The sender's own entry.
+   * The sender's own entry, mostly brief.
    */
   Control__Member *from;
   size_t n_members;
   Control__Member **members;
   Control__Config *config;
   /*
-   * Matches an ACK with its PING.
+   * Matches an ACK or NACK with its PING or PING_REQUEST.
    */
-  uint64_t nonce;
+  uint32_t nonce;
   /*
    * Whom a PING_REQUEST is about.
    */
   Control__Member *target;
+  /*
+   * Counts the messages of the sender's instance; bounds replay.
+   */
+  uint64_t number;
+  size_t n_zones;
+  Control__ZoneReport **zones;
+  Control__Digest *digest;
 };
 #define CONTROL__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__message__descriptor) \
-    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL }
+    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0,NULL, NULL }
 
 
 /* Control__Member methods */
@@ -152,6 +212,44 @@
 void   control__config__free_unpacked
                      (Control__Config *message,
                       ProtobufCAllocator *allocator);
+/* Control__ZoneReport methods */
+void   control__zone_report__init
+                     (Control__ZoneReport         *message);
+size_t control__zone_report__get_packed_size
+                     (const Control__ZoneReport   *message);
+size_t control__zone_report__pack
+                     (const Control__ZoneReport   *message,
+                      uint8_t             *out);
+size_t control__zone_report__pack_to_buffer
+                     (const Control__ZoneReport   *message,
+                      ProtobufCBuffer     *buffer);
+Control__ZoneReport *
+       control__zone_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__zone_report__free_unpacked
+                     (Control__ZoneReport *message,
+                      ProtobufCAllocator *allocator);
+/* Control__Digest methods */
+void   control__digest__init
+                     (Control__Digest         *message);
+size_t control__digest__get_packed_size
+                     (const Control__Digest   *message);
+size_t control__digest__pack
+                     (const Control__Digest   *message,
+                      uint8_t             *out);
+size_t control__digest__pack_to_buffer
+                     (const Control__Digest   *message,
+                      ProtobufCBuffer     *buffer);
+Control__Digest *
+       control__digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__digest__free_unpacked
+                     (Control__Digest *message,
+                      ProtobufCAllocator *allocator);
 /* Control__Message methods */
 void   control__message__init
                      (Control__Message         *message);
@@ -179,6 +277,12 @@
 typedef void (*Control__Config_Closure)
                  (const Control__Config *message,
                   void *closure_data);
+typedef void (*Control__ZoneReport_Closure)
+                 (const Control__ZoneReport *message,
+                  void *closure_data);
+typedef void (*Control__Digest_Closure)
+                 (const Control__Digest *message,
+                  void *closure_data);
 typedef void (*Control__Message_Closure)
                  (const Control__Message *message,
                   void *closure_data);
@@ -191,6 +295,8 @@
 extern const ProtobufCEnumDescriptor    control__kind__descriptor;
 extern const ProtobufCMessageDescriptor control__member__descriptor;
 extern const ProtobufCMessageDescriptor control__config__descriptor;
+extern const ProtobufCMessageDescriptor control__zone_report__descriptor;
+extern const ProtobufCMessageDescriptor control__digest__descriptor;
 extern const ProtobufCMessageDescriptor control__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/roster/roster.c
+++ b/roster/roster.c
@@ -81,6 +81,26 @@
 	roster->n++;
 }
 
+/* Within one instance the revision only grows, whatever the sequence. */
+static uint64_t merged_revision(const struct member *entry,
+				const struct member *known)
+{
+	if (entry->instance > known->instance)
+		return entry->config_revision;
+	if (entry->instance < known->instance)
+		return known->config_revision;
+	return MAX(entry->config_revision, known->config_revision);
+}
+
+static enum roster_change merge_revision(struct member *known,
+					 uint64_t revision)
+{
+	if (revision <= known->config_revision)
+		return ROSTER_UNCHANGED;
+	known->config_revision = revision;
+	return ROSTER_REFRESHED;
+}
+
 enum roster_change roster_merge(struct roster *roster,
 				const struct member *entry, int64_t now_ms)
 {
@@ -91,11 +111,15 @@
 	if (!found) {
 		roster_insert(roster, at, entry);
 	} else {
+		uint64_t revision =
+			merged_revision(entry, &roster->members[at]);
+
 		if (!member_newer(entry, &roster->members[at]))
-			return ROSTER_UNCHANGED;
+			return merge_revision(&roster->members[at], revision);
 		if (member_same_route(entry, &roster->members[at]))
 			change = ROSTER_REFRESHED;
 		roster->members[at] = *entry;
+		roster->members[at].config_revision = revision;
 	}
 	roster->members[at].heard_ms = now_ms;
 	if (change == ROSTER_CHANGED)
--- a/tests/unit/test_docs.c
+++ b/tests/unit/test_docs.c
@@ -85,6 +85,7 @@
 		size_t n;
 	} tables[] = {
 		{settings_fields, settings_n_fields},
+		{settings_key_fields, settings_n_key_fields},
 		{settings_agent_fields, settings_n_agent_fields},
 		{manifest_fields, manifest_n_fields},
 		{manifest_zone_fields, manifest_n_zone_fields},
