--- a/control/anti_entropy.c
+++ b/control/anti_entropy.c
@@ -19,12 +19,17 @@
 	return !bits || !((hash ^ digest->prefix) >> (HASH_BITS - bits));
 }
 
+/* Where the half-byte after the prefix stands. */
+static uint32_t child_shift(const struct roster_digest *digest)
+{
+	return (DIGEST_DEPTH_MAX - 1 - digest->depth) % DIGEST_DEPTH_MAX *
+	       HALF_BYTE_BITS;
+}
+
 /* The half-byte of @hash that follows the prefix. */
 static uint32_t child_of(const struct roster_digest *digest, uint64_t hash)
 {
-	uint32_t shift = HASH_BITS - HALF_BYTE_BITS * (digest->depth + 1);
-
-	return hash >> shift & (DIGEST_FANOUT - 1);
+	return hash >> child_shift(digest) & (DIGEST_FANOUT - 1);
 }
 
 static uint32_t entry_sum(const struct member *member, uint64_t hash)
@@ -73,9 +78,8 @@
 		       struct anti_entropy_out *out)
 {
 	struct roster_digest part = {.depth = digest->depth + 1};
-	uint32_t shift = HASH_BITS - HALF_BYTE_BITS * part.depth;
 
-	part.prefix = digest->prefix | (uint64_t)child << shift;
+	part.prefix = digest->prefix | (uint64_t)child << child_shift(digest);
 	digest_compute(&part, roster);
 	out->digest(out, &part);
 }
--- a/control/auth.c
+++ b/control/auth.c
@@ -1,6 +1,5 @@
 #include "tarragonflow/control/auth.h"
 
-#include <sodium.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -18,95 +17,63 @@
 	uint64_t taken;
 };
 
-bool auth_keys_add(struct auth_keys *keys, int64_t id, struct str hex)
+/* What the tag is over: the receiver's address and the message. */
+static void signed_data(const struct endpoint *to, struct str message,
+			struct strbuf *out)
 {
-	struct auth_key *key = &keys->keys[keys->n];
-	const char *end = NULL;
-	size_t len = 0;
-
-	if (sodium_init() < 0 || keys->n == AUTH_KEYS_MAX || id < 1 ||
-	    id > UINT8_MAX)
-		return false;
-	for (size_t i = 0; i < keys->n; i++)
-		if (keys->keys[i].id == id)
-			return false;
-	if (sodium_hex2bin(key->bytes, sizeof(key->bytes), hex.data, hex.len,
-			   NULL, &len, &end) ||
-	    len != AUTH_KEY_BYTES || end != hex.data + hex.len)
-		return false;
-	key->id = (uint8_t)id;
-	keys->n++;
-	return true;
-}
-
-static const struct auth_key *find_key(const struct auth_keys *keys, uint8_t id)
-{
-	for (size_t i = 0; i < keys->n; i++)
-		if (keys->keys[i].id == id)
-			return &keys->keys[i];
-	return NULL;
-}
-
-static void make_tag(const struct auth_key *key, const struct endpoint *to,
-		     struct str message, uint8_t *tag)
-{
-	const uint8_t head[HEAD_BYTES + ADDRESS_BYTES] = {
-		key->id,
-		(uint8_t)(to->ip >> 24),
-		(uint8_t)(to->ip >> 16),
-		(uint8_t)(to->ip >> 8),
-		(uint8_t)to->ip,
-		(uint8_t)(to->port >> 8),
-		(uint8_t)to->port,
+	const uint8_t address[ADDRESS_BYTES] = {
+		(uint8_t)(to->ip >> 24),  (uint8_t)(to->ip >> 16),
+		(uint8_t)(to->ip >> 8),	  (uint8_t)to->ip,
+		(uint8_t)(to->port >> 8), (uint8_t)to->port,
 	};
-	crypto_generichash_state state;
-
-	crypto_generichash_init(&state, key->bytes, AUTH_KEY_BYTES,
-				AUTH_TAG_BYTES);
-	crypto_generichash_update(&state, head, sizeof(head));
-	crypto_generichash_update(&state, (const uint8_t *)message.data,
-				  message.len);
-	crypto_generichash_final(&state, tag, AUTH_TAG_BYTES);
+
+	strbuf_init(out);
+	strbuf_add(out, address, sizeof(address));
+	strbuf_add(out, message.data, message.len);
 }
 
-void auth_seal(const struct auth_keys *keys, const struct endpoint *to,
+void auth_seal(const struct keyring *keys, const struct endpoint *to,
 	       struct str message, struct strbuf *out)
 {
-	uint8_t head[HEAD_BYTES + AUTH_TAG_BYTES] = {0};
+	uint8_t head[HEAD_BYTES + KEYRING_TAG_BYTES] = {0};
+	struct strbuf data;
 
-	if (!keys->n) {
+	if (keyring_empty(keys)) {
 		strbuf_add(out, head, HEAD_BYTES);
 	} else {
-		head[0] = keys->keys[0].id;
-		make_tag(&keys->keys[0], to, message, head + HEAD_BYTES);
+		signed_data(to, message, &data);
+		keyring_sign(keys, data.data, data.len, &head[0],
+			     head + HEAD_BYTES);
 		strbuf_add(out, head, sizeof(head));
+		strbuf_finish(&data);
 	}
 	strbuf_add(out, message.data, message.len);
 }
 
-bool auth_open(const struct auth_keys *keys, const struct endpoint *self,
+static bool verify(const struct keyring *keys, const struct endpoint *self,
+		   const uint8_t *head, struct str message)
+{
+	struct strbuf data;
+	bool good;
+
+	signed_data(self, message, &data);
+	good = keyring_verify(keys, data.data, data.len, head[0],
+			      head + HEAD_BYTES) == KEYRING_GOOD;
+	strbuf_finish(&data);
+	return good;
+}
+
+bool auth_open(const struct keyring *keys, const struct endpoint *self,
 	       const uint8_t *data, size_t len, struct str *message)
 {
-	const size_t head = HEAD_BYTES + AUTH_TAG_BYTES;
-	const struct auth_key *key;
-	uint8_t tag[AUTH_TAG_BYTES];
-
-	if (!keys->n) {
-		if (len < HEAD_BYTES || data[0])
-			return false;
-		message->data = (const char *)data + HEAD_BYTES;
-		message->len = len - HEAD_BYTES;
-		return true;
-	}
-	if (len < head)
-		return false;
-	key = find_key(keys, data[0]);
-	if (!key)
+	bool keyed = !keyring_empty(keys);
+	size_t head = keyed ? HEAD_BYTES + KEYRING_TAG_BYTES : HEAD_BYTES;
+
+	if (len < head || (!keyed && data[0]))
 		return false;
 	message->data = (const char *)data + head;
 	message->len = len - head;
-	make_tag(key, self, *message, tag);
-	return !sodium_memcmp(tag, data + HEAD_BYTES, AUTH_TAG_BYTES);
+	return !keyed || verify(keys, self, data, *message);
 }
 
 void replay_guard_init(struct replay_guard *guard)
--- a/control/context.h
+++ b/control/context.h
@@ -22,7 +22,15 @@
 void outbound_add(struct message *message, const struct member *member,
 		  bool brief);
 
-/** Numbers, signs and sends @message; charges the byte budget. */
+/** Numbers and signs @message for @to; appends the datagram to @wire. */
+void outbound_seal(struct control_context *context, const struct endpoint *to,
+		   struct message *message, struct strbuf *wire);
+
+/** Asks @to for its configuration over TCP. */
+void outbound_pull_tcp(struct control_context *context,
+		       const struct endpoint *to);
+
+/** Seals and sends @message; charges the byte budget. */
 void outbound_send(struct control_context *context, const struct endpoint *to,
 		   struct message *message);
 
--- a/control/control.c
+++ b/control/control.c
@@ -60,7 +60,7 @@
 	zone_monitor_init(&control->zones);
 	replay_guard_init(&control->replays);
 	control->started_ms = now_ms;
-	control->ran_ms = now_ms;
+	control->now_ms = now_ms;
 	control->next_gossip_ms = now_ms;
 	control->next_exchange_ms = now_ms;
 	control->options.self.sequence++;
@@ -148,12 +148,12 @@
 			 struct control *control, struct control_sink *sink,
 			 int64_t now_ms)
 {
-	int64_t gap_ms = now_ms - control->ran_ms;
+	int64_t gap_ms = now_ms - control->now_ms;
 
 	context->control = control;
 	context->sink = sink;
 	context->now_ms = now_ms;
-	control->ran_ms = now_ms;
+	control->now_ms = now_ms;
 	byte_budget_fill(&control->budget, now_ms);
 	if (gap_ms >= PAUSE_MS)
 		wake_up(context, gap_ms);
@@ -294,13 +294,45 @@
 	counter_inc(control->counters, COUNTER_CONTROL_IN);
 	context_init(&context, control, sink, now_ms);
 	if (accept_message(control, data, len, &message, &storage)) {
-		platform_sync_heard(&control->platform, now_ms);
+		platform_sync_heard(&control->platform, &message.ages, now_ms);
 		inbound_message(&context, &message);
 		wake_step(&context);
 	}
 	strbuf_finish(&storage);
 }
 
+bool control_answer_pull(struct control *control, const uint8_t *data,
+			 size_t len, struct strbuf *out)
+{
+	struct control_context context = {.control = control,
+					  .now_ms = control->now_ms};
+	struct message pull, answer;
+	struct strbuf storage;
+	bool good;
+
+	strbuf_init(&storage);
+	good = accept_message(control, data, len, &pull, &storage);
+	strbuf_finish(&storage);
+	if (!good)
+		return false;
+	if (pull.kind != MESSAGE_PULL) {
+		counter_inc(control->counters, COUNTER_CONTROL_DROP_MALFORMED);
+		return false;
+	}
+	outbound_init(&context, &answer, MESSAGE_CONFIG, true);
+	answer.manifest = strbuf_str(&control->config.text);
+	answer.config_revision = config_store_release(&control->config);
+	outbound_seal(&context, &pull.from.member.control, &answer, out);
+	counter_add(control->counters, COUNTER_CONTROL_BYTES_OUT, out->len);
+	return true;
+}
+
+void control_pull_failed(struct control *control)
+{
+	counter_inc(control->counters, COUNTER_CONFIG_PULL_FAILED);
+	config_store_end_pull(&control->config);
+}
+
 static void sync_call(struct platform_sync_out *out,
 		      const struct platform_request *request)
 {
@@ -508,7 +540,7 @@
 	return next;
 }
 
-void control_set_keys(struct control *control, const struct auth_keys *keys)
+void control_set_keys(struct control *control, const struct keyring *keys)
 {
 	control->options.keys = *keys;
 }
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -160,6 +160,7 @@
 {
 	struct control *control = context->control;
 
+	config_store_end_pull(&control->config);
 	if (!config_store_offer(&control->config, text, source))
 		return;
 	control->n_pulls = 0;
@@ -168,6 +169,18 @@
 	context->sink->changed(context->sink);
 }
 
+/* A configuration, or the word that there is one to be pulled over TCP. */
+static void take_config(struct control_context *context,
+			const struct message *message)
+{
+	if (message->manifest.len)
+		inbound_config(context, message->manifest, "peer");
+	else if (config_store_start_pull(&context->control->config,
+					 message->config_revision,
+					 context->now_ms))
+		outbound_pull_tcp(context, &message->from.member.control);
+}
+
 /* Whoever is behind learns it from the first message that meets it. */
 static void compare_revisions(struct control_context *context,
 			      const struct message *message)
@@ -298,7 +311,7 @@
 	take_sender(context, message);
 	take_entries(context, message);
 	if (message->kind == MESSAGE_CONFIG)
-		inbound_config(context, message->manifest, "peer");
+		take_config(context, message);
 	compare_revisions(context, message);
 	accused = accusation(context->control, message);
 	switch (message->kind) {
--- a/control/message.c
+++ b/control/message.c
@@ -108,6 +108,17 @@
 	return true;
 }
 
+/* Zero on the wire stands for never. */
+static uint32_t age_to_wire(uint32_t age_ms)
+{
+	return age_ms == PLATFORM_AGE_NEVER ? 0 : age_ms + 1;
+}
+
+static uint32_t age_from_wire(uint32_t wire)
+{
+	return wire ? wire - 1 : PLATFORM_AGE_NEVER;
+}
+
 /* Wire forms of the parts of one message, for as long as it is packed. */
 struct wire_parts {
 	Control__Member from, target;
@@ -154,6 +165,8 @@
 	wire->kind = (Control__Kind)message->kind;
 	wire->number = message->number;
 	wire->nonce = message->nonce;
+	wire->platform_any_age = age_to_wire(message->ages.any_ms);
+	wire->platform_watcher_age = age_to_wire(message->ages.watcher_ms);
 	from_to_wire(&message->from, &parts->from);
 	wire->from = &parts->from;
 	for (size_t i = 0; i < message->n_members; i++) {
@@ -272,6 +285,8 @@
 	message->kind = (enum message_kind)wire->kind;
 	message->number = wire->number;
 	message->nonce = wire->nonce;
+	message->ages.any_ms = age_from_wire(wire->platform_any_age);
+	message->ages.watcher_ms = age_from_wire(wire->platform_watcher_age);
 	return member_from_wire(&message->from.member, &message->from.brief,
 				wire->from) &&
 	       entries_from_wire(message, wire) &&
--- a/control/outbound.c
+++ b/control/outbound.c
@@ -39,26 +39,36 @@
 	entry->brief = brief;
 }
 
+void outbound_seal(struct control_context *context, const struct endpoint *to,
+		   struct message *message, struct strbuf *wire)
+{
+	struct control *control = context->control;
+	struct strbuf body;
+
+	strbuf_init(&body);
+	message->number = ++control->number;
+	message->ages = platform_sync_ages(&control->platform, context->now_ms);
+	message_encode(message, &body);
+	auth_seal(&control->options.keys, to, strbuf_str(&body), wire);
+	strbuf_finish(&body);
+}
+
 void outbound_send(struct control_context *context, const struct endpoint *to,
 		   struct message *message)
 {
 	struct control *control = context->control;
-	struct strbuf body, wire;
+	struct strbuf wire;
 
 	if (endpoint_equal(to, &control->options.self.control))
 		return;
-	strbuf_init(&body);
 	strbuf_init(&wire);
-	message->number = ++control->number;
-	message_encode(message, &body);
-	auth_seal(&control->options.keys, to, strbuf_str(&body), &wire);
+	outbound_seal(context, to, message, &wire);
 	counter_inc(control->counters, COUNTER_CONTROL_OUT);
 	counter_add(control->counters, COUNTER_CONTROL_BYTES_OUT, wire.len);
 	byte_budget_take(&control->budget, wire.len);
 	context->sink->send(context->sink, to, (const uint8_t *)wire.data,
 			    wire.len);
 	strbuf_finish(&wire);
-	strbuf_finish(&body);
 }
 
 static bool fill_zone(struct control_context *context, struct message *message,
@@ -94,11 +104,19 @@
 	return true;
 }
 
+/* Room that a CONFIG waits for; a large one goes into debt. */
+static size_t config_bytes(const struct control *control)
+{
+	size_t bytes = config_store_datagram(&control->config).len;
+
+	return MIN(bytes + GOSSIP_ROOM_MIN, (size_t)control->budget.burst);
+}
+
 /* Bytes for what may wait: the rest is kept for the configuration. */
 static size_t room_for_chatter(const struct control *control)
 {
 	size_t room = byte_budget_room(&control->budget);
-	size_t kept = MIN(control->config.text.len + GOSSIP_ROOM_MIN,
+	size_t kept = MIN(config_bytes(control),
 			  (size_t)control->budget.burst / 4 * 3);
 
 	return !control->n_pulls && room > kept ? room - kept : 0;
@@ -291,6 +309,21 @@
 	outbound_send(context, to, &message);
 }
 
+void outbound_pull_tcp(struct control_context *context,
+		       const struct endpoint *to)
+{
+	struct message message;
+	struct strbuf wire;
+
+	strbuf_init(&wire);
+	outbound_init(context, &message, MESSAGE_PULL, true);
+	outbound_seal(context, to, &message, &wire);
+	counter_add(context->control->counters, COUNTER_CONTROL_BYTES_OUT,
+		    wire.len);
+	context->sink->pull(context->sink, to, strbuf_str(&wire));
+	strbuf_finish(&wire);
+}
+
 void outbound_want_config(struct control_context *context,
 			  const struct endpoint *to)
 {
@@ -306,11 +339,7 @@
 
 static bool room_for_config(const struct control *control)
 {
-	size_t want = control->config.text.len + GOSSIP_ROOM_MIN;
-
-	/* A larger manifest goes when the budget is full, into debt. */
-	return byte_budget_room(&control->budget) >=
-	       MIN(want, (size_t)control->budget.burst);
+	return byte_budget_room(&control->budget) >= config_bytes(control);
 }
 
 void outbound_configs(struct control_context *context)
@@ -322,7 +351,7 @@
 		struct message message;
 
 		outbound_init(context, &message, MESSAGE_CONFIG, true);
-		message.manifest = strbuf_str(&control->config.text);
+		message.manifest = config_store_datagram(&control->config);
 		message.config_revision =
 			config_store_release(&control->config);
 		outbound_send(context, &control->pulls[done++], &message);
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -27,6 +27,13 @@
 	/** Starts a platform call; its result comes back as an input. */
 	void (*call)(struct control_sink *sink,
 		     const struct platform_request *request);
+	/**
+	 * Sends the frame @request over TCP to the control address @peer; the
+	 * answer comes back through control_handle_message(), a failure
+	 * through control_pull_failed().
+	 */
+	void (*pull)(struct control_sink *sink, const struct endpoint *peer,
+		     struct str request);
 	/** Configuration or roster changed: routing must be computed anew. */
 	void (*changed)(struct control_sink *sink);
 };
@@ -48,7 +55,7 @@
 	size_t n_seeds;
 	/** Seed of the core's random numbers. */
 	uint64_t random_seed;
-	struct auth_keys keys;
+	struct keyring keys;
 	/** Control bytes sent in a second; 0: CONTROL_BYTES_PER_S. */
 	int64_t bytes_per_s;
 };
@@ -82,8 +89,8 @@
 	/** Number of our last message. */
 	uint64_t number;
 	int64_t started_ms;
-	/** When the core ran last, ms; a long gap is a pause. */
-	int64_t ran_ms;
+	/** Time of the last input, ms; a long gap is a pause. */
+	int64_t now_ms;
 	int64_t next_gossip_ms;
 	int64_t next_exchange_ms;
 	int64_t next_pull_ms;
@@ -115,6 +122,16 @@
 			   const struct platform_result *result, int64_t now_ms,
 			   struct control_sink *sink);
 
+/**
+ * Answers a pull that a peer sent over TCP: appends the frame with our
+ * configuration to @out; false when @data is not a valid pull.
+ */
+bool control_answer_pull(struct control *control, const uint8_t *data,
+			 size_t len, struct strbuf *out);
+
+/** The pull that was under way brought no answer. */
+void control_pull_failed(struct control *control);
+
 /** Does what is due at @now_ms. */
 void control_tick(struct control *control, int64_t now_ms,
 		  struct control_sink *sink);
@@ -129,7 +146,7 @@
 bool control_stale(const struct control *control);
 
 /** Replaces the keys; messages under keys left out are dropped from now. */
-void control_set_keys(struct control *control, const struct auth_keys *keys);
+void control_set_keys(struct control *control, const struct keyring *keys);
 
 /** Changes our own state and announces it at once. */
 void control_set_state(struct control *control, enum member_state state,
--- a/node/settings.c
+++ b/node/settings.c
@@ -75,30 +75,6 @@
 };
 const size_t settings_n_fields = G_N_ELEMENTS(settings_fields);
 
-/** One element of control_keys. */
-struct key_settings {
-	int64_t id;
-	struct json_text key;
-};
-
-const struct field settings_key_fields[] = {
-	{.name = "id",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct key_settings, id),
-	 .required = true,
-	 .min = 1,
-	 .max = UINT8_MAX,
-	 .help = "number of the key in messages"},
-	{.name = "key",
-	 .type = FIELD_TEXT,
-	 .offset = offsetof(struct key_settings, key),
-	 .required = true,
-	 .min = 2 * AUTH_KEY_BYTES,
-	 .max = 2 * AUTH_KEY_BYTES,
-	 .help = "32 random bytes as hexadecimal digits"},
-};
-const size_t settings_n_key_fields = G_N_ELEMENTS(settings_key_fields);
-
 const struct field settings_agent_fields[] = {
 	{.name = "service",
 	 .type = FIELD_NAME,
@@ -173,34 +149,6 @@
 	}
 }
 
-static void read_keys(struct settings *settings, const json_t *root,
-		      struct json_errors *errors)
-{
-	const json_t *keys = json_reader_array(root, "", "control_keys",
-					       AUTH_KEYS_MAX, false, errors);
-	char path[PATH_MAX_BYTES];
-	const json_t *key;
-	size_t i;
-
-	json_array_foreach(keys, i, key)
-	{
-		struct key_settings fields = {0};
-		unsigned int before = errors->count;
-
-		snprintf(path, sizeof(path), "control_keys[%zu]", i);
-		json_reader_object(key, path, settings_key_fields,
-				   settings_n_key_fields, &fields, errors);
-		if (errors->count == before &&
-		    !auth_keys_add(
-			    &settings->control_keys, fields.id,
-			    (struct str){fields.key.data, fields.key.len}))
-			json_errors_add(errors, path,
-					"found a doubled id or a key that is "
-					"not hexadecimal, allowed are 64 "
-					"hexadecimal digits and another id");
-	}
-}
-
 static size_t role_fields(enum member_role role, struct field *fields)
 {
 	size_t n = settings_n_fields;
@@ -240,7 +188,7 @@
 	if (!json_is_object(root))
 		return;
 	read_seeds(settings, root, errors);
-	read_keys(settings, root, errors);
+	keyring_read(&settings->control_keys, root, "control_keys", errors);
 	check_platform(settings, errors);
 }
 
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -657,7 +657,7 @@
   (ProtobufCMessageInit) control__digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__message__field_descriptors[9] =
+static const ProtobufCFieldDescriptor control__message__field_descriptors[11] =
 {
   {
     "kind",
@@ -767,6 +767,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "platform_any_age",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Message, platform_any_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "platform_watcher_age",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Message, platform_watcher_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__message__field_indices_by_name[] = {
   3,   /* field[3] = config */
@@ -776,13 +800,15 @@
   2,   /* field[2] = members */
   4,   /* field[4] = nonce */
   6,   /* field[6] = number */
+  9,   /* field[9] = platform_any_age */
+  10,   /* field[10] = platform_watcher_age */
   5,   /* field[5] = target */
   7,   /* field[7] = zones */
 };
 static const ProtobufCIntRange control__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor control__message__descriptor =
 {
@@ -792,7 +818,7 @@
   "Control__Message",
   "control",
   sizeof(Control__Message),
-  9,
+  11,
   control__message__field_descriptors,
   control__message__field_indices_by_name,
   1,  control__message__number_ranges,
