--- /dev/null
+++ b/bench/bench_world.c
@@ -0,0 +1,113 @@
+#include "bench_world.h"
+
+#include <stdio.h>
+
+#define SERVICE_NET 0x0a4d0000u /* 10.77.0.0 */
+#define SERVICE_PORT 8080
+
+const struct bench_deployment bench_deployments[2] = {
+	{.name = "huon",
+	 .zones = {"tas-a", "tas-b", "tas-c"},
+	 .n_zones = 3,
+	 .balancers = 3,
+	 .services = {{"orders", 7, 5}, {"assessing", 3, 5}}},
+	{.name = "birchknot",
+	 .zones = {"inverness-a", "inverness-b", "elgin", "nairn"},
+	 .n_zones = 4,
+	 .balancers = 4,
+	 .services = {{"shopfront", 7, 6}, {"sortdesk", 4, 6}}},
+};
+
+static void make_manifest(struct manifest *manifest,
+			  const struct bench_deployment *deployment,
+			  uint32_t connections)
+{
+	name_set(&manifest->deployment, str_from(deployment->name));
+	manifest->release = 1;
+	manifest->n_zones = deployment->n_zones;
+	manifest->zones = g_new0(struct zone, manifest->n_zones);
+	for (size_t i = 0; i < manifest->n_zones; i++)
+		name_set(&manifest->zones[i].name,
+			 str_from(deployment->zones[i]));
+	manifest->n_services = G_N_ELEMENTS(deployment->services);
+	manifest->services = g_new0(struct service, manifest->n_services);
+	for (size_t i = 0; i < manifest->n_services; i++) {
+		struct service *service = &manifest->services[i];
+		uint32_t ip =
+			GUINT32_TO_BE(SERVICE_NET + (uint32_t)(i + 1) * 10);
+
+		name_set(&service->name,
+			 str_from(deployment->services[i].name));
+		service->id = service_id(&service->name);
+		ip_addr_from_v4(&service->address, (const uint8_t *)&ip);
+		service->port = SERVICE_PORT;
+		service->connections = connections;
+		service->slots = deployment->services[i].slots;
+		service->drain_deadline_s = 3600;
+		service->idle_timeout_s = 3600;
+		service->answer_ms = 20;
+		service->buckets = 1024;
+	}
+}
+
+void bench_world_init(struct world *world,
+		      const struct bench_deployment *deployment,
+		      uint32_t connections, uint64_t seed)
+{
+	struct status status;
+
+	status_init(&status);
+	world_init(world, (uint32_t)seed);
+	make_manifest(&world->manifest, deployment, connections);
+	if (world_apply(world, &status) != STATUS_OK)
+		g_error("apply: %s", status.message);
+	for (unsigned int i = 0; i < deployment->balancers; i++)
+		world_add_balancer(world);
+	for (size_t i = 0; i < world->manifest.n_services; i++)
+		for (unsigned int j = 0; j < deployment->services[i].servers;
+		     j++)
+			world_add_server(world, &world->manifest.services[i]);
+}
+
+double bench_world_figure(struct world *world, const char *name)
+{
+	double value;
+
+	if (!world_figure(world, name, &value))
+		g_error("no figure '%s'", name);
+	return value;
+}
+
+struct world_node *bench_world_node(struct world *world, const char *name,
+				    unsigned int number)
+{
+	char text[2 * NAME_MAX_LEN];
+	struct world_node *node;
+
+	snprintf(text, sizeof(text), "%s-%u", name, number);
+	node = world_find_node(world, text);
+	if (!node)
+		g_error("no process '%s'", text);
+	return node;
+}
+
+void bench_world_release(struct world *world)
+{
+	struct status status;
+
+	status_init(&status);
+	world->manifest.release++;
+	if (world_apply(world, &status) != STATUS_OK)
+		g_error("apply: %s", status.message);
+}
+
+void bench_world_load(struct world *world, size_t service, unsigned int n,
+		      int over_ms, int lines, int gap_ms)
+{
+	while (n--)
+		caller_pool_add(&world->callers,
+				&world->manifest.services[service],
+				world->now_ms + g_rand_int_range(world->rand, 0,
+								 over_ms + 1),
+				lines, gap_ms);
+}
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -464,9 +464,8 @@
 		flow->bits |= FLOW_ANSWERED;
 		flow->server_seq = packet->seq + 1;
 	}
-	if (packet->payload_len && (flow->bits & FLOW_ASKED) &&
-	    !(flow->bits & FLOW_SERVED)) {
-		flow->bits |= FLOW_SERVED;
+	if (packet->payload_len && (flow->bits & FLOW_ASKED)) {
+		flow->bits &= (uint8_t)~FLOW_ASKED;
 		admit_answered(&agent->admit, (uint32_t)now_ms - flow->mark_ms,
 			       now_ms);
 	}
--- /dev/null
+++ b/flow/handover.c
@@ -0,0 +1,122 @@
+#include "tarragonflow/flow/handover.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "proto/handover.pb-c.h"
+
+static void record_from_flow(Handover__FlowRecord *record, struct flow *flow,
+			     int64_t now_ms)
+{
+	handover__flow_record__init(record);
+	record->address.data = flow->src;
+	record->address.len = sizeof(flow->src);
+	record->port = flow->src_port;
+	record->state = flow->state;
+	record->bits = flow->bits;
+	record->idle_ms = (uint32_t)now_ms - flow->last_ms;
+	record->syn_seq = flow->syn_seq;
+	record->caller_seq = flow->caller_seq;
+	record->server_seq = flow->server_seq;
+}
+
+static void pack(const Handover__Handover *message, struct strbuf *out)
+{
+	size_t len = handover__handover__get_packed_size(message);
+	uint8_t *wire = g_malloc(len + 1);
+
+	handover__handover__pack(message, wire);
+	strbuf_add(out, wire, len);
+	g_free(wire);
+}
+
+void handover_export(const struct agent *agent, int64_t now_ms,
+		     struct strbuf *out)
+{
+	const struct flow_table *flows = &agent->flows;
+	Handover__FlowRecord *records =
+		g_new(Handover__FlowRecord, flows->used);
+	Handover__FlowRecord **list =
+		g_new(Handover__FlowRecord *, flows->used);
+	Handover__Handover message = HANDOVER__HANDOVER__INIT;
+
+	for (uint32_t i = 0; i <= flows->mask; i++) {
+		if (flows->slots[i].state == FLOW_FREE)
+			continue;
+		list[message.n_flows] = &records[message.n_flows];
+		record_from_flow(list[message.n_flows++], &flows->slots[i],
+				 now_ms);
+	}
+	message.flows = list;
+	message.service_id = agent->service_id;
+	message.member_id = agent->member_id;
+	message.limit = agent->admit.limit;
+	message.usual_ms = (uint32_t)agent->admit.usual_ms;
+	pack(&message, out);
+	g_free(list);
+	g_free(records);
+}
+
+static bool record_valid(const Handover__FlowRecord *record)
+{
+	return record->address.len == sizeof(struct ip_addr) &&
+	       record->port <= UINT16_MAX && record->state > FLOW_FREE &&
+	       record->state <= FLOW_CLOSING && record->bits <= UINT8_MAX;
+}
+
+static bool message_valid(const struct agent *agent,
+			  const Handover__Handover *message)
+{
+	if (message->service_id != agent->service_id ||
+	    message->member_id != agent->member_id)
+		return false;
+	for (size_t i = 0; i < message->n_flows; i++)
+		if (!record_valid(message->flows[i]))
+			return false;
+	return true;
+}
+
+static void take_record(struct agent *agent, const Handover__FlowRecord *record,
+			int64_t now_ms)
+{
+	struct flow_key key = {.src_port = (uint16_t)record->port};
+	struct flow *flow;
+
+	memcpy(key.src.bytes, record->address.data, sizeof(key.src.bytes));
+	if (flow_table_find(&agent->flows, &key))
+		return;
+	flow = flow_table_insert(&agent->flows, &key);
+	if (!flow)
+		return;
+	flow->state = (uint8_t)record->state;
+	/* The time of a payload that waits is not handed over. */
+	flow->bits = (uint8_t)(record->bits & ~(uint32_t)FLOW_ASKED);
+	flow->last_ms = (uint32_t)now_ms - record->idle_ms;
+	flow->mark_ms = (uint32_t)now_ms;
+	flow->syn_seq = record->syn_seq;
+	flow->caller_seq = record->caller_seq;
+	flow->server_seq = record->server_seq;
+	if (flow->state != FLOW_CLOSING)
+		admit_take_over(&agent->admit);
+	counter_inc(agent->counters, COUNTER_FLOW_TAKEN_OVER);
+}
+
+bool handover_import(struct agent *agent, const uint8_t *data, size_t len,
+		     int64_t now_ms)
+{
+	Handover__Handover *message =
+		handover__handover__unpack(NULL, len, data);
+	bool valid = message && message_valid(agent, message);
+
+	if (valid) {
+		for (size_t i = 0; i < message->n_flows; i++)
+			take_record(agent, message->flows[i], now_ms);
+		/* The server went on, so it is as warm as before. */
+		agent->admit.limit = CLAMP(message->limit, agent->admit.limit,
+					   agent->admit.connections_max);
+		agent->admit.usual_ms = message->usual_ms;
+	}
+	if (message)
+		handover__handover__free_unpacked(message, NULL);
+	return valid;
+}
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -35,7 +35,7 @@
 	uint32_t slots_used;
 	/** Signs since the last step. */
 	uint32_t good, slow, resets;
-	/** Usual time of a first answer, ms; 0 is unknown. */
+	/** Usual time of an answer, ms; 0 is unknown. */
 	double usual_ms;
 	/** What proves a warm server while usual_ms is unknown, ms. */
 	int64_t answer_ms;
@@ -79,7 +79,7 @@
 /** The server accepted a connection. */
 void admit_accepted(struct admit *admit);
 
-/** The server gave its first answer on a connection after @took_ms. */
+/** The server answered a payload of a caller after @took_ms. */
 void admit_answered(struct admit *admit, int64_t took_ms, int64_t now_ms);
 
 /** The server left an opening packet without an answer. */
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -77,6 +77,7 @@
 	X(REFUSE_SERVER_DOWN, "refuse_server_down")         \
 	X(REFUSE_BY_SERVER, "refuse_by_server")             \
 	X(TURNED_COLD, "turned_cold")                       \
+	X(FLOW_TAKEN_OVER, "flows_taken_over")              \
 	X(FLOW_EVICTED, "flows_evicted")                    \
 	X(PLATFORM_CONFLICT, "platform_conflicts")
 
--- a/include/tarragonflow/flow/flow_table.h
+++ b/include/tarragonflow/flow/flow_table.h
@@ -27,10 +27,8 @@
 	FLOW_SERVER_FIN = 0x2,
 	/** The server's SYN-ACK was seen; server_seq is known. */
 	FLOW_ANSWERED = 0x4,
-	/** The caller sent its first payload at mark_ms. */
+	/** The caller sent a payload at mark_ms that waits for an answer. */
 	FLOW_ASKED = 0x8,
-	/** The server's first payload was seen. */
-	FLOW_SERVED = 0x10,
 };
 
 /** Times are ms modulo 2^32. */
@@ -43,7 +41,7 @@
 	uint8_t bits;
 	/** Last packet in either direction. */
 	uint32_t last_ms;
-	/** The SYN, then the caller's first payload. */
+	/** The SYN, then the caller's payload that waits for an answer. */
 	uint32_t mark_ms;
 	/** Sequence number of the caller's SYN. */
 	uint32_t syn_seq;
--- a/include/tarragonflow/manifest/manifest.h
+++ b/include/tarragonflow/manifest/manifest.h
@@ -49,7 +49,7 @@
 	int64_t drain_deadline_s;
 	/** Time until a connection without packets is forgotten, in s. */
 	int64_t idle_timeout_s;
-	/** Time within which a warm server's first answer comes, in ms. */
+	/** Time within which a warm server answers, in ms. */
 	int64_t answer_ms;
 	/** Size of the table of chains, a power of two. */
 	int64_t buckets;
--- a/include/tarragonflow/net/packet.h
+++ b/include/tarragonflow/net/packet.h
@@ -81,7 +81,7 @@
 	uint8_t resolves;
 	/** Load of the sender's backend server. */
 	uint16_t load;
-	/** Usual time of a first answer at the sender, ms; 0 is unknown. */
+	/** Usual time of an answer at the sender, ms; 0 is unknown. */
 	uint16_t usual_ms;
 	/** Balancer that took the packet from the fabric. */
 	struct endpoint origin;
--- a/tests/scenarios/runner.c
+++ b/tests/scenarios/runner.c
@@ -15,16 +15,10 @@
 #define DEFAULT_SLOTS 5
 #define DEFAULT_ANSWER_MS 20
 #define DEFAULT_BUCKETS 1024
-#define DATA_PORT 4701
-#define CONTROL_PORT 4702
-#define ADMIN_PORT 4703
-#define BALANCER_NET 0x7f4d0100u /* 127.77.1.0 */
-#define AGENT_NET 0x7f4d0200u	 /* 127.77.2.0 */
-#define SERVICE_NET 0x0a4d0000u	 /* 10.77.0.0 */
+#define SERVICE_NET 0x0a4d0000u /* 10.77.0.0 */
 #define MAX_SERVICES 64
 
 static struct world world;
-static uint32_t n_balancers, n_agents;
 
 static double field_number(lua_State *lua, const char *name, double fallback)
 {
@@ -57,45 +51,6 @@
 	lua_pop(lua, 1);
 }
 
-static void member_init(struct member *self, enum member_role role, uint32_t ip,
-			size_t zone)
-{
-	memset(self, 0, sizeof(*self));
-	self->role = role;
-	self->zone = world.manifest.zones[zone % world.manifest.n_zones].name;
-	self->data = (struct endpoint){ip, DATA_PORT};
-	self->control = (struct endpoint){ip, CONTROL_PORT};
-	self->admin = (struct endpoint){ip, ADMIN_PORT};
-}
-
-static void add_balancer(lua_State *lua)
-{
-	char text[NAME_MAX_LEN];
-	struct member self;
-
-	member_init(&self, MEMBER_BALANCER, BALANCER_NET + n_balancers + 1,
-		    n_balancers);
-	n_balancers++;
-	snprintf(text, sizeof(text), "balancer-%u", n_balancers);
-	set_name(lua, &self.name, text);
-	world_add_node(&world, &self);
-}
-
-static void add_agent(lua_State *lua, const struct service *service,
-		      size_t number)
-{
-	char text[2 * NAME_MAX_LEN];
-	struct member self;
-
-	member_init(&self, MEMBER_AGENT, AGENT_NET + ++n_agents, number - 1);
-	self.service = service->name;
-	self.connections = (uint32_t)service->connections;
-	self.slots = (uint32_t)service->slots;
-	snprintf(text, sizeof(text), "%s-%zu", service->name.data, number);
-	set_name(lua, &self.name, text);
-	world_add_node(&world, &self);
-}
-
 static int64_t subfield_int(lua_State *lua, const char *name, int64_t fallback)
 {
 	int64_t value = fallback;
@@ -155,10 +110,10 @@
 	if (world_apply(&world, &status) != STATUS_OK)
 		return luaL_error(lua, "apply: %s", status.message);
 	for (int i = (int)field_number(lua, "balancers", 3); i > 0; i--)
-		add_balancer(lua);
+		world_add_balancer(&world);
 	for (size_t i = 0; i < world.manifest.n_services; i++)
 		for (size_t j = 1; j <= servers[i]; j++)
-			add_agent(lua, &world.manifest.services[i], j);
+			world_add_server(&world, &world.manifest.services[i]);
 	return 0;
 }
 
@@ -223,18 +178,42 @@
 
 static int verb_add_balancer(lua_State *lua)
 {
-	add_balancer(lua);
+	(void)lua;
+	world_add_balancer(&world);
 	return 0;
 }
 
 static int verb_drain(lua_State *lua)
 {
-	struct world_node *node = check_node(lua);
+	world_drain(check_node(lua));
+	return 0;
+}
+
+static int verb_replace(lua_State *lua)
+{
+	world_replace_agent(check_node(lua));
+	return 0;
+}
+
+/* restart_server(name, cold_ms) */
+static int verb_restart_server(lua_State *lua)
+{
+	world_restart_server(check_node(lua),
+			     (int64_t)luaL_optnumber(lua, 2, 0));
+	return 0;
+}
+
+/* lag(name, ms): its views come into force this much later */
+static int verb_lag(lua_State *lua)
+{
+	check_node(lua)->view_lag_ms = (int64_t)luaL_checknumber(lua, 2);
+	return 0;
+}
 
-	if (node->options.self.role == MEMBER_AGENT)
-		agent_drain(&node->agent);
-	control_set_state(&node->control, MEMBER_DRAINING, world.now_ms,
-			  &node->control_sink);
+/* add_server(service): one more backend server with its agent */
+static int verb_add_server(lua_State *lua)
+{
+	world_add_server(&world, check_service(lua, luaL_checkstring(lua, 1)));
 	return 0;
 }
 
@@ -373,7 +352,11 @@
 	{"kill", verb_kill},
 	{"start", verb_start},
 	{"add_balancer", verb_add_balancer},
+	{"add_server", verb_add_server},
 	{"drain", verb_drain},
+	{"replace", verb_replace},
+	{"restart_server", verb_restart_server},
+	{"lag", verb_lag},
 	{"pause", verb_pause},
 	{"cut", verb_cut},
 	{"cut_platform", verb_cut_platform},
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -5,7 +5,6 @@
 
 #define DEFAULT_DELAY_MS 1
 #define RETRANSMIT_MS 200
-#define WORLD_EPOCH_MS 1000000
 
 static void event_free(gpointer data)
 {
@@ -39,86 +38,23 @@
 	return event;
 }
 
-static int64_t random_delay(struct world *world)
-{
-	return g_rand_int_range(world->rand, (int)world->faults.delay_min_ms,
-				(int)world->faults.delay_max_ms + 1);
-}
-
-static bool chance(struct world *world, double share)
-{
-	return share > 0 && g_rand_double(world->rand) < share;
-}
-
-static void transmit(struct world *world, enum event_kind kind,
-		     const struct endpoint *to, const void *head,
-		     size_t head_len, const void *body, size_t body_len)
-{
-	bool control = kind == EVENT_CONTROL;
-	double loss = control ? world->faults.control_loss
-			      : world->faults.data_loss;
-	double twice = control ? world->faults.control_double
-			       : world->faults.data_double;
-	int copies = chance(world, twice) ? 2 : 1;
-
-	if (chance(world, loss))
-		return;
-	while (copies--) {
-		struct event *event =
-			world_event_add(world, kind, random_delay(world));
-
-		event->to = *to;
-		strbuf_add(&event->data, head, head_len);
-		strbuf_add(&event->data, body, body_len);
-	}
-}
-
 static struct world_node *node_of_control(struct control_sink *sink)
 {
 	return (struct world_node *)((char *)sink -
 				     offsetof(struct world_node, control_sink));
 }
 
-static struct world_node *node_of_packets(struct packet_sink *sink)
-{
-	return (struct world_node *)((char *)sink -
-				     offsetof(struct world_node, packet_sink));
-}
-
-static struct world_node *node_of_backend(struct backend *backend)
-{
-	return (struct world_node *)((char *)backend -
-				     offsetof(struct world_node, backend));
-}
-
-static struct world_node *node_at(struct world *world,
-				  const struct endpoint *to, bool control)
-{
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct world_node *node = g_ptr_array_index(world->nodes, i);
-		const struct member *self = &node->options.self;
-
-		if (endpoint_equal(control ? &self->control : &self->data, to))
-			return node;
-	}
-	return NULL;
-}
-
-static bool sides_meet(const struct world_node *a, const struct world_node *b)
-{
-	return !a->side || !b->side || a->side == b->side;
-}
-
 static void sink_send(struct control_sink *sink, const struct endpoint *to,
 		      const uint8_t *data, size_t len)
 {
 	struct world_node *node = node_of_control(sink);
-	struct world_node *peer = node_at(node->world, to, true);
+	struct world_node *peer = world_node_at(node->world, to, true);
 
 	node->world->control_messages++;
 	node->world->control_bytes += len;
-	if (peer && sides_meet(node, peer))
-		transmit(node->world, EVENT_CONTROL, to, NULL, 0, data, len);
+	if (peer && world_sides_meet(node, peer))
+		world_transmit(node->world, EVENT_CONTROL, to, NULL, 0, data,
+			       len);
 }
 
 static void sink_call(struct control_sink *sink,
@@ -130,10 +66,10 @@
 /* TCP hides losses and pays for them with time. */
 static int64_t stream_delay(struct world *world)
 {
-	int64_t delay_ms = random_delay(world);
+	int64_t delay_ms = world_delay(world);
 	int64_t timeout_ms = RETRANSMIT_MS;
 
-	while (chance(world, world->faults.control_loss)) {
+	while (world_chance(world, world->faults.control_loss)) {
 		delay_ms += timeout_ms;
 		timeout_ms *= 2;
 	}
@@ -166,78 +102,11 @@
 	node_of_control(sink)->view_dirty = true;
 }
 
-static void to_peer(struct packet_sink *sink, const struct endpoint *to,
-		    const struct packet_header *header, const uint8_t *inner,
-		    size_t len)
-{
-	struct world_node *node = node_of_packets(sink);
-	struct world_node *peer = node_at(node->world, to, false);
-	uint8_t head[PACKET_HEADER_MAX];
-	size_t head_len = packet_header_encode(header, head);
-
-	if (peer && sides_meet(node, peer))
-		transmit(node->world, EVENT_DATA, to, head, head_len, inner,
-			 len);
-}
-
-static void to_server(struct packet_sink *sink, const uint8_t *inner,
-		      size_t len)
-{
-	struct world_node *node = node_of_packets(sink);
-
-	backend_handle(&node->backend, inner, len);
-}
-
-static void to_fabric(struct packet_sink *sink, const uint8_t *inner,
-		      size_t len)
-{
-	static const struct endpoint callers = {0, 0};
-
-	transmit(node_of_packets(sink)->world, EVENT_TO_CALLER, &callers, NULL,
-		 0, inner, len);
-}
-
-static bool node_runs(const struct world_node *node)
-{
-	return node->up && node->world->now_ms >= node->paused_until_ms;
-}
-
-static void from_backend(struct backend *backend, const uint8_t *data,
-			 size_t len)
-{
-	struct world_node *node = node_of_backend(backend);
-
-	if (node_runs(node))
-		agent_handle_server(&node->agent, data, len,
-				    node->world->now_ms, &node->packet_sink);
-}
-
-static void from_callers(struct caller_pool *pool, const uint8_t *data,
-			 size_t len)
-{
-	struct world *world = (struct world *)pool;
-	struct world_node *balancers[64];
-	int n = 0;
-
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct world_node *node = g_ptr_array_index(world->nodes, i);
-
-		if (node->up && node->options.self.role == MEMBER_BALANCER &&
-		    n < (int)G_N_ELEMENTS(balancers))
-			balancers[n++] = node;
-	}
-	if (!n)
-		return;
-	n = g_rand_int_range(world->rand, 0, n);
-	transmit(world, EVENT_DATA, &balancers[n]->options.self.data, NULL, 0,
-		 data, len);
-}
-
 void world_init(struct world *world, uint32_t seed)
 {
 	memset(world, 0, sizeof(*world));
 	caller_pool_init(&world->callers, seed);
-	world->callers.send = from_callers;
+	world->callers.send = world_from_callers;
 	world->rand = g_rand_new_with_seed(seed + 1);
 	world->now_ms = WORLD_EPOCH_MS;
 	world->faults.delay_min_ms = DEFAULT_DELAY_MS;
@@ -308,6 +177,8 @@
 	node->options.random_seed = g_rand_int(world->rand);
 	node->up = true;
 	node->view_dirty = false;
+	node->view_due_ms = 0;
+	node->drain_ms = 0;
 	node->paused_until_ms = 0;
 	node->top_release = 0;
 	control_init(&node->control, &node->options, &node->counters,
@@ -338,9 +209,7 @@
 	node->control_sink.call = sink_call;
 	node->control_sink.pull = sink_pull;
 	node->control_sink.changed = sink_changed;
-	node->packet_sink.to_peer = to_peer;
-	node->packet_sink.to_server = to_server;
-	node->packet_sink.to_fabric = to_fabric;
+	world_network_attach(node);
 	counters_init(&node->counters);
 	for (guint i = 0; i < world->nodes->len; i++) {
 		const struct world_node *peer =
@@ -353,7 +222,9 @@
 	}
 	backend_init(&node->backend, service ? service->name.data : "",
 		     service ? &service->address : &none);
-	node->backend.send = from_backend;
+	node->backend.send = world_from_backend;
+	node->backend.seed = member_id(&self->name);
+	node->backend.cold_capacity = self->connections / WORLD_COLD_SHARE;
 	g_ptr_array_add(world->nodes, node);
 	world_start_node(node);
 	return node;
@@ -370,27 +241,12 @@
 	return NULL;
 }
 
-static void deliver_data(struct world *world, const struct event *event)
-{
-	struct world_node *node = node_at(world, &event->to, false);
-	const uint8_t *data = (const uint8_t *)event->data.data;
-
-	if (!node || !node_runs(node))
-		return;
-	if (node->options.self.role == MEMBER_AGENT)
-		agent_handle_peer(&node->agent, data, event->data.len,
-				  world->now_ms, &node->packet_sink);
-	else
-		balancer_handle(&node->balancer, data, event->data.len,
-				&node->packet_sink);
-}
-
 static void deliver_control(struct world *world, const struct event *event)
 {
-	struct world_node *node = node_at(world, &event->to, true);
+	struct world_node *node = world_node_at(world, &event->to, true);
 	static const struct endpoint unknown = {0, 0};
 
-	if (node && node_runs(node))
+	if (node && world_node_runs(node))
 		control_handle_message(&node->control, &unknown,
 				       (const uint8_t *)event->data.data,
 				       event->data.len, world->now_ms,
@@ -401,7 +257,8 @@
 {
 	struct world_node *node = event->node;
 
-	if (node_runs(node) && node->options.self.instance == event->instance)
+	if (world_node_runs(node) &&
+	    node->options.self.instance == event->instance)
 		control_handle_result(&node->control, &event->result,
 				      world->now_ms, &node->control_sink);
 }
@@ -409,11 +266,12 @@
 /* A pull arrives at the peer; its answer, or failure, goes back. */
 static void deliver_pull(struct world *world, struct event *event)
 {
-	struct world_node *peer = node_at(world, &event->to, true);
+	struct world_node *peer = world_node_at(world, &event->to, true);
 	int64_t delay_ms = stream_delay(world);
 	struct event *back;
 
-	if (!peer || !node_runs(peer) || !sides_meet(event->node, peer) ||
+	if (!peer || !world_node_runs(peer) ||
+	    !world_sides_meet(event->node, peer) ||
 	    delay_ms > CONFIG_PULL_TIMEOUT_MS) {
 		stream_event(event->node, EVENT_PULLED, &event->to,
 			     CONFIG_PULL_TIMEOUT_MS);
@@ -429,7 +287,8 @@
 {
 	struct world_node *node = event->node;
 
-	if (!node_runs(node) || node->options.self.instance != event->instance)
+	if (!world_node_runs(node) ||
+	    node->options.self.instance != event->instance)
 		return;
 	if (!event->data.len)
 		control_pull_failed(&node->control);
@@ -448,11 +307,14 @@
 	world->trace = XXH3_64bits_withSeed(words, sizeof(words), world->trace);
 	switch (event->kind) {
 	case EVENT_DATA:
-		deliver_data(world, event);
+		world_deliver_data(world, event);
 		break;
 	case EVENT_CONTROL:
 		deliver_control(world, event);
 		break;
+	case EVENT_FROM_SERVER:
+		world_deliver_answer(event);
+		break;
 	case EVENT_TO_CALLER:
 		caller_pool_receive(&world->callers,
 				    (const uint8_t *)event->data.data,
@@ -511,7 +373,8 @@
 {
 	int64_t release;
 
-	if (!node_runs(node))
+	node->backend.cold = world->now_ms < node->cold_until_ms;
+	if (!world_node_runs(node))
 		return;
 	if (world->now_ms >= control_next_deadline(&node->control))
 		control_tick(&node->control, world->now_ms,
@@ -540,66 +403,3 @@
 		caller_pool_step(&world->callers, world->now_ms);
 	}
 }
-
-/* Sums, over processes, what one of them contributes to a figure. */
-static double sum_nodes(struct world *world, const char *name)
-{
-	double sum = 0;
-
-	for (guint i = 0; i < world->nodes->len; i++) {
-		struct world_node *node = g_ptr_array_index(world->nodes, i);
-
-		if (!strcmp(name, "wrong_service_packets"))
-			sum += (double)node->backend.wrong_service;
-		else if (!strcmp(name, "lagging"))
-			sum += node->up &&
-			       node->control.config.manifest.release <
-				       world->manifest.release;
-		for (int id = 0; id < COUNTER_COUNT; id++)
-			if (!strcmp(name, counter_name((enum counter_id)id)))
-				sum += (double)counter_get(&node->counters,
-							   (enum counter_id)id);
-	}
-	return sum;
-}
-
-static bool is_node_figure(const char *name)
-{
-	if (!strcmp(name, "wrong_service_packets") || !strcmp(name, "lagging"))
-		return true;
-	for (int id = 0; id < COUNTER_COUNT; id++)
-		if (!strcmp(name, counter_name((enum counter_id)id)))
-			return true;
-	return false;
-}
-
-bool world_figure(struct world *world, const char *name, double *value)
-{
-	const struct {
-		const char *name;
-		double value;
-	} figures[] = {
-		{"now_ms", (double)(world->now_ms - WORLD_EPOCH_MS)},
-		{"connections", world->callers.callers->len},
-		{"open", (double)world->callers.open},
-		{"finished", (double)world->callers.finished},
-		{"broken", (double)world->callers.broken},
-		{"refused", (double)world->callers.refused},
-		{"wrong_answers", (double)world->callers.wrong_service},
-		{"caller_retries", (double)world->callers.retries},
-		{"reverts", (double)world->reverts},
-		{"control_bytes", (double)world->control_bytes},
-		{"control_messages", (double)world->control_messages},
-		{"trace", (double)(world->trace >> 12)},
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(figures); i++)
-		if (!strcmp(figures[i].name, name)) {
-			*value = figures[i].value;
-			return true;
-		}
-	if (!is_node_figure(name))
-		return false;
-	*value = sum_nodes(world, name);
-	return true;
-}
--- a/tests/scenarios/world.h
+++ b/tests/scenarios/world.h
@@ -47,6 +47,12 @@
 	struct view *view;
 	bool up;
 	bool view_dirty;
+	/** A new view comes into force this much later, ms. */
+	int64_t view_lag_ms, view_due_ms;
+	/** The backend server is cold until then, ms. */
+	int64_t cold_until_ms;
+	/** When its zone was taken out, or it was drained; 0 when not. */
+	int64_t zone_out_ms, drain_ms;
 	/** The process does nothing before this time, ms. */
 	int64_t paused_until_ms;
 	/** Greatest release seen in force; a smaller one later is a revert. */
@@ -73,10 +79,20 @@
 	GPtrArray *watches;
 	uint64_t control_bytes, control_messages;
 	uint64_t reverts;
+	/** Processes added so far. */
+	uint32_t n_balancers, n_agents;
+	/** Time after its cause of the last such packet, ms. */
+	int64_t zone_out_last_ms, drain_last_ms;
 	/** Hash over all deliveries, to compare runs. */
 	uint64_t trace;
 };
 
+/** Share of its connections that a cold backend server carries, 1/32. */
+#define WORLD_COLD_SHARE 32
+
+/** Time that a cold backend server takes to answer, ms. */
+#define WORLD_COLD_ANSWER_MS 40
+
 /** Time between two rounds of ticks, ms. */
 #define WORLD_TICK_MS 10
 
@@ -87,6 +103,14 @@
 struct world_node *world_add_node(struct world *world,
 				  const struct member *self);
 
+/** Adds a balancer, or a backend server with its agent, with the next name. */
+struct world_node *world_add_balancer(struct world *world);
+struct world_node *world_add_server(struct world *world,
+				    const struct service *service);
+
+/** The agent takes nothing new and says so. */
+void world_drain(struct world_node *node);
+
 struct world_node *world_find_node(struct world *world, const char *name);
 
 /** Starts a stopped process as a new instance with nothing kept. */
@@ -95,6 +119,16 @@
 /** Ends a process at once; its backend server goes on. */
 void world_kill_node(struct world_node *node);
 
+/** Replaces an agent by a new instance that takes over its connections. */
+void world_replace_agent(struct world_node *node);
+
+/** Restarts the backend server; it is cold for @cold_ms. */
+void world_restart_server(struct world_node *node, int64_t cold_ms);
+
+/** The process whose backend server has @caller's connection, or NULL. */
+struct world_node *world_owner(struct world *world,
+			       const struct caller *caller);
+
 /** Puts world->manifest on the platform as its next release. */
 enum status_code world_apply(struct world *world, struct status *status);
 
--- a/tests/scenarios/world_internal.h
+++ b/tests/scenarios/world_internal.h
@@ -7,6 +7,7 @@
 enum event_kind {
 	EVENT_DATA,
 	EVENT_CONTROL,
+	EVENT_FROM_SERVER,
 	EVENT_TO_CALLER,
 	EVENT_RESULT,
 	EVENT_PULL,
@@ -40,4 +41,35 @@
 void world_platform_init(struct world *world);
 void world_platform_finish(struct world *world);
 
+/** Virtual time at which every run starts, ms. */
+#define WORLD_EPOCH_MS 1000000
+
+/** Hands a late answer of a backend server to its agent. */
+void world_deliver_answer(const struct event *event);
+
+/** A random one-way delay, ms. */
+int64_t world_delay(struct world *world);
+
+/** True in @share of the cases. */
+bool world_chance(struct world *world, double share);
+
+/** Puts a message on its way; it may get lost, doubled or late. */
+void world_transmit(struct world *world, enum event_kind kind,
+		    const struct endpoint *to, const void *head,
+		    size_t head_len, const void *body, size_t body_len);
+
+struct world_node *world_node_at(struct world *world, const struct endpoint *to,
+				 bool control);
+bool world_sides_meet(const struct world_node *a, const struct world_node *b);
+bool world_node_runs(const struct world_node *node);
+
+/** Joins the packet sinks of @node to the network. */
+void world_network_attach(struct world_node *node);
+
+void world_from_callers(struct caller_pool *pool, const uint8_t *data,
+			size_t len);
+void world_from_backend(struct backend *backend, const uint8_t *data,
+			size_t len);
+void world_deliver_data(struct world *world, const struct event *event);
+
 #endif
--- /dev/null
+++ b/tests/scenarios/world_network.c
@@ -0,0 +1,195 @@
+#include "world_internal.h"
+
+/* The packets' network: loses, doubles, delays and delivers. */
+int64_t world_delay(struct world *world)
+{
+	return g_rand_int_range(world->rand, (int)world->faults.delay_min_ms,
+				(int)world->faults.delay_max_ms + 1);
+}
+
+bool world_chance(struct world *world, double share)
+{
+	return share > 0 && g_rand_double(world->rand) < share;
+}
+
+void world_transmit(struct world *world, enum event_kind kind,
+		    const struct endpoint *to, const void *head,
+		    size_t head_len, const void *body, size_t body_len)
+{
+	bool control = kind == EVENT_CONTROL;
+	double loss = control ? world->faults.control_loss
+			      : world->faults.data_loss;
+	double twice = control ? world->faults.control_double
+			       : world->faults.data_double;
+	int copies = world_chance(world, twice) ? 2 : 1;
+
+	if (world_chance(world, loss))
+		return;
+	while (copies--) {
+		struct event *event =
+			world_event_add(world, kind, world_delay(world));
+
+		event->to = *to;
+		strbuf_add(&event->data, head, head_len);
+		strbuf_add(&event->data, body, body_len);
+	}
+}
+
+static struct world_node *node_of_packets(struct packet_sink *sink)
+{
+	return (struct world_node *)((char *)sink -
+				     offsetof(struct world_node, packet_sink));
+}
+
+static struct world_node *node_of_backend(struct backend *backend)
+{
+	return (struct world_node *)((char *)backend -
+				     offsetof(struct world_node, backend));
+}
+
+struct world_node *world_node_at(struct world *world, const struct endpoint *to,
+				 bool control)
+{
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world->nodes, i);
+		const struct member *self = &node->options.self;
+
+		if (endpoint_equal(control ? &self->control : &self->data, to))
+			return node;
+	}
+	return NULL;
+}
+
+bool world_sides_meet(const struct world_node *a, const struct world_node *b)
+{
+	return !a->side || !b->side || a->side == b->side;
+}
+
+static void to_peer(struct packet_sink *sink, const struct endpoint *to,
+		    const struct packet_header *header, const uint8_t *inner,
+		    size_t len)
+{
+	struct world_node *node = node_of_packets(sink);
+	struct world_node *peer = world_node_at(node->world, to, false);
+	uint8_t head[PACKET_HEADER_MAX];
+	size_t head_len = packet_header_encode(header, head);
+
+	if (peer && world_sides_meet(node, peer))
+		world_transmit(node->world, EVENT_DATA, to, head, head_len,
+			       inner, len);
+}
+
+/* Notes packets that should not come any more. */
+static void note_late(struct world_node *node, const uint8_t *inner, size_t len)
+{
+	struct world *world = node->world;
+	struct inner_packet packet;
+
+	if (node->zone_out_ms)
+		world->zone_out_last_ms =
+			MAX(world->zone_out_last_ms,
+			    world->now_ms - node->zone_out_ms);
+	if (!node->drain_ms || !inner_parse(&packet, inner, len) ||
+	    !inner_opens(&packet) ||
+	    g_hash_table_contains(node->backend.connections, &packet.key))
+		return;
+	world->drain_last_ms =
+		MAX(world->drain_last_ms, world->now_ms - node->drain_ms);
+}
+
+static void to_server(struct packet_sink *sink, const uint8_t *inner,
+		      size_t len)
+{
+	struct world_node *node = node_of_packets(sink);
+
+	note_late(node, inner, len);
+	backend_handle(&node->backend, inner, len);
+}
+
+static void to_fabric(struct packet_sink *sink, const uint8_t *inner,
+		      size_t len)
+{
+	static const struct endpoint callers = {0, 0};
+
+	world_transmit(node_of_packets(sink)->world, EVENT_TO_CALLER, &callers,
+		       NULL, 0, inner, len);
+}
+
+bool world_node_runs(const struct world_node *node)
+{
+	return node->up && node->world->now_ms >= node->paused_until_ms;
+}
+
+static void answer(struct world_node *node, const uint8_t *data, size_t len)
+{
+	if (world_node_runs(node))
+		agent_handle_server(&node->agent, data, len,
+				    node->world->now_ms, &node->packet_sink);
+}
+
+void world_deliver_answer(const struct event *event)
+{
+	answer(event->node, (const uint8_t *)event->data.data, event->data.len);
+}
+
+/* A cold backend server takes its time for everything but the handshake. */
+void world_from_backend(struct backend *backend, const uint8_t *data,
+			size_t len)
+{
+	struct world_node *node = node_of_backend(backend);
+	struct inner_packet packet;
+	struct event *event;
+
+	if (!backend->cold || !inner_parse(&packet, data, len) ||
+	    !packet.payload_len) {
+		answer(node, data, len);
+		return;
+	}
+	event = world_event_add(node->world, EVENT_FROM_SERVER,
+				WORLD_COLD_ANSWER_MS);
+	event->node = node;
+	strbuf_add(&event->data, data, len);
+}
+
+void world_network_attach(struct world_node *node)
+{
+	node->packet_sink.to_peer = to_peer;
+	node->packet_sink.to_server = to_server;
+	node->packet_sink.to_fabric = to_fabric;
+}
+
+void world_from_callers(struct caller_pool *pool, const uint8_t *data,
+			size_t len)
+{
+	struct world *world = (struct world *)pool;
+	struct world_node *balancers[64];
+	int n = 0;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world->nodes, i);
+
+		if (node->up && node->options.self.role == MEMBER_BALANCER &&
+		    n < (int)G_N_ELEMENTS(balancers))
+			balancers[n++] = node;
+	}
+	if (!n)
+		return;
+	n = g_rand_int_range(world->rand, 0, n);
+	world_transmit(world, EVENT_DATA, &balancers[n]->options.self.data,
+		       NULL, 0, data, len);
+}
+
+void world_deliver_data(struct world *world, const struct event *event)
+{
+	struct world_node *node = world_node_at(world, &event->to, false);
+	const uint8_t *data = (const uint8_t *)event->data.data;
+
+	if (!node || !world_node_runs(node))
+		return;
+	if (node->options.self.role == MEMBER_AGENT)
+		agent_handle_peer(&node->agent, data, event->data.len,
+				  world->now_ms, &node->packet_sink);
+	else
+		balancer_handle(&node->balancer, data, event->data.len,
+				&node->packet_sink);
+}
--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -69,17 +69,50 @@
 	      (size_t)MIN(len, (int)sizeof(text) - 1));
 }
 
-static void open_connection(struct backend *backend,
-			    const struct inner_packet *packet)
+static uint32_t first_seq(const struct backend *backend,
+			  const struct inner_packet *packet)
 {
+	return (uint32_t)flow_key_hash(&packet->key,
+				       backend->seed + packet->seq);
+}
+
+static void accept_connection(struct backend *backend,
+			      const struct inner_packet *packet)
+{
+	struct inner_packet answer = *packet;
+
+	answer.ack = first_seq(backend, packet);
 	if (!g_hash_table_contains(backend->connections, &packet->key)) {
-		g_hash_table_add(backend->connections,
-				 g_memdup2(&packet->key, sizeof(packet->key)));
+		g_hash_table_insert(
+			backend->connections,
+			g_memdup2(&packet->key, sizeof(packet->key)),
+			GUINT_TO_POINTER(answer.ack));
 		backend->opened++;
 		backend->peak = MAX(backend->peak,
 				    g_hash_table_size(backend->connections));
+		if (backend->cold && g_hash_table_size(backend->connections) >
+					     backend->cold_capacity)
+			backend->over_capacity++;
 	}
-	reply(backend, packet, TCP_SYN | TCP_ACK, NULL, 0);
+	reply(backend, &answer, TCP_SYN | TCP_ACK, NULL, 0);
+}
+
+static void refuse(struct backend *backend, const struct inner_packet *packet)
+{
+	backend->resets++;
+	reply(backend, packet, TCP_RST | TCP_ACK, NULL, 0);
+}
+
+/* Whether @packet acknowledges what this server sent on the connection. */
+static bool is_known(const struct backend *backend,
+		     const struct inner_packet *packet)
+{
+	gpointer seq;
+
+	if (!g_hash_table_lookup_extended(backend->connections, &packet->key,
+					  NULL, &seq))
+		return false;
+	return (int32_t)(packet->ack - GPOINTER_TO_UINT(seq)) > 0;
 }
 
 void backend_handle(struct backend *backend, const uint8_t *data, size_t len)
@@ -91,15 +124,17 @@
 	if (!ip_addr_equal(&packet.key.dst, &backend->address)) {
 		backend->wrong_service++;
 	} else if (inner_opens(&packet)) {
-		open_connection(backend, &packet);
+		if (backend->down)
+			refuse(backend, &packet);
+		else
+			accept_connection(backend, &packet);
 	} else if (packet.flags & TCP_RST) {
 		g_hash_table_remove(backend->connections, &packet.key);
 	} else if (packet.flags & TCP_FIN) {
 		g_hash_table_remove(backend->connections, &packet.key);
 		reply(backend, &packet, TCP_FIN | TCP_ACK, NULL, 0);
-	} else if (!g_hash_table_contains(backend->connections, &packet.key)) {
-		backend->resets++;
-		reply(backend, &packet, TCP_RST | TCP_ACK, NULL, 0);
+	} else if (!is_known(backend, &packet)) {
+		refuse(backend, &packet);
 	} else {
 		echo(backend, &packet);
 	}
--- a/tests/standin/backend.h
+++ b/tests/standin/backend.h
@@ -14,9 +14,18 @@
 	void (*send)(struct backend *backend, const uint8_t *data, size_t len);
 	const char *service;
 	struct ip_addr address;
-	/** Set of struct flow_key. */
+	/** First sequence numbers of ours, by struct flow_key. */
 	GHashTable *connections;
+	/** Makes the sequence numbers of each server differ. */
+	uint64_t seed;
 	unsigned long opened, wrong_service, resets;
+	/** Carries only cold_capacity connections. */
+	bool cold;
+	/** Refuses every new connection. */
+	bool down;
+	unsigned int cold_capacity;
+	/** Times that it had more open while it was cold. */
+	unsigned long over_capacity;
 	/** Most connections at once since the last backend_restart(). */
 	unsigned int peak;
 };
--- a/tests/standin/caller_pool.c
+++ b/tests/standin/caller_pool.c
@@ -81,6 +81,19 @@
 	pool->send(pool, out, inner_build(&spec, out, sizeof(out)));
 }
 
+static void send_ack(struct caller_pool *pool, struct caller *caller)
+{
+	uint8_t out[128];
+	struct inner_spec spec = {
+		.key = caller->key,
+		.seq = caller->seq,
+		.ack = caller->ack,
+		.flags = TCP_ACK,
+	};
+
+	pool->send(pool, out, inner_build(&spec, out, sizeof(out)));
+}
+
 static void finish_caller(struct caller_pool *pool, struct caller *caller,
 			  bool lost)
 {
@@ -113,6 +126,7 @@
 		return;
 	}
 	caller->due_ms = now_ms + RETRY_MS;
+	caller->tries++;
 	send_packet(pool, caller);
 }
 
@@ -153,16 +167,41 @@
 						     : CALLER_DATA;
 }
 
+/* A reset counts when it fits what we sent (RFC 9293, RFC 5961). */
+static bool reset_fits(const struct caller *caller,
+		       const struct inner_packet *packet)
+{
+	if (caller->phase == CALLER_OPENING)
+		return packet->ack == caller->seq + 1;
+	return packet->seq == caller->ack;
+}
+
+static void accept_answer(struct caller_pool *pool, struct caller *caller,
+			  const struct inner_packet *packet, int64_t now_ms)
+{
+	if (packet->ack != caller->seq + 1)
+		return;
+	pool->opened++;
+	if (caller->tries == 1)
+		pool->opened_at_once++;
+	caller->seq++;
+	caller->ack = packet->seq + 1;
+	caller->server_seq = packet->seq;
+	schedule_next(pool, caller, now_ms);
+	send_ack(pool, caller);
+}
+
 static void take_answer(struct caller_pool *pool, struct caller *caller,
 			const struct inner_packet *packet, int64_t now_ms)
 {
 	if (packet->flags & TCP_RST) {
-		finish_caller(pool, caller, true);
-	} else if (caller->phase == CALLER_OPENING &&
-		   (packet->flags & TCP_SYN)) {
-		caller->seq++;
-		caller->ack = packet->seq + 1;
-		schedule_next(pool, caller, now_ms);
+		if (reset_fits(caller, packet))
+			finish_caller(pool, caller, true);
+	} else if (caller->phase == CALLER_OPENING) {
+		if (packet->flags & TCP_SYN)
+			accept_answer(pool, caller, packet, now_ms);
+	} else if (packet->flags & TCP_SYN) {
+		send_ack(pool, caller);
 	} else if (caller->phase == CALLER_DATA && packet->payload_len &&
 		   caller->waiting && echo_matches(pool, caller, packet)) {
 		caller->sent++;
--- a/tests/standin/caller_pool.h
+++ b/tests/standin/caller_pool.h
@@ -22,6 +22,8 @@
 	const struct service *service;
 	enum caller_phase phase;
 	uint32_t seq, ack;
+	/** First sequence number of the server that accepted. */
+	uint32_t server_seq;
 	/** Payloads echoed so far, and in all. */
 	int sent, todo;
 	int64_t gap_ms;
@@ -30,6 +32,8 @@
 	int64_t first_try_ms;
 	/** A packet is unanswered since first_try_ms. */
 	bool waiting;
+	/** Packets sent in all, repeats included. */
+	int tries;
 	bool wrong_service;
 	/** Tells the world whom to count the loss to. */
 	bool broken, refused;
@@ -44,6 +48,8 @@
 	GHashTable *by_key;
 	/** Reset or unanswered while opening: refused; later: broken. */
 	size_t open, finished, broken, refused, wrong_service, retries;
+	/** Connections that were accepted, and those at the first try. */
+	size_t opened, opened_at_once;
 	uint32_t next_id;
 };
 
