Doubt connections after a server's restart; benches balance and admit

Cause: after a silent restart the dead connections kept the limit in use and each of their resets counted as a new sign, so the limit never rose (40 s and more).

Change: what was open at a restart is unproven until the server answers on it; only timed answers prove. A zone that returns is cold, its old connections are forgotten. The margin of the choice of two is 1/80 of the load.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -18,8 +18,10 @@
 #define BACK_OFF_MIN_MS 500
 #define BACK_OFF_MAX_MS 8000
 #define USUAL_MIN_MS 1.0
+/* A limit counts as used from this share of it on, 1/4. */
+#define USED_SHARE 4
 
-static uint32_t cold_limit(const struct admit *admit)
+uint32_t admit_cold_limit(const struct admit *admit)
 {
 	return MAX(admit->connections_max / ADMIT_COLD_SHARE, 1);
 }
@@ -30,7 +32,7 @@
 	memset(admit, 0, sizeof(*admit));
 	admit->connections_max = connections_max;
 	admit->slots_max = MAX(slots_max, 1);
-	admit->limit = cold_limit(admit);
+	admit->limit = admit_cold_limit(admit);
 	admit->answer_ms = DEFAULT_ANSWER_MS;
 	admit->next_step_ms = now_ms + ADMIT_STEP_MS;
 	admit->last_good_ms = now_ms;
@@ -43,7 +45,7 @@
 		return ADMIT_DRAINING;
 	if (now_ms < admit->down_until_ms)
 		return ADMIT_DOWN;
-	if (admit->open >= admit->connections_max)
+	if (admit->open + admit->unproven >= admit->connections_max)
 		return ADMIT_FULL;
 	if (admit->open >= admit->limit)
 		return ADMIT_COLD;
@@ -63,6 +65,25 @@
 		admit->open--;
 }
 
+void admit_restarted(struct admit *admit)
+{
+	admit->unproven += admit->open;
+	admit->open = 0;
+	admit->peak = 0;
+}
+
+void admit_close_unproven(struct admit *admit)
+{
+	if (admit->unproven)
+		admit->unproven--;
+}
+
+void admit_proven(struct admit *admit)
+{
+	admit_close_unproven(admit);
+	admit_take_over(admit);
+}
+
 uint32_t admit_slots(const struct admit *admit)
 {
 	uint64_t slots = (uint64_t)admit->slots_max * admit->limit /
@@ -94,12 +115,13 @@
 	admit->good = 0;
 	admit->slow = 0;
 	admit->resets = 0;
+	admit->accepted = 0;
 	admit->peak = admit->open;
 }
 
-static void turn_cold(struct admit *admit, int64_t now_ms)
+void admit_turn_cold(struct admit *admit, int64_t now_ms)
 {
-	admit->limit = cold_limit(admit);
+	admit->limit = admit_cold_limit(admit);
 	admit->next_step_ms = now_ms + ADMIT_STEP_MS;
 	admit->last_good_ms = now_ms;
 	clear_signs(admit);
@@ -108,14 +130,21 @@
 void admit_accepted(struct admit *admit)
 {
 	admit->back_off_ms = BACK_OFF_MIN_MS;
-	admit->good++;
+	admit->accepted++;
+}
+
+void admit_pushed(struct admit *admit)
+{
+	/* Where callers ask, the answers tell more. */
+	if (admit->usual_ms <= 0)
+		admit->good++;
 }
 
 static void slow_sign(struct admit *admit, int64_t now_ms)
 {
 	admit->slow++;
-	if (admit->slow >= SLOW_SIGNS && admit->limit > cold_limit(admit))
-		turn_cold(admit, now_ms);
+	if (admit->slow >= SLOW_SIGNS && admit->limit > admit_cold_limit(admit))
+		admit_turn_cold(admit, now_ms);
 }
 
 static bool is_slow(const struct admit *admit, int64_t took_ms)
@@ -153,13 +182,13 @@
 {
 	if (++admit->resets < RESET_SIGNS)
 		return false;
-	turn_cold(admit, now_ms);
+	admit_turn_cold(admit, now_ms);
 	return true;
 }
 
 void admit_refused(struct admit *admit, int64_t now_ms)
 {
-	turn_cold(admit, now_ms);
+	admit_turn_cold(admit, now_ms);
 	admit->down_until_ms = now_ms + admit->back_off_ms;
 	admit->back_off_ms = MIN(admit->back_off_ms * 2, BACK_OFF_MAX_MS);
 }
@@ -180,7 +209,8 @@
 	uint64_t load = (uint64_t)admit->open * PACKET_LOAD_SCALE;
 
 	if (admit->draining || now_ms < admit->down_until_ms ||
-	    admit->open >= admit->limit)
+	    admit->open >= admit->limit ||
+	    admit->open + admit->unproven >= admit->connections_max)
 		return PACKET_LOAD_FULL;
 	return (uint16_t)(load / admit->connections_max);
 }
@@ -190,10 +220,19 @@
 	admit->draining = true;
 }
 
-/* Proven: the limit was used and the answers came as usual. */
-static bool may_rise(const struct admit *admit)
+/* Answers came as usual, or there are none to be had for a long time. */
+static bool proven(const struct admit *admit, int64_t now_ms)
+{
+	if (admit->slow)
+		return false;
+	return admit->good || (admit->accepted &&
+			       now_ms - admit->last_good_ms > ACCEPT_SLOW_MS);
+}
+
+static bool may_rise(const struct admit *admit, int64_t now_ms)
 {
-	return admit->good && !admit->slow && admit->peak >= admit->limit / 2 &&
+	return proven(admit, now_ms) &&
+	       admit->peak >= admit->limit / USED_SHARE &&
 	       admit->limit < admit->connections_max;
 }
 
@@ -202,7 +241,7 @@
 	if (now_ms < admit->next_step_ms)
 		return;
 	admit->next_step_ms = now_ms + ADMIT_STEP_MS;
-	if (may_rise(admit))
+	if (may_rise(admit, now_ms))
 		admit->limit = MIN(admit->limit * 2, admit->connections_max);
 	admit->usual_ms *= USUAL_GROWTH;
 	clear_signs(admit);
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -46,6 +46,8 @@
 /** Monotonic time in ns, for timings. */
 int64_t bench_now_ns(void);
 
+extern const struct bench_group bench_admit;
+extern const struct bench_group bench_balance;
 extern const struct bench_group bench_churn;
 extern const struct bench_group bench_route;
 extern const struct bench_group bench_pipeline;
--- a/bench/bench_churn.c
+++ b/bench/bench_churn.c
@@ -32,7 +32,11 @@
 	world->faults.delay_max_ms = 20;
 }
 
-/* Views come into force up to three seconds apart. */
+/*
+ * Views come into force up to three seconds apart. Where the time of a zone's
+ * last packet is measured, only those of the balancers: an agent that knows
+ * its zone is out acts at once.
+ */
 static void set_lag(struct world *world, struct world_node *node)
 {
 	node->view_lag_ms = g_rand_int_range(world->rand, 0, LAG_MAX_MS + 1);
@@ -157,6 +161,12 @@
 	struct world world;
 
 	start(&world, deployment, bench->seed, 0.5);
+	for (guint i = 0; i < world.nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world.nodes, i);
+
+		if (node->options.self.role == MEMBER_AGENT)
+			node->view_lag_ms = 0;
+	}
 	for (size_t i = 0; i < 2; i++)
 		bench_world_load(&world, i, CONNECTIONS / 10, OPEN_MS / 4,
 				 LINES, GAP_MS);
--- a/bench/bench_world.c
+++ b/bench/bench_world.c
@@ -1,9 +1,12 @@
 #include "bench_world.h"
 
+#include <math.h>
 #include <stdio.h>
 
 #define SERVICE_NET 0x0a4d0000u /* 10.77.0.0 */
 #define SERVICE_PORT 8080
+#define PARETO_SHAPE 1.5
+#define LIFETIME_MAX_MEANS 20
 
 const struct bench_deployment bench_deployments[2] = {
 	{.name = "huon",
@@ -111,3 +114,36 @@
 								 over_ms + 1),
 				lines, gap_ms);
 }
+
+static double pareto(GRand *rand, double mean)
+{
+	double low = mean * (PARETO_SHAPE - 1) / PARETO_SHAPE;
+	double value = low / pow(1 - g_rand_double(rand), 1 / PARETO_SHAPE);
+
+	return MIN(value, mean * LIFETIME_MAX_MEANS);
+}
+
+void bench_arrivals_init(struct bench_arrivals *arrivals, struct world *world,
+			 double rate, double lifetime_ms)
+{
+	arrivals->world = world;
+	arrivals->rate = rate;
+	arrivals->lifetime_ms = lifetime_ms;
+	arrivals->next_ms = (double)world->now_ms;
+}
+
+void bench_arrivals_step(struct bench_arrivals *arrivals, int64_t ms)
+{
+	struct world *world = arrivals->world;
+
+	while (arrivals->next_ms < (double)(world->now_ms + ms)) {
+		double lifetime_ms = pareto(world->rand, arrivals->lifetime_ms);
+
+		/* One payload between two gaps. */
+		caller_pool_add(&world->callers, &world->manifest.services[0],
+				(int64_t)arrivals->next_ms, 1,
+				(int64_t)(lifetime_ms / 2));
+		arrivals->next_ms -=
+			log(1 - g_rand_double(world->rand)) / arrivals->rate;
+	}
+}
--- a/bench/bench_world.h
+++ b/bench/bench_world.h
@@ -38,4 +38,19 @@
 void bench_world_load(struct world *world, size_t service, unsigned int n,
 		      int over_ms, int lines, int gap_ms);
 
+/** Poisson arrivals at the first service, with heavy-tailed lifetimes. */
+struct bench_arrivals {
+	struct world *world;
+	/** Connections per ms. */
+	double rate;
+	double lifetime_ms;
+	double next_ms;
+};
+
+void bench_arrivals_init(struct bench_arrivals *arrivals, struct world *world,
+			 double rate, double lifetime_ms);
+
+/** Adds what arrives in the next @ms. */
+void bench_arrivals_step(struct bench_arrivals *arrivals, int64_t ms);
+
 #endif
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -50,11 +50,29 @@
 	flow_table_finish(&agent->flows);
 }
 
+/* The connections of a zone that goes out are given up; it returns cold. */
+static void zone_changed(struct agent *agent, bool zone_in)
+{
+	if (agent->zone_in == zone_in)
+		return;
+	agent->zone_in = zone_in;
+	flow_table_clear(&agent->flows);
+	agent->admit.open = 0;
+	agent->admit.unproven = 0;
+	agent->admit.limit =
+		MIN(agent->admit.limit, admit_cold_limit(&agent->admit));
+}
+
 void agent_set_view(struct agent *agent, const struct view *view)
 {
+	bool zone_in = view_zone_in(view, &agent->zone);
+
+	/* A first view says nothing new about the zone. */
+	if (agent->view)
+		zone_changed(agent, zone_in);
+	agent->zone_in = zone_in;
 	agent->view = view;
 	agent->service = view_service(view, agent->service_id);
-	agent->zone_in = view_zone_in(view, &agent->zone);
 	if (!agent->service)
 		return;
 	agent->idle_timeout_ms = agent->service->service.idle_timeout_s * 1000;
@@ -68,7 +86,7 @@
 
 uint32_t agent_open(const struct agent *agent)
 {
-	return agent->admit.open;
+	return agent->admit.open + agent->admit.unproven;
 }
 
 static void count(struct agent *agent, enum counter_id id)
@@ -76,19 +94,27 @@
 	counter_inc(agent->counters, id);
 }
 
+static void flow_give_back(struct agent *agent, const struct flow *flow)
+{
+	if (flow->bits & FLOW_UNPROVEN)
+		admit_close_unproven(&agent->admit);
+	else
+		admit_close(&agent->admit);
+}
+
 static void flow_close(struct agent *agent, struct flow *flow)
 {
 	if (flow->state == FLOW_CLOSING)
 		return;
 	flow->state = FLOW_CLOSING;
-	admit_close(&agent->admit);
+	flow_give_back(agent, flow);
 	count(agent, COUNTER_FLOW_CLOSED);
 }
 
 static void flow_forget(struct agent *agent, struct flow *flow)
 {
 	if (flow->state != FLOW_CLOSING)
-		admit_close(&agent->admit);
+		flow_give_back(agent, flow);
 	flow_table_remove(&agent->flows, flow);
 }
 
@@ -455,6 +481,38 @@
 	return true;
 }
 
+/* What was open may be gone, so it no longer counts until it is proven. */
+static void doubt_flows(struct agent *agent)
+{
+	struct flow_table *flows = &agent->flows;
+
+	count(agent, COUNTER_TURNED_COLD);
+	admit_restarted(&agent->admit);
+	for (uint32_t i = 0; i <= flows->mask; i++)
+		if (flows->slots[i].state == FLOW_OPEN ||
+		    flows->slots[i].state == FLOW_HALF_OPEN)
+			flows->slots[i].bits |= FLOW_UNPROVEN;
+}
+
+/* A reset without a FIN before: the server forgot the connection. */
+static void note_restart(struct agent *agent, struct flow *flow,
+			 const struct inner_packet *packet, int64_t now_ms)
+{
+	const uint8_t fins = FLOW_CALLER_FIN | FLOW_SERVER_FIN;
+
+	if (flow->state != FLOW_OPEN)
+		return;
+	if (!(packet->flags & TCP_RST)) {
+		if (flow->bits & FLOW_UNPROVEN)
+			admit_proven(&agent->admit);
+		flow->bits &= (uint8_t)~FLOW_UNPROVEN;
+		return;
+	}
+	if (!(flow->bits & (fins | FLOW_UNPROVEN)) &&
+	    admit_reset(&agent->admit, now_ms))
+		doubt_flows(agent);
+}
+
 static void note_answer(struct agent *agent, struct flow *flow,
 			const struct inner_packet *packet, int64_t now_ms)
 {
@@ -464,16 +522,14 @@
 		flow->bits |= FLOW_ANSWERED;
 		flow->server_seq = packet->seq + 1;
 	}
+	if (packet->payload_len && !(flow->bits & FLOW_ASKED))
+		admit_pushed(&agent->admit);
 	if (packet->payload_len && (flow->bits & FLOW_ASKED)) {
 		flow->bits &= (uint8_t)~FLOW_ASKED;
 		admit_answered(&agent->admit, (uint32_t)now_ms - flow->mark_ms,
 			       now_ms);
 	}
-	/* A reset without a FIN before: the server forgot the connection. */
-	if ((packet->flags & TCP_RST) && flow->state == FLOW_OPEN &&
-	    !(flow->bits & (FLOW_CALLER_FIN | FLOW_SERVER_FIN)) &&
-	    admit_reset(&agent->admit, now_ms))
-		count(agent, COUNTER_TURNED_COLD);
+	note_restart(agent, flow, packet, now_ms);
 }
 
 void agent_handle_server(struct agent *agent, const uint8_t *data, size_t len,
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -5,8 +5,8 @@
 #define NO_CANDIDATE (-1)
 /* Services whose servers carry this few compare all candidates. */
 #define FEW_CONNECTIONS 64
-/* A peer is clearly better when it has this share less, 1/40. */
-#define MARGIN_SHARE 40
+/* A peer is clearly better when it has this share less, 1/80. */
+#define MARGIN_SHARE 80
 /* Detours after which a balancer is told the owner. */
 #define HINT_HOPS 2
 #define HASH_HIGH_SHIFT 32
--- a/flow/flow_table.c
+++ b/flow/flow_table.c
@@ -103,6 +103,12 @@
 	table->used--;
 }
 
+void flow_table_clear(struct flow_table *table)
+{
+	memset(table->slots, 0, flow_table_bytes(table));
+	table->used = 0;
+}
+
 size_t flow_table_bytes(const struct flow_table *table)
 {
 	return ((size_t)table->mask + 1) * sizeof(*table->slots);
--- a/flow/handover.c
+++ b/flow/handover.c
@@ -90,7 +90,8 @@
 		return;
 	flow->state = (uint8_t)record->state;
 	/* The time of a payload that waits is not handed over. */
-	flow->bits = (uint8_t)(record->bits & ~(uint32_t)FLOW_ASKED);
+	flow->bits = (uint8_t)(record->bits &
+			       ~(uint32_t)(FLOW_ASKED | FLOW_UNPROVEN));
 	flow->last_ms = (uint32_t)now_ms - record->idle_ms;
 	flow->mark_ms = (uint32_t)now_ms;
 	flow->syn_seq = record->syn_seq;
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -29,12 +29,17 @@
 	uint32_t limit;
 	/** Connections open now, and the most since the last step. */
 	uint32_t open, peak;
+	/**
+	 * Connections from before a restart of the server that it has not
+	 * answered on since: not part of `open`, as most of them are gone.
+	 */
+	uint32_t unproven;
 	/** Requests that the warm server runs at once. */
 	uint32_t slots_max;
 	/** Requests running now. */
 	uint32_t slots_used;
 	/** Signs since the last step. */
-	uint32_t good, slow, resets;
+	uint32_t good, slow, resets, accepted;
 	/** Usual time of an answer, ms; 0 is unknown. */
 	double usual_ms;
 	/** What proves a warm server while usual_ms is unknown, ms. */
@@ -68,17 +73,38 @@
 /** A connection ended. */
 void admit_close(struct admit *admit);
 
+/** The server restarted: what is open is unproven from now on. */
+void admit_restarted(struct admit *admit);
+
+/** The server answered on an unproven connection. */
+void admit_proven(struct admit *admit);
+
+/** An unproven connection ended. */
+void admit_close_unproven(struct admit *admit);
+
 /** Asks for a slot; counts it when the answer is yes. */
 enum admit_verdict admit_slot_take(struct admit *admit, int64_t now_ms);
 
 void admit_slot_release(struct admit *admit);
 
+/** Connections that a cold server may have. */
+uint32_t admit_cold_limit(const struct admit *admit);
+
 /** Requests allowed at once now. */
 uint32_t admit_slots(const struct admit *admit);
 
-/** The server accepted a connection. */
+/** Back to the limit of a cold start; what was learned stays. */
+void admit_turn_cold(struct admit *admit, int64_t now_ms);
+
+/**
+ * The server accepted a connection. A cold one does that quickly too, so it
+ * proves little.
+ */
 void admit_accepted(struct admit *admit);
 
+/** The server sent a payload that no caller waited for. */
+void admit_pushed(struct admit *admit);
+
 /** The server answered a payload of a caller after @took_ms. */
 void admit_answered(struct admit *admit, int64_t took_ms, int64_t now_ms);
 
--- a/include/tarragonflow/flow/flow_table.h
+++ b/include/tarragonflow/flow/flow_table.h
@@ -29,6 +29,8 @@
 	FLOW_ANSWERED = 0x4,
 	/** The caller sent a payload at mark_ms that waits for an answer. */
 	FLOW_ASKED = 0x8,
+	/** Older than a restart of the server; it has not answered since. */
+	FLOW_UNPROVEN = 0x10,
 };
 
 /** Times are ms modulo 2^32. */
@@ -74,6 +76,9 @@
 
 void flow_table_remove(struct flow_table *table, struct flow *flow);
 
+/** Forgets all flows. */
+void flow_table_clear(struct flow_table *table);
+
 /** Bytes of memory that the slots take. */
 size_t flow_table_bytes(const struct flow_table *table);
 
--- a/tests/scenarios/world_platform.c
+++ b/tests/scenarios/world_platform.c
@@ -128,11 +128,29 @@
 	}
 }
 
+/* From now on nothing may reach the zones that are out. */
+static void note_zones(struct world *world)
+{
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world->nodes, i);
+		const struct zone *zone = manifest_zone(
+			&world->manifest, &node->options.self.zone);
+
+		if (zone && zone->state == ZONE_IN)
+			node->zone_out_ms = 0;
+		else if (!node->zone_out_ms)
+			node->zone_out_ms = world->now_ms;
+	}
+}
+
 enum status_code world_apply(struct world *world, struct status *status)
 {
 	struct operator_platform operator= {{operator_call}, world};
 
-	return apply_manifest(&operator.platform, &world->manifest, status);
+	if (apply_manifest(&operator.platform, &world->manifest, status) ==
+	    STATUS_OK)
+		note_zones(world);
+	return status->code;
 }
 
 void world_platform_init(struct world *world)
--- a/tests/standin/caller_pool.c
+++ b/tests/standin/caller_pool.c
@@ -25,6 +25,7 @@
 	memset(pool, 0, sizeof(*pool));
 	pool->rand = g_rand_new_with_seed(seed);
 	pool->callers = g_ptr_array_new_with_free_func(g_free);
+	pool->active = g_ptr_array_new();
 	pool->by_key = g_hash_table_new(key_hash, key_equal);
 }
 
@@ -32,6 +33,7 @@
 {
 	g_rand_free(pool->rand);
 	g_hash_table_destroy(pool->by_key);
+	g_ptr_array_free(pool->active, TRUE);
 	g_ptr_array_free(pool->callers, TRUE);
 }
 
@@ -53,6 +55,7 @@
 	caller->gap_ms = gap_ms;
 	caller->due_ms = open_ms;
 	g_ptr_array_add(pool->callers, caller);
+	g_ptr_array_add(pool->active, caller);
 	g_hash_table_insert(pool->by_key, &caller->key, caller);
 	pool->open++;
 	return caller;
@@ -95,8 +98,9 @@
 }
 
 static void finish_caller(struct caller_pool *pool, struct caller *caller,
-			  bool lost)
+			  bool lost, int64_t now_ms)
 {
+	caller->done_ms = now_ms;
 	pool->open--;
 	if (!lost) {
 		pool->finished++;
@@ -122,7 +126,7 @@
 		pool->retries++;
 	}
 	if (now_ms - caller->first_try_ms > GIVE_UP_MS) {
-		finish_caller(pool, caller, true);
+		finish_caller(pool, caller, true, now_ms);
 		return;
 	}
 	caller->due_ms = now_ms + RETRY_MS;
@@ -132,8 +136,14 @@
 
 void caller_pool_step(struct caller_pool *pool, int64_t now_ms)
 {
-	for (guint i = 0; i < pool->callers->len; i++)
-		step(pool, g_ptr_array_index(pool->callers, i), now_ms);
+	for (guint i = pool->active->len; i-- > 0;) {
+		struct caller *caller = g_ptr_array_index(pool->active, i);
+
+		if (caller->phase == CALLER_DONE)
+			g_ptr_array_remove_index_fast(pool->active, i);
+		else
+			step(pool, caller, now_ms);
+	}
 }
 
 /* True when the echo is of the right service and the right line. */
@@ -182,6 +192,7 @@
 	if (packet->ack != caller->seq + 1)
 		return;
 	pool->opened++;
+	caller->opened_ms = now_ms;
 	if (caller->tries == 1)
 		pool->opened_at_once++;
 	caller->seq++;
@@ -196,7 +207,7 @@
 {
 	if (packet->flags & TCP_RST) {
 		if (reset_fits(caller, packet))
-			finish_caller(pool, caller, true);
+			finish_caller(pool, caller, true, now_ms);
 	} else if (caller->phase == CALLER_OPENING) {
 		if (packet->flags & TCP_SYN)
 			accept_answer(pool, caller, packet, now_ms);
@@ -210,7 +221,7 @@
 		schedule_next(pool, caller, now_ms);
 	} else if (caller->phase == CALLER_CLOSING &&
 		   (packet->flags & TCP_FIN)) {
-		finish_caller(pool, caller, false);
+		finish_caller(pool, caller, false, now_ms);
 	}
 }
 
--- a/tests/standin/caller_pool.h
+++ b/tests/standin/caller_pool.h
@@ -30,6 +30,8 @@
 	/** When the next packet is due, ms. */
 	int64_t due_ms;
 	int64_t first_try_ms;
+	/** When it was accepted and when it ended, ms; 0 before. */
+	int64_t opened_ms, done_ms;
 	/** A packet is unanswered since first_try_ms. */
 	bool waiting;
 	/** Packets sent in all, repeats included. */
@@ -45,6 +47,8 @@
 	GRand *rand;
 	/** Of struct caller, by pointer. */
 	GPtrArray *callers;
+	/** Those of them that are not done. */
+	GPtrArray *active;
 	GHashTable *by_key;
 	/** Reset or unanswered while opening: refused; later: broken. */
 	size_t open, finished, broken, refused, wrong_service, retries;
