Scenarios and tests of membership under loss, forgery, pauses, splits and mass loss

The world forges, truncates and replays control messages, rotates keys and meters each process's worst second. Cause of three findings fixed on the way: balancers told joiners a configuration they already had (30 s of lag in a cold start of 48), joiners probed the few members they knew too often, and a joiner with one seed compared rosters too seldom.

--- a/control/anti_entropy.c
+++ b/control/anti_entropy.c
@@ -128,13 +128,14 @@
 }
 
 size_t anti_entropy_missing(const struct roster *roster,
-			    const struct message *exchange,
+			    const struct message *exchange, size_t start,
 			    const struct member **members, size_t max)
 {
 	size_t n = 0;
 
 	for (size_t i = 0; i < roster->n && n < max; i++) {
-		const struct member *member = &roster->members[i];
+		const struct member *member =
+			&roster->members[(start + i) % roster->n];
 		const struct message_entry *entry;
 
 		if (!digest_covers(&exchange->digest, &member->name))
--- a/control/context.h
+++ b/control/context.h
@@ -63,6 +63,10 @@
 void outbound_want_config(struct control_context *context,
 			  const struct endpoint *to);
 
+/** @to has our configuration meanwhile. */
+void outbound_forget_config(struct control_context *context,
+			    const struct endpoint *to);
+
 /** Sends the configuration to those that wait, as the budget allows. */
 void outbound_configs(struct control_context *context);
 
--- a/control/control.c
+++ b/control/control.c
@@ -12,6 +12,11 @@
 /* Between two comparisons with a random peer, ms. */
 #define EXCHANGE_INTERVAL_MS 5000
 #define JOIN_INTERVAL_MS 400
+/* Who knows so few members is still joining. */
+#define JOIN_MEMBERS 6
+/* A process that started lately compares more often. */
+#define JOINED_INTERVAL_MS 1000
+#define JOIN_MS 6000
 #define JOIN_FANOUT 3
 /* One in so many comparisons goes to a seed or to a member held for gone. */
 #define FAR_SHARE 3
@@ -418,14 +423,16 @@
 
 	if (context->now_ms < control->next_exchange_ms)
 		return;
-	if (context->now_ms == control->started_ms)
+	if (!control->number)
 		for (size_t i = 0;
 		     i < MIN(control->options.n_seeds, JOIN_FANOUT); i++)
 			outbound_digest(context, &control->options.seeds[i]);
 	else
 		exchange_once(context, joining);
-	if (joining)
+	if (control->roster.n < JOIN_MEMBERS)
 		interval_ms = JOIN_INTERVAL_MS;
+	else if (context->now_ms < control->started_ms + JOIN_MS)
+		interval_ms = JOINED_INTERVAL_MS;
 	control->next_exchange_ms =
 		context->now_ms + interval_ms / 2 +
 		(int64_t)random_below(&control->random, (size_t)interval_ms);
--- a/control/failure_detector.c
+++ b/control/failure_detector.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define PROBE_INTERVAL_MS 400
+#define FEW_MEMBERS 8
+#define FEW_INTERVAL_MS 3200
 #define PROBE_ROUNDS 3
 #define HELPERS_PER_ROUND 3
 #define RELAY_TIMEOUT_MS 120
@@ -163,6 +165,10 @@
 	const struct member *target = next_target(detector, out);
 
 	detector->next_probe_ms = now_ms + stretch(detector, PROBE_INTERVAL_MS);
+	/* Who knows few members spares those that everybody knows. */
+	if (detector->roster->n < FEW_MEMBERS)
+		detector->next_probe_ms +=
+			FEW_INTERVAL_MS / (int64_t)detector->roster->n;
 	if (!target)
 		return;
 	detector->probe = (struct probe){
--- a/control/gossip_queue.c
+++ b/control/gossip_queue.c
@@ -7,7 +7,8 @@
 #define MIN_CAP 16
 /* Sendings of an item for each doubling of the members. */
 #define SENDS_PER_DOUBLING 2
-#define REVISION_SENDS_PER_DOUBLING 1
+/* Of what the member itself tells everybody it meets, too. */
+#define LESSER_SENDS_PER_DOUBLING 1
 
 void gossip_queue_init(struct gossip_queue *queue)
 {
@@ -99,6 +100,14 @@
 	queue->items[i].sent++;
 }
 
+void gossip_queue_heard(struct gossip_queue *queue, const struct name *name)
+{
+	struct gossip_item *item = find(queue, false, name);
+
+	if (item)
+		item->sent++;
+}
+
 bool gossip_queue_ready(const struct gossip_queue *queue,
 			enum gossip_class class)
 {
@@ -114,9 +123,8 @@
 
 	while (n_members >> doublings)
 		doublings++;
-	return doublings * (class == GOSSIP_REVISION
-				    ? REVISION_SENDS_PER_DOUBLING
-				    : SENDS_PER_DOUBLING);
+	return doublings * (class == GOSSIP_REVISION ? LESSER_SENDS_PER_DOUBLING
+						     : SENDS_PER_DOUBLING);
 }
 
 void gossip_queue_prune(struct gossip_queue *queue, size_t n_members)
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -91,8 +91,11 @@
 		return;
 	}
 	change = roster_merge(&control->roster, entry, context->now_ms);
-	if (change == ROSTER_UNCHANGED)
+	if (change == ROSTER_UNCHANGED) {
+		if (tell)
+			gossip_queue_heard(&control->queue, &entry->name);
 		return;
+	}
 	member = roster_find(&control->roster, &entry->name);
 	if (change == ROSTER_REFRESHED) {
 		member_refreshed(context, member, spoke, tell);
@@ -191,8 +194,9 @@
 
 	if (from->config_revision < ours)
 		outbound_want_config(context, &from->control);
-	else if (from->config_revision > ours &&
-		 message->kind != MESSAGE_CONFIG)
+	else
+		outbound_forget_config(context, &from->control);
+	if (from->config_revision > ours && message->kind != MESSAGE_CONFIG)
 		pull_limited(context, &from->control);
 }
 
--- a/control/outbound.c
+++ b/control/outbound.c
@@ -12,7 +12,7 @@
 #define PICK_TRIES 8
 /* One in so many random peers may be of another region. */
 #define BRIDGE_SHARE 8
-#define MISSING_MAX (EXCHANGE_MEMBERS_MAX * EXCHANGE_MESSAGES_MAX)
+#define MISSING_MAX (EXCHANGE_MEMBERS_MAX * 2)
 
 /** Answers to a peer's sums. */
 struct compare_edge {
@@ -229,7 +229,8 @@
 	struct control *control = context->control;
 	struct message message;
 
-	outbound_init(context, &message, MESSAGE_DIGEST, true);
+	outbound_init(context, &message, MESSAGE_DIGEST,
+		      control->roster.n == 1);
 	digest_compute(&message.digest, &control->roster);
 	outbound_send(context, to, &message);
 }
@@ -283,12 +284,14 @@
 		      const struct message *exchange)
 {
 	const struct member *members[MISSING_MAX];
-	size_t n = anti_entropy_missing(&context->control->roster, exchange,
+	struct control *control = context->control;
+	size_t start = random_below(&control->random, control->roster.n);
+	size_t n = anti_entropy_missing(&control->roster, exchange, start,
 					members, MISSING_MAX);
 	struct message message;
 
 	for (size_t i = 0; i < n;) {
-		if (!room_to_exchange(context->control))
+		if (!room_to_exchange(control))
 			return;
 		/* An empty mask: the answer asks for nothing back. */
 		outbound_init(context, &message, MESSAGE_EXCHANGE, false);
@@ -337,6 +340,21 @@
 	outbound_configs(context);
 }
 
+void outbound_forget_config(struct control_context *context,
+			    const struct endpoint *to)
+{
+	struct control *control = context->control;
+
+	for (size_t i = 0; i < control->n_pulls; i++) {
+		if (!endpoint_equal(&control->pulls[i], to))
+			continue;
+		control->n_pulls--;
+		memmove(control->pulls + i, control->pulls + i + 1,
+			(control->n_pulls - i) * sizeof(*control->pulls));
+		return;
+	}
+}
+
 static bool room_for_config(const struct control *control)
 {
 	return byte_budget_room(&control->budget) >= config_bytes(control);
--- a/include/tarragonflow/control/anti_entropy.h
+++ b/include/tarragonflow/control/anti_entropy.h
@@ -39,10 +39,11 @@
 
 /**
  * The entries that the sender of an EXCHANGE lacks or has in an older form,
- * into @members, at most @max; returns how many.
+ * from entry @start on, into @members, at most @max; returns how many. A
+ * random start lets peers that join together learn different parts.
  */
 size_t anti_entropy_missing(const struct roster *roster,
-			    const struct message *exchange,
+			    const struct message *exchange, size_t start,
 			    const struct member **members, size_t max);
 
 /** The entries that @digest covers, at most @max; returns how many. */
--- a/include/tarragonflow/control/gossip_queue.h
+++ b/include/tarragonflow/control/gossip_queue.h
@@ -58,6 +58,9 @@
 /** Counts a sending of item @i. */
 void gossip_queue_sent(struct gossip_queue *queue, size_t i);
 
+/** A peer told us what we have queued about member @name: it spreads. */
+void gossip_queue_heard(struct gossip_queue *queue, const struct name *name);
+
 /** Removes what was sent often enough among @n_members. */
 void gossip_queue_prune(struct gossip_queue *queue, size_t n_members);
 
--- /dev/null
+++ b/tests/scenarios/dead_server.lua
@@ -0,0 +1,33 @@
+-- A backend server's process and a balancer die: new work for the server ends
+-- within seconds, both leave the roster; started again they are back at once.
+deploy{
+	zones = { "tas-a", "tas-b", "tas-c" },
+	balancers = 4,
+	services = {
+		{ name = "orders", servers = 7 },
+		{ name = "assessing", servers = 3 },
+	},
+}
+run(3000)
+load{ service = "orders", connections = 3000, over_ms = 40000, lines = 2 }
+run(5000)
+kill("orders-3")
+kill("balancer-2")
+run(12000)
+expect("dead_work_ms", "<=", 4000)
+expect("dead_not_left", "==", 0)
+expect("live_held_left", "==", 0)
+apply()
+run(4000)
+expect("lagging", "==", 0)
+start("orders-3")
+start("balancer-2")
+run(3000)
+expect("unknown_members", "==", 0)
+expect("live_held_left", "==", 0)
+expect("first work at orders-3", ">=", 1, figure("flows_opened", "orders-3"))
+-- The second time.
+kill("orders-3")
+run(12000)
+expect("dead_work_ms", "<=", 4000)
+expect("dead_not_left", "==", 0)
--- /dev/null
+++ b/tests/scenarios/paused_process.lua
@@ -0,0 +1,51 @@
+-- A balancer and an agent wake after a minute: they notice, ask their peers
+-- before they accuse anybody, and nobody living is declared dead by them.
+deploy{
+	zones = { "tas-a", "tas-b", "tas-c" },
+	balancers = 4,
+	services = {
+		{ name = "orders", servers = 7 },
+		{ name = "assessing", servers = 3 },
+	},
+}
+run(3000)
+pause("balancer-1", 60000)
+pause("orders-2", 60000)
+run(30000)
+expect("live_held_left", ">=", 2 * 12)
+local before = figure("members_declared_dead", "balancer-1")
+	+ figure("members_declared_dead", "orders-2")
+apply()
+run(29900)
+expect("pauses_detected", "==", 0)
+run(1000)
+expect("pauses_detected", "==", 2)
+expect("stale", "==", 0)
+expect("lagging", "==", 0)
+run(5000)
+expect("live_held_left", "==", 0)
+expect("live_held_suspect", "==", 0)
+run(20000)
+expect("declared dead by the woken", "==", before,
+	figure("members_declared_dead", "balancer-1")
+	+ figure("members_declared_dead", "orders-2"))
+expect("reverts", "==", 0)
+-- Woken while cut off: it accuses nobody before it has had time to ask.
+cut("balancer-1", 1)
+for i = 1, 7 do
+	cut("orders-" .. i, 2)
+end
+for i = 2, 4 do
+	cut("balancer-" .. i, 2)
+	cut("assessing-" .. i - 1, 2)
+end
+pause("balancer-1", 60000)
+before = figure("members_declared_dead", "balancer-1")
+run(60100)
+expect("stale", "==", 1)
+run(5000)
+expect("declared dead by the woken", "==", before,
+	figure("members_declared_dead", "balancer-1"))
+cut("balancer-1", 0)
+run(20000)
+expect("live_held_left", "==", 0)
--- a/tests/scenarios/runner.c
+++ b/tests/scenarios/runner.c
@@ -266,6 +266,12 @@
 		field_number(lua, "control_loss", faults->control_loss);
 	faults->control_double =
 		field_number(lua, "control_double", faults->control_double);
+	faults->control_forge =
+		field_number(lua, "control_forge", faults->control_forge);
+	faults->control_truncate =
+		field_number(lua, "control_truncate", faults->control_truncate);
+	faults->control_replay =
+		field_number(lua, "control_replay", faults->control_replay);
 	faults->delay_min_ms = (int64_t)field_number(
 		lua, "delay_min_ms", (double)faults->delay_min_ms);
 	faults->delay_max_ms = (int64_t)field_number(
@@ -273,6 +279,45 @@
 	return 0;
 }
 
+/* keys(id, ...) or keys(name, id, ...): of all processes, or of one */
+static int verb_keys(lua_State *lua)
+{
+	struct world_node *only = lua_isnumber(lua, 1) ? NULL : check_node(lua);
+	struct keyring keys;
+	struct status status;
+	char hex[2 * KEYRING_KEY_BYTES + 1];
+
+	keyring_init(&keys);
+	status_init(&status);
+	for (int i = only ? 2 : 1; i <= lua_gettop(lua); i++) {
+		int id = (int)luaL_checkinteger(lua, i);
+
+		snprintf(hex, sizeof(hex), "%032x", id);
+		if (keyring_add(&keys, (uint8_t)id, str_from(hex), &status) !=
+		    STATUS_OK)
+			return luaL_error(lua, "keys: %s", status.message);
+	}
+	for (guint i = 0; i < world.nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world.nodes, i);
+
+		if (only && only != node)
+			continue;
+		node->options.keys = keys;
+		if (node->up)
+			control_set_keys(&node->control, &keys);
+	}
+	keyring_finish(&keys);
+	return 0;
+}
+
+/* meter(): begins the worst second of control bytes anew */
+static int verb_meter(lua_State *lua)
+{
+	(void)lua;
+	world_reset_meters(&world);
+	return 0;
+}
+
 /* platform{down=0|1, latency_ms=, lose_answers=, forget=1} */
 static int verb_platform(lua_State *lua)
 {
@@ -323,8 +368,19 @@
 
 static int verb_figure(lua_State *lua)
 {
+	const char *process = luaL_optstring(lua, 2, NULL);
+	struct world_node *node = process ? world_find_node(&world, process)
+					  : NULL;
 	double value;
 
+	if (process) {
+		if (!node ||
+		    !world_node_figure(node, luaL_checkstring(lua, 1), &value))
+			return luaL_error(lua, "no such figure of '%s'",
+					  process);
+		lua_pushnumber(lua, value);
+		return 1;
+	}
 	if (!world_figure(&world, luaL_checkstring(lua, 1), &value))
 		return luaL_error(lua, "no figure '%s'", lua_tostring(lua, 1));
 	lua_pushnumber(lua, value);
@@ -376,6 +432,8 @@
 	{"network", verb_network},
 	{"platform", verb_platform},
 	{"zone", verb_zone},
+	{"keys", verb_keys},
+	{"meter", verb_meter},
 	{"apply", verb_apply},
 	{"figure", verb_figure},
 	{"expect", verb_expect},
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -70,6 +70,8 @@
 		event->to = *to;
 		strbuf_add(&event->data, head, head_len);
 		strbuf_add(&event->data, body, body_len);
+		if (control)
+			world_control_spoil(world, event);
 	}
 }
 
@@ -117,6 +119,7 @@
 
 	node->world->control_messages++;
 	node->world->control_bytes += len;
+	world_control_meter(node, len);
 	if (peer && sides_meet(node, peer))
 		transmit(node->world, EVENT_CONTROL, to, NULL, 0, data, len);
 }
@@ -175,6 +178,8 @@
 	uint8_t head[PACKET_HEADER_MAX];
 	size_t head_len = packet_header_encode(header, head);
 
+	if (peer && !peer->up)
+		world_control_dead_packet(peer, inner, len);
 	if (peer && sides_meet(node, peer))
 		transmit(node->world, EVENT_DATA, to, head, head_len, inner,
 			 len);
@@ -319,6 +324,7 @@
 void world_kill_node(struct world_node *node)
 {
 	node_stop(node);
+	node->died_ms = node->world->now_ms;
 }
 
 struct world_node *world_add_node(struct world *world,
@@ -340,11 +346,11 @@
 	node->packet_sink.to_server = to_server;
 	node->packet_sink.to_fabric = to_fabric;
 	counters_init(&node->counters);
-	for (guint i = 0; i < world->nodes->len; i++) {
+	for (guint i = world->nodes->len; i-- > 0;) {
 		const struct world_node *peer =
 			g_ptr_array_index(world->nodes, i);
 
-		if (peer->options.self.role == MEMBER_BALANCER &&
+		if (peer->up && peer->options.self.role == MEMBER_BALANCER &&
 		    node->options.n_seeds < 3)
 			node->options.seeds[node->options.n_seeds++] =
 				peer->options.self.control;
@@ -586,6 +592,7 @@
 		{"wrong_answers", (double)world->callers.wrong_service},
 		{"caller_retries", (double)world->callers.retries},
 		{"reverts", (double)world->reverts},
+		{"dead_work_ms", (double)world->dead_work_ms},
 		{"control_bytes", (double)world->control_bytes},
 		{"control_messages", (double)world->control_messages},
 		{"trace", (double)(world->trace >> 12)},
@@ -596,6 +603,8 @@
 			*value = figures[i].value;
 			return true;
 		}
+	if (world_control_figure(world, name, value))
+		return true;
 	if (!is_node_figure(name))
 		return false;
 	*value = sum_nodes(world, name);
--- a/tests/scenarios/world.h
+++ b/tests/scenarios/world.h
@@ -19,6 +19,8 @@
 	/** Shares of messages, 0 to 1. */
 	double data_loss, data_double;
 	double control_loss, control_double;
+	/** Copies with a changed byte; cut short; sent again later. */
+	double control_forge, control_truncate, control_replay;
 	/** One way, ms. */
 	int64_t delay_min_ms, delay_max_ms;
 };
@@ -33,6 +35,17 @@
 	uint64_t calls[5];
 };
 
+/** Parts of the second that a meter slides over. */
+#define WORLD_METER_SLOTS 10
+
+/** Bytes in the worst second so far. */
+struct world_meter {
+	uint32_t slots[WORLD_METER_SLOTS];
+	/** The tenth of a second that was written last. */
+	int64_t at;
+	uint32_t peak;
+};
+
 /** One balancer or agent with all its cores. */
 struct world_node {
 	struct control_sink control_sink;
@@ -55,6 +68,10 @@
 	int side;
 	/** Cannot reach the platform. */
 	bool platform_cut;
+	/** When it was killed last, ms. */
+	int64_t died_ms;
+	/** Control bytes that it sent. */
+	struct world_meter meter;
 };
 
 struct world {
@@ -73,6 +90,8 @@
 	GPtrArray *watches;
 	uint64_t control_bytes, control_messages;
 	uint64_t reverts;
+	/** Latest new work for a dead process, ms after its death. */
+	int64_t dead_work_ms;
 	/** Hash over all deliveries, to compare runs. */
 	uint64_t trace;
 };
@@ -101,6 +120,13 @@
 /** Lets @ms pass. */
 void world_run(struct world *world, int64_t ms);
 
+/** A counter of one process; false when there is none of that name. */
+bool world_node_figure(const struct world_node *node, const char *name,
+		       double *value);
+
+/** Begins the worst second of every process anew. */
+void world_reset_meters(struct world *world);
+
 /** A figure of the whole run by name; false when there is none. */
 bool world_figure(struct world *world, const char *name, double *value);
 
--- a/tests/scenarios/world_internal.h
+++ b/tests/scenarios/world_internal.h
@@ -37,6 +37,19 @@
 /** Answers the watches that have something to tell or waited long enough. */
 void world_platform_serve(struct world *world);
 
+/** Counts @bytes that @node sent for control. */
+void world_control_meter(struct world_node *node, size_t bytes);
+
+/** Spoils a control message on its way: forged, truncated, replayed. */
+void world_control_spoil(struct world *world, struct event *event);
+
+/** Notes a packet that goes to a dead process. */
+void world_control_dead_packet(const struct world_node *peer,
+			       const uint8_t *inner, size_t len);
+
+/** What the running processes hold of each other; false: no such figure. */
+bool world_control_figure(struct world *world, const char *name, double *value);
+
 void world_platform_init(struct world *world);
 void world_platform_finish(struct world *world);
 
--- /dev/null
+++ b/tests/unit/test_membership.c
@@ -0,0 +1,644 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "tarragonflow/control/anti_entropy.h"
+#include "tarragonflow/control/auth.h"
+#include "tarragonflow/control/byte_budget.h"
+#include "tarragonflow/control/failure_detector.h"
+#include "tarragonflow/control/gossip_queue.h"
+#include "tarragonflow/control/message.h"
+#include "tarragonflow/control/zone_monitor.h"
+
+static void make_name(struct name *name, const char *prefix, int number)
+{
+	char text[32];
+
+	snprintf(text, sizeof(text), "%s-%d", prefix, number);
+	name_set(name, str_from(text));
+}
+
+static void make_member(struct member *member, int number, const char *zone)
+{
+	memset(member, 0, sizeof(*member));
+	make_name(&member->name, "orders", number);
+	name_set(&member->zone, str_from(zone));
+	name_set(&member->service, str_from("orders"));
+	member->role = MEMBER_AGENT;
+	member->state = MEMBER_ACTIVE;
+	member->instance = 5;
+	member->sequence = 1;
+	member->control.ip = (uint32_t)number;
+	member->control.port = 7;
+}
+
+static void make_roster(struct roster *roster, int n, const char *zone)
+{
+	struct member member;
+
+	roster_init(roster);
+	for (int i = 1; i <= n; i++) {
+		make_member(&member, i, zone);
+		roster_merge(roster, &member, 0);
+	}
+}
+
+static void test_revision_merge(void)
+{
+	static const struct {
+		uint64_t instance, sequence, revision, after;
+		enum roster_change change;
+	} steps[] = {
+		{5, 1, 3, 3, ROSTER_CHANGED},	{5, 1, 4, 4, ROSTER_REFRESHED},
+		{5, 2, 2, 4, ROSTER_REFRESHED}, {4, 9, 9, 4, ROSTER_UNCHANGED},
+		{6, 1, 1, 1, ROSTER_CHANGED},
+	};
+	struct member member;
+	struct roster roster;
+
+	roster_init(&roster);
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		make_member(&member, 1, "z");
+		member.instance = steps[i].instance;
+		member.sequence = steps[i].sequence;
+		member.config_revision = steps[i].revision;
+		g_assert_cmpint(roster_merge(&roster, &member, 0), ==,
+				steps[i].change);
+		g_assert_cmpuint(roster.members[0].config_revision, ==,
+				 steps[i].after);
+	}
+	roster_finish(&roster);
+}
+
+static void test_queue_order(void)
+{
+	static const struct {
+		enum gossip_class class;
+		int number;
+	} puts[] = {
+		{GOSSIP_REVISION, 1}, {GOSSIP_JOIN, 2}, {GOSSIP_STATE, 3},
+		{GOSSIP_ZONE, 4},     {GOSSIP_OWN, 5},	{GOSSIP_STATE, 1},
+	};
+	static const int order[] = {4, 5, 1, 3, 2};
+	struct gossip_queue queue;
+	struct name name;
+
+	gossip_queue_init(&queue);
+	for (size_t i = 0; i < G_N_ELEMENTS(puts); i++) {
+		make_name(&name, "m", puts[i].number);
+		g_assert_true(
+			gossip_queue_put(&queue, puts[i].class, &name, false));
+	}
+	gossip_queue_sort(&queue);
+	g_assert_cmpuint(queue.n, ==, G_N_ELEMENTS(order));
+	for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
+		make_name(&name, "m", order[i]);
+		g_assert_true(name_equal(&queue.items[i].name, &name));
+	}
+	gossip_queue_finish(&queue);
+}
+
+static void test_queue_bounds(void)
+{
+	static const struct {
+		enum gossip_class class;
+		size_t members;
+		unsigned int limit;
+	} limits[] = {
+		{GOSSIP_STATE, 1, 2},	   {GOSSIP_STATE, 15, 8},
+		{GOSSIP_REVISION, 15, 4},  {GOSSIP_STATE, 1024, 22},
+		{GOSSIP_STATE, 16000, 28},
+	};
+	struct gossip_queue queue;
+	struct name name;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(limits); i++)
+		g_assert_cmpuint(
+			gossip_queue_limit(limits[i].class, limits[i].members),
+			==, limits[i].limit);
+	gossip_queue_init(&queue);
+	for (int i = 0; i < GOSSIP_QUEUE_MAX; i++) {
+		make_name(&name, "m", i);
+		g_assert_true(
+			gossip_queue_put(&queue, GOSSIP_JOIN, &name, true));
+	}
+	make_name(&name, "late", 1);
+	g_assert_false(gossip_queue_put(&queue, GOSSIP_REVISION, &name, false));
+	g_assert_false(gossip_queue_put(&queue, GOSSIP_STATE, &name, false));
+	g_assert_cmpuint(queue.n, ==, GOSSIP_QUEUE_MAX);
+	gossip_queue_sort(&queue);
+	g_assert_true(name_equal(&queue.items[0].name, &name));
+	for (unsigned int i = 0; i < 8; i++)
+		gossip_queue_sent(&queue, 0);
+	gossip_queue_prune(&queue, 15);
+	g_assert_cmpuint(queue.n, ==, GOSSIP_QUEUE_MAX - 1);
+	gossip_queue_finish(&queue);
+}
+
+/* Whatever is asked for, no second takes more than the budget. */
+static void test_byte_budget(void)
+{
+	struct byte_budget budget;
+	size_t sent[3000] = {0};
+
+	byte_budget_init(&budget, 3072, 0);
+	for (int ms = 0; ms < 3000; ms++) {
+		byte_budget_fill(&budget, ms);
+		sent[ms] = byte_budget_room(&budget) >= 100 ? 100 : 0;
+		byte_budget_take(&budget, sent[ms]);
+	}
+	for (int from = 0; from + 1000 <= 3000; from++) {
+		size_t sum = 0;
+
+		for (int ms = from; ms < from + 1000; ms++)
+			sum += sent[ms];
+		g_assert_cmpuint(sum, <=, 3072);
+		g_assert_cmpuint(sum, >=, 1500);
+	}
+	byte_budget_take(&budget, 5000);
+	g_assert_cmpuint(byte_budget_room(&budget), ==, 0);
+}
+
+static void make_keys(struct keyring *keys, const int *ids, size_t n)
+{
+	struct status status;
+	char hex[33];
+
+	keyring_init(keys);
+	status_init(&status);
+	for (size_t i = 0; i < n; i++) {
+		snprintf(hex, sizeof(hex), "%032x", ids[i]);
+		keyring_add(keys, (uint8_t)ids[i], str_from(hex), &status);
+		g_assert_cmpint(status.code, ==, STATUS_OK);
+	}
+}
+
+static void test_auth(void)
+{
+	static const struct {
+		int sender[2], receiver[2];
+		size_t n_sender, n_receiver;
+		uint16_t port;
+		/** Byte to change, -1 for none, or bytes to cut. */
+		int forge, cut;
+		bool good;
+	} cases[] = {
+		{{0}, {0}, 0, 0, 7, -1, 0, true},
+		{{1}, {1}, 1, 1, 7, -1, 0, true},
+		{{1}, {2, 1}, 1, 2, 7, -1, 0, true},
+		{{2, 1}, {1, 2}, 2, 2, 7, -1, 0, true},
+		{{1}, {2}, 1, 1, 7, -1, 0, false},
+		{{0}, {1}, 0, 1, 7, -1, 0, false},
+		{{1}, {0}, 1, 0, 7, -1, 0, false},
+		{{1}, {1}, 1, 1, 8, -1, 0, false},
+		{{1}, {1}, 1, 1, 7, 0, 0, false},
+		{{1}, {1}, 1, 1, 7, 3, 0, false},
+		{{1}, {1}, 1, 1, 7, 12, 0, false},
+		{{1}, {1}, 1, 1, 7, -1, 1, false},
+		{{1}, {1}, 1, 1, 7, -1, 12, false},
+	};
+	static const struct endpoint to = {1, 7};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct endpoint self = {1, cases[i].port};
+		struct keyring sender, receiver;
+		struct strbuf wire;
+		struct str body;
+
+		make_keys(&sender, cases[i].sender, cases[i].n_sender);
+		make_keys(&receiver, cases[i].receiver, cases[i].n_receiver);
+		strbuf_init(&wire);
+		auth_seal(&sender, &to, str_from("message"), &wire);
+		if (cases[i].forge >= 0)
+			wire.data[cases[i].forge] ^= 1;
+		g_assert_cmpint(
+			auth_open(&receiver, &self, (const uint8_t *)wire.data,
+				  wire.len - (size_t)cases[i].cut, &body),
+			==, cases[i].good);
+		if (cases[i].good)
+			g_assert_true(str_equal(body, str_from("message")));
+		strbuf_finish(&wire);
+	}
+}
+
+static void test_replay(void)
+{
+	static const struct {
+		uint64_t instance, number;
+		enum replay_verdict verdict;
+	} steps[] = {
+		{5, 1, REPLAY_FRESH},	       {5, 1, REPLAY_REPEATED},
+		{5, 3, REPLAY_FRESH},	       {5, 2, REPLAY_FRESH},
+		{5, 2, REPLAY_REPEATED},       {5, 200, REPLAY_FRESH},
+		{5, 136, REPLAY_REPEATED},     {5, 137, REPLAY_FRESH},
+		{5, 137, REPLAY_REPEATED},     {6, 1, REPLAY_FRESH},
+		{5, 201, REPLAY_OLD_INSTANCE}, {6, 1, REPLAY_REPEATED},
+	};
+	struct replay_guard guard;
+	struct name name;
+
+	replay_guard_init(&guard);
+	make_name(&name, "m", 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++)
+		g_assert_cmpint(replay_guard_check(&guard, &name,
+						   steps[i].instance,
+						   steps[i].number),
+				==, steps[i].verdict);
+	replay_guard_finish(&guard);
+}
+
+/* Every kind comes back as it was; cut anywhere, it never crashes. */
+static void test_message(void)
+{
+	for (int kind = MESSAGE_GOSSIP; kind <= MESSAGE_EXCHANGE; kind++) {
+		struct message message = {.kind = (enum message_kind)kind,
+					  .number = 9,
+					  .nonce = 0xdeadbeef};
+		struct message back;
+		struct strbuf wire, storage;
+
+		strbuf_init(&wire);
+		strbuf_init(&storage);
+		make_member(&message.from.member, 1, "z");
+		message.from.brief = kind % 2;
+		make_member(&message.members[0].member, 2, "z");
+		make_member(&message.members[1].member, 3, "z");
+		message.members[1].brief = true;
+		message.n_members = 2;
+		name_set(&message.zones[0].zone, str_from("z"));
+		message.zones[0].id = 4;
+		message.zones[0].state = MEMBER_SUSPECT;
+		message.n_zones = 1;
+		make_member(&message.target, 4, "z");
+		message.manifest = str_from("{}");
+		message.digest.depth = 3;
+		message.digest.mask = 5;
+		message.digest.sums[15] = 77;
+		message_encode(&message, &wire);
+		g_assert_true(message_decode(&back, (const uint8_t *)wire.data,
+					     wire.len, &storage));
+		g_assert_cmpint(back.kind, ==, kind);
+		g_assert_cmpuint(back.number, ==, 9);
+		g_assert_cmpuint(back.nonce, ==, 0xdeadbeef);
+		g_assert_cmpint(back.from.brief, ==, kind % 2);
+		g_assert_cmpuint(back.from.member.control.ip, ==, 1);
+		g_assert_cmpuint(back.n_members, ==, 2);
+		g_assert_false(back.members[0].brief);
+		g_assert_cmpuint(back.members[0].member.control.ip, ==, 2);
+		g_assert_true(back.members[1].brief);
+		g_assert_cmpuint(back.zones[0].id, ==, 4);
+		if (kind == MESSAGE_DIGEST)
+			g_assert_cmpuint(back.digest.sums[15], ==, 77);
+		if (kind == MESSAGE_EXCHANGE)
+			g_assert_cmpuint(back.digest.mask, ==, 5);
+		for (size_t len = 0; len < wire.len; len++)
+			message_decode(&back, (const uint8_t *)wire.data, len,
+				       &storage);
+		strbuf_finish(&storage);
+		strbuf_finish(&wire);
+	}
+}
+
+/** What a detector asked for. */
+struct detector_record {
+	struct detector_out out;
+	unsigned int pings, requests, suspects, deaths, answers;
+	uint32_t nonce;
+	bool answered_alive;
+	struct roster *roster;
+	struct failure_detector *detector;
+	int64_t now_ms;
+};
+
+static void record_ping(struct detector_out *out, const struct member *to,
+			uint32_t nonce)
+{
+	struct detector_record *record = (struct detector_record *)out;
+
+	(void)to;
+	record->pings++;
+	record->nonce = nonce;
+}
+
+static void record_request(struct detector_out *out,
+			   const struct member *helper,
+			   const struct member *target, uint32_t nonce)
+{
+	g_assert_false(name_equal(&helper->name, &target->name));
+	(void)nonce;
+	((struct detector_record *)out)->requests++;
+}
+
+static void record_answer(struct detector_out *out, const struct endpoint *to,
+			  bool alive, uint32_t nonce)
+{
+	struct detector_record *record = (struct detector_record *)out;
+
+	g_assert_cmpuint(to->ip, ==, 9);
+	g_assert_cmpuint(nonce, ==, 1234);
+	record->answers++;
+	record->answered_alive = alive;
+}
+
+static void change_state(struct detector_record *record,
+			 const struct member *member, enum member_state state)
+{
+	struct member entry = *member;
+
+	entry.state = state;
+	roster_merge(record->roster, &entry, record->now_ms);
+	failure_detector_note(record->detector, &entry, record->now_ms);
+}
+
+static void record_suspect(struct detector_out *out,
+			   const struct member *member)
+{
+	struct detector_record *record = (struct detector_record *)out;
+
+	record->suspects++;
+	change_state(record, member, MEMBER_SUSPECT);
+}
+
+static void record_dead(struct detector_out *out, const struct member *member)
+{
+	struct detector_record *record = (struct detector_record *)out;
+
+	record->deaths++;
+	change_state(record, member, MEMBER_LEFT);
+}
+
+static bool record_in_scope(struct detector_out *out,
+			    const struct member *member)
+{
+	(void)out;
+	return strcmp(member->zone.data, "far");
+}
+
+static void detector_run(struct detector_record *record, int64_t until_ms)
+{
+	for (; record->now_ms < until_ms; record->now_ms += 10)
+		failure_detector_tick(record->detector, record->now_ms,
+				      &record->out);
+}
+
+static void detector_setup(struct detector_record *record,
+			   struct failure_detector *detector,
+			   struct roster *roster)
+{
+	struct name self;
+
+	memset(record, 0, sizeof(*record));
+	record->out = (struct detector_out){
+		record_ping,	record_request, record_answer,
+		record_suspect, record_dead,	record_in_scope,
+	};
+	record->roster = roster;
+	record->detector = detector;
+	make_name(&self, "orders", 1);
+	failure_detector_init(detector, roster, &self, 3, 0);
+}
+
+/* One member does not answer; how it ends depends on what comes back. */
+static void test_detector(void)
+{
+	static const struct {
+		const char *zone;
+		/** Sent back when suspected. */
+		bool refute;
+		/** It had said that it drains. */
+		bool draining;
+		/** A pause ends at this time, ms. */
+		int64_t hold_ms;
+		unsigned int min_suspects, max_suspects, deaths;
+	} cases[] = {
+		{"z", false, false, 0, 1, 1, 1},
+		{"z", true, false, 0, 2, 1000, 0},
+		{"z", false, true, 0, 0, 0, 1},
+		{"z", false, false, 20000, 0, 0, 0},
+		{"far", false, false, 0, 0, 0, 0},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct failure_detector detector;
+		struct detector_record record;
+		struct roster roster;
+		struct member other;
+
+		make_roster(&roster, 1, "z");
+		make_member(&other, 2, cases[i].zone);
+		if (cases[i].draining)
+			other.state = MEMBER_DRAINING;
+		roster_merge(&roster, &other, 0);
+		detector_setup(&record, &detector, &roster);
+		if (cases[i].hold_ms)
+			failure_detector_hold(&detector, cases[i].hold_ms, 0);
+		for (int64_t ms = 500; ms <= 19000; ms += 500) {
+			detector_run(&record, ms);
+			if (!cases[i].refute ||
+			    roster.members[1].state != MEMBER_SUSPECT)
+				continue;
+			other.sequence = roster.members[1].sequence + 1;
+			change_state(&record, &other, MEMBER_ACTIVE);
+		}
+		g_assert_cmpuint(record.suspects, >=, cases[i].min_suspects);
+		g_assert_cmpuint(record.suspects, <=, cases[i].max_suspects);
+		g_assert_cmpuint(record.deaths, ==, cases[i].deaths);
+		g_assert_cmpint(record.pings > 0, ==,
+				strcmp(cases[i].zone, "far") != 0);
+		failure_detector_finish(&detector);
+		roster_finish(&roster);
+	}
+}
+
+static void test_detector_answers(void)
+{
+	struct failure_detector detector;
+	struct detector_record record;
+	struct roster roster;
+
+	make_roster(&roster, 10, "z");
+	detector_setup(&record, &detector, &roster);
+	for (int64_t ms = 10; ms < 20000; ms += 10) {
+		detector_run(&record, ms);
+		failure_detector_answer(&detector, record.nonce, true, ms,
+					&record.out);
+	}
+	g_assert_cmpuint(record.suspects, ==, 0);
+	g_assert_cmpuint(record.requests, ==, 0);
+	g_assert_cmpuint(record.pings, >=, 40);
+	failure_detector_finish(&detector);
+	roster_finish(&roster);
+}
+
+static void test_detector_relay(void)
+{
+	static const bool alive[] = {true, false};
+	static const struct endpoint asker = {9, 9};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(alive); i++) {
+		struct failure_detector detector;
+		struct detector_record record;
+		struct roster roster;
+
+		make_roster(&roster, 1, "z");
+		detector_setup(&record, &detector, &roster);
+		failure_detector_relay(&detector, &asker, &roster.members[0],
+				       1234, 0, &record.out);
+		g_assert_cmpuint(record.pings, ==, 1);
+		if (alive[i])
+			failure_detector_answer(&detector, record.nonce, true,
+						50, &record.out);
+		detector_run(&record, 1000);
+		g_assert_cmpuint(record.answers, ==, 1);
+		g_assert_cmpint(record.answered_alive, ==, alive[i]);
+		failure_detector_finish(&detector);
+		roster_finish(&roster);
+	}
+}
+
+/** Two rosters that talk by messages in memory. */
+struct exchange_record {
+	struct anti_entropy_out out;
+	struct roster *from, *to;
+	unsigned int messages;
+};
+
+static void merge_all(struct roster *to, const struct member **members,
+		      size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		struct member copy = *members[i];
+
+		roster_merge(to, &copy, 0);
+	}
+}
+
+static void record_exchange(struct anti_entropy_out *out,
+			    const struct roster_digest *digest)
+{
+	struct exchange_record *record = (struct exchange_record *)out;
+	const struct member *members[256];
+	struct message message = {.kind = MESSAGE_EXCHANGE, .digest = *digest};
+	size_t n = anti_entropy_part(record->from, digest, members,
+				     EXCHANGE_MEMBERS_MAX);
+
+	record->messages++;
+	for (size_t i = 0; i < n; i++)
+		message.members[message.n_members++].member = *members[i];
+	merge_all(record->to, members, n);
+	n = anti_entropy_missing(record->to, &message, 0, members, 256);
+	merge_all(record->from, members, n);
+}
+
+static void record_digest(struct anti_entropy_out *out,
+			  const struct roster_digest *digest)
+{
+	struct exchange_record *record = (struct exchange_record *)out;
+	struct exchange_record back = *record;
+
+	record->messages++;
+	back.from = record->to;
+	back.to = record->from;
+	anti_entropy_compare(back.from, digest, &back.out);
+	record->messages += back.messages - record->messages;
+}
+
+/* Rosters that differ in some entries are equal after some comparisons. */
+static void test_anti_entropy(void)
+{
+	static const struct {
+		int ours, theirs, changed;
+		unsigned int max_rounds;
+	} cases[] = {
+		{15, 15, 0, 0}, {15, 15, 1, 1},	  {15, 1, 0, 2},
+		{1, 15, 0, 4},	{300, 300, 5, 3}, {300, 1, 0, 40},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct exchange_record record = {
+			.out = {record_digest, record_exchange}};
+		struct roster ours, theirs;
+		struct roster_digest a = {0}, b = {0};
+		unsigned int rounds = 0;
+
+		make_roster(&ours, cases[i].ours, "z");
+		make_roster(&theirs, cases[i].theirs, "z");
+		for (int j = 0; j < cases[i].changed; j++) {
+			struct member entry = ours.members[j * 7];
+
+			entry.sequence++;
+			roster_merge(&ours, &entry, 0);
+		}
+		record.from = &ours;
+		record.to = &theirs;
+		for (;; rounds++) {
+			digest_compute(&a, &ours);
+			digest_compute(&b, &theirs);
+			if (!memcmp(a.sums, b.sums, sizeof(a.sums)))
+				break;
+			g_assert_cmpuint(rounds, <, cases[i].max_rounds);
+			anti_entropy_compare(&ours, &b, &record.out);
+		}
+		g_assert_cmpuint(ours.n, ==, theirs.n);
+		roster_finish(&ours);
+		roster_finish(&theirs);
+	}
+}
+
+static void test_zone_monitor(void)
+{
+	static const struct {
+		int members, suspects;
+		bool found;
+	} cases[] = {
+		{30, 7, false}, {30, 9, false}, {30, 10, true},
+		{8, 8, true},	{7, 7, false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct zone_monitor *monitor = g_new(struct zone_monitor, 1);
+		struct zone_report report, old;
+		struct roster roster;
+
+		zone_monitor_init(monitor);
+		make_roster(&roster, cases[i].members, "z");
+		for (int j = 0; j < cases[i].suspects; j++) {
+			struct member entry = roster.members[j];
+
+			entry.state = MEMBER_SUSPECT;
+			roster_merge(&roster, &entry, 0);
+		}
+		g_assert_cmpint(zone_monitor_find(monitor, &roster, 5, &report),
+				==, cases[i].found);
+		if (cases[i].found) {
+			g_assert_cmpuint(report.id, ==, 1);
+			g_assert_true(
+				zone_monitor_covers(monitor, &report.zone, 6));
+			old = report;
+			g_assert_false(zone_monitor_take(monitor, &old, 7));
+			old.id = 2;
+			g_assert_true(zone_monitor_take(monitor, &old, 8));
+		}
+		g_assert_false(zone_monitor_find(monitor, &roster, 9, &report));
+		roster_finish(&roster);
+		g_free(monitor);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/roster/revision-merge", test_revision_merge);
+	g_test_add_func("/gossip-queue/order", test_queue_order);
+	g_test_add_func("/gossip-queue/bounds", test_queue_bounds);
+	g_test_add_func("/byte-budget", test_byte_budget);
+	g_test_add_func("/auth", test_auth);
+	g_test_add_func("/auth/replay", test_replay);
+	g_test_add_func("/message", test_message);
+	g_test_add_func("/failure-detector/verdicts", test_detector);
+	g_test_add_func("/failure-detector/answers", test_detector_answers);
+	g_test_add_func("/failure-detector/relay", test_detector_relay);
+	g_test_add_func("/anti-entropy", test_anti_entropy);
+	g_test_add_func("/zone-monitor", test_zone_monitor);
+	return g_test_run();
+}
