Chosen watchers, roster shards and call budgets in the platform core

Cause: every balancer watched, agents asked only once, calls had no budget or back-off, and nothing of the roster lasted on the platform. A starting process listens for 300 ms and takes nothing older than the greatest release it heard of, so a restart does not revert.

--- a/control/config_store.c
+++ b/control/config_store.c
@@ -2,22 +2,27 @@
 
 #include <string.h>
 
+#include "tarragonflow/common/clock.h"
 #include "tarragonflow/common/log.h"
 
 void config_store_init(struct config_store *store,
-		       const struct name *deployment, struct counters *counters)
+		       const struct name *deployment, struct counters *counters,
+		       int64_t now_ms)
 {
 	memset(store, 0, sizeof(*store));
 	store->deployment = *deployment;
 	store->counters = counters;
 	manifest_init(&store->manifest);
 	strbuf_init(&store->text);
+	strbuf_init(&store->held);
+	store->settled_ms = now_ms + CONFIG_SETTLE_MS;
 }
 
 void config_store_finish(struct config_store *store)
 {
 	manifest_finish(&store->manifest);
 	strbuf_finish(&store->text);
+	strbuf_finish(&store->held);
 }
 
 int64_t config_store_release(const struct config_store *store)
@@ -43,8 +48,32 @@
 	return true;
 }
 
+void config_store_note_release(struct config_store *store, uint64_t release)
+{
+	if (release <= INT64_MAX && (int64_t)release > store->newest)
+		store->newest = (int64_t)release;
+}
+
+/* Only a process without any configuration has to wait. */
+static bool must_hold(const struct config_store *store, int64_t release,
+		      int64_t now_ms)
+{
+	return !store->manifest.release &&
+	       (now_ms < store->settled_ms || release < store->newest);
+}
+
+static void hold(struct config_store *store, struct str text, int64_t release)
+{
+	if (release <= store->held_release)
+		return;
+	counter_inc(store->counters, COUNTER_CONFIG_HELD);
+	store->held_release = release;
+	strbuf_reset(&store->held);
+	strbuf_add(&store->held, text.data, text.len);
+}
+
 bool config_store_offer(struct config_store *store, struct str text,
-			const char *source)
+			const char *source, int64_t now_ms)
 {
 	struct manifest manifest;
 
@@ -53,6 +82,11 @@
 		manifest_finish(&manifest);
 		return false;
 	}
+	if (must_hold(store, manifest.release, now_ms)) {
+		hold(store, text, manifest.release);
+		manifest_finish(&manifest);
+		return false;
+	}
 	manifest_finish(&store->manifest);
 	store->manifest = manifest;
 	strbuf_reset(&store->text);
@@ -63,6 +97,39 @@
 	return true;
 }
 
+static void drop_held(struct config_store *store)
+{
+	store->held_release = 0;
+	strbuf_finish(&store->held);
+}
+
+bool config_store_tick(struct config_store *store, int64_t now_ms)
+{
+	struct strbuf text = store->held;
+	bool applied;
+
+	if (!store->held_release)
+		return false;
+	if (store->held_release <= store->manifest.release) {
+		drop_held(store);
+		return false;
+	}
+	if (must_hold(store, store->held_release, now_ms))
+		return false;
+	strbuf_init(&store->held);
+	applied = config_store_offer(store, strbuf_str(&text), "held", now_ms);
+	strbuf_finish(&text);
+	store->held_release = 0;
+	return applied;
+}
+
+int64_t config_store_next_deadline(const struct config_store *store)
+{
+	return store->held_release && store->held_release >= store->newest
+		       ? store->settled_ms
+		       : CLOCK_NEVER;
+}
+
 bool config_store_start_pull(struct config_store *store, int64_t release,
 			     int64_t now_ms)
 {
--- a/control/control.c
+++ b/control/control.c
@@ -56,7 +56,8 @@
 	control->counters = counters;
 	control->random_state = options->random_seed | 1;
 	roster_init(&control->roster);
-	config_store_init(&control->config, &options->deployment, counters);
+	config_store_init(&control->config, &options->deployment, counters,
+			  now_ms);
 	platform_sync_init(&control->platform, &sync_options, counters, now_ms);
 	control->next_gossip_ms = now_ms;
 	control->next_announce_ms = now_ms;
@@ -152,16 +153,21 @@
 	send_message(control, to, &message, sink);
 }
 
+static void config_changed(struct control *control, int64_t now_ms,
+			   struct control_sink *sink)
+{
+	self_refresh(control, now_ms);
+	control->next_announce_ms = now_ms;
+	sink->changed(sink);
+}
+
 static void config_offer(struct control *control, struct str text,
 			 const char *source, int64_t now_ms,
 			 struct control_sink *sink)
 {
 	config_store_end_pull(&control->config);
-	if (!config_store_offer(&control->config, text, source))
-		return;
-	self_refresh(control, now_ms);
-	control->next_announce_ms = now_ms;
-	sink->changed(sink);
+	if (config_store_offer(&control->config, text, source, now_ms))
+		config_changed(control, now_ms, sink);
 }
 
 /* Whoever is behind learns it from the first message that meets it. */
@@ -200,6 +206,7 @@
 	struct member *self = &control->options.self;
 	enum roster_change change;
 
+	config_store_note_release(&control->config, entry->config_revision);
 	if (!name_equal(&entry->name, &self->name)) {
 		change = roster_merge(&control->roster, entry, now_ms);
 		if (change == ROSTER_CHANGED)
@@ -317,26 +324,38 @@
 	self->now_ms = now_ms;
 }
 
+static struct platform_view platform_view(const struct control *control)
+{
+	const struct platform_view view = {
+		.roster = &control->roster,
+		.release = config_store_release(&control->config),
+		.newest = control->config.newest,
+	};
+
+	return view;
+}
+
 void control_handle_result(struct control *control,
 			   const struct platform_result *result, int64_t now_ms,
 			   struct control_sink *sink)
 {
+	const struct platform_view view = platform_view(control);
 	struct sync_out self;
 
 	control->now_ms = now_ms;
 	sync_out_init(&self, control, now_ms, sink);
-	platform_sync_handle_result(&control->platform, result,
-				    &control->roster, now_ms, &self.out);
+	platform_sync_handle_result(&control->platform, result, &view, now_ms,
+				    &self.out);
 }
 
 static void platform_step(struct control *control, int64_t now_ms,
 			  struct control_sink *sink)
 {
+	const struct platform_view view = platform_view(control);
 	struct sync_out self;
 
 	sync_out_init(&self, control, now_ms, sink);
-	platform_sync_tick(&control->platform, &control->roster, now_ms,
-			   &self.out);
+	platform_sync_tick(&control->platform, &view, now_ms, &self.out);
 }
 
 static void announce(struct control *control, struct control_sink *sink)
@@ -359,6 +378,8 @@
 		gossip(control, sink);
 	}
 	platform_step(control, now_ms, sink);
+	if (config_store_tick(&control->config, now_ms))
+		config_changed(control, now_ms, sink);
 }
 
 int64_t control_next_deadline(const struct control *control)
@@ -366,6 +387,7 @@
 	int64_t next = MIN(control->next_gossip_ms, control->next_announce_ms);
 
 	next = MIN(next, platform_sync_next_deadline(&control->platform));
+	next = MIN(next, config_store_next_deadline(&control->config));
 	return next;
 }
 
--- /dev/null
+++ b/control/platform_results.c
@@ -0,0 +1,233 @@
+#include "platform_sync_internal.h"
+
+#include <glib.h>
+#include <stdio.h>
+
+#include "tarragonflow/common/clock.h"
+
+/* What the platform core does with the results of its calls. */
+
+static void write_shard(struct platform_sync *sync, int64_t now_ms,
+			struct platform_sync_out *out)
+{
+	struct platform_request request;
+	char key[PLATFORM_KEY_MAX];
+
+	roster_shard_key(key, &sync->options.deployment, sync->roster.current);
+	platform_request_init(&request, PLATFORM_OP_PUT, key);
+	request.version = sync->shard_version;
+	strbuf_add(&request.value, sync->shard_value.data,
+		   sync->shard_value.len);
+	snprintf(request.token, sizeof(request.token), "%016llx%016llx",
+		 (unsigned long long)call_random(&sync->random_state),
+		 (unsigned long long)call_random(&sync->random_state));
+	roster_sync_writing(&sync->roster, request.token, now_ms);
+	platform_start_call(sync, &sync->shards, TASK_WRITE_SHARD, &request,
+			    now_ms, out);
+}
+
+static void note_contact(struct platform_sync *sync, int64_t now_ms)
+{
+	sync->any_ms = now_ms;
+	if (sync->chosen)
+		sync->watcher_ms = now_ms;
+}
+
+static void count_retry(struct platform_sync *sync, enum status_code code)
+{
+	switch (code) {
+	case STATUS_CONFLICT:
+		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_CONFLICT);
+		break;
+	case STATUS_UNKNOWN:
+		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_UNKNOWN);
+		break;
+	case STATUS_GONE:
+		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_GONE);
+		break;
+	case STATUS_TIMEOUT:
+		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_NO_RESULT);
+		break;
+	default:
+		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_UNAVAILABLE);
+		break;
+	}
+}
+
+static void lane_failed(struct platform_sync *sync, struct platform_lane *lane,
+			enum status_code code, int64_t now_ms)
+{
+	count_retry(sync, code);
+	lane->next_ms = now_ms + backoff_next(&lane->backoff,
+					      call_random(&sync->random_state));
+}
+
+static void offer_objects(const struct platform_result *result,
+			  struct platform_sync_out *out)
+{
+	for (size_t i = 0; i < result->n_objects; i++)
+		if (!result->objects[i].deleted)
+			out->config(out, strbuf_str(&result->objects[i].value));
+}
+
+static void take_watch(struct platform_sync *sync,
+		       const struct platform_result *result, int64_t now_ms,
+		       struct platform_sync_out *out)
+{
+	enum status_code code = result->status.code;
+
+	if (code == STATUS_GONE) {
+		sync->watch_version = 0;
+		sync->config.next_ms = now_ms;
+	}
+	if (code != STATUS_OK) {
+		lane_failed(sync, &sync->watch, code, now_ms);
+		return;
+	}
+	backoff_reset(&sync->watch.backoff);
+	sync->watch.next_ms = now_ms;
+	sync->watch_version = MAX(sync->watch_version, result->version);
+	offer_objects(result, out);
+}
+
+static void take_config(struct platform_sync *sync,
+			const struct platform_result *result,
+			enum platform_task task, int64_t now_ms,
+			struct platform_sync_out *out)
+{
+	enum status_code code = result->status.code;
+
+	if (code != STATUS_OK && code != STATUS_NOT_FOUND) {
+		lane_failed(sync, &sync->config, code, now_ms);
+		return;
+	}
+	backoff_reset(&sync->config.backoff);
+	sync->config.next_ms =
+		now_ms + READ_INTERVAL_MS / 2 +
+		(int64_t)platform_random_below(sync, READ_INTERVAL_MS);
+	if (task == TASK_LIST_CONFIG) {
+		sync->watch_version = MAX(result->version, 1);
+		sync->watch.next_ms = now_ms;
+	}
+	/* Nobody else reaches the platform: stay with it for a while. */
+	if (sync->probe_ms != CLOCK_NEVER && !sync->chosen)
+		sync->acting_until_ms = now_ms + ACTING_MS;
+	offer_objects(result, out);
+}
+
+/* Tombstones are of use only where the member is thought to be alive. */
+static void offer_members(const struct platform_object *object,
+			  const struct roster *known,
+			  struct platform_sync_out *out)
+{
+	struct roster held;
+
+	roster_init(&held);
+	roster_shard_read(strbuf_str(&object->value), &held);
+	for (size_t i = 0; i < held.n; i++)
+		if (held.members[i].state != MEMBER_LEFT ||
+		    roster_find(known, &held.members[i].name))
+			out->member(out, &held.members[i]);
+	roster_finish(&held);
+}
+
+static void take_pages(struct platform_sync *sync,
+		       const struct platform_result *result,
+		       const struct platform_view *view, int64_t now_ms,
+		       struct platform_sync_out *out)
+{
+	if (result->status.code != STATUS_OK) {
+		lane_failed(sync, &sync->pages, result->status.code, now_ms);
+		return;
+	}
+	for (size_t i = 0; i < result->n_objects; i++)
+		offer_members(&result->objects[i], view->roster, out);
+	/* Who was found gets the time to answer. */
+	if (result->n_objects ||
+	    sync->pages_read == (1u << ROSTER_SHARD_PAGES) - 1)
+		sync->pages.next_ms =
+			now_ms + backoff_next(&sync->pages.backoff,
+					      call_random(&sync->random_state));
+}
+
+static void shard_failed(struct platform_sync *sync, enum status_code code,
+			 int64_t now_ms)
+{
+	count_retry(sync, code);
+	roster_sync_failed(&sync->roster, code, now_ms,
+			   call_random(&sync->random_state));
+}
+
+static void take_shard(struct platform_sync *sync,
+		       const struct platform_result *result,
+		       const struct platform_view *view, int64_t now_ms,
+		       struct platform_sync_out *out)
+{
+	enum status_code code = result->status.code;
+	const struct platform_object *object =
+		result->n_objects ? &result->objects[0] : NULL;
+
+	if (code != STATUS_OK && code != STATUS_NOT_FOUND) {
+		shard_failed(sync, code, now_ms);
+		return;
+	}
+	if (object)
+		offer_members(object, view->roster, out);
+	strbuf_reset(&sync->shard_value);
+	sync->shard_version = object ? object->version : 0;
+	if (roster_sync_merge(&sync->roster, object, view->roster, now_ms,
+			      &sync->shard_value))
+		write_shard(sync, now_ms, out);
+	else
+		roster_sync_done(&sync->roster);
+}
+
+static void take_written(struct platform_sync *sync, enum status_code code,
+			 int64_t now_ms)
+{
+	if (code != STATUS_OK) {
+		shard_failed(sync, code, now_ms);
+		return;
+	}
+	counter_inc(sync->counters, COUNTER_ROSTER_SHARD_WRITTEN);
+	roster_sync_done(&sync->roster);
+}
+
+static bool was_reached(enum status_code code)
+{
+	return code != STATUS_UNAVAILABLE && code != STATUS_UNKNOWN &&
+	       code != STATUS_TIMEOUT;
+}
+
+void platform_finish_task(struct platform_sync *sync,
+			  struct platform_lane *lane,
+			  const struct platform_result *result,
+			  const struct platform_view *view, int64_t now_ms,
+			  struct platform_sync_out *out)
+{
+	enum platform_task task = lane->task;
+
+	lane->task = TASK_NONE;
+	if (was_reached(result->status.code))
+		note_contact(sync, now_ms);
+	switch (task) {
+	case TASK_WATCH:
+		take_watch(sync, result, now_ms, out);
+		break;
+	case TASK_LIST_CONFIG:
+	case TASK_READ_CONFIG:
+		take_config(sync, result, task, now_ms, out);
+		break;
+	case TASK_LIST_ROSTER:
+		take_pages(sync, result, view, now_ms, out);
+		break;
+	case TASK_READ_SHARD:
+		take_shard(sync, result, view, now_ms, out);
+		break;
+	case TASK_WRITE_SHARD:
+		take_written(sync, result->status.code, now_ms);
+		break;
+	case TASK_NONE:
+		break;
+	}
+}
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -1,10 +1,47 @@
-#include "tarragonflow/control/platform_sync.h"
+#include "platform_sync_internal.h"
 
+#include <glib.h>
 #include <string.h>
 
-#define RETRY_MS 1000
+#include "tarragonflow/common/clock.h"
+#include "tarragonflow/control/watch_choice.h"
+
+/* Calls of one process; the fleet's rates are bounded by who calls at all. */
+#define BUDGET_PER_S 4
+#define BUDGET_BURST 8
 #define CALL_TIMEOUT_MS 3000
-#define WATCH_WAIT_MS 20000
+/* How long a result may come after its call's own timeout. */
+#define RESULT_GRACE_MS 4000
+#define WATCH_WAIT_MS 10000
+#define BACKOFF_BASE_MS 250
+#define BACKOFF_MAX_MS 2000
+#define PAGES_BACKOFF_MAX_MS 15000
+/* A starting process hears its peers first. */
+#define START_GRACE_MS 500
+#define CHOICE_INTERVAL_MS 1000
+/* Without a message for this long a process has no peers. */
+#define ISOLATED_MS 10000
+/* News of a contact is old after this, and more in larger fleets. */
+#define STALE_MS 2000
+#define STALE_PER_DOUBLING_MS 200
+/* A newer release that nobody hands over is asked for after this. */
+#define BEHIND_MS 2000
+/* Calls a second by all processes together whose news is old. */
+#define PROBES_PER_S 20
+#define PROBE_SPREAD_MIN_MS 1000
+
+uint64_t platform_random_below(struct platform_sync *sync, int64_t n)
+{
+	return call_random(&sync->random_state) % (uint64_t)n;
+}
+
+static void lane_init(struct platform_lane *lane, int64_t max_ms,
+		      int64_t now_ms)
+{
+	memset(lane, 0, sizeof(*lane));
+	lane->next_ms = now_ms;
+	backoff_init(&lane->backoff, BACKOFF_BASE_MS, max_ms);
+}
 
 void platform_sync_init(struct platform_sync *sync,
 			const struct platform_sync_options *options,
@@ -13,85 +50,359 @@
 	memset(sync, 0, sizeof(*sync));
 	sync->options = *options;
 	sync->counters = counters;
-	sync->next_call_ms = now_ms;
+	sync->random_state = options->random_seed | 1;
+	call_budget_init(&sync->budget, BUDGET_PER_S, BUDGET_BURST, now_ms);
+	lane_init(&sync->watch, BACKOFF_MAX_MS, now_ms);
+	lane_init(&sync->config, BACKOFF_MAX_MS, now_ms);
+	lane_init(&sync->pages, PAGES_BACKOFF_MAX_MS, now_ms);
+	lane_init(&sync->shards, PAGES_BACKOFF_MAX_MS, now_ms);
+	sync->start_ms = now_ms;
+	sync->any_ms = INT64_MIN;
+	sync->watcher_ms = INT64_MIN;
+	sync->heard_ms = INT64_MIN;
+	sync->next_choice_ms = now_ms + START_GRACE_MS;
+	sync->acting_until_ms = now_ms;
+	sync->probe_ms = CLOCK_NEVER;
+	sync->behind_ms = CLOCK_NEVER;
+	strbuf_init(&sync->shard_value);
+	roster_sync_init(&sync->roster, &options->name, counters, now_ms);
 }
 
 void platform_sync_finish(struct platform_sync *sync)
 {
-	(void)sync;
+	strbuf_finish(&sync->shard_value);
 }
 
-static void start_call(struct platform_sync *sync, enum platform_op op,
-		       struct platform_sync_out *out)
+static bool is_old(int64_t contact_ms, size_t n_members, int64_t now_ms)
+{
+	int64_t limit_ms = STALE_MS;
+
+	for (size_t n = n_members; n > 1; n /= 2)
+		limit_ms += STALE_PER_DOUBLING_MS;
+	return contact_ms == INT64_MIN || now_ms - contact_ms > limit_ms;
+}
+
+bool platform_sync_watches(const struct platform_sync *sync, int64_t now_ms)
+{
+	return sync->chosen || now_ms < sync->acting_until_ms;
+}
+
+/* Calls other than watches go one at a time. */
+static bool calls_idle(const struct platform_sync *sync)
+{
+	return sync->config.task == TASK_NONE &&
+	       sync->pages.task == TASK_NONE && sync->shards.task == TASK_NONE;
+}
+
+static bool take_budget(struct platform_sync *sync, struct platform_lane *lane,
+			int64_t now_ms)
+{
+	if (call_budget_take(&sync->budget, now_ms))
+		return true;
+	counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_BUDGET);
+	lane->next_ms = now_ms + 1000 / BUDGET_PER_S;
+	return false;
+}
+
+void platform_start_call(struct platform_sync *sync, struct platform_lane *lane,
+			 enum platform_task task,
+			 struct platform_request *request, int64_t now_ms,
+			 struct platform_sync_out *out)
+{
+	request->id = ++sync->next_id;
+	request->timeout_ms = task == TASK_WATCH ? WATCH_WAIT_MS
+						 : CALL_TIMEOUT_MS;
+	lane->task = task;
+	lane->id = request->id;
+	lane->until_ms = now_ms + request->timeout_ms + RESULT_GRACE_MS;
+	out->call(out, request);
+	platform_request_finish(request);
+}
+
+static void call_config(struct platform_sync *sync, struct platform_lane *lane,
+			enum platform_task task, enum platform_op op,
+			int64_t now_ms, struct platform_sync_out *out)
 {
 	struct platform_request request;
 	char key[PLATFORM_KEY_MAX];
 
+	if (!take_budget(sync, lane, now_ms))
+		return;
 	platform_manifest_key(key, &sync->options.deployment);
 	platform_request_init(&request, op, key);
-	request.id = ++sync->next_call_id;
-	request.version = sync->watch_version;
-	request.timeout_ms = op == PLATFORM_OP_WATCH ? WATCH_WAIT_MS
-						     : CALL_TIMEOUT_MS;
-	sync->call_pending = true;
-	out->call(out, &request);
-	platform_request_finish(&request);
+	if (op == PLATFORM_OP_WATCH)
+		request.version = sync->watch_version;
+	platform_start_call(sync, lane, task, &request, now_ms, out);
+}
+
+/* Chosen ones watch; who acts for them stops when they are back. */
+static void choose(struct platform_sync *sync, const struct roster *roster,
+		   int64_t now_ms)
+{
+	bool was = platform_sync_watches(sync, now_ms);
+
+	if (now_ms < sync->next_choice_ms)
+		return;
+	sync->next_choice_ms = now_ms + CHOICE_INTERVAL_MS;
+	sync->chosen =
+		watch_choice(roster, &sync->options.name, &sync->options.zone);
+	if (sync->acting_until_ms > now_ms &&
+	    sync->acting_until_ms - now_ms <= CHOICE_INTERVAL_MS &&
+	    is_old(sync->watcher_ms, roster->n, now_ms))
+		sync->acting_until_ms = now_ms + ACTING_MS;
+	if (!was && platform_sync_watches(sync, now_ms))
+		sync->config.next_ms = now_ms;
+}
+
+static int64_t probe_spread(const struct roster *roster)
+{
+	return MAX(PROBE_SPREAD_MIN_MS,
+		   (int64_t)roster->n * 1000 / PROBES_PER_S);
+}
+
+/* True when nobody else seems to bring us what the platform holds. */
+static bool must_ask(struct platform_sync *sync,
+		     const struct platform_view *view, int64_t now_ms)
+{
+	if (view->newest <= view->release && view->release)
+		sync->behind_ms = CLOCK_NEVER;
+	else if (sync->behind_ms == CLOCK_NEVER)
+		sync->behind_ms = now_ms;
+	if (now_ms - sync->start_ms < START_GRACE_MS)
+		return false;
+	return is_old(sync->any_ms, view->roster->n, now_ms) ||
+	       (sync->behind_ms != CLOCK_NEVER &&
+		now_ms - sync->behind_ms >= BEHIND_MS);
+}
+
+static void probe_step(struct platform_sync *sync,
+		       const struct platform_view *view, int64_t now_ms,
+		       struct platform_sync_out *out)
+{
+	if (!must_ask(sync, view, now_ms)) {
+		sync->probe_ms = CLOCK_NEVER;
+		return;
+	}
+	if (sync->probe_ms == CLOCK_NEVER)
+		sync->probe_ms =
+			now_ms + (int64_t)platform_random_below(
+					 sync, probe_spread(view->roster));
+	if (now_ms < sync->probe_ms || !calls_idle(sync))
+		return;
+	counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_NO_NEWS);
+	sync->probe_ms = now_ms + probe_spread(view->roster) / 2 +
+			 (int64_t)platform_random_below(
+				 sync, probe_spread(view->roster));
+	call_config(sync, &sync->config, TASK_READ_CONFIG, PLATFORM_OP_GET,
+		    now_ms, out);
+}
+
+static void watch_step(struct platform_sync *sync, int64_t now_ms,
+		       struct platform_sync_out *out)
+{
+	bool listed = sync->watch_version > 0;
+
+	if (sync->config.task == TASK_NONE && calls_idle(sync) &&
+	    now_ms >= sync->config.next_ms)
+		call_config(sync, &sync->config,
+			    listed ? TASK_READ_CONFIG : TASK_LIST_CONFIG,
+			    listed ? PLATFORM_OP_GET : PLATFORM_OP_LIST, now_ms,
+			    out);
+	if (listed && sync->watch.task == TASK_NONE &&
+	    now_ms >= sync->watch.next_ms)
+		call_config(sync, &sync->watch, TASK_WATCH, PLATFORM_OP_WATCH,
+			    now_ms, out);
+}
+
+static unsigned int pick_page(struct platform_sync *sync)
+{
+	unsigned int page =
+		(unsigned int)platform_random_below(sync, ROSTER_SHARD_PAGES);
+
+	if (sync->pages_read == (1u << ROSTER_SHARD_PAGES) - 1)
+		sync->pages_read = 0;
+	while (sync->pages_read & (1u << page))
+		page = (page + 1) % ROSTER_SHARD_PAGES;
+	sync->pages_read |= 1u << page;
+	return page;
+}
+
+/* A process that no peer answers looks for peers at the platform. */
+static void pages_step(struct platform_sync *sync, int64_t now_ms,
+		       struct platform_sync_out *out)
+{
+	struct platform_request request;
+	char prefix[PLATFORM_KEY_MAX];
+
+	if (now_ms - sync->start_ms < START_GRACE_MS ||
+	    (sync->heard_ms != INT64_MIN &&
+	     now_ms - sync->heard_ms < ISOLATED_MS) ||
+	    now_ms < sync->pages.next_ms || !calls_idle(sync) ||
+	    !take_budget(sync, &sync->pages, now_ms))
+		return;
+	roster_shard_page_prefix(prefix, &sync->options.deployment,
+				 pick_page(sync));
+	platform_request_init(&request, PLATFORM_OP_LIST, prefix);
+	platform_start_call(sync, &sync->pages, TASK_LIST_ROSTER, &request,
+			    now_ms, out);
+}
+
+static void read_shard(struct platform_sync *sync, int64_t now_ms,
+		       struct platform_sync_out *out)
+{
+	struct platform_request request;
+	char key[PLATFORM_KEY_MAX];
+
+	if (!calls_idle(sync) || now_ms < sync->shards.next_ms ||
+	    !take_budget(sync, &sync->shards, now_ms))
+		return;
+	if (roster_sync_next(&sync->roster, now_ms) < 0)
+		return;
+	roster_shard_key(key, &sync->options.deployment, sync->roster.current);
+	platform_request_init(&request, PLATFORM_OP_GET, key);
+	platform_start_call(sync, &sync->shards, TASK_READ_SHARD, &request,
+			    now_ms, out);
+}
+
+/* Balancers keep the platform's copy of the roster. */
+static void shards_step(struct platform_sync *sync,
+			const struct platform_view *view, int64_t now_ms,
+			struct platform_sync_out *out)
+{
+	if (sync->options.role != MEMBER_BALANCER ||
+	    now_ms - sync->start_ms < START_GRACE_MS)
+		return;
+	roster_sync_scan(&sync->roster, view->roster, now_ms,
+			 &sync->random_state);
+	if (roster_sync_due(&sync->roster, now_ms))
+		read_shard(sync, now_ms, out);
+}
+
+static struct platform_lane *lane_of(struct platform_sync *sync, uint64_t id)
+{
+	struct platform_lane *lanes[] = {&sync->watch, &sync->config,
+					 &sync->pages, &sync->shards};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lanes); i++)
+		if (lanes[i]->task != TASK_NONE && lanes[i]->id == id)
+			return lanes[i];
+	return NULL;
 }
 
 void platform_sync_handle_result(struct platform_sync *sync,
 				 const struct platform_result *result,
-				 const struct roster *roster, int64_t now_ms,
-				 struct platform_sync_out *out)
-{
-	(void)roster;
-	sync->call_pending = false;
-	sync->next_call_ms = now_ms + RETRY_MS;
-	if (result->status.code == STATUS_GONE)
-		sync->watch_version = 0;
-	if (result->status.code != STATUS_OK)
+				 const struct platform_view *view,
+				 int64_t now_ms, struct platform_sync_out *out)
+{
+	struct platform_lane *lane = lane_of(sync, result->id);
+
+	if (!lane) {
+		counter_inc(sync->counters, COUNTER_PLATFORM_LATE_RESULT);
 		return;
-	if (result->version > sync->watch_version)
-		sync->watch_version = result->version;
-	for (size_t i = 0; i < result->n_objects; i++)
-		if (!result->objects[i].deleted)
-			out->config(out, strbuf_str(&result->objects[i].value));
-	if (sync->options.role == MEMBER_BALANCER)
-		sync->next_call_ms = now_ms;
+	}
+	platform_finish_task(sync, lane, result, view, now_ms, out);
 }
 
-/* Balancers watch; agents ask only while they have nothing. */
-void platform_sync_tick(struct platform_sync *sync, const struct roster *roster,
-			int64_t now_ms, struct platform_sync_out *out)
+/* A call whose result never came, such as after a pause, is given up. */
+static void expire_lane(struct platform_sync *sync, struct platform_lane *lane,
+			const struct platform_view *view, int64_t now_ms,
+			struct platform_sync_out *out)
 {
-	(void)roster;
-	if (sync->call_pending || now_ms < sync->next_call_ms)
-		return;
-	if (!sync->watch_version)
-		start_call(sync, PLATFORM_OP_GET, out);
-	else if (sync->options.role == MEMBER_BALANCER)
-		start_call(sync, PLATFORM_OP_WATCH, out);
+	struct platform_result result = {
+		.id = lane->id,
+		.status.code = lane->task == TASK_WRITE_SHARD ? STATUS_UNKNOWN
+							      : STATUS_TIMEOUT,
+	};
+
+	if (lane->task != TASK_NONE && now_ms >= lane->until_ms)
+		platform_finish_task(sync, lane, &result, view, now_ms, out);
+}
+
+void platform_sync_tick(struct platform_sync *sync,
+			const struct platform_view *view, int64_t now_ms,
+			struct platform_sync_out *out)
+{
+	expire_lane(sync, &sync->watch, view, now_ms, out);
+	expire_lane(sync, &sync->config, view, now_ms, out);
+	expire_lane(sync, &sync->pages, view, now_ms, out);
+	expire_lane(sync, &sync->shards, view, now_ms, out);
+	choose(sync, view->roster, now_ms);
+	if (platform_sync_watches(sync, now_ms))
+		watch_step(sync, now_ms, out);
+	else
+		probe_step(sync, view, now_ms, out);
+	pages_step(sync, now_ms, out);
+	shards_step(sync, view, now_ms, out);
+}
+
+static int64_t time_of_age(uint32_t age_ms, int64_t now_ms)
+{
+	return age_ms == PLATFORM_AGE_NEVER ? INT64_MIN
+					    : now_ms - (int64_t)age_ms;
 }
 
 void platform_sync_heard(struct platform_sync *sync,
 			 const struct platform_ages *ages, int64_t now_ms)
 {
-	(void)sync;
-	(void)ages;
-	(void)now_ms;
+	sync->heard_ms = now_ms;
+	backoff_reset(&sync->pages.backoff);
+	sync->any_ms = MAX(sync->any_ms, time_of_age(ages->any_ms, now_ms));
+	sync->watcher_ms =
+		MAX(sync->watcher_ms, time_of_age(ages->watcher_ms, now_ms));
+}
+
+static uint32_t age_of_time(int64_t time_ms, int64_t now_ms)
+{
+	if (time_ms == INT64_MIN)
+		return PLATFORM_AGE_NEVER;
+	return (uint32_t)CLAMP(now_ms - time_ms, 0, PLATFORM_AGE_NEVER - 1);
 }
 
 struct platform_ages platform_sync_ages(const struct platform_sync *sync,
 					int64_t now_ms)
 {
-	const struct platform_ages ages = {PLATFORM_AGE_NEVER,
-					   PLATFORM_AGE_NEVER};
+	const struct platform_ages ages = {
+		.any_ms = age_of_time(sync->any_ms, now_ms),
+		.watcher_ms = age_of_time(sync->watcher_ms, now_ms),
+	};
 
-	(void)sync;
-	(void)now_ms;
 	return ages;
 }
 
+static const struct platform_lane *busy_lane(const struct platform_sync *sync)
+{
+	const struct platform_lane *lanes[] = {&sync->config, &sync->pages,
+					       &sync->shards};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lanes); i++)
+		if (lanes[i]->task != TASK_NONE)
+			return lanes[i];
+	return NULL;
+}
+
+static int64_t calls_deadline(const struct platform_sync *sync, bool watching)
+{
+	const struct platform_lane *busy = busy_lane(sync);
+	int64_t next = watching ? sync->config.next_ms : sync->probe_ms;
+
+	if (busy)
+		return busy->until_ms;
+	if (sync->options.role == MEMBER_BALANCER)
+		next = MIN(next, MAX(sync->shards.next_ms,
+				     roster_sync_next_deadline(&sync->roster)));
+	return next;
+}
+
 int64_t platform_sync_next_deadline(const struct platform_sync *sync)
 {
-	return sync->call_pending ? INT64_MAX : sync->next_call_ms;
+	bool watching = sync->chosen ||
+			sync->acting_until_ms > sync->next_choice_ms;
+	int64_t next =
+		MIN(sync->next_choice_ms, calls_deadline(sync, watching));
+
+	if (sync->watch.task != TASK_NONE)
+		return MIN(next, sync->watch.until_ms);
+	if (watching && sync->watch_version)
+		next = MIN(next, sync->watch.next_ms);
+	return next;
 }
--- /dev/null
+++ b/control/watch_choice.c
@@ -0,0 +1,32 @@
+#include "tarragonflow/control/watch_choice.h"
+
+#include <xxhash.h>
+
+static uint64_t watcher_score(const struct name *name)
+{
+	return XXH3_64bits(name->data, name->len);
+}
+
+static bool may_watch(const struct member *member, const struct name *zone)
+{
+	return (member->state == MEMBER_ACTIVE ||
+		member->state == MEMBER_DRAINING) &&
+	       name_equal(&member->zone, zone);
+}
+
+bool watch_choice(const struct roster *roster, const struct name *name,
+		  const struct name *zone)
+{
+	uint64_t own = watcher_score(name);
+	unsigned int before = 0;
+
+	for (size_t i = 0; i < roster->n; i++) {
+		const struct member *member = &roster->members[i];
+
+		if (may_watch(member, zone) &&
+		    watcher_score(&member->name) > own &&
+		    ++before == WATCHERS_PER_ZONE)
+			return false;
+	}
+	return true;
+}
--- a/include/tarragonflow/control/config_store.h
+++ b/include/tarragonflow/control/config_store.h
@@ -8,6 +8,10 @@
  * The configuration of one process: the manifest in force and its canonical
  * text. Everything that brings a configuration, from the platform or a peer,
  * goes through config_store_offer(), so a release never reverts.
+ *
+ * Nothing lasts through a restart, so a starting process first listens for a
+ * moment and then takes nothing older than the greatest release that it heard
+ * of; its own former entry at its peers is among them. Pure.
  */
 struct config_store {
 	struct name deployment;
@@ -16,6 +20,13 @@
 	struct manifest manifest;
 	/** The canonical text of the manifest in force. */
 	struct strbuf text;
+	/** Greatest release that any member is known to have, or had. */
+	int64_t newest;
+	/** Nothing is put in force before this time, ms. */
+	int64_t settled_ms;
+	/** Best offer of a starting process that is not in force yet. */
+	struct strbuf held;
+	int64_t held_release;
 	/** A pull is under way until this time at most, ms; 0 for none. */
 	int64_t pull_until_ms;
 };
@@ -23,23 +34,35 @@
 /** Manifests up to this size ride in a datagram; larger ones are pulled. */
 #define CONFIG_DATAGRAM_MAX 1200
 
+/** Time a starting process listens before it takes a release, ms. */
+#define CONFIG_SETTLE_MS 300
+
 /** Time a pull may take, ms. */
 #define CONFIG_PULL_TIMEOUT_MS 2000
 
 void config_store_init(struct config_store *store,
-		       const struct name *deployment,
-		       struct counters *counters);
+		       const struct name *deployment, struct counters *counters,
+		       int64_t now_ms);
 void config_store_finish(struct config_store *store);
 
 /** The release in force, 0 when there is none. */
 int64_t config_store_release(const struct config_store *store);
 
+/** Some member has, or had, @release in force. */
+void config_store_note_release(struct config_store *store, uint64_t release);
+
 /**
  * Puts @text in force when it is a valid manifest of the deployment with a
  * greater release; true when it was. @source says where it came from.
  */
 bool config_store_offer(struct config_store *store, struct str text,
-			const char *source);
+			const char *source, int64_t now_ms);
+
+/** Puts in force what was held, when its time has come; true when it was. */
+bool config_store_tick(struct config_store *store, int64_t now_ms);
+
+/** When config_store_tick() may have something to do, ms. */
+int64_t config_store_next_deadline(const struct config_store *store);
 
 /**
  * True, and a pull is noted as under way, when @release is newer than what
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -2,12 +2,21 @@
 #define TARRAGONFLOW_CONTROL_PLATFORM_SYNC_H
 
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/control/roster_sync.h"
+#include "tarragonflow/platform/call_policy.h"
 #include "tarragonflow/platform/platform.h"
 #include "tarragonflow/roster/roster.h"
 
 /**
  * Decides when one process calls the platform and takes the results. Pure:
  * time and results come in, calls and what was learnt go out.
+ *
+ * A few processes per zone, chosen by rendezvous hash over the live members,
+ * watch the manifest and read it again every few seconds. All others live on
+ * gossip. Every control message tells how long ago anybody, and a chosen
+ * watcher, reached the platform; a process whose news of that grows old asks
+ * the platform itself, at a rate that all such processes share, and watches
+ * in the place of the chosen ones while these cannot.
  */
 struct platform_sync_out {
 	/** Starts a call; its result comes back as an input. */
@@ -29,14 +38,71 @@
 	uint64_t random_seed;
 };
 
+/** What a call is for. */
+enum platform_task {
+	TASK_NONE,
+	TASK_WATCH,
+	/** The manifest, and the store's version to watch from. */
+	TASK_LIST_CONFIG,
+	TASK_READ_CONFIG,
+	/** One page of the roster, by a process that has no peers. */
+	TASK_LIST_ROSTER,
+	TASK_READ_SHARD,
+	TASK_WRITE_SHARD,
+};
+
+/** One call at a time; watches have a lane of their own. */
+struct platform_lane {
+	enum platform_task task;
+	uint64_t id;
+	/** When the call is given up without a result, ms. */
+	int64_t until_ms;
+	/** No call starts before this time, ms. */
+	int64_t next_ms;
+	struct backoff backoff;
+};
+
+/** What the control core knows and the platform core decides by. */
+struct platform_view {
+	const struct roster *roster;
+	/** Release in force, 0 for none. */
+	int64_t release;
+	/** Greatest release that any member is known to have. */
+	int64_t newest;
+};
+
 struct platform_sync {
 	struct platform_sync_options options;
 	struct counters *counters;
-	int64_t next_call_ms;
+	uint64_t random_state;
+	struct call_budget budget;
+	struct platform_lane watch;
+	struct platform_lane config;
+	struct platform_lane pages;
+	struct platform_lane shards;
+	uint64_t next_id;
+	int64_t start_ms;
+	/** Last contacts with the platform that are known of, ms. */
+	int64_t any_ms, watcher_ms;
+	/** Last message of a peer, ms. */
+	int64_t heard_ms;
+	/** We are one of the watchers of our zone. */
+	bool chosen;
+	int64_t next_choice_ms;
+	/** We watch until then although not chosen, ms. */
+	int64_t acting_until_ms;
+	/** When we ask the platform ourselves, ms; CLOCK_NEVER for not now. */
+	int64_t probe_ms;
+	/** Since when a newer release is known of than is in force, ms. */
+	int64_t behind_ms;
 	/** Version of the platform's store that the watch has reached. */
 	int64_t watch_version;
-	bool call_pending;
-	uint64_t next_call_id;
+	/** Pages of the roster that are read already, as bits. */
+	uint32_t pages_read;
+	struct roster_sync roster;
+	/** The write of a shard that follows its read. */
+	struct strbuf shard_value;
+	int64_t shard_version;
 };
 
 void platform_sync_init(struct platform_sync *sync,
@@ -44,15 +110,16 @@
 			struct counters *counters, int64_t now_ms);
 void platform_sync_finish(struct platform_sync *sync);
 
-/** Does what is due at @now_ms; @roster is what the process knows. */
-void platform_sync_tick(struct platform_sync *sync, const struct roster *roster,
-			int64_t now_ms, struct platform_sync_out *out);
+/** Does what is due at @now_ms. */
+void platform_sync_tick(struct platform_sync *sync,
+			const struct platform_view *view, int64_t now_ms,
+			struct platform_sync_out *out);
 
-/** Takes the result of a call. */
+/** Takes the result of a call; late and foreign ones are counted. */
 void platform_sync_handle_result(struct platform_sync *sync,
 				 const struct platform_result *result,
-				 const struct roster *roster, int64_t now_ms,
-				 struct platform_sync_out *out);
+				 const struct platform_view *view,
+				 int64_t now_ms, struct platform_sync_out *out);
 
 /** A peer's message arrived with what it knows about the platform. */
 void platform_sync_heard(struct platform_sync *sync,
@@ -65,4 +132,7 @@
 /** When platform_sync_tick() wants to run next, ms. */
 int64_t platform_sync_next_deadline(const struct platform_sync *sync);
 
+/** True while this process watches the platform. */
+bool platform_sync_watches(const struct platform_sync *sync, int64_t now_ms);
+
 #endif
--- /dev/null
+++ b/tests/unit/test_platform_sync.c
@@ -0,0 +1,379 @@
+#include <glib.h>
+#include <string.h>
+
+#include "tarragonflow/control/config_store.h"
+#include "tarragonflow/control/platform_sync.h"
+#include "tarragonflow/control/watch_choice.h"
+#include "tests/standin/object_store.h"
+
+/** The platform core over a store, with the calls that it made. */
+struct fixture {
+	struct platform_sync_out out;
+	struct platform_sync sync;
+	struct counters counters;
+	struct object_store store;
+	struct roster roster;
+	struct platform_request last;
+	unsigned int calls[5];
+	unsigned int configs, members;
+	int64_t now_ms;
+	/** The next writes take effect, their answers are lost. */
+	int lose_answers;
+	bool down;
+};
+
+static void record_call(struct platform_sync_out *out,
+			const struct platform_request *request)
+{
+	struct fixture *fixture = (struct fixture *)out;
+
+	fixture->calls[request->op]++;
+	platform_request_finish(&fixture->last);
+	fixture->last = *request;
+	strbuf_init(&fixture->last.value);
+	strbuf_add(&fixture->last.value, request->value.data,
+		   request->value.len);
+}
+
+static void record_config(struct platform_sync_out *out, struct str text)
+{
+	(void)text;
+	((struct fixture *)out)->configs++;
+}
+
+static void record_member(struct platform_sync_out *out,
+			  const struct member *entry)
+{
+	struct fixture *fixture = (struct fixture *)out;
+
+	fixture->members++;
+	roster_merge(&fixture->roster, entry, fixture->now_ms);
+}
+
+static void add_member(struct roster *roster, const char *name,
+		       enum member_role role, enum member_state state)
+{
+	struct member member = {.role = role, .state = state, .instance = 5};
+
+	g_assert_true(name_set(&member.name, str_from(name)));
+	g_assert_true(name_set(&member.zone, str_from("z")));
+	if (role == MEMBER_AGENT)
+		g_assert_true(name_set(&member.service, str_from("orders")));
+	member.data = member.control = member.admin =
+		(struct endpoint){0x7f000001, 4701};
+	roster_merge(roster, &member, 0);
+}
+
+static void fixture_init(struct fixture *fixture, enum member_role role)
+{
+	struct platform_sync_options options = {.role = role, .random_seed = 7};
+
+	memset(fixture, 0, sizeof(*fixture));
+	fixture->out.call = record_call;
+	fixture->out.config = record_config;
+	fixture->out.member = record_member;
+	fixture->now_ms = 1000;
+	name_set(&options.deployment, str_from("d"));
+	name_set(&options.name, str_from("self"));
+	name_set(&options.zone, str_from("z"));
+	counters_init(&fixture->counters);
+	object_store_init(&fixture->store);
+	roster_init(&fixture->roster);
+	add_member(&fixture->roster, "self", role, MEMBER_ACTIVE);
+	platform_sync_init(&fixture->sync, &options, &fixture->counters,
+			   fixture->now_ms);
+}
+
+static void fixture_finish(struct fixture *fixture)
+{
+	platform_sync_finish(&fixture->sync);
+	platform_request_finish(&fixture->last);
+	object_store_finish(&fixture->store);
+	roster_finish(&fixture->roster);
+}
+
+static struct platform_view fixture_view(const struct fixture *fixture)
+{
+	const struct platform_view view = {&fixture->roster, 1, 1};
+
+	return view;
+}
+
+static void answer_last(struct fixture *fixture)
+{
+	const struct platform_view view = fixture_view(fixture);
+	struct platform_request request = fixture->last;
+	struct platform_result result;
+
+	if (fixture->down) {
+		platform_result_init(&result, &request);
+		status_set(&result.status, STATUS_UNAVAILABLE, "down");
+	} else {
+		object_store_apply(&fixture->store, &request, &result);
+	}
+	if (request.op == PLATFORM_OP_PUT && fixture->lose_answers > 0) {
+		fixture->lose_answers--;
+		status_set(&result.status, STATUS_UNKNOWN, "lost");
+	}
+	strbuf_init(&fixture->last.value);
+	platform_sync_handle_result(&fixture->sync, &result, &view,
+				    fixture->now_ms, &fixture->out);
+	platform_result_finish(&result);
+	strbuf_finish(&request.value);
+}
+
+/* Runs for @ms; every call but a waiting watch is answered at once. */
+static void fixture_run(struct fixture *fixture, int64_t ms)
+{
+	const struct platform_view view = fixture_view(fixture);
+	int64_t end_ms = fixture->now_ms + ms;
+	uint64_t answered = fixture->sync.next_id;
+
+	for (; fixture->now_ms < end_ms; fixture->now_ms += 10) {
+		platform_sync_tick(&fixture->sync, &view, fixture->now_ms,
+				   &fixture->out);
+		while (fixture->sync.next_id > answered) {
+			answered = fixture->sync.next_id;
+			if (fixture->last.op != PLATFORM_OP_WATCH ||
+			    fixture->down ||
+			    fixture->last.version < fixture->store.history_from)
+				answer_last(fixture);
+		}
+	}
+}
+
+static uint64_t count(const struct fixture *fixture, enum counter_id id)
+{
+	return counter_get(&fixture->counters, id);
+}
+
+static void put(struct fixture *fixture, const char *key, int64_t version,
+		const char *value)
+{
+	struct platform_request request;
+	struct platform_result result;
+
+	platform_request_init(&request, PLATFORM_OP_PUT, key);
+	request.version = version;
+	strbuf_add(&request.value, value, strlen(value));
+	object_store_apply(&fixture->store, &request, &result);
+	g_assert_cmpint(result.status.code, ==, STATUS_OK);
+	platform_result_finish(&result);
+	platform_request_finish(&request);
+}
+
+static void test_watch_and_gone(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture, MEMBER_AGENT);
+	put(&fixture, "tarragonflow/d/manifest", 0, "m");
+	fixture_run(&fixture, 1500);
+	g_assert_cmpuint(fixture.calls[PLATFORM_OP_WATCH], ==, 1);
+	g_assert_cmpint(fixture.sync.watch_version, ==, fixture.store.version);
+	/* The history is cut while the watch is away. */
+	put(&fixture, "tarragonflow/d/other", 0, "x");
+	object_store_forget(&fixture.store);
+	fixture_run(&fixture, 20000);
+	g_assert_cmpuint(count(&fixture, COUNTER_PLATFORM_RETRY_GONE), ==, 1);
+	g_assert_cmpint(fixture.sync.watch_version, ==, fixture.store.version);
+	g_assert_cmpuint(fixture.configs, >, 1);
+	fixture_finish(&fixture);
+}
+
+static void test_down_backs_off(void)
+{
+	struct fixture fixture;
+	unsigned int calls = 0;
+
+	fixture_init(&fixture, MEMBER_BALANCER);
+	fixture.down = true;
+	fixture_run(&fixture, 60000);
+	for (size_t i = 0; i < G_N_ELEMENTS(fixture.calls); i++)
+		calls += fixture.calls[i];
+	g_assert_cmpuint(calls, >=, 20);
+	g_assert_cmpuint(calls, <=, 120);
+	g_assert_cmpuint(count(&fixture, COUNTER_PLATFORM_RETRY_UNAVAILABLE),
+			 ==, calls);
+	fixture_finish(&fixture);
+}
+
+static void test_shard_written_once(void)
+{
+	static const int lost[] = {0, 1, 2};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lost); i++) {
+		struct fixture fixture;
+
+		fixture_init(&fixture, MEMBER_BALANCER);
+		fixture.lose_answers = lost[i];
+		fixture_run(&fixture, 20000);
+		/* A lost answer is read back and recognized, not repeated. */
+		g_assert_cmpuint(fixture.calls[PLATFORM_OP_PUT], ==, 1);
+		g_assert_cmpuint(
+			count(&fixture, COUNTER_PLATFORM_WRITE_RECOGNIZED), ==,
+			lost[i] ? 1 : 0);
+		fixture_finish(&fixture);
+	}
+}
+
+static void test_shard_merges(void)
+{
+	struct fixture fixture;
+	struct roster held, other;
+	struct strbuf value;
+	char key[PLATFORM_KEY_MAX], name[32];
+	unsigned int shard;
+	struct name self, deployment;
+
+	fixture_init(&fixture, MEMBER_BALANCER);
+	name_set(&self, str_from("self"));
+	name_set(&deployment, str_from("d"));
+	shard = roster_shard_of(&self);
+	roster_init(&held);
+	roster_init(&other);
+	strbuf_init(&value);
+	/* Another writer put a member into the shard of ours. */
+	for (int i = 0; !other.n; i++) {
+		struct name candidate;
+
+		g_snprintf(name, sizeof(name), "orders-%d", i);
+		name_set(&candidate, str_from(name));
+		if (roster_shard_of(&candidate) == shard)
+			add_member(&other, name, MEMBER_AGENT, MEMBER_ACTIVE);
+	}
+	roster_shard_write(&other, &value);
+	roster_shard_key(key, &deployment, shard);
+	put(&fixture, key, 0, value.data);
+	fixture_run(&fixture, 20000);
+	g_assert_cmpuint(fixture.members, >=, 1);
+	g_assert_nonnull(roster_find(&fixture.roster, &other.members[0].name));
+	strbuf_reset(&value);
+	strbuf_add(&value, fixture.last.value.data, fixture.last.value.len);
+	g_assert_cmpuint(fixture.calls[PLATFORM_OP_PUT], ==, 1);
+	fixture_finish(&fixture);
+	roster_finish(&held);
+	roster_finish(&other);
+	strbuf_finish(&value);
+}
+
+static void test_tombstones_end(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture, MEMBER_BALANCER);
+	add_member(&fixture.roster, "orders-9", MEMBER_AGENT, MEMBER_LEFT);
+	fixture_run(&fixture, 20000);
+	g_assert_cmpuint(fixture.calls[PLATFORM_OP_PUT], ==, 2);
+	fixture_run(&fixture, ROSTER_TOMBSTONE_MS);
+	g_assert_cmpuint(fixture.calls[PLATFORM_OP_PUT], ==, 3);
+	g_assert_cmpstr(fixture.last.key, !=, "");
+	fixture_finish(&fixture);
+}
+
+static void test_choice(void)
+{
+	static const struct {
+		enum member_state state;
+		size_t watchers;
+	} cases[] = {
+		{MEMBER_ACTIVE, WATCHERS_PER_ZONE},
+		{MEMBER_DRAINING, WATCHERS_PER_ZONE},
+		/* Each of those that are not live would choose itself. */
+		{MEMBER_LEFT, 8},
+	};
+	char name[32];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct roster roster;
+		size_t chosen = 0;
+
+		roster_init(&roster);
+		for (int j = 0; j < 8; j++) {
+			g_snprintf(name, sizeof(name), "orders-%d", j);
+			add_member(&roster, name, MEMBER_AGENT, cases[i].state);
+		}
+		for (size_t j = 0; j < roster.n; j++)
+			chosen += watch_choice(&roster, &roster.members[j].name,
+					       &roster.members[j].zone);
+		g_assert_cmpuint(chosen, ==, cases[i].watchers);
+		roster_finish(&roster);
+	}
+}
+
+/** One step at a store of a process that starts at 0 ms. */
+struct offer {
+	int64_t at_ms;
+	int64_t noted;
+	int64_t offered;
+	int64_t in_force;
+};
+
+static void run_offers(const struct offer *offers, size_t n)
+{
+	struct counters counters;
+	struct config_store store;
+	struct name deployment;
+	char text[256];
+
+	counters_init(&counters);
+	name_set(&deployment, str_from("d"));
+	config_store_init(&store, &deployment, &counters, 0);
+	for (size_t i = 0; i < n; i++) {
+		config_store_note_release(&store, (uint64_t)offers[i].noted);
+		g_snprintf(text, sizeof(text),
+			   "{\"deployment\":\"d\",\"release\":%d,"
+			   "\"zones\":[],\"services\":[]}",
+			   (int)offers[i].offered);
+		if (offers[i].offered)
+			config_store_offer(&store, str_from(text), "test",
+					   offers[i].at_ms);
+		config_store_tick(&store, offers[i].at_ms);
+		g_assert_cmpint(config_store_release(&store), ==,
+				offers[i].in_force);
+	}
+	config_store_finish(&store);
+}
+
+static void test_never_reverts(void)
+{
+	/* Older and equal releases change nothing. */
+	static const struct offer running[] = {
+		{500, 0, 3, 3},
+		{600, 0, 2, 3},
+		{700, 0, 3, 3},
+		{800, 0, 4, 4},
+	};
+	/* A starting process listens first, and takes the newest of it. */
+	static const struct offer starting[] = {
+		{10, 0, 3, 0},
+		{20, 0, 5, 0},
+		{30, 0, 4, 0},
+		{400, 0, 0, 5},
+	};
+	/* It heard that 5 was in force here before: 4 would be a revert. */
+	static const struct offer restarted[] = {
+		{10, 4, 4, 0},
+		{20, 5, 0, 0},
+		{900, 0, 4, 0},
+		{950, 0, 5, 5},
+	};
+
+	run_offers(running, G_N_ELEMENTS(running));
+	run_offers(starting, G_N_ELEMENTS(starting));
+	run_offers(restarted, G_N_ELEMENTS(restarted));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform-sync/watch-and-gone", test_watch_and_gone);
+	g_test_add_func("/platform-sync/down-backs-off", test_down_backs_off);
+	g_test_add_func("/platform-sync/shard-written-once",
+			test_shard_written_once);
+	g_test_add_func("/platform-sync/shard-merges", test_shard_merges);
+	g_test_add_func("/platform-sync/tombstones-end", test_tombstones_end);
+	g_test_add_func("/platform-sync/choice", test_choice);
+	g_test_add_func("/config-store/never-reverts", test_never_reverts);
+	return g_test_run();
+}
