--- a/control/config_store.c
+++ b/control/config_store.c
@@ -54,12 +54,19 @@
 		store->newest = (int64_t)release;
 }
 
+void config_store_note_former(struct config_store *store, uint64_t release)
+{
+	config_store_note_release(store, release);
+	if (release <= INT64_MAX && (int64_t)release > store->former)
+		store->former = (int64_t)release;
+}
+
 /* Only a process without any configuration has to wait. */
 static bool must_hold(const struct config_store *store, int64_t release,
 		      int64_t now_ms)
 {
 	return !store->manifest.release &&
-	       (now_ms < store->settled_ms || release < store->newest);
+	       (now_ms < store->settled_ms || release < store->former);
 }
 
 static void hold(struct config_store *store, struct str text, int64_t release)
@@ -125,7 +132,7 @@
 
 int64_t config_store_next_deadline(const struct config_store *store)
 {
-	return store->held_release && store->held_release >= store->newest
+	return store->held_release && store->held_release >= store->former
 		       ? store->settled_ms
 		       : CLOCK_NEVER;
 }
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -19,8 +19,8 @@
 	strbuf_add(&request.value, sync->shard_value.data,
 		   sync->shard_value.len);
 	snprintf(request.token, sizeof(request.token), "%016llx%016llx",
-		 (unsigned long long)call_random(&sync->random_state),
-		 (unsigned long long)call_random(&sync->random_state));
+		 (unsigned long long)random_next(&sync->random),
+		 (unsigned long long)random_next(&sync->random));
 	roster_sync_writing(&sync->roster, request.token, now_ms);
 	platform_start_call(sync, &sync->shards, TASK_WRITE_SHARD, &request,
 			    now_ms, out);
@@ -59,7 +59,7 @@
 {
 	count_retry(sync, code);
 	lane->next_ms = now_ms + backoff_next(&lane->backoff,
-					      call_random(&sync->random_state));
+					      random_next(&sync->random));
 }
 
 static void offer_objects(const struct platform_result *result,
@@ -147,7 +147,7 @@
 	    sync->pages_read == (1u << ROSTER_SHARD_PAGES) - 1)
 		sync->pages.next_ms =
 			now_ms + backoff_next(&sync->pages.backoff,
-					      call_random(&sync->random_state));
+					      random_next(&sync->random));
 }
 
 static void shard_failed(struct platform_sync *sync, enum status_code code,
@@ -155,7 +155,7 @@
 {
 	count_retry(sync, code);
 	roster_sync_failed(&sync->roster, code, now_ms,
-			   call_random(&sync->random_state));
+			   random_next(&sync->random));
 }
 
 static void take_shard(struct platform_sync *sync,
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -32,7 +32,7 @@
 
 uint64_t platform_random_below(struct platform_sync *sync, int64_t n)
 {
-	return call_random(&sync->random_state) % (uint64_t)n;
+	return random_below(&sync->random, (size_t)n);
 }
 
 static void lane_init(struct platform_lane *lane, int64_t max_ms,
@@ -50,7 +50,7 @@
 	memset(sync, 0, sizeof(*sync));
 	sync->options = *options;
 	sync->counters = counters;
-	sync->random_state = options->random_seed | 1;
+	random_init(&sync->random, options->random_seed);
 	call_budget_init(&sync->budget, BUDGET_PER_S, BUDGET_BURST, now_ms);
 	lane_init(&sync->watch, BACKOFF_MAX_MS, now_ms);
 	lane_init(&sync->config, BACKOFF_MAX_MS, now_ms);
@@ -272,8 +272,7 @@
 	if (sync->options.role != MEMBER_BALANCER ||
 	    now_ms - sync->start_ms < START_GRACE_MS)
 		return;
-	roster_sync_scan(&sync->roster, view->roster, now_ms,
-			 &sync->random_state);
+	roster_sync_scan(&sync->roster, view->roster, now_ms, &sync->random);
 	if (roster_sync_due(&sync->roster, now_ms))
 		read_shard(sync, now_ms, out);
 }
--- a/control/roster_sync.c
+++ b/control/roster_sync.c
@@ -66,11 +66,11 @@
 
 static void mark_dirty(struct roster_sync *sync, const struct roster *roster,
 		       unsigned int shard, int64_t spread_ms, int64_t now_ms,
-		       uint64_t *random)
+		       struct random *random)
 {
 	struct roster_sync_shard *state = &sync->shards[shard];
 	unsigned int rank = writer_rank(sync, roster, shard);
-	uint64_t jitter = call_random(random) % (uint64_t)spread_ms;
+	uint64_t jitter = random_below(random, (size_t)spread_ms);
 
 	if (state->dirty || rank >= WRITERS)
 		return;
@@ -82,7 +82,7 @@
 static void compare_digests(struct roster_sync *sync,
 			    const struct roster *roster,
 			    const uint64_t *digests, int64_t now_ms,
-			    uint64_t *random)
+			    struct random *random)
 {
 	int64_t changed = 0, spread_ms;
 
@@ -98,7 +98,7 @@
 }
 
 void roster_sync_scan(struct roster_sync *sync, const struct roster *roster,
-		      int64_t now_ms, uint64_t *random)
+		      int64_t now_ms, struct random *random)
 {
 	uint64_t digests[ROSTER_SHARDS] = {0};
 
--- a/include/tarragonflow/control/config_store.h
+++ b/include/tarragonflow/control/config_store.h
@@ -10,8 +10,8 @@
  * goes through config_store_offer(), so a release never reverts.
  *
  * Nothing lasts through a restart, so a starting process first listens for a
- * moment and then takes nothing older than the greatest release that it heard
- * of; its own former entry at its peers is among them. Pure.
+ * moment and then takes nothing older than what it had in force before, which
+ * its peers remember and tell it. Pure.
  */
 struct config_store {
 	struct name deployment;
@@ -22,6 +22,8 @@
 	struct strbuf text;
 	/** Greatest release that any member is known to have, or had. */
 	int64_t newest;
+	/** Release that we had in force before we were started again. */
+	int64_t former;
 	/** Nothing is put in force before this time, ms. */
 	int64_t settled_ms;
 	/** Best offer of a starting process that is not in force yet. */
@@ -51,6 +53,9 @@
 /** Some member has, or had, @release in force. */
 void config_store_note_release(struct config_store *store, uint64_t release);
 
+/** A former run of this process had @release in force. */
+void config_store_note_former(struct config_store *store, uint64_t release);
+
 /**
  * Puts @text in force when it is a valid manifest of the deployment with a
  * greater release; true when it was. @source says where it came from.
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_CONTROL_PLATFORM_SYNC_H
 
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/common/random.h"
 #include "tarragonflow/control/roster_sync.h"
 #include "tarragonflow/platform/call_policy.h"
 #include "tarragonflow/platform/platform.h"
@@ -74,7 +75,7 @@
 struct platform_sync {
 	struct platform_sync_options options;
 	struct counters *counters;
-	uint64_t random_state;
+	struct random random;
 	struct call_budget budget;
 	struct platform_lane watch;
 	struct platform_lane config;
--- a/include/tarragonflow/control/roster_sync.h
+++ b/include/tarragonflow/control/roster_sync.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_CONTROL_ROSTER_SYNC_H
 
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/common/random.h"
 #include "tarragonflow/control/roster_shard.h"
 #include "tarragonflow/platform/call_policy.h"
 
@@ -52,7 +53,7 @@
 
 /** Finds what changed in @roster; cheap when nothing did. */
 void roster_sync_scan(struct roster_sync *sync, const struct roster *roster,
-		      int64_t now_ms, uint64_t *random);
+		      int64_t now_ms, struct random *random);
 
 /** True when roster_sync_next() would return a shard. */
 bool roster_sync_due(const struct roster_sync *sync, int64_t now_ms);
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -21,6 +21,8 @@
 	struct json_text platform;
 	struct endpoint seeds[CONTROL_SEEDS_MAX];
 	size_t n_seeds;
+	struct keyring control_keys;
+	int64_t control_bytes_per_s;
 	int log_level;
 	/** Agents only. */
 	struct name service;
--- a/include/tarragonflow/platform/call_policy.h
+++ b/include/tarragonflow/platform/call_policy.h
@@ -41,7 +41,4 @@
  */
 int64_t backoff_next(struct backoff *backoff, uint64_t random);
 
-/** The next of a sequence of random numbers; @state is never zero. */
-uint64_t call_random(uint64_t *state);
-
 #endif
