--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 BUILD = build
-.PHONY: all install-packages demo check bench format lint clean
+.PHONY: all install-packages demo demo-tcp check bench format lint clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -13,6 +13,9 @@
 demo: all
 	tools/demo $(BUILD)
 
+demo-tcp: all
+	tools/demo-tcp $(BUILD)
+
 check: all
 	meson test -C $(BUILD) --no-rebuild --print-errorlogs \
 		--no-suite known-red
--- a/tests/standin/callers.c
+++ b/tests/standin/callers.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "caller_pool.h"
+#include "fabric.h"
 #include "standin.h"
 #include "tarragonflow/common/clock.h"
 #include "tarragonflow/net/udp.h"
@@ -14,43 +15,21 @@
  */
 #define TICK_MS 10
 #define ROUNDS_PER_READ 10
-#define BALANCERS_MAX 16
 
 struct fabric {
 	struct caller_pool pool;
 	int fd;
-	const char *balancers_file;
-	struct endpoint balancers[BALANCERS_MAX];
-	size_t n_balancers;
+	struct fabric_list list;
 };
 
-static void read_balancers(struct fabric *fabric)
-{
-	char *text = NULL;
-	char **lines;
-
-	if (!g_file_get_contents(fabric->balancers_file, &text, NULL, NULL))
-		return;
-	lines = g_strsplit(g_strchomp(text), "\n", BALANCERS_MAX);
-	fabric->n_balancers = 0;
-	for (int i = 0; lines[i]; i++)
-		if (endpoint_parse(&fabric->balancers[fabric->n_balancers],
-				   lines[i]))
-			fabric->n_balancers++;
-	g_strfreev(lines);
-	g_free(text);
-}
-
 /* Any packet to any balancer. */
 static void spray(struct caller_pool *pool, const uint8_t *data, size_t len)
 {
 	struct fabric *fabric = (struct fabric *)pool;
-	int pick;
+	const struct endpoint *to = fabric_list_pick(&fabric->list, pool->rand);
 
-	if (!fabric->n_balancers)
-		return;
-	pick = g_rand_int_range(pool->rand, 0, (int)fabric->n_balancers);
-	udp_send(fabric->fd, &fabric->balancers[pick], data, len);
+	if (to)
+		udp_send(fabric->fd, to, data, len);
 }
 
 static void run(struct fabric *fabric, const struct clock *clock)
@@ -62,7 +41,7 @@
 
 	while (fabric->pool.open) {
 		if (round++ % ROUNDS_PER_READ == 0)
-			read_balancers(fabric);
+			fabric_list_read(&fabric->list);
 		caller_pool_step(&fabric->pool, clock_now(clock));
 		poll(&pfd, 1, TICK_MS);
 		while ((len = udp_receive(fabric->fd, buf, sizeof(buf),
@@ -129,7 +108,7 @@
 	clock_init_monotonic(&clock);
 	caller_pool_init(&fabric.pool, (uint32_t)seed);
 	fabric.pool.send = spray;
-	fabric.balancers_file = file;
+	fabric.list.path = file;
 	for (int i = 0; i < n; i++)
 		caller_pool_add(&fabric.pool,
 				&manifest.services[i % manifest.n_services],
