--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -37,7 +37,7 @@
 {
 	switch (code) {
 	case STATUS_CONFLICT:
-		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_CONFLICT);
+		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_RACED);
 		break;
 	case STATUS_UNKNOWN:
 		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_UNKNOWN);
@@ -46,10 +46,10 @@
 		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_GONE);
 		break;
 	case STATUS_TIMEOUT:
-		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_NO_RESULT);
+		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_EXPIRED);
 		break;
 	default:
-		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_UNAVAILABLE);
+		counter_inc(sync->counters, COUNTER_PLATFORM_RETRY_DOWN);
 		break;
 	}
 }
--- a/control/roster_sync.c
+++ b/control/roster_sync.c
@@ -194,7 +194,7 @@
 	roster_init(&held);
 	roster_init(&merged);
 	if (object && sync->ambiguous && !strcmp(object->token, sync->token))
-		counter_inc(sync->counters, COUNTER_PLATFORM_WRITE_RECOGNIZED);
+		counter_inc(sync->counters, COUNTER_PLATFORM_WRITE_FOUND);
 	sync->ambiguous = false;
 	if (object)
 		roster_shard_read(strbuf_str(&object->value), &held);
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -193,8 +193,8 @@
 		calls += fixture.calls[i];
 	g_assert_cmpuint(calls, >=, 20);
 	g_assert_cmpuint(calls, <=, 120);
-	g_assert_cmpuint(count(&fixture, COUNTER_PLATFORM_RETRY_UNAVAILABLE),
-			 ==, calls);
+	g_assert_cmpuint(count(&fixture, COUNTER_PLATFORM_RETRY_DOWN), ==,
+			 calls);
 	fixture_finish(&fixture);
 }
 
@@ -210,9 +210,8 @@
 		fixture_run(&fixture, 20000);
 		/* A lost answer is read back and recognized, not repeated. */
 		g_assert_cmpuint(fixture.calls[PLATFORM_OP_PUT], ==, 1);
-		g_assert_cmpuint(
-			count(&fixture, COUNTER_PLATFORM_WRITE_RECOGNIZED), ==,
-			lost[i] ? 1 : 0);
+		g_assert_cmpuint(count(&fixture, COUNTER_PLATFORM_WRITE_FOUND),
+				 ==, lost[i] ? 1 : 0);
 		fixture_finish(&fixture);
 	}
 }
