--- a/control/inbound.c
+++ b/control/inbound.c
@@ -28,6 +28,9 @@
 	struct control *control = context->control;
 	struct member *self = &control->options.self;
 
+	if (entry->instance < self->instance)
+		config_store_note_former(&control->config,
+					 entry->config_revision);
 	if (entry->instance != self->instance || !member_newer(entry, self))
 		return;
 	self->sequence = entry->sequence + 1;
@@ -90,6 +93,7 @@
 		refute(context, entry);
 		return;
 	}
+	config_store_note_release(&control->config, entry->config_revision);
 	change = roster_merge(&control->roster, entry, context->now_ms);
 	if (change == ROSTER_UNCHANGED) {
 		if (tell)
@@ -140,6 +144,27 @@
 	outbound_pull(context, to, 0);
 }
 
+/* What a process that was started again had in force before, else 0. */
+static uint64_t former_release(const struct control *control,
+			       const struct member *from)
+{
+	const struct member *known = roster_find(&control->roster, &from->name);
+
+	return known && known->instance < from->instance
+		       ? known->config_revision
+		       : 0;
+}
+
+static void tell_former(struct control_context *context,
+			const struct member *from)
+{
+	struct message message;
+
+	outbound_init(context, &message, MESSAGE_GOSSIP, true);
+	message.former_release = former_release(context->control, from);
+	outbound_send(context, &from->control, &message);
+}
+
 /* What the sender says about itself. */
 static void take_sender(struct control_context *context,
 			const struct message *message)
@@ -148,6 +173,9 @@
 	const struct member *from = &message->from.member;
 	struct member entry;
 
+	config_store_note_former(&control->config, message->former_release);
+	if (from->config_revision < former_release(control, from))
+		tell_former(context, from);
 	if (!complete(control, &message->from, &entry)) {
 		if (message->kind != MESSAGE_PULL)
 			pull_limited(context, &from->control);
@@ -158,20 +186,24 @@
 			       roster_find(&control->roster, &from->name));
 }
 
-void inbound_config(struct control_context *context, struct str text,
-		    const char *source)
+void inbound_config_changed(struct control_context *context)
 {
-	struct control *control = context->control;
-
-	config_store_end_pull(&control->config);
-	if (!config_store_offer(&control->config, text, source))
-		return;
-	control->n_pulls = 0;
+	context->control->n_pulls = 0;
 	control_push_begin(context);
 	control_own_changed(context, GOSSIP_REVISION);
 	context->sink->changed(context->sink);
 }
 
+void inbound_config(struct control_context *context, struct str text,
+		    const char *source)
+{
+	struct config_store *store = &context->control->config;
+
+	config_store_end_pull(store);
+	if (config_store_offer(store, text, source, context->now_ms))
+		inbound_config_changed(context);
+}
+
 /* A configuration, or the word that there is one to be pulled over TCP. */
 static void take_config(struct control_context *context,
 			const struct message *message)
--- a/control/message.c
+++ b/control/message.c
@@ -285,6 +285,7 @@
 	message->kind = (enum message_kind)wire->kind;
 	message->number = wire->number;
 	message->nonce = wire->nonce;
+	message->former_release = wire->former_release;
 	message->ages.any_ms = age_from_wire(wire->platform_any_age);
 	message->ages.watcher_ms = age_from_wire(wire->platform_watcher_age);
 	return member_from_wire(&message->from.member, &message->from.brief,
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -24,7 +24,7 @@
 	X(DROP_NO_MEMBER, "drop_no_backend_server")         \
 	X(DROP_WRONG_SERVICE, "drop_wrong_service")         \
 	X(DROP_WRONG_MEMBER, "drop_wrong_backend_server")   \
-	X(DROP_ZONE_OUT, "drop_zone_out")                   \
+	X(ZONE_OUT_PASSED, "zone_out_handed_on")            \
 	X(DROP_HOPS, "drop_hop_budget")                     \
 	X(DROP_NO_OWNER, "drop_no_owner")                   \
 	X(DROP_RING_FULL, "drop_ring_full")                 \
@@ -53,6 +53,7 @@
 	X(PAUSE_DETECTED, "pauses_detected")                \
 	X(CONFIG_APPLIED, "config_applied")                 \
 	X(CONFIG_OLDER_IGNORED, "config_older_ignored")     \
+	X(CONFIG_HELD, "config_held")                       \
 	X(CONFIG_PULLED, "config_pulled")                   \
 	X(CONFIG_PULL_FAILED, "config_pull_failed")         \
 	X(PLATFORM_GET, "platform_calls_get")               \
@@ -61,7 +62,34 @@
 	X(PLATFORM_DELETE, "platform_calls_delete")         \
 	X(PLATFORM_WATCH, "platform_calls_watch")           \
 	X(PLATFORM_FAILED, "platform_calls_failed")         \
-	X(PLATFORM_CONFLICT, "platform_conflicts")
+	X(HINT_SENT, "owner_hints_sent")                    \
+	X(HINT_RECEIVED, "owner_hints_received")            \
+	X(HINT_USED, "owner_hints_used")                    \
+	X(LOAD_SENT, "load_notices_sent")                   \
+	X(CHAIN_RESOLVED, "chains_resolved_again")          \
+	X(OPEN_PLACED, "opens_placed_by_load")              \
+	X(OPEN_REPEATED, "opens_repeated")                  \
+	X(OPEN_LOST_RACE, "opens_lost_race")                \
+	X(STALE_INSTANCE, "stale_instance")                 \
+	X(DROP_SEARCH_LIMIT, "drop_search_limit")           \
+	X(DROP_OPEN_UNSURE, "drop_open_unsure")             \
+	X(DROP_LATE, "drop_late_open")                      \
+	X(REFUSE_NO_ROOM, "refuse_no_room")                 \
+	X(REFUSE_SERVER_DOWN, "refuse_server_down")         \
+	X(REFUSE_BY_SERVER, "refuse_by_server")             \
+	X(TURNED_COLD, "turned_cold")                       \
+	X(FLOW_EVICTED, "flows_evicted")                    \
+	X(PLATFORM_CONFLICT, "platform_conflicts")          \
+	X(PLATFORM_RETRY_DOWN, "platform_retry_no_answer")  \
+	X(PLATFORM_RETRY_RACED, "platform_retry_conflict")  \
+	X(PLATFORM_RETRY_UNKNOWN, "platform_retry_unknown") \
+	X(PLATFORM_RETRY_GONE, "platform_retry_gone")       \
+	X(PLATFORM_RETRY_EXPIRED, "platform_retry_expired") \
+	X(PLATFORM_RETRY_NO_NEWS, "platform_retry_no_news") \
+	X(PLATFORM_RETRY_BUDGET, "platform_retry_budget")   \
+	X(PLATFORM_LATE_RESULT, "platform_late_results")    \
+	X(PLATFORM_WRITE_FOUND, "platform_writes_found")    \
+	X(ROSTER_SHARD_WRITTEN, "roster_shards_written")
 
 enum counter_id {
 #define COUNTER_ENUM(id, name) COUNTER_##id,
