--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -52,6 +52,7 @@
 
 	node->world->control_messages++;
 	node->world->control_bytes += len;
+	world_control_meter(node, len);
 	if (peer && world_sides_meet(node, peer))
 		world_transmit(node->world, EVENT_CONTROL, to, NULL, 0, data,
 			       len);
@@ -192,6 +193,7 @@
 void world_kill_node(struct world_node *node)
 {
 	node_stop(node);
+	node->died_ms = node->world->now_ms;
 }
 
 struct world_node *world_add_node(struct world *world,
@@ -211,11 +213,11 @@
 	node->control_sink.changed = sink_changed;
 	world_network_attach(node);
 	counters_init(&node->counters);
-	for (guint i = 0; i < world->nodes->len; i++) {
+	for (guint i = world->nodes->len; i-- > 0;) {
 		const struct world_node *peer =
 			g_ptr_array_index(world->nodes, i);
 
-		if (peer->options.self.role == MEMBER_BALANCER &&
+		if (peer->up && peer->options.self.role == MEMBER_BALANCER &&
 		    node->options.n_seeds < 3)
 			node->options.seeds[node->options.n_seeds++] =
 				peer->options.self.control;
--- a/tests/scenarios/world_figures.c
+++ b/tests/scenarios/world_figures.c
@@ -86,6 +86,7 @@
 		{"wrong_answers", (double)world->callers.wrong_service},
 		{"caller_retries", (double)world->callers.retries},
 		{"reverts", (double)world->reverts},
+		{"dead_work_ms", (double)world->dead_work_ms},
 		{"control_bytes", (double)world->control_bytes},
 		{"control_messages", (double)world->control_messages},
 		{"broken_elsewhere", broken_elsewhere(world)},
@@ -101,6 +102,8 @@
 			*value = figures[i].value;
 			return true;
 		}
+	if (world_control_figure(world, name, value))
+		return true;
 	if (!is_node_figure(name))
 		return false;
 	*value = sum_nodes(world, name);
--- a/tests/scenarios/world_network.c
+++ b/tests/scenarios/world_network.c
@@ -32,6 +32,8 @@
 		event->to = *to;
 		strbuf_add(&event->data, head, head_len);
 		strbuf_add(&event->data, body, body_len);
+		if (control)
+			world_control_spoil(world, event);
 	}
 }
 
@@ -74,6 +76,8 @@
 	uint8_t head[PACKET_HEADER_MAX];
 	size_t head_len = packet_header_encode(header, head);
 
+	if (peer && !peer->up)
+		world_control_dead_packet(peer, inner, len);
 	if (peer && world_sides_meet(node, peer))
 		world_transmit(node->world, EVENT_DATA, to, head, head_len,
 			       inner, len);
