--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -163,7 +163,7 @@
 static double replay(struct world *world, const GArray *changes,
 		     int64_t from_ms, struct placement placement)
 {
-	uint8_t *owner = g_new0(uint8_t, world->callers.callers->len);
+	uint8_t *owner = g_new0(uint8_t, world->callers.callers->len + 1);
 	struct spread spread = {.samples = 0};
 	int64_t next_ms = from_ms;
 
