--- a/bench/bench.h
+++ b/bench/bench.h
@@ -52,5 +52,6 @@
 extern const struct bench_group bench_ring;
 extern const struct bench_group bench_startup;
 extern const struct bench_group bench_release;
+extern const struct bench_group bench_membership;
 
 #endif
