--- a/bench/bench_release.c
+++ b/bench/bench_release.c
@@ -135,8 +135,12 @@
 			i++;
 			continue;
 		}
-		if (clock_now(&clock) > deadline)
+		if (clock_now(&clock) > deadline) {
+			fprintf(stderr, "p-%u has release %lld, not %lld\n", i,
+				(long long)release_at(deployment, i),
+				(long long)release);
 			return false;
+		}
 		clock_sleep(POLL_MS);
 	}
 	return true;
