--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -53,6 +53,7 @@
 	X(PAUSE_DETECTED, "pauses_detected")                \
 	X(CONFIG_APPLIED, "config_applied")                 \
 	X(CONFIG_OLDER_IGNORED, "config_older_ignored")     \
+	X(CONFIG_HELD, "config_held")                       \
 	X(CONFIG_PULLED, "config_pulled")                   \
 	X(CONFIG_PULL_FAILED, "config_pull_failed")         \
 	X(PLATFORM_GET, "platform_calls_get")               \
@@ -78,7 +79,17 @@
 	X(REFUSE_BY_SERVER, "refuse_by_server")             \
 	X(TURNED_COLD, "turned_cold")                       \
 	X(FLOW_EVICTED, "flows_evicted")                    \
-	X(PLATFORM_CONFLICT, "platform_conflicts")
+	X(PLATFORM_CONFLICT, "platform_conflicts")          \
+	X(PLATFORM_RETRY_DOWN, "platform_retry_no_answer")  \
+	X(PLATFORM_RETRY_RACED, "platform_retry_conflict")  \
+	X(PLATFORM_RETRY_UNKNOWN, "platform_retry_unknown") \
+	X(PLATFORM_RETRY_GONE, "platform_retry_gone")       \
+	X(PLATFORM_RETRY_EXPIRED, "platform_retry_expired") \
+	X(PLATFORM_RETRY_NO_NEWS, "platform_retry_no_news") \
+	X(PLATFORM_RETRY_BUDGET, "platform_retry_budget")   \
+	X(PLATFORM_LATE_RESULT, "platform_late_results")    \
+	X(PLATFORM_WRITE_FOUND, "platform_writes_found")    \
+	X(ROSTER_SHARD_WRITTEN, "roster_shards_written")
 
 enum counter_id {
 #define COUNTER_ENUM(id, name) COUNTER_##id,
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -657,7 +657,7 @@
   (ProtobufCMessageInit) control__digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__message__field_descriptors[11] =
+static const ProtobufCFieldDescriptor control__message__field_descriptors[12] =
 {
   {
     "kind",
@@ -791,10 +791,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "former_release",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__Message, former_release),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__message__field_indices_by_name[] = {
   3,   /* field[3] = config */
   8,   /* field[8] = digest */
+  11,   /* field[11] = former_release */
   1,   /* field[1] = from */
   0,   /* field[0] = kind */
   2,   /* field[2] = members */
@@ -808,7 +821,7 @@
 static const ProtobufCIntRange control__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor control__message__descriptor =
 {
@@ -818,7 +831,7 @@
   "Control__Message",
   "control",
   sizeof(Control__Message),
-  11,
+  12,
   control__message__field_descriptors,
   control__message__field_indices_by_name,
   1,  control__message__number_ranges,
