--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 BUILD = build
-.PHONY: all install-packages demo demo-tcp check bench format lint clean
+.PHONY: all capacity install-packages demo demo-tcp check bench format lint clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -23,6 +23,10 @@
 bench: all
 	BENCH_JSON=$(BUILD)/bench.json $(BUILD)/bench/bench
 
+# Says whether docs/CAPACITY.md agrees with docs/capacity.json.
+capacity:
+	tools/capacity
+
 format:
 	tools/format
 
