Pass on what is meant for a server that had our address before

Cause: an agent at a reused address dropped packets of other servers' connections, and opening packets, for as long as balancers had the old member. Change: it passes them on without touching its own server.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -408,22 +408,33 @@
 {
 	const struct candidate *self = &header->candidates[header->position];
 
-	if (header->service_id != agent->service_id) {
-		count(agent, COUNTER_DROP_WRONG_SERVICE);
+	if (header->service_id != agent->service_id)
 		return false;
-	}
 	if (header->kind == PACKET_LOAD)
 		return true;
-	if (self->member_id != agent->member_id) {
-		count(agent, COUNTER_DROP_WRONG_MEMBER);
+	if (self->member_id != agent->member_id)
 		return false;
-	}
 	/* The flow table decides; the sender only knows an older run of us. */
 	if (self->instance_check != agent->instance_check)
 		count(agent, COUNTER_STALE_INSTANCE);
 	return true;
 }
 
+/*
+ * We have the address of a server that is gone. Nothing of it reaches our own
+ * server; the next candidate may be the owner.
+ */
+static void handle_stray(struct agent *agent, struct packet_header *header,
+			 const uint8_t *data, size_t len, int64_t now_ms,
+			 struct packet_sink *sink)
+{
+	struct inner_packet packet;
+
+	count(agent, COUNTER_STRAY_PASSED);
+	if (header->kind == PACKET_DATA && inner_parse(&packet, data, len))
+		agent_pass_on(agent, header, &packet, now_ms, sink);
+}
+
 static void handle_data(struct agent *agent, struct packet_header *header,
 			const uint8_t *data, size_t len, int64_t now_ms,
 			struct packet_sink *sink)
@@ -462,8 +473,11 @@
 		count(agent, COUNTER_DROP_HEADER);
 		return;
 	}
-	if (!meant_for_us(agent, &header))
+	if (!meant_for_us(agent, &header)) {
+		handle_stray(agent, &header, data + header_len,
+			     len - header_len, now_ms, sink);
 		return;
+	}
 	agent_hear_load(agent, &header, now_ms);
 	if (header.kind == PACKET_DATA)
 		handle_data(agent, &header, data + header_len, len - header_len,
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -147,7 +147,8 @@
 			  bool *asked_all)
 {
 	*asked_all = false;
-	if (!agent->service || header->resolves >= PACKET_RESOLVES_MAX)
+	if (!agent->service || header->service_id != agent->service_id ||
+	    header->resolves >= PACKET_RESOLVES_MAX)
 		return false;
 	if (!agent->searches_left) {
 		count(agent, COUNTER_DROP_SEARCH_LIMIT);
@@ -166,11 +167,14 @@
 		   const struct inner_packet *packet, int64_t now_ms,
 		   struct packet_sink *sink)
 {
+	const struct candidate *self = &header->candidates[header->position];
 	bool opens = inner_opens(packet), asked_all;
 	int next;
 
 	header->visited |= (uint8_t)(1U << header->position);
-	header->from = header->position;
+	header->from = self->member_id == agent->member_id
+			       ? header->position
+			       : PACKET_FROM_OUTSIDE;
 	next = next_candidate(agent, header, opens, now_ms);
 	if (next == NO_CANDIDATE && resolve_again(agent, header, &asked_all))
 		next = next_candidate(agent, header, opens, now_ms);
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -23,7 +23,7 @@
 	X(DROP_NO_SERVICE, "drop_no_such_service")          \
 	X(DROP_NO_MEMBER, "drop_no_backend_server")         \
 	X(DROP_WRONG_SERVICE, "drop_wrong_service")         \
-	X(DROP_WRONG_MEMBER, "drop_wrong_backend_server")   \
+	X(STRAY_PASSED, "stray_handed_on")                  \
 	X(ZONE_OUT_PASSED, "zone_out_handed_on")            \
 	X(DROP_HOPS, "drop_hop_budget")                     \
 	X(DROP_NO_OWNER, "drop_no_owner")                   \
--- a/tests/scenarios/runner.c
+++ b/tests/scenarios/runner.c
@@ -189,6 +189,14 @@
 	return 0;
 }
 
+/* reuse(name, service): a server of @service gets the address of a dead one */
+static int verb_reuse(lua_State *lua)
+{
+	world_reuse_address(check_node(lua),
+			    check_service(lua, luaL_checkstring(lua, 2)));
+	return 0;
+}
+
 static int verb_replace(lua_State *lua)
 {
 	world_replace_agent(check_node(lua));
@@ -411,6 +419,7 @@
 	{"add_server", verb_add_server},
 	{"drain", verb_drain},
 	{"replace", verb_replace},
+	{"reuse", verb_reuse},
 	{"restart_server", verb_restart_server},
 	{"lag", verb_lag},
 	{"pause", verb_pause},
--- a/tests/scenarios/world.h
+++ b/tests/scenarios/world.h
@@ -127,6 +127,10 @@
 struct world_node *world_add_server(struct world *world,
 				    const struct service *service);
 
+/** Ends @node; a new server of @service starts at its address. */
+struct world_node *world_reuse_address(struct world_node *node,
+				       const struct service *service);
+
 /** The agent takes nothing new and says so. */
 void world_drain(struct world_node *node);
 
