Add the order gate: claims, queue, hand-on and a bench over them

Cause: requests to a guarded port need at-most-once and truthful outcomes. Change: pure cores for claims on keys at two homes under an agreed home list, the gate and the hand-on; a world of gates under a virtual clock.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -47,5 +47,6 @@
 int64_t bench_now_ns(void);
 
 extern const struct bench_group bench_route;
+extern const struct bench_group bench_order;
 
 #endif
--- /dev/null
+++ b/bench/bench_order.c
@@ -0,0 +1,232 @@
+#include <malloc.h>
+
+#include "../tests/scenarios/order_world.h"
+#include "bench.h"
+
+/* Orders through the gates of one service, and what keys cost. */
+#define ORDERS 100000
+#define SLOTS 5
+#define RETENTION_MS 60000
+#define SETTLE_MS 8000
+#define RUN_OUT_MS 20000
+#define SERVICE_MS 20
+#define DEADLINE_MS 2000
+#define MS_PER_S 1000.0
+#define RETRY_AMPLIFICATION_MAX 1.1
+#define GOODPUT_MIN 0.95
+#define KEYS 1000000
+#define CLAIM_ROUNDS 400000
+
+static uint32_t servers(void)
+{
+	return (uint32_t)MIN(bench_env("SERVERS", 7),
+			     (uint64_t)ORDER_WORLD_AGENTS);
+}
+
+static double capacity_per_s(void)
+{
+	/* Times are drawn from 1 to twice the mean. */
+	return servers() * SLOTS * MS_PER_S / (SERVICE_MS + 0.5);
+}
+
+static const struct order_load mixed_load = {
+	.orders = ORDERS,
+	.idempotent = 0.15,
+	.keyless = 0.1,
+	.upload = 0.1,
+	.repeat = 0.2,
+	.cancel = 0.03,
+	.retry = 0.7,
+	.service_ms = SERVICE_MS,
+	.deadline_ms = DEADLINE_MS,
+};
+
+static void start(struct order_world *world, uint64_t seed)
+{
+	order_world_init(world, seed, servers(), SLOTS, RETENTION_MS);
+	order_world_run(world, SETTLE_MS);
+}
+
+static void run_load(struct order_world *world, const struct order_load *load)
+{
+	order_world_load(world, load);
+	order_world_run(world, (int64_t)((double)load->orders / load->per_s *
+					 MS_PER_S));
+}
+
+static void zero(struct bench *bench, const char *name, uint64_t value)
+{
+	bench_figure(bench, BENCH_DECISION, name, (double)value, "orders",
+		     BENCH_EQUAL, 0);
+}
+
+static void told(struct bench *bench, const char *name, double value,
+		 const char *unit)
+{
+	bench_figure(bench, BENCH_DECISION, name, value, unit, BENCH_REPORT, 0);
+}
+
+static void run_faults(struct bench *bench)
+{
+	struct order_load load = mixed_load;
+	struct order_world world;
+	const struct order_figures *figures = &world.figures;
+
+	start(&world, bench->seed);
+	load.per_s = capacity_per_s() / 3;
+	world.faults = (struct order_faults){
+		.die_before = 0.005,
+		.die_during = 0.005,
+		.die_after = 0.005,
+		.no_connect = 0.005,
+		.late = 0.01,
+		.doubled = 0.01,
+		.cut_short = 0.003,
+		.loss = 0.005,
+		.message_doubled = 0.01,
+		.slow = 0.005,
+		.slow_ms = 1000,
+		.kill_every_ms = 7000,
+		.away_ms = 2500,
+		.lag_every_ms = 5000,
+		.lag_ms = 1500,
+		.cut_every_ms = 20000,
+		.cut_ms = 2000,
+	};
+	run_load(&world, &load);
+	world.faults = (struct order_faults){0};
+	order_world_run(&world, RUN_OUT_MS);
+	order_world_judge(&world);
+	told(bench, "orders", (double)figures->orders, "orders");
+	zero(bench, "orders_run_twice", figures->run_twice);
+	zero(bench, "orders_said_not_run_but_run", figures->not_run_but_run);
+	zero(bench, "answers_wrong_or_partial_told_whole",
+	     figures->wrong_answers);
+	zero(bench, "outcomes_told_twice", figures->told_twice);
+	zero(bench, "orders_never_told", figures->never_told);
+	told(bench, "orders_unknown_share",
+	     (double)figures->unknown / (double)figures->orders, "share");
+	zero(bench, "orders_unknown_without_fault", figures->unexplained);
+	told(bench, "order_agents_killed", (double)figures->kills, "agents");
+	told(bench, "order_home_list_changes", (double)figures->list_changes,
+	     "changes");
+	told(bench, "orders_handed_on",
+	     (double)counter_get(&world.counters, COUNTER_ORDER_HANDED_ON),
+	     "orders");
+	bench_figure(bench, BENCH_DECISION, "retry_amplification",
+		     (double)figures->dispatches /
+			     (double)counter_get(&world.counters,
+						 COUNTER_ORDER_DISPATCHED),
+		     "x", BENCH_AT_MOST, RETRY_AMPLIFICATION_MAX);
+	told(bench, "order_trace", (double)(world.trace % 1000000), "-");
+	order_world_finish(&world);
+}
+
+static void run_overload(struct bench *bench)
+{
+	struct order_load load = mixed_load;
+	struct order_world world;
+	double seconds, goodput;
+
+	start(&world, bench->seed);
+	load.per_s = 3 * capacity_per_s();
+	load.repeat = 0;
+	load.cancel = 0;
+	load.retry = 0.5;
+	seconds = (double)load.orders / load.per_s;
+	run_load(&world, &load);
+	goodput =
+		(double)world.figures.completed / (seconds * capacity_per_s());
+	bench_figure(bench, BENCH_DECISION, "goodput_overload", goodput,
+		     "share", BENCH_AT_LEAST, GOODPUT_MIN);
+	zero(bench, "order_slots_exceeded", world.figures.slots_exceeded);
+	told(bench, "overload_uploads_done", (double)world.figures.uploads_done,
+	     "uploads");
+	told(bench, "overload_wait_max_ms", (double)world.figures.wait_max_ms,
+	     "ms");
+	order_world_run(&world, RUN_OUT_MS);
+	order_world_judge(&world);
+	zero(bench, "overload_said_not_run_but_run",
+	     world.figures.not_run_but_run);
+	zero(bench, "overload_unknown", world.figures.unknown);
+	order_world_finish(&world);
+}
+
+/* Every agent is replaced gracefully while orders go on. */
+static void run_shutdown(struct bench *bench)
+{
+	struct order_load load = mixed_load;
+	struct order_world world;
+
+	start(&world, bench->seed);
+	load.per_s = capacity_per_s() / 3;
+	load.orders = (uint64_t)(load.per_s * servers() * 10);
+	load.cancel = 0;
+	order_world_load(&world, &load);
+	for (uint32_t i = 0; i < servers(); i++) {
+		order_world_drain(&world, i);
+		order_world_run(&world, SETTLE_MS);
+		order_world_start(&world, i);
+		order_world_run(&world, 2000);
+	}
+	order_world_run(&world, RUN_OUT_MS);
+	order_world_judge(&world);
+	zero(bench, "shutdown_cut", world.figures.shutdown_cut);
+	zero(bench, "shutdown_run_twice", world.figures.run_twice);
+	zero(bench, "shutdown_unknown", world.figures.unknown);
+	order_world_finish(&world);
+}
+
+static void fill_claim(struct order_message *ask, const struct claims *claims,
+		       const struct name *service, uint64_t number)
+{
+	claims_message(claims, ask, ORDER_CLAIM);
+	order_key_init(&ask->key, service,
+		       (struct str){(const char *)&number, sizeof(number)});
+	ask->owner.instance = 1;
+	ask->owner.request = number;
+}
+
+static void run_keys(struct bench *bench)
+{
+	struct claims_options options = {.retention_ms = RETENTION_MS,
+					 .keys_max = 2 * KEYS,
+					 .instance = 1};
+	struct order_message ask, answer;
+	struct counters counters;
+	struct claims claims;
+	struct home_list list = {.epoch = 1, .n = 1};
+	struct name service;
+	size_t before;
+	int64_t start_ns;
+
+	name_set(&service, str_from("orders"));
+	name_set(&options.self, str_from("orders-1"));
+	list.names[0] = options.self;
+	counters_init(&counters);
+	claims_init(&claims, &options, &counters, 1);
+	claims_set_list(&claims, &list, true, 1);
+	before = mallinfo2().uordblks;
+	start_ns = bench_now_ns();
+	for (uint64_t i = 0; i < KEYS; i++) {
+		fill_claim(&ask, &claims, &service, i);
+		claims_answer(&claims, &ask, 1, &answer);
+	}
+	bench_figure(bench, BENCH_TIMING, "claims_per_s",
+		     KEYS * 1e9 / (double)(bench_now_ns() - start_ns),
+		     "claims/s", BENCH_REPORT, 0);
+	bench_figure(bench, BENCH_TIMING, "memory_per_key",
+		     (double)(mallinfo2().uordblks - before) / KEYS, "bytes",
+		     BENCH_REPORT, 0);
+	claims_finish(&claims);
+}
+
+static void run(struct bench *bench)
+{
+	run_faults(bench);
+	run_overload(bench);
+	run_shutdown(bench);
+	run_keys(bench);
+}
+
+const struct bench_group bench_order = {"order", run};
--- a/bench/main.c
+++ b/bench/main.c
@@ -10,6 +10,7 @@
  */
 static const struct bench_group *const groups[] = {
 	&bench_route,
+	&bench_order,
 };
 
 static bool wanted(int argc, char **argv, const char *name)
--- /dev/null
+++ b/order/homes.c
@@ -0,0 +1,110 @@
+#include "tarragonflow/order/homes.h"
+
+#include <glib.h>
+#include <sodium.h>
+#include <string.h>
+#include <xxhash.h>
+
+void order_key_init(struct order_key *key, const struct name *service,
+		    struct str text)
+{
+	crypto_generichash_state state;
+
+	crypto_generichash_init(&state, NULL, 0, sizeof(*key));
+	crypto_generichash_update(&state, (const uint8_t *)service,
+				  sizeof(*service));
+	crypto_generichash_update(&state, (const uint8_t *)text.data, text.len);
+	crypto_generichash_final(&state, (uint8_t *)key, sizeof(*key));
+}
+
+bool order_key_equal(const struct order_key *a, const struct order_key *b)
+{
+	return a->hi == b->hi && a->lo == b->lo;
+}
+
+int home_list_find(const struct home_list *list, const struct name *name)
+{
+	for (size_t i = 0; i < list->n; i++)
+		if (name_equal(&list->names[i], name))
+			return (int)i;
+	return -1;
+}
+
+bool home_list_add(struct home_list *list, const struct name *name)
+{
+	if (list->n == HOMES_MAX || home_list_find(list, name) >= 0)
+		return false;
+	list->names[list->n++] = *name;
+	list->epoch++;
+	return true;
+}
+
+bool home_list_remove(struct home_list *list, const struct name *name)
+{
+	int at = home_list_find(list, name);
+
+	if (at < 0)
+		return false;
+	list->names[at] = list->names[--list->n];
+	list->epoch++;
+	return true;
+}
+
+/* The one name of @longer that @shorter lacks, or NULL. */
+static const struct name *extra_name(const struct home_list *longer,
+				     const struct home_list *shorter)
+{
+	const struct name *extra = NULL;
+
+	for (size_t i = 0; i < longer->n; i++) {
+		if (home_list_find(shorter, &longer->names[i]) >= 0)
+			continue;
+		if (extra)
+			return NULL;
+		extra = &longer->names[i];
+	}
+	return extra;
+}
+
+bool home_list_follows(const struct home_list *list,
+		       const struct home_list *next, struct name *changed,
+		       bool *added)
+{
+	const struct name *extra;
+
+	if (next->epoch != list->epoch + 1)
+		return false;
+	*added = next->n == list->n + 1;
+	if (!*added && next->n + 1 != list->n)
+		return false;
+	extra = *added ? extra_name(next, list) : extra_name(list, next);
+	if (extra)
+		*changed = *extra;
+	return extra;
+}
+
+void home_list_pair(const struct home_list *list, const struct order_key *key,
+		    struct home_pair *pair)
+{
+	uint64_t best[HOME_PAIR] = {0, 0};
+
+	pair->n = MIN(list->n, (size_t)HOME_PAIR);
+	memset(pair->at, 0, sizeof(pair->at));
+	for (size_t i = 0; i < list->n; i++) {
+		const struct name *name = &list->names[i];
+		uint64_t score = XXH3_64bits_withSeed(name->data, name->len,
+						      key->hi ^ key->lo);
+
+		/* Zero marks an empty place. */
+		score = MAX(score, (uint64_t)1);
+		if (score > best[0]) {
+			best[1] = best[0];
+			pair->at[1] = pair->at[0];
+			best[0] = score;
+			pair->at[0] = i;
+		} else if (score > best[1]) {
+			best[1] = score;
+			pair->at[1] = i;
+		}
+	}
+}
