Copy claims by what each home can give; repeat settlements until acked

Gaps name exactly the keys whose two homes were lost; the world marks orders that a lost or late message met.

--- a/include/tarragonflow/order/claims.h
+++ b/include/tarragonflow/order/claims.h
@@ -56,6 +56,8 @@
 	int64_t next_ask_ms;
 	/** Claims received in answer to the last asking. */
 	uint32_t copied;
+	/** It gave all that it has under this list. */
+	bool copy_done;
 };
 
 struct claims {
@@ -72,6 +74,8 @@
 	struct home_list history[CLAIMS_HISTORY];
 	/** By index in the list; our own place serves for a list of one. */
 	struct home_peer peers[HOMES_MAX];
+	/** The first list that we followed without a break. */
+	uint64_t first_epoch;
 	/** What the last change of the list removed, if it did. */
 	struct name removed;
 	struct claim_gap gaps[CLAIM_GAPS_MAX];
@@ -141,6 +145,10 @@
 uint64_t claims_other_instance(const struct claims *claims,
 			       const struct home_pair *pair);
 
+/** The list of @epoch, or NULL when it is not remembered. */
+const struct home_list *claims_list_of(const struct claims *claims,
+				       uint64_t epoch);
+
 /** Adopts a later list that some peer sent. */
 void claims_hear_list(struct claims *claims, const struct home_list *list,
 		      int64_t now_ms);
@@ -153,7 +161,7 @@
 void claims_send_copies(struct claims *claims, const struct order_message *ask,
 			int64_t now_ms, struct claims_sink *sink);
 
-/** Whether every copy from the other homes is complete. */
+/** Whether the other homes gave all that they have under this list. */
 bool claims_settled(const struct claims *claims);
 
 /** Bytes that one remembered key takes. */
--- a/include/tarragonflow/order/gate.h
+++ b/include/tarragonflow/order/gate.h
@@ -145,6 +145,8 @@
 	/** Handed-on requests seen, by sender and number. */
 	GHashTable *seen;
 	GQueue seen_by_age;
+	/** What the homes have not acked yet, by request. */
+	GHashTable *unsettled;
 	struct gate_peer peers[HOMES_MAX];
 	size_t n_peers;
 	uint64_t next_remote_id;
--- a/include/tarragonflow/order/message.h
+++ b/include/tarragonflow/order/message.h
@@ -12,7 +12,7 @@
 	/** Asks a home for a key. */
 	ORDER_CLAIM = 1,
 	ORDER_CLAIM_ANSWER = 2,
-	/** Tells a home how a claimed request ended. */
+	/** Tells a home how a claimed request ended; repeated until acked. */
 	ORDER_SETTLE = 3,
 	/** Says the sender's epoch, list and free slots. */
 	ORDER_BEACON = 4,
@@ -23,6 +23,7 @@
 	ORDER_TRANSFER = 7,
 	ORDER_TRANSFER_ANSWER = 8,
 	ORDER_TRANSFER_CANCEL = 9,
+	ORDER_SETTLE_ACK = 10,
 };
 
 enum claim_state {
@@ -86,6 +87,8 @@
 	struct name a, b;
 	/** Here, ms of the local clock; in messages, ms left. */
 	int64_t until_ms;
+	/** In messages: the list of @epoch. */
+	const struct home_list *list;
 };
 
 #define CLAIM_GAPS_MAX 16
@@ -150,6 +153,7 @@
 	struct home_list list;
 	struct claim_copy copies[ORDER_COPY_MAX];
 	struct claim_gap gaps[CLAIM_GAPS_MAX];
+	struct home_list gap_lists[CLAIM_GAPS_MAX];
 	struct strbuf payload;
 };
 
--- a/order/claims.c
+++ b/order/claims.c
@@ -272,6 +272,7 @@
 	for (size_t i = 0; i < claims->n_gaps; i++) {
 		gaps[i] = claims->gaps[i];
 		gaps[i].until_ms -= now_ms;
+		gaps[i].list = claims_list_of(claims, gaps[i].epoch);
 	}
 	message.gaps = gaps;
 	message.n_gaps = claims->n_gaps;
--- a/order/claims_list.c
+++ b/order/claims_list.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define COPY_ASK_MS 500
+/* A home that could not give all is asked again after this time. */
+#define COPY_AGAIN_MS 5000
 
 void claims_message(const struct claims *claims, struct order_message *message,
 		    enum order_message_type type)
@@ -62,12 +64,12 @@
 		return false;
 	for (size_t i = 0; i < claims->list.n; i++)
 		if (((int)i != self || claims->list.n == 1) &&
-		    !claims->peers[i].complete)
+		    !claims->peers[i].complete && !claims->peers[i].copy_done)
 			return false;
 	return true;
 }
 
-static const struct home_list *list_of(const struct claims *claims,
+const struct home_list *claims_list_of(const struct claims *claims,
 				       uint64_t epoch)
 {
 	const struct home_list *list = &claims->history[epoch % CLAIMS_HISTORY];
@@ -81,7 +83,7 @@
 static bool in_gap(const struct claims *claims, const struct claim_gap *gap,
 		   const struct order_key *key)
 {
-	const struct home_list *list = list_of(claims, gap->epoch);
+	const struct home_list *list = claims_list_of(claims, gap->epoch);
 	struct home_pair pair;
 	size_t hits = 0;
 
@@ -150,27 +152,42 @@
 		claims->blind_until_ms = now_ms + claims->options.retention_ms;
 }
 
-/*
- * Writes down, as a gap, which claims shared with the home at @at were never
- * copied. If only the last removal's are missing, those of the removed one
- * and this one; otherwise all that we share with it.
- */
-static void note_gap(struct claims *claims, size_t at, int64_t now_ms)
+static void note_gap(struct claims *claims, uint64_t epoch,
+		     const struct name *a, const struct name *b,
+		     int64_t since_ms, int64_t now_ms)
 {
 	struct claim_gap gap = {
-		.epoch = claims->list.epoch,
-		.a = claims->options.self,
-		.b = claims->list.names[at],
-		.until_ms = now_ms + claims->options.retention_ms,
+		.epoch = epoch,
+		.a = *a,
+		.b = *b,
+		.until_ms = (since_ms ? since_ms : now_ms) +
+			    claims->options.retention_ms,
 	};
 
-	if (claims->peers[at].complete)
+	add_gap(claims, &gap, now_ms);
+}
+
+/*
+ * Before the list changes, writes down as gaps what can't be copied under
+ * the next one. A home that followed the last removal and whose copy did not
+ * come lacks just what the removed one and the other shared.
+ */
+static void note_lost(struct claims *claims, size_t at, bool added,
+		      const struct name *changed, int64_t now_ms)
+{
+	struct home_peer *peer = &claims->peers[at];
+	const struct name *name = &claims->list.names[at];
+
+	if (peer->complete)
 		return;
-	if (claims->peers[at].complete_before && claims->removed.len) {
-		gap.epoch--;
-		gap.a = claims->removed;
+	if (peer->complete_before && claims->removed.len) {
+		note_gap(claims, claims->list.epoch - 1, &claims->removed, name,
+			 peer->since_ms, now_ms);
+		peer->complete = true;
+	} else if (added || name_equal(name, changed)) {
+		note_gap(claims, claims->list.epoch, &claims->options.self,
+			 name, peer->since_ms, now_ms);
 	}
-	add_gap(claims, &gap, now_ms);
 }
 
 /* What we know of the home @name under the next list. */
@@ -179,21 +196,20 @@
 				  const struct name *changed, size_t next_n)
 {
 	int at = home_list_find(&claims->list, name);
-	struct home_peer peer = {0};
-	bool self = name_equal(name, &claims->options.self);
+	struct home_peer old = {0};
+	struct home_peer peer;
 
 	if (at >= 0)
-		peer = claims->peers[at];
+		old = claims->peers[at];
+	peer = old;
 	peer.since_ms = 0;
 	peer.next_ask_ms = 0;
 	peer.settled = false;
-	/* All that was not complete is a gap by now. */
-	peer.complete_before = true;
-	peer.complete = added || next_n == 1;
-	if (self && next_n > 1)
-		peer.complete = false;
-	if (added && name_equal(name, changed))
-		peer.heard_ms = 0;
+	peer.copy_done = false;
+	/* Adding a home only takes keys away from those that share them. */
+	peer.complete = added ? old.complete || name_equal(name, changed)
+			      : next_n == 1;
+	peer.complete_before = !added && old.complete;
 	return peer;
 }
 
@@ -201,11 +217,10 @@
 		   const struct name *changed, bool added, int64_t now_ms)
 {
 	struct home_peer peers[HOMES_MAX];
-	int self = claims->self_at;
 
 	for (size_t i = 0; i < claims->list.n; i++)
-		if ((int)i != self || claims->list.n == 1)
-			note_gap(claims, i, now_ms);
+		if ((int)i != claims->self_at || claims->list.n == 1)
+			note_lost(claims, i, added, changed, now_ms);
 	for (size_t i = 0; i < next->n; i++)
 		peers[i] = next_peer(claims, &next->names[i], added, changed,
 				     next->n);
@@ -216,8 +231,10 @@
 }
 
 /* Starts without any knowledge of claims under @next. */
-static void start_over(struct claims *claims)
+static void start_over(struct claims *claims, uint64_t epoch)
 {
+	claims->first_epoch = epoch;
+	claims->n_gaps = 0;
 	memset(claims->peers, 0, sizeof(claims->peers));
 	memset(claims->history, 0, sizeof(claims->history));
 	memset(&claims->removed, 0, sizeof(claims->removed));
@@ -238,7 +255,7 @@
 		follow(claims, list, &changed, added, now_ms);
 		claims->history[before->epoch % CLAIMS_HISTORY] = *before;
 	} else {
-		start_over(claims);
+		start_over(claims, list->epoch);
 	}
 	claims->list = *list;
 	claims->self_at = next_at;
@@ -292,8 +309,10 @@
 static void hear(struct claims *claims, struct home_peer *peer,
 		 const struct order_message *message, int64_t now_ms)
 {
-	if (peer->instance != message->instance)
+	if (peer->instance != message->instance) {
 		peer->since_ms = 0;
+		peer->copy_done = false;
+	}
 	peer->instance = message->instance;
 	peer->heard_ms = MAX(now_ms, (int64_t)1);
 	peer->heard_epoch = message->epoch;
@@ -322,11 +341,50 @@
 		claims->confirmed = true;
 }
 
-static void take_copy(struct claims *claims, struct home_peer *peer,
+/* Lists never change, so anybody's copy of an earlier one will do. */
+static void remember_list(struct claims *claims, const struct home_list *list)
+{
+	struct home_list *place;
+
+	if (!list || list->epoch >= claims->list.epoch)
+		return;
+	place = &claims->history[list->epoch % CLAIMS_HISTORY];
+	if (place->epoch < list->epoch)
+		*place = *list;
+}
+
+/* What we followed ourselves we know, or have gaps of our own for. */
+static bool known_better(const struct claims *claims,
+			 const struct claim_gap *gap)
+{
+	return gap->epoch >= claims->first_epoch &&
+	       (name_equal(&gap->a, &claims->options.self) ||
+		name_equal(&gap->b, &claims->options.self));
+}
+
+/* Returns false when a gap is in a list that nobody remembers. */
+static bool take_gaps(struct claims *claims,
 		      const struct order_message *message, int64_t now_ms)
 {
 	bool known = true;
 
+	for (size_t i = 0; i < message->n_gaps; i++) {
+		struct claim_gap gap = message->gaps[i];
+
+		if (known_better(claims, &gap))
+			continue;
+		gap.until_ms += now_ms;
+		remember_list(claims, gap.list);
+		known = known && claims_list_of(claims, gap.epoch);
+		gap.list = NULL;
+		add_gap(claims, &gap, now_ms);
+	}
+	return known;
+}
+
+static void take_copy(struct claims *claims, struct home_peer *peer,
+		      const struct order_message *message, int64_t now_ms)
+{
 	if (message->epoch != claims->list.epoch ||
 	    message->sent_ms != peer->next_ask_ms)
 		return;
@@ -334,17 +392,16 @@
 	peer->copied += (uint32_t)message->n_copies;
 	if (!message->last || peer->copied != message->total)
 		return;
-	for (size_t i = 0; i < message->n_gaps; i++) {
-		struct claim_gap gap = message->gaps[i];
-
-		gap.until_ms += now_ms;
-		known = known && list_of(claims, gap.epoch);
-		if (list_of(claims, gap.epoch))
-			add_gap(claims, &gap, now_ms);
-	}
-	if (known && (message->complete ||
-		      (message->complete_before && peer->complete_before)))
+	peer->copy_done = true;
+	if (message->complete ||
+	    (message->complete_before && peer->complete_before)) {
+		peer->complete = take_gaps(claims, message, now_ms);
+	} else if (peer->complete_before && claims->removed.len) {
+		/* It lost what it shared with the removed one. */
+		note_gap(claims, claims->list.epoch - 1, &message->from,
+			 &claims->removed, 0, now_ms);
 		peer->complete = true;
+	}
 }
 
 void claims_handle(struct claims *claims, const struct order_message *message,
@@ -365,6 +422,9 @@
 		break;
 	case ORDER_SETTLE:
 		claims_settle(claims, message, now_ms);
+		claims_message(claims, &answer, ORDER_SETTLE_ACK);
+		answer.owner = message->owner;
+		sink->send(sink, &message->from, &answer);
 		break;
 	case ORDER_BEACON:
 		take_beacon(claims, peer, message, now_ms, sink);
@@ -401,7 +461,9 @@
 		if (peer->since_ms &&
 		    now_ms - peer->since_ms >= claims->options.retention_ms)
 			peer->complete = true;
-		if (now_ms < peer->next_ask_ms + COPY_ASK_MS)
+		if (now_ms <
+		    peer->next_ask_ms +
+			    (peer->copy_done ? COPY_AGAIN_MS : COPY_ASK_MS))
 			continue;
 		claims_message(claims, &message, ORDER_COPY_ASK);
 		message.sent_ms = now_ms;
--- a/order/gate.c
+++ b/order/gate.c
@@ -42,10 +42,12 @@
 	gate->next_deadline_ms = INT64_MAX;
 	claims->room = options->slots;
 	gate_transfer_init(gate);
+	gate_settle_init(gate);
 }
 
 void gate_finish(struct gate *gate)
 {
+	gate_settle_finish(gate);
 	gate_transfer_finish(gate);
 	g_hash_table_destroy(gate->callers);
 	g_hash_table_destroy(gate->requests);
@@ -158,9 +160,8 @@
 	if (request->stage == STAGE_ASKING)
 		gate->pending--;
 	if (request_needs_claim(request))
-		gate_claim_settle(gate, request,
-				  settled_state(request, outcome), now_ms,
-				  sink);
+		gate_settle(gate, request, settled_state(request, outcome),
+			    now_ms, sink);
 	request->stage = STAGE_HELD;
 	if (request->remote)
 		gate_transfer_tell(gate, request, outcome, reason, payload,
@@ -349,7 +350,7 @@
 {
 	counter_inc(gate->counters, COUNTER_ORDER_ANSWER_LATE);
 	if (answer == ORDER_ANSWER_WHOLE && request_needs_claim(request))
-		gate_claim_settle(gate, request, CLAIM_DONE, now_ms, sink);
+		gate_settle(gate, request, CLAIM_DONE, now_ms, sink);
 	g_hash_table_remove(gate->requests, &request->id);
 }
 
@@ -402,6 +403,8 @@
 {
 	if (message->type == ORDER_CLAIM_ANSWER)
 		gate_claim_answer(gate, message, now_ms, sink);
+	else if (message->type == ORDER_SETTLE_ACK)
+		gate_settle_ack(gate, message);
 	else
 		gate_transfer_handle(gate, message, now_ms, sink);
 	gate_pump(gate, now_ms, sink);
@@ -437,6 +440,7 @@
 		return;
 	gate->next_deadline_ms = INT64_MAX;
 	gate_transfer_forget(gate, now_ms);
+	gate_settle_tick(gate, now_ms, sink);
 	ids = g_hash_table_get_values(gate->requests);
 	/* Concluding one request never removes another. */
 	for (GList *link = ids; link; link = link->next)
--- a/order/gate_claim.c
+++ b/order/gate_claim.c
@@ -236,25 +236,3 @@
 	else if (now_ms >= request->next_ask_ms)
 		ask(gate, request, now_ms, sink);
 }
-
-void gate_claim_settle(struct gate *gate, const struct request *request,
-		       enum claim_state state, int64_t now_ms,
-		       struct gate_sink *sink)
-{
-	const struct home_list *list = &gate->claims->list;
-	struct order_message message;
-	struct home_pair pair;
-
-	if (!list->n)
-		return;
-	make_claim(gate, request, now_ms, &message);
-	message.type = ORDER_SETTLE;
-	message.state = state;
-	home_list_pair(list, &request->key, &pair);
-	for (size_t i = 0; i < pair.n; i++) {
-		if ((int)pair.at[i] == gate->claims->self_at)
-			claims_settle(gate->claims, &message, now_ms);
-		else
-			sink->send(sink, &list->names[pair.at[i]], &message);
-	}
-}
--- a/order/gate_internal.h
+++ b/order/gate_internal.h
@@ -85,9 +85,16 @@
 		     struct gate_sink *sink);
 void gate_claim_answer(struct gate *gate, const struct order_message *answer,
 		       int64_t now_ms, struct gate_sink *sink);
-void gate_claim_settle(struct gate *gate, const struct request *request,
-		       enum claim_state state, int64_t now_ms,
-		       struct gate_sink *sink);
+
+/* Tells the key's homes how the request ended, until they ack. */
+void gate_settle(struct gate *gate, const struct request *request,
+		 enum claim_state state, int64_t now_ms,
+		 struct gate_sink *sink);
+void gate_settle_ack(struct gate *gate, const struct order_message *ack);
+void gate_settle_tick(struct gate *gate, int64_t now_ms,
+		      struct gate_sink *sink);
+void gate_settle_init(struct gate *gate);
+void gate_settle_finish(struct gate *gate);
 
 /* Hands @request on if a gate has room. */
 bool gate_hand_on(struct gate *gate, struct request *request, int64_t now_ms,
--- a/order/message.c
+++ b/order/message.c
@@ -100,6 +100,8 @@
 	Order__ClaimCopy *copy_pointers[ORDER_COPY_MAX];
 	Order__ClaimGap *gap_pointers[CLAIM_GAPS_MAX];
 	Order__ClaimCopy copies[ORDER_COPY_MAX];
+	char *gap_names[CLAIM_GAPS_MAX][HOMES_MAX];
+	Order__HomeList gap_lists[CLAIM_GAPS_MAX];
 	Order__ClaimGap gaps[CLAIM_GAPS_MAX];
 	char *names[HOMES_MAX];
 	Order__HomeList list;
@@ -115,6 +117,12 @@
 	pb.copies = copy_pointers;
 	pb.n_copies = message->n_copies;
 	fill_gaps(message, gaps, gap_pointers);
+	for (size_t i = 0; i < message->n_gaps; i++) {
+		if (!message->gaps[i].list)
+			continue;
+		fill_list(message->gaps[i].list, &gap_lists[i], gap_names[i]);
+		gaps[i].list = &gap_lists[i];
+	}
 	pb.gaps = gap_pointers;
 	pb.n_gaps = message->n_gaps;
 	append_frame(&pb, out);
@@ -169,6 +177,9 @@
 		if (!name_set(&gap->a, str_from(from->a)) ||
 		    !name_set(&gap->b, str_from(from->b)))
 			return false;
+		gap->list = from->list ? &buffer->gap_lists[i] : NULL;
+		if (from->list && !take_list(from->list, &buffer->gap_lists[i]))
+			return false;
 	}
 	buffer->message.gaps = buffer->gaps;
 	buffer->message.n_gaps = pb->n_gaps;
@@ -178,7 +189,7 @@
 static bool take_scalars(const Order__OrderMessage *pb,
 			 struct order_message *message)
 {
-	if (pb->type < ORDER_CLAIM || pb->type > ORDER_TRANSFER_CANCEL ||
+	if (pb->type < ORDER_CLAIM || pb->type > ORDER_SETTLE_ACK ||
 	    pb->verdict > CLAIM_FULL || pb->state > CLAIM_RELEASED ||
 	    pb->outcome > ORDER_UNKNOWN ||
 	    !name_set(&message->from, str_from(pb->from)))
--- a/proto/order.pb-c.c
+++ b/proto/order.pb-c.c
@@ -341,7 +341,7 @@
   (ProtobufCMessageInit) order__claim_copy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor order__claim_gap__field_descriptors[4] =
+static const ProtobufCFieldDescriptor order__claim_gap__field_descriptors[5] =
 {
   {
     "epoch",
@@ -391,17 +391,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Order__ClaimGap, list),
+    &order__home_list__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned order__claim_gap__field_indices_by_name[] = {
   1,   /* field[1] = a */
   2,   /* field[2] = b */
   0,   /* field[0] = epoch */
   3,   /* field[3] = left_ms */
+  4,   /* field[4] = list */
 };
 static const ProtobufCIntRange order__claim_gap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor order__claim_gap__descriptor =
 {
@@ -411,7 +424,7 @@
   "Order__ClaimGap",
   "order",
   sizeof(Order__ClaimGap),
-  4,
+  5,
   order__claim_gap__field_descriptors,
   order__claim_gap__field_indices_by_name,
   1,  order__claim_gap__number_ranges,
--- a/proto/order.pb-c.h
+++ b/proto/order.pb-c.h
@@ -60,10 +60,11 @@
   char *a;
   char *b;
   int64_t left_ms;
+  Order__HomeList *list;
 };
 #define ORDER__CLAIM_GAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&order__claim_gap__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, NULL }
 
 
 struct  Order__OrderMessage
--- a/tests/scenarios/order_callers.h
+++ b/tests/scenarios/order_callers.h
@@ -10,6 +10,7 @@
 	uint32_t runs, tries, left;
 	/* Latest time it was told not run, ms; 0 for never. */
 	int64_t not_run_ms;
+	int64_t submit_ms;
 	/* When the attempt that ran was submitted, ms; 0 if none ran. */
 	int64_t ran_submit_ms;
 	/* A fault met it that may leave its outcome unknown. */
@@ -37,6 +38,10 @@
 /* The agent died: its callers see their connections end. */
 void callers_lost(struct order_world *world, uint32_t agent);
 
+/* A message about a request was lost or late. */
+void callers_fault(struct order_world *world,
+		   const struct order_message *message);
+
 void callers_tick(struct order_world *world);
 
 /* Schedules @act on an attempt number after @in_ms. */
