--- a/bench/bench_order.c
+++ b/bench/bench_order.c
@@ -8,7 +8,7 @@
 #define SLOTS 5
 #define RETENTION_MS 60000
 #define SETTLE_MS 8000
-#define RUN_OUT_MS 20000
+#define RUN_OUT_MS (RETENTION_MS + 10000)
 #define SERVICE_MS 20
 #define DEADLINE_MS 2000
 #define MS_PER_S 1000.0
@@ -35,6 +35,8 @@
 	.keyless = 0.1,
 	.upload = 0.1,
 	.repeat = 0.2,
+	.repeat_late = 0.1,
+	.repeat_late_ms = RETENTION_MS / 3,
 	.cancel = 0.03,
 	.retry = 0.7,
 	.service_ms = SERVICE_MS,
@@ -87,6 +89,7 @@
 		.slow = 0.005,
 		.slow_ms = 1000,
 		.kill_every_ms = 30000,
+		.kill_two = 0.3,
 		.away_ms = 2500,
 		.lag_every_ms = 5000,
 		.lag_ms = 1500,
--- /dev/null
+++ b/order/gate_settle.c
@@ -0,0 +1,115 @@
+#include "gate_internal.h"
+
+/*
+ * How claimed requests ended, repeated to their homes until both acked or
+ * the time is over. A home that misses it keeps the key claimed, which is
+ * safe, but leaves the caller's repetition without an outcome.
+ */
+#define AGAIN_MS 300
+#define TRIES_MAX 20
+
+struct unsettled {
+	uint64_t request;
+	struct order_key key;
+	int64_t arrived_ms;
+	enum claim_state state;
+	int64_t next_ms;
+	unsigned int tries;
+	/* Homes that acked. */
+	struct name acked;
+};
+
+void gate_settle_init(struct gate *gate)
+{
+	gate->unsettled = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						NULL, g_free);
+}
+
+void gate_settle_finish(struct gate *gate)
+{
+	g_hash_table_destroy(gate->unsettled);
+}
+
+/* Tells the homes that did not ack; true when none is left. */
+static bool send_settle(struct gate *gate, struct unsettled *unsettled,
+			int64_t now_ms, struct gate_sink *sink)
+{
+	const struct home_list *list = &gate->claims->list;
+	struct order_message message;
+	struct home_pair pair;
+	bool last = true;
+
+	claims_message(gate->claims, &message, ORDER_SETTLE);
+	message.key = unsettled->key;
+	message.owner.instance = gate->claims->options.instance;
+	message.owner.request = unsettled->request;
+	message.state = unsettled->state;
+	home_list_pair(list, &unsettled->key, &pair);
+	for (size_t i = 0; i < pair.n; i++) {
+		const struct name *home = &list->names[pair.at[i]];
+
+		if ((int)pair.at[i] == gate->claims->self_at) {
+			claims_settle(gate->claims, &message, now_ms);
+		} else if (!name_equal(home, &unsettled->acked)) {
+			sink->send(sink, home, &message);
+			last = false;
+		}
+	}
+	unsettled->next_ms = now_ms + AGAIN_MS;
+	return last || ++unsettled->tries >= TRIES_MAX;
+}
+
+void gate_settle(struct gate *gate, const struct request *request,
+		 enum claim_state state, int64_t now_ms, struct gate_sink *sink)
+{
+	struct unsettled *unsettled = g_new0(struct unsettled, 1);
+
+	unsettled->request = request->id;
+	unsettled->key = request->key;
+	unsettled->state = state;
+	if (send_settle(gate, unsettled, now_ms, sink)) {
+		g_free(unsettled);
+		return;
+	}
+	g_hash_table_replace(gate->unsettled, &unsettled->request, unsettled);
+	gate_wake_at(gate, unsettled->next_ms);
+}
+
+/* The second of two homes that acks ends it. */
+void gate_settle_ack(struct gate *gate, const struct order_message *ack)
+{
+	struct unsettled *unsettled =
+		g_hash_table_lookup(gate->unsettled, &ack->owner.request);
+	const struct home_list *list = &gate->claims->list;
+	struct home_pair pair;
+
+	if (!unsettled || ack->owner.instance != gate->claims->options.instance)
+		return;
+	home_list_pair(list, &unsettled->key, &pair);
+	for (size_t i = 0; i < pair.n; i++)
+		if ((int)pair.at[i] != gate->claims->self_at &&
+		    !name_equal(&list->names[pair.at[i]], &ack->from) &&
+		    !name_equal(&list->names[pair.at[i]], &unsettled->acked)) {
+			unsettled->acked = ack->from;
+			return;
+		}
+	g_hash_table_remove(gate->unsettled, &ack->owner.request);
+}
+
+void gate_settle_tick(struct gate *gate, int64_t now_ms, struct gate_sink *sink)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->unsettled);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct unsettled *unsettled = value;
+
+		if (now_ms >= unsettled->next_ms &&
+		    send_settle(gate, unsettled, now_ms, sink)) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		gate_wake_at(gate, unsettled->next_ms);
+	}
+}
--- a/tests/scenarios/order_callers.c
+++ b/tests/scenarios/order_callers.c
@@ -103,6 +103,12 @@
 			world,
 			g_rand_int_range(world->rand, 0, REPEAT_WITHIN_MS),
 			submit, order->number);
+	if (order->has_key &&
+	    order_world_chance(world, world->load.repeat_late))
+		order_world_later(
+			world,
+			order_world_around(world, world->load.repeat_late_ms),
+			submit, order->number);
 	submit(world, order->number);
 }
 
--- a/tests/scenarios/order_callers.h
+++ b/tests/scenarios/order_callers.h
@@ -52,6 +52,9 @@
 /* Whether one of the faults with share @share happens. */
 bool order_world_chance(struct order_world *world, double share);
 
+/* A time from 1 ms to twice @mean_ms. */
+int64_t order_world_around(struct order_world *world, int64_t mean_ms);
+
 /* One of the first @spread agents that are up; NULL when none is. */
 struct order_agent *order_world_pick(struct order_world *world,
 				     uint32_t spread);
--- a/tests/scenarios/order_world.c
+++ b/tests/scenarios/order_world.c
@@ -13,6 +13,8 @@
 #define QUEUE_PER_SLOT 4
 #define PENDING_MAX 1024
 #define LATE_MS 3000
+/* Lets the last word reach the others. */
+#define FAREWELL_MS 500
 
 struct event {
 	int64_t at_ms;
@@ -65,7 +67,7 @@
 	return share > 0 && g_rand_double(world->rand) < share;
 }
 
-static int64_t around(struct order_world *world, int64_t mean_ms)
+int64_t order_world_around(struct order_world *world, int64_t mean_ms)
 {
 	return g_rand_int_range(world->rand, 1, (gint32)(2 * mean_ms) + 1);
 }
@@ -152,7 +154,8 @@
 		struct event *event;
 
 		if (order_world_chance(world, world->faults.slow))
-			delay += around(world, world->faults.slow_ms);
+			delay += order_world_around(world,
+						    world->faults.slow_ms);
 		if (delay > DELAY_MAX_MS || world->now_ms < agent->lag_until_ms)
 			callers_fault(world, message);
 		if (world->now_ms < agent->lag_until_ms)
@@ -285,7 +288,7 @@
 	if ((draw -= faults->cut_short) < 0)
 		*answer = ORDER_ANSWER_CUT;
 	else if ((draw -= faults->late) < 0)
-		*takes_ms += around(world, LATE_MS);
+		*takes_ms += order_world_around(world, LATE_MS);
 	return true;
 }
 
@@ -297,7 +300,7 @@
 	/* A handed-on request carries the caller's number. */
 	uint64_t number = g_ascii_strtoull(payload.data, NULL, 10);
 	struct attempt *attempt = callers_attempt(world, number);
-	int64_t takes_ms = around(world, world->load.service_ms);
+	int64_t takes_ms = order_world_around(world, world->load.service_ms);
 	enum order_answer answer;
 
 	world->figures.dispatches++;
@@ -309,8 +312,8 @@
 		attempt->order->met_fault = true;
 	answer_in(agent, takes_ms, id, try, answer, payload)->frees_slot = true;
 	if (order_world_chance(world, world->faults.doubled))
-		answer_in(agent, takes_ms + around(world, LATE_MS), id, try,
-			  ORDER_ANSWER_WHOLE, str_from("of another"));
+		answer_in(agent, takes_ms + order_world_around(world, LATE_MS),
+			  id, try, ORDER_ANSWER_WHOLE, str_from("of another"));
 }
 
 static void gate_cancelled(struct gate_sink *sink, uint64_t id, uint32_t try)
@@ -393,25 +396,36 @@
 	       order_world_chance(world, (double)TICK_MS / (double)every_ms);
 }
 
+static void kill_for_a_while(struct order_world *world, uint32_t victim)
+{
+	if (!world->agents[victim].up)
+		return;
+	order_world_kill(world, victim);
+	order_world_later(world,
+			  order_world_around(world, world->faults.away_ms),
+			  start_later, victim);
+}
+
 static void cause_faults(struct order_world *world)
 {
 	const struct order_faults *faults = &world->faults;
 	uint32_t victim = (uint32_t)g_rand_int_range(world->rand, 0,
 						     (gint32)world->n_agents);
 
-	if (due(world, faults->kill_every_ms) && world->agents[victim].up) {
-		order_world_kill(world, victim);
-		order_world_later(world, around(world, faults->away_ms),
-				  start_later, victim);
+	if (due(world, faults->kill_every_ms)) {
+		kill_for_a_while(world, victim);
+		if (order_world_chance(world, faults->kill_two))
+			kill_for_a_while(world, (victim + 1) % world->n_agents);
 	}
 	if (due(world, faults->lag_every_ms)) {
 		world->agents[victim].lag_until_ms =
-			world->now_ms + around(world, faults->lag_ms);
+			world->now_ms +
+			order_world_around(world, faults->lag_ms);
 	}
 	if (due(world, faults->cut_every_ms)) {
 		world->cut_side = victim;
-		world->cut_until_ms =
-			world->now_ms + around(world, faults->cut_ms);
+		world->cut_until_ms = world->now_ms +
+				      order_world_around(world, faults->cut_ms);
 	}
 }
 
@@ -421,8 +435,10 @@
 	if (!agent->leaving || gate_open(&agent->gate))
 		return;
 	agent->claims.leaving = true;
-	if (home_list_find(&agent->claims.list, &agent->name) < 0)
-		order_world_kill(world, agent->index);
+	if (home_list_find(&agent->claims.list, &agent->name) >= 0 ||
+	    world->now_ms - agent->claims.adopted_ms < FAREWELL_MS)
+		return;
+	order_world_kill(world, agent->index);
 }
 
 static void act_tick(struct order_world *world, struct event *event)
--- a/tests/scenarios/order_world.h
+++ b/tests/scenarios/order_world.h
@@ -23,6 +23,8 @@
 	int64_t slow_ms;
 	/* Mean time between kills of an agent, and its time away; 0: none. */
 	int64_t kill_every_ms, away_ms;
+	/* Kills that take a second agent along. */
+	double kill_two;
 	/* Mean time between windows in which one agent hears all late. */
 	int64_t lag_every_ms, lag_ms;
 	/* Mean time between windows in which two groups are cut. */
@@ -38,6 +40,9 @@
 	double idempotent, keyless, upload;
 	/* Repeats at once through another agent; cancels; retries refusals. */
 	double repeat, cancel, retry;
+	/* Repeats some time later, whatever was told; mean time. */
+	double repeat_late;
+	int64_t repeat_late_ms;
 	int64_t service_ms, deadline_ms;
 	/* Where orders arrive: all agents, or the first few. */
 	uint32_t spread;
