--- a/tests/scenarios/order_callers.c
+++ b/tests/scenarios/order_callers.c
@@ -213,6 +213,14 @@
 		again(world, order, RETRY_AFTER_MS);
 }
 
+void callers_handed(struct order_world *world, uint64_t id, uint64_t instance)
+{
+	struct attempt *attempt = callers_attempt(world, id);
+
+	if (attempt)
+		attempt->handed_to = instance;
+}
+
 void callers_fault(struct order_world *world,
 		   const struct order_message *message)
 {
@@ -258,6 +266,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct attempt *attempt = value;
 
+		if (attempt->handed_to == dead->instance)
+			attempt->order->met_fault = true;
 		if (attempt->told || attempt->agent != agent ||
 		    attempt->instance != dead->instance)
 			continue;
--- a/tests/scenarios/order_callers.h
+++ b/tests/scenarios/order_callers.h
@@ -22,6 +22,8 @@
 	struct order *order;
 	uint32_t agent;
 	uint64_t instance;
+	/* The instance that it was handed on to, or 0. */
+	uint64_t handed_to;
 	int64_t submit_ms;
 	uint32_t told;
 	bool ran;
@@ -38,6 +40,9 @@
 /* The agent died: its callers see their connections end. */
 void callers_lost(struct order_world *world, uint32_t agent);
 
+/* A request was handed on to the run @instance of an agent. */
+void callers_handed(struct order_world *world, uint64_t id, uint64_t instance);
+
 /* A message about a request was lost or late. */
 void callers_fault(struct order_world *world,
 		   const struct order_message *message);
--- a/tests/scenarios/order_world.c
+++ b/tests/scenarios/order_world.c
@@ -118,10 +118,14 @@
 	struct order_agent *agent = &world->agents[event->agent];
 	const uint8_t *data = (const uint8_t *)event->data.data;
 
-	if (!agent->up)
-		return;
 	g_assert_true(order_message_decode(&buffer, data + ORDER_FRAME_HEAD,
 					   event->data.len - ORDER_FRAME_HEAD));
+	if (!agent->up) {
+		callers_fault(world, &buffer.message);
+		return;
+	}
+	if (buffer.message.type == ORDER_TRANSFER)
+		callers_handed(world, buffer.message.request, agent->instance);
 	claims_handle(&agent->claims, &buffer.message, world->now_ms,
 		      &agent->claims_sink);
 	gate_handle(&agent->gate, &buffer.message, world->now_ms,
--- /dev/null
+++ b/tests/unit/test_order.c
@@ -0,0 +1,402 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "tarragonflow/order/gate.h"
+
+#define RETENTION_MS 60000
+
+static void set(struct name *name, const char *text)
+{
+	g_assert_true(name_set(name, str_from(text)));
+}
+
+static void make_list(struct home_list *list, size_t n)
+{
+	char text[32];
+
+	memset(list, 0, sizeof(*list));
+	for (size_t i = 0; i < n; i++) {
+		struct name name;
+
+		snprintf(text, sizeof(text), "orders-%zu", i + 1);
+		set(&name, text);
+		g_assert_true(home_list_add(list, &name));
+	}
+}
+
+/* The pairs of neighbouring lists share a home, whichever name changes. */
+static void test_pairs_intersect(void)
+{
+	struct home_list list, next;
+	struct name name, changed;
+	struct order_key key;
+	bool added;
+
+	set(&name, "orders");
+	for (size_t n = 1; n <= 9; n++) {
+		make_list(&list, n);
+		for (size_t gone = 0; gone <= n; gone++) {
+			next = list;
+			set(&changed, "orders-77");
+			if (gone < n)
+				changed = list.names[gone];
+			if (gone == n)
+				home_list_add(&next, &changed);
+			else if (n > 1)
+				home_list_remove(&next, &changed);
+			else
+				continue;
+			g_assert_true(home_list_follows(&list, &next, &changed,
+							&added));
+			g_assert_cmpint(added, ==, gone == n);
+			for (uint64_t k = 0; k < 500; k++) {
+				struct home_pair a, b;
+				int shared = 0;
+
+				order_key_init(
+					&key, &name,
+					(struct str){(char *)&k, sizeof(k)});
+				home_list_pair(&list, &key, &a);
+				home_list_pair(&next, &key, &b);
+				for (size_t i = 0; i < a.n * b.n; i++)
+					shared += name_equal(
+						&list.names[a.at[i / b.n]],
+						&next.names[b.at[i % b.n]]);
+				g_assert_cmpint(shared, >=, 1);
+			}
+		}
+	}
+}
+
+static void test_message_round_trip(void)
+{
+	struct claim_copy copies[2] = {
+		{.key = {1, 2}, .owner = {3, 4}, .state = CLAIM_DONE},
+		{.key = {5, 6}, .owner = {7, 8}, .state = CLAIM_HELD},
+	};
+	struct order_message_buffer buffer;
+	struct order_message message;
+	struct home_list list;
+	struct strbuf out;
+
+	make_list(&list, 3);
+	memset(&message, 0, sizeof(message));
+	message.type = ORDER_COPY;
+	set(&message.from, "orders-1");
+	message.epoch = 9;
+	message.list = &list;
+	message.copies = copies;
+	message.n_copies = 2;
+	message.payload = str_from("body");
+	strbuf_init(&out);
+	order_message_buffer_init(&buffer);
+	order_message_encode(&message, &out);
+	for (size_t len = 1; len < out.len - ORDER_FRAME_HEAD; len++)
+		order_message_decode(
+			&buffer, (uint8_t *)out.data + ORDER_FRAME_HEAD, len);
+	g_assert_true(order_message_decode(
+		&buffer, (uint8_t *)out.data + ORDER_FRAME_HEAD,
+		out.len - ORDER_FRAME_HEAD));
+	g_assert_cmpuint(buffer.message.epoch, ==, 9);
+	g_assert_cmpuint(buffer.message.list->n, ==, 3);
+	g_assert_true(name_equal(&buffer.list.names[2], &list.names[2]));
+	g_assert_cmpuint(buffer.message.n_copies, ==, 2);
+	g_assert_cmpint(buffer.copies[1].state, ==, CLAIM_HELD);
+	g_assert_cmpuint(buffer.copies[1].owner.request, ==, 8);
+	g_assert_true(str_equal(buffer.message.payload, str_from("body")));
+	order_message_buffer_finish(&buffer);
+	strbuf_finish(&out);
+}
+
+/* A home alone, asked step by step. */
+static void test_claims(void)
+{
+	static const struct {
+		/* Claim by this owner, or settle to this state. */
+		uint64_t owner;
+		enum claim_state settle;
+		int64_t at_ms, age_ms;
+		bool refuse_only;
+		enum claim_verdict verdict;
+		enum claim_state state;
+	} steps[] = {
+		{1, CLAIM_NONE, 1000, 0, false, CLAIM_GRANTED, CLAIM_HELD},
+		{1, CLAIM_NONE, 1001, 0, false, CLAIM_GRANTED, CLAIM_HELD},
+		{2, CLAIM_NONE, 1002, 0, false, CLAIM_TAKEN, CLAIM_HELD},
+		{2, CLAIM_RELEASED, 1003, 0, false, 0, 0},
+		{2, CLAIM_NONE, 1004, 0, false, CLAIM_TAKEN, CLAIM_HELD},
+		{1, CLAIM_RELEASED, 1005, 0, false, 0, 0},
+		/* Arrived before the key was told not run. */
+		{3, CLAIM_NONE, 1400, 0, false, CLAIM_TOO_OLD, CLAIM_RELEASED},
+		{3, CLAIM_NONE, 9000, 8000, false, CLAIM_TOO_OLD,
+		 CLAIM_RELEASED},
+		{3, CLAIM_NONE, 9000, 8000, true, CLAIM_GRANTED, CLAIM_HELD},
+		{3, CLAIM_RELEASED, 9001, 0, false, 0, 0},
+		{4, CLAIM_NONE, 9600, 10, false, CLAIM_GRANTED, CLAIM_HELD},
+		{4, CLAIM_UNKNOWN, 9700, 0, false, 0, 0},
+		{5, CLAIM_NONE, 9800, 0, false, CLAIM_TAKEN, CLAIM_UNKNOWN},
+		{4, CLAIM_DONE, 9900, 0, false, 0, 0},
+		{4, CLAIM_UNKNOWN, 9901, 0, false, 0, 0},
+		{5, CLAIM_NONE, 9950, 0, false, CLAIM_TAKEN, CLAIM_DONE},
+		/* Forgotten after the retention time. */
+		{6, CLAIM_NONE, 9900 + RETENTION_MS, 0, false, CLAIM_GRANTED,
+		 CLAIM_HELD},
+	};
+	struct claims_options options = {
+		.instance = 1, .retention_ms = RETENTION_MS, .keys_max = 10};
+	struct order_message message, answer;
+	struct counters counters;
+	struct claims claims;
+	struct home_list list;
+
+	make_list(&list, 1);
+	options.self = list.names[0];
+	counters_init(&counters);
+	claims_init(&claims, &options, &counters, 1);
+	claims_set_list(&claims, &list, true, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		claims_message(&claims, &message, ORDER_CLAIM);
+		message.owner.request = steps[i].owner;
+		message.age_ms = steps[i].age_ms;
+		message.refuse_only = steps[i].refuse_only;
+		message.state = steps[i].settle;
+		if (steps[i].settle) {
+			claims_settle(&claims, &message, steps[i].at_ms);
+			continue;
+		}
+		claims_answer(&claims, &message, steps[i].at_ms, &answer);
+		g_assert_cmpint(answer.verdict, ==, steps[i].verdict);
+		g_assert_cmpint(answer.state, ==, steps[i].state);
+		g_assert_true(answer.complete);
+	}
+	claims_finish(&claims);
+}
+
+/* What may not be granted, or not as complete. */
+static void test_claims_withheld(void)
+{
+	static const struct {
+		bool founded, confirm, in_list;
+		uint64_t epoch;
+		enum claim_verdict verdict;
+		bool complete;
+	} cases[] = {
+		{true, true, true, 1, CLAIM_GRANTED, true},
+		/* Restarted: another run of it may have granted the key. */
+		{false, true, true, 1, CLAIM_GRANTED, false},
+		{true, true, true, 2, CLAIM_STALE, false},
+		{true, true, true, 0, CLAIM_STALE, false},
+		{true, true, false, 1, CLAIM_STALE, false},
+		/* Only a peer's word that the list is the newest. */
+		{false, false, true, 1, CLAIM_FENCED, false},
+	};
+	struct claims_options options = {
+		.instance = 1, .retention_ms = RETENTION_MS, .keys_max = 10};
+	struct order_message message, answer;
+	struct counters counters;
+	struct claims claims;
+	struct home_list list;
+
+	make_list(&list, 1);
+	counters_init(&counters);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		set(&options.self, cases[i].in_list ? "orders-1" : "orders-2");
+		claims_init(&claims, &options, &counters, 1);
+		if (cases[i].confirm)
+			claims_set_list(&claims, &list, cases[i].founded, 1);
+		else
+			claims_hear_list(&claims, &list, 1);
+		claims_message(&claims, &message, ORDER_CLAIM);
+		message.epoch = cases[i].epoch;
+		claims_answer(&claims, &message, 10, &answer);
+		g_assert_cmpint(answer.verdict, ==, cases[i].verdict);
+		g_assert_cmpint(answer.complete, ==, cases[i].complete);
+		claims_finish(&claims);
+	}
+}
+
+/* A gate alone, with what it told and dispatched. */
+struct bench_gate {
+	struct gate_sink sink;
+	struct gate gate;
+	struct claims claims;
+	struct counters counters;
+	struct order_told told[16];
+	size_t n_told;
+	uint64_t dispatched[16];
+	size_t n_dispatched;
+};
+
+static void on_send(struct gate_sink *sink, const struct name *to,
+		    const struct order_message *message)
+{
+	(void)sink;
+	(void)to;
+	(void)message;
+}
+
+static void on_dispatch(struct gate_sink *sink, uint64_t id, uint32_t attempt,
+			struct str payload)
+{
+	struct bench_gate *self = (struct bench_gate *)sink;
+
+	(void)attempt;
+	(void)payload;
+	self->dispatched[self->n_dispatched++] = id;
+}
+
+static void on_cancel(struct gate_sink *sink, uint64_t id, uint32_t attempt)
+{
+	(void)sink;
+	(void)id;
+	(void)attempt;
+}
+
+static void on_tell(struct gate_sink *sink, const struct order_told *told)
+{
+	struct bench_gate *self = (struct bench_gate *)sink;
+
+	self->told[self->n_told++] = *told;
+}
+
+static void gate_up(struct bench_gate *self)
+{
+	struct claims_options options = {
+		.instance = 1, .retention_ms = RETENTION_MS, .keys_max = 10};
+	struct gate_options gate = {.slots = 1,
+				    .queue_max = 2,
+				    .caller_queue_max = 2,
+				    .pending_max = 8};
+	struct home_list list;
+
+	memset(self, 0, sizeof(*self));
+	make_list(&list, 1);
+	options.self = list.names[0];
+	self->sink.send = on_send;
+	self->sink.dispatch = on_dispatch;
+	self->sink.cancel = on_cancel;
+	self->sink.tell = on_tell;
+	counters_init(&self->counters);
+	claims_init(&self->claims, &options, &self->counters, 1);
+	claims_set_list(&self->claims, &list, true, 1);
+	gate_init(&self->gate, &gate, &self->claims, &self->counters);
+}
+
+static void gate_down(struct bench_gate *self)
+{
+	gate_finish(&self->gate);
+	claims_finish(&self->claims);
+}
+
+static void submit(struct bench_gate *self, uint64_t id, uint64_t key,
+		   bool idempotent, enum order_class class)
+{
+	struct order_request request = {
+		.id = id,
+		.has_key = key,
+		.key = {key, key},
+		.idempotent = idempotent,
+		.class = class,
+		.deadline_ms = 1000,
+	};
+
+	gate_submit(&self->gate, &request, 10, &self->sink);
+}
+
+static void answer(struct bench_gate *self, uint64_t id, uint32_t attempt,
+		   enum order_answer what)
+{
+	gate_answer(&self->gate, id, attempt, what, str_from(""), 20,
+		    &self->sink);
+}
+
+/* What is told when a dispatched request's server part ends. */
+static void test_gate_answers(void)
+{
+	static const struct {
+		bool idempotent;
+		enum order_answer answer;
+		enum order_outcome outcome;
+		enum order_reason reason;
+	} cases[] = {
+		{false, ORDER_ANSWER_WHOLE, ORDER_DONE, ORDER_REASON_NONE},
+		{false, ORDER_ANSWER_LOST, ORDER_UNKNOWN,
+		 ORDER_REASON_SERVER_LOST},
+		{false, ORDER_ANSWER_CUT, ORDER_UNKNOWN,
+		 ORDER_REASON_SERVER_LOST},
+		{false, ORDER_ANSWER_NOT_SENT, ORDER_NOT_RUN,
+		 ORDER_REASON_NO_CONNECT},
+		/* No retry budget was earned yet. */
+		{true, ORDER_ANSWER_LOST, ORDER_UNKNOWN,
+		 ORDER_REASON_SERVER_LOST},
+	};
+	struct bench_gate self;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		gate_up(&self);
+		submit(&self, 1, 5, cases[i].idempotent, ORDER_CLASS_ORDER);
+		g_assert_cmpuint(self.n_dispatched, ==, 1);
+		/* Foreign ones first: they change nothing. */
+		answer(&self, 2, 1, ORDER_ANSWER_WHOLE);
+		answer(&self, 1, 2, ORDER_ANSWER_WHOLE);
+		g_assert_cmpuint(self.n_told, ==, 0);
+		answer(&self, 1, 1, cases[i].answer);
+		answer(&self, 1, 1, ORDER_ANSWER_WHOLE);
+		g_assert_cmpuint(self.n_told, ==, 1);
+		g_assert_cmpint(self.told[0].outcome, ==, cases[i].outcome);
+		g_assert_cmpint(self.told[0].reason, ==, cases[i].reason);
+		g_assert_cmpuint(counter_get(&self.counters,
+					     COUNTER_ORDER_ANSWER_FOREIGN),
+				 ==, 3);
+		g_assert_cmpuint(gate_open(&self.gate), ==, 0);
+		gate_down(&self);
+	}
+}
+
+static void test_gate_queue(void)
+{
+	struct bench_gate self;
+
+	gate_up(&self);
+	submit(&self, 1, 1, false, ORDER_CLASS_ORDER);
+	submit(&self, 2, 0, false, ORDER_CLASS_UPLOAD);
+	submit(&self, 3, 3, false, ORDER_CLASS_ORDER);
+	/* The queue is full; the key shows that 4 was not run. */
+	submit(&self, 4, 4, false, ORDER_CLASS_ORDER);
+	/* A repetition of 1, which runs: its outcome is not known yet. */
+	submit(&self, 5, 1, false, ORDER_CLASS_ORDER);
+	g_assert_cmpuint(self.n_told, ==, 2);
+	g_assert_cmpint(self.told[0].outcome, ==, ORDER_NOT_RUN);
+	g_assert_cmpint(self.told[0].reason, ==, ORDER_REASON_QUEUE_FULL);
+	g_assert_cmpint(self.told[1].outcome, ==, ORDER_UNKNOWN);
+	g_assert_cmpint(self.told[1].reason, ==, ORDER_REASON_REPEATED_RUNNING);
+	answer(&self, 1, 1, ORDER_ANSWER_WHOLE);
+	g_assert_cmpuint(self.dispatched[1], ==, 3);
+	/* The caller of 3 gives up; the slot stays taken till its end. */
+	gate_cancel(&self.gate, 3, 30, &self.sink);
+	g_assert_cmpint(self.told[3].outcome, ==, ORDER_UNKNOWN);
+	g_assert_cmpuint(self.n_dispatched, ==, 2);
+	answer(&self, 3, 1, ORDER_ANSWER_WHOLE);
+	g_assert_cmpuint(self.dispatched[2], ==, 2);
+	gate_drain(&self.gate);
+	submit(&self, 6, 0, false, ORDER_CLASS_ORDER);
+	g_assert_cmpint(self.told[4].reason, ==, ORDER_REASON_DRAINING);
+	gate_tick(&self.gate, 1000, &self.sink);
+	g_assert_cmpint(self.told[5].outcome, ==, ORDER_UNKNOWN);
+	g_assert_cmpint(self.told[5].reason, ==, ORDER_REASON_DEADLINE);
+	g_assert_cmpuint(self.n_told, ==, 6);
+	gate_down(&self);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/order/pairs-intersect", test_pairs_intersect);
+	g_test_add_func("/order/message-round-trip", test_message_round_trip);
+	g_test_add_func("/order/claims", test_claims);
+	g_test_add_func("/order/claims-withheld", test_claims_withheld);
+	g_test_add_func("/order/gate-answers", test_gate_answers);
+	g_test_add_func("/order/gate-queue", test_gate_queue);
+	return g_test_run();
+}
