Do not dispatch what the deadline leaves no time for

Change: a request that may run once only is refused as not run when less than three times the server's usual time is left.

--- a/include/tarragonflow/order/gate.h
+++ b/include/tarragonflow/order/gate.h
@@ -138,6 +138,8 @@
 	uint32_t pending;
 	/** Orders dispatched since the last upload. */
 	uint32_t orders_in_row;
+	/** Moving mean of the server's time by class, in 1/8 ms. */
+	int64_t usual_8th_ms[ORDER_CLASSES];
 	/** Retries that may be made, in thousandths. */
 	int64_t retry_budget;
 	/** Queued requests by caller. */
@@ -156,6 +158,11 @@
 
 /** Of waiting uploads one goes after so many orders. */
 #define GATE_ORDERS_PER_UPLOAD 4
+/**
+ * A request that may run once only is not dispatched when less than so many
+ * times the server's usual time is left: it would likely end unknown.
+ */
+#define GATE_TIME_LEFT_FACTOR 3
 /** Share of admitted requests that may be retried, in thousandths. */
 #define GATE_RETRY_SHARE 100
 /** Retries saved up at most, in thousandths. */
--- a/order/claims_list.c
+++ b/order/claims_list.c
@@ -282,13 +282,6 @@
 		claims->peers[0].complete = true;
 }
 
-static struct home_peer *peer_of(struct claims *claims, const struct name *name)
-{
-	int at = home_list_find(&claims->list, name);
-
-	return at < 0 ? NULL : &claims->peers[at];
-}
-
 static void send_beacon(struct claims *claims, const struct name *to,
 			int64_t now_ms, struct claims_sink *sink)
 {
@@ -322,13 +315,14 @@
 		peer->since_ms = now_ms;
 }
 
-static void take_beacon(struct claims *claims, struct home_peer *peer,
+static void take_beacon(struct claims *claims, int at,
 			const struct order_message *message, int64_t now_ms,
 			struct claims_sink *sink)
 {
-	if (peer)
-		peer->settled = message->settled &&
-				message->epoch == claims->list.epoch;
+	if (at >= 0)
+		claims->peers[at].settled = message->settled &&
+					    message->epoch ==
+						    claims->list.epoch;
 	else if (message->joining)
 		claims->joiner = message->from;
 	if (message->joining)
@@ -408,13 +402,13 @@
 		   int64_t now_ms, struct claims_sink *sink)
 {
 	struct order_message answer;
-	struct home_peer *peer;
+	int at;
 
 	if (message->list && message->list->n)
 		adopt(claims, message->list, now_ms);
-	peer = peer_of(claims, &message->from);
-	if (peer)
-		hear(claims, peer, message, now_ms);
+	at = home_list_find(&claims->list, &message->from);
+	if (at >= 0)
+		hear(claims, &claims->peers[at], message, now_ms);
 	switch (message->type) {
 	case ORDER_CLAIM:
 		claims_answer(claims, message, now_ms, &answer);
@@ -427,15 +421,15 @@
 		sink->send(sink, &message->from, &answer);
 		break;
 	case ORDER_BEACON:
-		take_beacon(claims, peer, message, now_ms, sink);
+		take_beacon(claims, at, message, now_ms, sink);
 		break;
 	case ORDER_COPY_ASK:
 		if (message->epoch == claims->list.epoch)
 			claims_send_copies(claims, message, now_ms, sink);
 		break;
 	case ORDER_COPY:
-		if (peer)
-			take_copy(claims, peer, message, now_ms);
+		if (at >= 0)
+			take_copy(claims, &claims->peers[at], message, now_ms);
 		break;
 	default:
 		break;
--- a/order/gate.c
+++ b/order/gate.c
@@ -223,9 +223,28 @@
 				     : gate->options.slots - busy;
 }
 
-static void dispatch(struct gate *gate, struct request *request,
+/* A mean of the last eight or so whole answers. */
+static void note_time(struct gate *gate, const struct request *request,
+		      int64_t now_ms)
+{
+	int64_t *usual = &gate->usual_8th_ms[request->class];
+
+	*usual += now_ms - request->dispatched_ms - *usual / 8;
+}
+
+static bool too_late(const struct gate *gate, const struct request *request,
+		     int64_t now_ms)
+{
+	return !request->idempotent &&
+	       (request->deadline_ms - now_ms) * 8 <
+		       gate->usual_8th_ms[request->class] *
+			       GATE_TIME_LEFT_FACTOR;
+}
+
+static void dispatch(struct gate *gate, struct request *request, int64_t now_ms,
 		     struct gate_sink *sink)
 {
+	request->dispatched_ms = now_ms;
 	gate_dequeue(gate, request);
 	request->state = ORDER_STATE_DISPATCHED;
 	request->exposed_before = request->exposed;
@@ -246,8 +265,13 @@
 {
 	struct request *request;
 
-	while (gate->running < gate->options.slots && (request = pick(gate)))
-		dispatch(gate, request, sink);
+	while (gate->running < gate->options.slots && (request = pick(gate))) {
+		if (too_late(gate, request, now_ms))
+			gate_refuse(gate, request, ORDER_REASON_DEADLINE,
+				    now_ms, sink);
+		else
+			dispatch(gate, request, now_ms, sink);
+	}
 	while ((request = first_ready(gate, ORDER_CLASS_ORDER)) &&
 	       gate_hand_on(gate, request, now_ms, sink))
 		;
@@ -362,6 +386,8 @@
 		     (answer == ORDER_ANSWER_LOST && request->idempotent);
 
 	request->state = ORDER_STATE_QUEUED;
+	if (answer == ORDER_ANSWER_WHOLE)
+		note_time(gate, request, now_ms);
 	if (answer == ORDER_ANSWER_NOT_SENT)
 		request->exposed = request->exposed_before;
 	if (answer == ORDER_ANSWER_WHOLE)
--- a/order/gate_internal.h
+++ b/order/gate_internal.h
@@ -20,6 +20,7 @@
 	uint64_t caller;
 	int64_t arrived_ms, deadline_ms;
 	uint32_t attempt;
+	int64_t dispatched_ms;
 	/* It reached, or may have reached, a server. */
 	bool exposed, exposed_before;
 	/* In a queue through link. */
