--- a/bench/bench.h
+++ b/bench/bench.h
@@ -48,5 +48,11 @@
 
 extern const struct bench_group bench_route;
 extern const struct bench_group bench_order;
+extern const struct bench_group bench_pipeline;
+extern const struct bench_group bench_flows;
+extern const struct bench_group bench_ring;
+extern const struct bench_group bench_startup;
+extern const struct bench_group bench_release;
+extern const struct bench_group bench_membership;
 
 #endif
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -2,8 +2,15 @@
 #define TARRAGONFLOW_CONTROL_CONTROL_H
 
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/common/random.h"
+#include "tarragonflow/control/auth.h"
+#include "tarragonflow/control/byte_budget.h"
+#include "tarragonflow/control/config_store.h"
+#include "tarragonflow/control/failure_detector.h"
+#include "tarragonflow/control/gossip_queue.h"
 #include "tarragonflow/control/message.h"
-#include "tarragonflow/manifest/manifest.h"
+#include "tarragonflow/control/platform_sync.h"
+#include "tarragonflow/control/zone_monitor.h"
 #include "tarragonflow/platform/platform.h"
 #include "tarragonflow/roster/roster.h"
 
@@ -20,6 +27,13 @@
 	/** Starts a platform call; its result comes back as an input. */
 	void (*call)(struct control_sink *sink,
 		     const struct platform_request *request);
+	/**
+	 * Sends the frame @request over TCP to the control address @peer; the
+	 * answer comes back through control_handle_message(), a failure
+	 * through control_pull_failed().
+	 */
+	void (*pull)(struct control_sink *sink, const struct endpoint *peer,
+		     struct str request);
 	/** Configuration or roster changed: routing must be computed anew. */
 	void (*changed)(struct control_sink *sink);
 };
@@ -27,6 +41,12 @@
 /** Peers that are known from the settings, at most. */
 #define CONTROL_SEEDS_MAX 16
 
+/** Peers that wait for our configuration, at most. */
+#define CONTROL_PULLS_MAX 16
+
+/** Control bytes that a process sends in a second, when not set. */
+#define CONTROL_BYTES_PER_S 3072
+
 struct control_options {
 	/** Our entry; sequence and revision are kept by the core. */
 	struct member self;
@@ -35,26 +55,55 @@
 	size_t n_seeds;
 	/** Seed of the core's random numbers. */
 	uint64_t random_seed;
+	struct keyring keys;
+	/** Control bytes sent in a second; 0: CONTROL_BYTES_PER_S. */
+	int64_t bytes_per_s;
+};
+
+/** The way back to fresh views after the process did not run. */
+struct control_wake {
+	/** Set until a peer has told us where the others stand. */
+	bool stale;
+	/** Matches the answer with our question. */
+	uint32_t nonce;
+	int64_t next_ask_ms;
+	/** Nobody answers: go on alone after this, ms. */
+	int64_t give_up_ms;
+	/** Release that a peer has in force. */
+	int64_t release;
 };
 
 struct control {
 	struct control_options options;
 	struct counters *counters;
 	struct roster roster;
-	/** Release 0 until there is a configuration. */
-	struct manifest manifest;
-	/** The canonical text of the manifest in force. */
-	struct strbuf manifest_text;
-	uint64_t random_state;
+	struct config_store config;
+	struct platform_sync platform;
+	struct random random;
+	struct failure_detector detector;
+	struct gossip_queue queue;
+	struct byte_budget budget;
+	struct zone_monitor zones;
+	struct replay_guard replays;
+	struct control_wake wake;
+	/** Number of our last message. */
+	uint64_t number;
+	int64_t started_ms;
+	/** Time of the last input, ms; a long gap is a pause. */
+	int64_t now_ms;
 	int64_t next_gossip_ms;
-	int64_t next_announce_ms;
-	int64_t next_platform_ms;
-	/** Version of the platform's store that the watch has reached. */
-	int64_t watch_version;
-	bool call_pending;
-	uint64_t next_call_id;
-	/** Where the rotating window of gossiped entries stands. */
-	size_t gossip_cursor;
+	int64_t next_exchange_ms;
+	int64_t next_pull_ms;
+	/** Peers that wait for our configuration. */
+	struct endpoint pulls[CONTROL_PULLS_MAX];
+	size_t n_pulls;
+	/** Peers that a new configuration is still to be pushed to. */
+	unsigned int pushes_left;
+	int64_t next_push_ms;
+	/** Until then peers that lag are told that there is a release, ms. */
+	int64_t push_until_ms;
+	/** A member became suspected since zones were last looked at. */
+	bool suspicions_changed;
 };
 
 void control_init(struct control *control,
@@ -73,6 +122,16 @@
 			   const struct platform_result *result, int64_t now_ms,
 			   struct control_sink *sink);
 
+/**
+ * Answers a pull that a peer sent over TCP: appends the frame with our
+ * configuration to @out; false when @data is not a valid pull.
+ */
+bool control_answer_pull(struct control *control, const uint8_t *data,
+			 size_t len, struct strbuf *out);
+
+/** The pull that was under way brought no answer. */
+void control_pull_failed(struct control *control);
+
 /** Does what is due at @now_ms. */
 void control_tick(struct control *control, int64_t now_ms,
 		  struct control_sink *sink);
@@ -80,6 +139,15 @@
 /** When control_tick() wants to run next, ms. */
 int64_t control_next_deadline(const struct control *control);
 
+/**
+ * True after a pause until a peer has told where the others stand; views
+ * may be old then.
+ */
+bool control_stale(const struct control *control);
+
+/** Replaces the keys; messages under keys left out are dropped from now. */
+void control_set_keys(struct control *control, const struct keyring *keys);
+
 /** Changes our own state and announces it at once. */
 void control_set_state(struct control *control, enum member_state state,
 		       int64_t now_ms, struct control_sink *sink);
--- a/include/tarragonflow/manifest/manifest.h
+++ b/include/tarragonflow/manifest/manifest.h
@@ -29,6 +29,8 @@
 
 struct zone {
 	struct name name;
+	/** Zones of one region probe one another; empty: one region. */
+	struct name region;
 	int state;
 };
 
@@ -47,6 +49,10 @@
 	int64_t drain_deadline_s;
 	/** Time until a connection without packets is forgotten, in s. */
 	int64_t idle_timeout_s;
+	/** Time within which a warm server's first answer comes, in ms. */
+	int64_t answer_ms;
+	/** Size of the table of chains, a power of two. */
+	int64_t buckets;
 };
 
 struct manifest {
--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -11,6 +12,9 @@
 #define SLOTS_MAX 10000
 #define DRAIN_DEADLINE_MAX_S (7 * 24 * 3600)
 #define IDLE_TIMEOUT_MAX_S (24 * 3600)
+#define ANSWER_MAX_MS 600000
+#define BUCKETS_MIN 64
+#define BUCKETS_MAX 65536
 
 static const char *const zone_states[] = {"in", "out", NULL};
 static const char *const guards[] = {"none", "orders", NULL};
@@ -45,6 +49,10 @@
 	 .offset = offsetof(struct zone, name),
 	 .required = true,
 	 .help = "name of the availability zone"},
+	{.name = "region",
+	 .type = FIELD_NAME,
+	 .offset = offsetof(struct zone, region),
+	 .help = "region of the zone; processes probe within their region"},
 	{.name = "state",
 	 .type = FIELD_CHOICE,
 	 .offset = offsetof(struct zone, state),
@@ -110,6 +118,22 @@
 	 .fallback = 3600,
 	 .unit = "s",
 	 .help = "time until a silent connection is forgotten"},
+	{.name = "answer_ms",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct service, answer_ms),
+	 .min = 1,
+	 .max = ANSWER_MAX_MS,
+	 .fallback = 20,
+	 .unit = "ms",
+	 .help = "time within which a warm server's first answer comes"},
+	{.name = "buckets",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct service, buckets),
+	 .min = BUCKETS_MIN,
+	 .max = BUCKETS_MAX,
+	 .fallback = 1024,
+	 .help = "size of the table of chains, 64 for each backend server "
+		 "that is planned; rounded up to a power of two"},
 };
 const size_t manifest_n_service_fields = G_N_ELEMENTS(manifest_service_fields);
 
@@ -189,27 +213,82 @@
 		}
 }
 
-static void check_service_pair(const struct manifest *manifest, size_t i,
-			       size_t j, struct json_errors *errors)
+static int service_id_order(const void *a, const void *b)
+{
+	const struct service *x = *(const struct service *const *)a;
+	const struct service *y = *(const struct service *const *)b;
+
+	if (x->id != y->id)
+		return x->id < y->id ? -1 : 1;
+	return x < y ? -1 : 1;
+}
+
+static int service_address_order(const void *a, const void *b)
+{
+	const struct service *x = *(const struct service *const *)a;
+	const struct service *y = *(const struct service *const *)b;
+	int order = memcmp(&x->address, &y->address, sizeof(x->address));
+
+	if (order)
+		return order;
+	if (x->port != y->port)
+		return x->port < y->port ? -1 : 1;
+	return x < y ? -1 : 1;
+}
+
+static void add_id_error(const struct manifest *manifest,
+			 const struct service *first,
+			 const struct service *again,
+			 struct json_errors *errors)
 {
-	const struct service *a = &manifest->services[i];
-	const struct service *b = &manifest->services[j];
 	char path[PATH_MAX_BYTES];
 
-	if (a->id == b->id) {
-		snprintf(path, sizeof(path), "services[%zu].name", i);
-		json_errors_add(errors, path,
-				"found \"%s\", allowed is a name whose "
-				"identifier differs from services[%zu]",
-				a->name.data, j);
-	}
-	if (a->port == b->port && ip_addr_equal(&a->address, &b->address)) {
-		snprintf(path, sizeof(path), "services[%zu].address", i);
-		json_errors_add(errors, path,
-				"overlaps the address and port of "
-				"services[%zu]",
-				j);
-	}
+	snprintf(path, sizeof(path), "services[%td].name",
+		 again - manifest->services);
+	json_errors_add(errors, path,
+			"found \"%s\", allowed is a name whose identifier "
+			"differs from services[%td]",
+			again->name.data, first - manifest->services);
+}
+
+static void add_address_error(const struct manifest *manifest,
+			      const struct service *first,
+			      const struct service *again,
+			      struct json_errors *errors)
+{
+	char path[PATH_MAX_BYTES];
+
+	snprintf(path, sizeof(path), "services[%td].address",
+		 again - manifest->services);
+	json_errors_add(errors, path,
+			"overlaps the address and port of services[%td]",
+			first - manifest->services);
+}
+
+/* Sorting brings what must differ side by side. */
+static void check_services(const struct manifest *manifest,
+			   struct json_errors *errors)
+{
+	size_t n = manifest->n_services;
+	const struct service **sorted;
+
+	if (!n)
+		return;
+	sorted = g_new(const struct service *, n);
+	for (size_t i = 0; i < n; i++)
+		sorted[i] = &manifest->services[i];
+	qsort(sorted, n, sizeof(const struct service *), service_id_order);
+	for (size_t i = 1; i < n; i++)
+		if (sorted[i - 1]->id == sorted[i]->id)
+			add_id_error(manifest, sorted[i - 1], sorted[i],
+				     errors);
+	qsort(sorted, n, sizeof(const struct service *), service_address_order);
+	for (size_t i = 1; i < n; i++)
+		if (sorted[i - 1]->port == sorted[i]->port &&
+		    ip_addr_equal(&sorted[i - 1]->address, &sorted[i]->address))
+			add_address_error(manifest, sorted[i - 1], sorted[i],
+					  errors);
+	g_free(sorted);
 }
 
 void manifest_read(struct manifest *manifest, const json_t *root,
@@ -222,9 +301,7 @@
 	read_zones(manifest, root, errors);
 	read_services(manifest, root, errors);
 	check_zones(manifest, errors);
-	for (size_t i = 0; i < manifest->n_services; i++)
-		for (size_t j = 0; j < i; j++)
-			check_service_pair(manifest, i, j, errors);
+	check_services(manifest, errors);
 }
 
 static enum status_code manifest_take(struct manifest *manifest, json_t *root,
@@ -265,22 +342,30 @@
 
 static json_t *zone_json(const struct zone *zone)
 {
-	return json_pack("{s:s,s:s}", "name", zone->name.data, "state",
-			 zone_states[zone->state]);
+	json_t *object = json_pack("{s:s,s:s}", "name", zone->name.data,
+				   "state", zone_states[zone->state]);
+
+	if (zone->region.len)
+		json_object_set_new(object, "region",
+				    json_string(zone->region.data));
+	return object;
 }
 
 static json_t *service_json(const struct service *service)
 {
 	char address[IP_ADDR_TEXT_MAX];
 
-	return json_pack(
-		"{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:I}", "name", service->name.data,
-		"address", ip_addr_format(&service->address, address), "port",
-		(json_int_t)service->port, "guard", guards[service->guard],
-		"connections", (json_int_t)service->connections, "slots",
-		(json_int_t)service->slots, "drain_deadline_s",
-		(json_int_t)service->drain_deadline_s, "idle_timeout_s",
-		(json_int_t)service->idle_timeout_s);
+	return json_pack("{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "name",
+			 service->name.data, "address",
+			 ip_addr_format(&service->address, address), "port",
+			 (json_int_t)service->port, "guard",
+			 guards[service->guard], "connections",
+			 (json_int_t)service->connections, "slots",
+			 (json_int_t)service->slots, "drain_deadline_s",
+			 (json_int_t)service->drain_deadline_s,
+			 "idle_timeout_s", (json_int_t)service->idle_timeout_s,
+			 "answer_ms", (json_int_t)service->answer_ms, "buckets",
+			 (json_int_t)service->buckets);
 }
 
 void manifest_write(const struct manifest *manifest, struct strbuf *out)
--- a/node/settings.c
+++ b/node/settings.c
@@ -7,6 +7,7 @@
 #define PATH_MAX_BYTES 64
 #define CONNECTIONS_MAX 1000000
 #define SLOTS_MAX 10000
+#define CONTROL_BYTES_MAX (1024 * 1024)
 #define DRAIN_DEADLINE_MAX_S (7 * 24 * 3600)
 
 static const char *const log_levels[] = {"debug", "info", "warn", "error",
@@ -54,6 +55,17 @@
 	{.name = "seeds",
 	 .type = FIELD_NESTED,
 	 .help = "control addresses of peers to begin with"},
+	{.name = "control_keys",
+	 .type = FIELD_NESTED,
+	 .help = "keys of control messages; the first signs, all verify"},
+	{.name = "control_bytes_per_s",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, control_bytes_per_s),
+	 .min = 1024,
+	 .max = CONTROL_BYTES_MAX,
+	 .fallback = CONTROL_BYTES_PER_S,
+	 .unit = "bytes/s",
+	 .help = "control bytes that the process sends in a second"},
 	{.name = "log_level",
 	 .type = FIELD_CHOICE,
 	 .offset = offsetof(struct settings, log_level),
@@ -176,6 +188,7 @@
 	if (!json_is_object(root))
 		return;
 	read_seeds(settings, root, errors);
+	keyring_read(&settings->control_keys, root, "control_keys", errors);
 	check_platform(settings, errors);
 }
 
