--- a/tests/scenarios/order_world.c
+++ b/tests/scenarios/order_world.c
@@ -243,7 +243,7 @@
 	bool same = agent->up && agent->instance == event->instance;
 
 	if (event->frees_slot && same)
-		agent->running--;
+		g_hash_table_remove(agent->running, &event->id);
 	if (agent->up)
 		gate_answer(&agent->gate, event->id, event->try, event->answer,
 			    strbuf_str(&event->data), world->now_ms,
@@ -313,7 +313,8 @@
 	enum order_answer answer;
 
 	world->figures.dispatches++;
-	if (++agent->running > world->slots)
+	g_hash_table_add(agent->running, g_memdup2(&id, sizeof(id)));
+	if (g_hash_table_size(agent->running) > world->slots)
 		world->figures.slots_exceeded++;
 	if (server_fate(world, &answer, &takes_ms))
 		callers_ran(world, attempt);
@@ -329,9 +330,9 @@
 {
 	struct order_agent *agent = gate_agent(sink);
 
-	/* The server's own answer comes too, and finds nothing. */
-	answer_in(agent, DELAY_MAX_MS, id, try, ORDER_ANSWER_LOST,
-		  str_from(""));
+	/* The server stops; its own answer comes too, and finds nothing. */
+	answer_in(agent, DELAY_MAX_MS, id, try, ORDER_ANSWER_LOST, str_from(""))
+		->frees_slot = true;
 }
 
 static void gate_tell(struct gate_sink *sink, const struct order_told *told)
@@ -363,7 +364,7 @@
 	agent->up = true;
 	agent->leaving = false;
 	agent->instance = claims.instance;
-	agent->running = 0;
+	g_hash_table_remove_all(agent->running);
 	claims_init(&agent->claims, &claims, &world->counters, world->now_ms);
 	gate_init(&agent->gate, &gate, &agent->claims, &world->counters);
 	event = add_event(world, PLATFORM_MS, act_read);
@@ -493,6 +494,8 @@
 		agent->gate_sink.cancel = gate_cancelled;
 		agent->gate_sink.tell = gate_tell;
 		agent->world = world;
+		agent->running = g_hash_table_new_full(
+			g_int64_hash, g_int64_equal, g_free, NULL);
 		agent->index = i;
 		g_snprintf(text, sizeof(text), "orders-%u", i + 1);
 		name_set(&agent->name, str_from(text));
@@ -504,6 +507,7 @@
 void order_world_finish(struct order_world *world)
 {
 	for (uint32_t i = 0; i < world->n_agents; i++) {
+		g_hash_table_destroy(world->agents[i].running);
 		if (!world->agents[i].up)
 			continue;
 		gate_finish(&world->agents[i].gate);
--- a/tests/scenarios/order_world.h
+++ b/tests/scenarios/order_world.h
@@ -71,8 +71,8 @@
 	uint64_t instance;
 	struct claims claims;
 	struct gate gate;
-	/* Requests that its backend server runs. */
-	uint32_t running;
+	/* Numbers of the requests that its backend server runs. */
+	GHashTable *running;
 	int64_t lag_until_ms;
 };
 
