--- a/order/claims.c
+++ b/order/claims.c
@@ -125,6 +125,9 @@
 			return CLAIM_GRANTED;
 		return CLAIM_TAKEN;
 	case CLAIM_RELEASED:
+		/* A late copy of a claim that was given back since. */
+		if (same_owner(&claim->owner, &ask->owner))
+			return CLAIM_TOO_OLD;
 		if (!ask->refuse_only && too_old(claim, ask, now_ms))
 			return CLAIM_TOO_OLD;
 		break;
--- a/order/gate_claim.c
+++ b/order/gate_claim.c
@@ -8,6 +8,9 @@
  */
 static const struct str no_payload = {"", 0};
 
+/* Time in which another request's claim may still end, ms. */
+#define HELD_WAIT_MS 500
+
 static void start_over(struct request *request)
 {
 	request->asked = 0;
@@ -131,6 +134,11 @@
 		  enum claim_state state, int64_t now_ms,
 		  struct gate_sink *sink)
 {
+	if (state == CLAIM_HELD &&
+	    now_ms - request->arrived_ms < HELD_WAIT_MS) {
+		ask_later(gate, request, now_ms);
+		return;
+	}
 	if (request->asked)
 		correct_first(gate, request, state, now_ms, sink);
 	/* Nothing of ours is left to settle. */
--- a/tests/unit/test_order.c
+++ b/tests/unit/test_order.c
@@ -127,6 +127,8 @@
 		{2, CLAIM_RELEASED, 1003, 0, false, 0, 0},
 		{2, CLAIM_NONE, 1004, 0, false, CLAIM_TAKEN, CLAIM_HELD},
 		{1, CLAIM_RELEASED, 1005, 0, false, 0, 0},
+		/* A late copy of the claim that was given back. */
+		{1, CLAIM_NONE, 1300, 0, true, CLAIM_TOO_OLD, CLAIM_RELEASED},
 		/* Arrived before the key was told not run. */
 		{3, CLAIM_NONE, 1400, 0, false, CLAIM_TOO_OLD, CLAIM_RELEASED},
 		{3, CLAIM_NONE, 9000, 8000, false, CLAIM_TOO_OLD,
@@ -366,6 +368,11 @@
 	submit(&self, 4, 4, false, ORDER_CLASS_ORDER);
 	/* A repetition of 1, which runs: its outcome is not known yet. */
 	submit(&self, 5, 1, false, ORDER_CLASS_ORDER);
+	g_assert_cmpuint(self.n_told, ==, 1);
+	/* It waits a little for the other to end. */
+	gate_tick(&self.gate, 400, &self.sink);
+	g_assert_cmpuint(self.n_told, ==, 1);
+	gate_tick(&self.gate, 600, &self.sink);
 	g_assert_cmpuint(self.n_told, ==, 2);
 	g_assert_cmpint(self.told[0].outcome, ==, ORDER_NOT_RUN);
 	g_assert_cmpint(self.told[0].reason, ==, ORDER_REASON_QUEUE_FULL);
