--- a/bench/bench_deployment.c
+++ b/bench/bench_deployment.c
@@ -63,11 +63,27 @@
 			     spec->slots);
 }
 
+/* Messages are signed, as they should be in earnest. */
+static void set_key(struct world_node *node)
+{
+	struct keyring keys;
+	struct status status;
+
+	keyring_init(&keys);
+	status_init(&status);
+	keyring_add(&keys, 1, str_from("000102030405060708090a0b0c0d0e0f"),
+		    &status);
+	node->options.keys = keys;
+	control_set_keys(&node->control, &keys);
+	keyring_finish(&keys);
+}
+
 static struct world_node *add_process(struct world *world, const char *prefix,
 				      int number, uint32_t ip,
 				      const struct service *service)
 {
 	const struct manifest *manifest = &world->manifest;
+	struct world_node *node;
 	struct member self;
 	char text[NAME_MAX_LEN];
 
@@ -84,7 +100,9 @@
 		self.connections = (uint32_t)service->connections;
 		self.slots = (uint32_t)service->slots;
 	}
-	return world_add_node(world, &self);
+	node = world_add_node(world, &self);
+	set_key(node);
+	return node;
 }
 
 struct world_node *deployment_add_server(struct world *world, int service,
