Apply: record who applied, and settle every lost answer

Cause: after a lost answer apply read back once and called an unchanged version a refusal, though the write could still arrive; and a release that was taken and then replaced before the read-back was reported as refused.

--- a/bench/bench_release.c
+++ b/bench/bench_release.c
@@ -153,7 +153,7 @@
 	deployment->manifest.release++;
 	snprintf(url, sizeof(url), "http://%s", endpoint_format(&store, text));
 	http_platform_init(&http, url, NULL);
-	apply_manifest(&http.platform, &deployment->manifest, &status);
+	apply_manifest(&http.platform, &deployment->manifest, "bench", &status);
 	http_platform_finish(&http);
 	if (status.code != STATUS_OK)
 		fprintf(stderr, "apply: %s\n", status.message);
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 
 #include "tarragonflow/common/clock.h"
+#include "tarragonflow/manifest/manifest_object.h"
 
 /* What the platform core does with the results of its calls. */
 
@@ -62,12 +63,23 @@
 					      random_next(&sync->random));
 }
 
+static void offer_manifest(struct str value, struct platform_sync_out *out)
+{
+	struct manifest_object object;
+
+	manifest_object_init(&object);
+	if (manifest_object_read(&object, value))
+		out->config(out, strbuf_str(&object.manifest));
+	manifest_object_finish(&object);
+}
+
 static void offer_objects(const struct platform_result *result,
 			  struct platform_sync_out *out)
 {
 	for (size_t i = 0; i < result->n_objects; i++)
 		if (!result->objects[i].deleted)
-			out->config(out, strbuf_str(&result->objects[i].value));
+			offer_manifest(strbuf_str(&result->objects[i].value),
+				       out);
 }
 
 static void take_watch(struct platform_sync *sync,
--- a/include/tarragonflow/platform/platform.h
+++ b/include/tarragonflow/platform/platform.h
@@ -92,6 +92,8 @@
 	void (*call)(struct platform *platform,
 		     const struct platform_request *request,
 		     struct platform_result *result);
+	/** Lets @ms pass between two tries; NULL in tests. */
+	void (*pause)(struct platform *platform, int64_t ms);
 };
 
 void platform_request_init(struct platform_request *request,
--- a/manifest/apply.c
+++ b/manifest/apply.c
@@ -4,16 +4,24 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "tarragonflow/manifest/manifest_object.h"
+
 #define CALL_TIMEOUT_MS 3000
-#define READ_BACK_TRIES 5
-#define READ_BACK_PAUSE_US 200000
+#define TRIES 8
+#define PAUSE_BASE_MS 100
 #define TOKEN_BYTES 16
 
-/** What the platform holds now. */
-struct current {
-	int64_t version;
-	int64_t release;
-	char token[PLATFORM_TOKEN_MAX];
+/** One apply under way. */
+struct apply {
+	struct platform *platform;
+	char key[PLATFORM_KEY_MAX];
+	struct apply_record record;
+	/** What the platform held when it was last read. */
+	struct manifest_object current;
+	int64_t current_version;
+	/** Version that our write replaces. */
+	int64_t base_version;
+	struct strbuf value;
 };
 
 static void make_token(char *token)
@@ -24,126 +32,169 @@
 	sodium_bin2hex(token, PLATFORM_TOKEN_MAX, bytes, sizeof(bytes));
 }
 
-static void current_take(struct current *current,
-			 const struct platform_object *object)
+static enum status_code read_current(struct apply *apply, struct status *status)
 {
-	struct manifest manifest;
-	struct status status;
-
-	status_init(&status);
-	manifest_init(&manifest);
-	current->version = object->version;
-	memcpy(current->token, object->token, sizeof(current->token));
-	if (manifest_parse(&manifest, strbuf_str(&object->value), "platform",
-			   &status) == STATUS_OK)
-		current->release = manifest.release;
-	manifest_finish(&manifest);
+	struct platform_request request;
+	struct platform_result result;
+
+	manifest_object_finish(&apply->current);
+	apply->current_version = 0;
+	platform_request_init(&request, PLATFORM_OP_GET, apply->key);
+	request.timeout_ms = CALL_TIMEOUT_MS;
+	apply->platform->call(apply->platform, &request, &result);
+	if (result.status.code == STATUS_OK && result.n_objects) {
+		apply->current_version = result.objects[0].version;
+		manifest_object_read(&apply->current,
+				     strbuf_str(&result.objects[0].value));
+	} else if (result.status.code != STATUS_NOT_FOUND) {
+		*status = result.status;
+	}
+	platform_result_finish(&result);
+	platform_request_finish(&request);
+	return status->code;
 }
 
-static enum status_code read_current(struct platform *platform, const char *key,
-				     struct current *current,
-				     struct status *status)
+static enum status_code write_once(struct apply *apply, struct status *status)
 {
 	struct platform_request request;
 	struct platform_result result;
 
-	memset(current, 0, sizeof(*current));
-	platform_request_init(&request, PLATFORM_OP_GET, key);
+	platform_request_init(&request, PLATFORM_OP_PUT, apply->key);
 	request.timeout_ms = CALL_TIMEOUT_MS;
-	platform->call(platform, &request, &result);
-	if (result.status.code == STATUS_OK && result.n_objects)
-		current_take(current, &result.objects[0]);
-	else if (result.status.code != STATUS_NOT_FOUND)
-		*status = result.status;
+	request.version = apply->base_version;
+	g_strlcpy(request.token, apply->record.token, sizeof(request.token));
+	strbuf_add(&request.value, apply->value.data, apply->value.len);
+	apply->platform->call(apply->platform, &request, &result);
+	*status = result.status;
 	platform_result_finish(&result);
 	platform_request_finish(&request);
 	return status->code;
 }
 
-/* After a lost answer: did our write take effect? Asked, never guessed. */
-static enum status_code settle_unknown(struct platform *platform,
-				       const char *key, const char *token,
-				       struct status *status)
+static void pause_before_retry(struct apply *apply, int try)
 {
-	struct current current;
-
-	for (int i = 0; i < READ_BACK_TRIES; i++) {
-		struct status read;
-
-		status_init(&read);
-		if (read_current(platform, key, &current, &read) == STATUS_OK) {
-			if (!strcmp(current.token, token)) {
-				status_init(status);
-				return STATUS_OK;
-			}
-			return status_set(status, STATUS_CONFLICT,
-					  "not applied; release %lld is in "
-					  "force",
-					  (long long)current.release);
-		}
-		g_usleep(READ_BACK_PAUSE_US);
-	}
-	return status_set(status, STATUS_UNKNOWN,
-			  "the platform did not say whether the release was "
-			  "taken; run apply again");
+	int64_t ms = PAUSE_BASE_MS << MIN(try, 4);
+
+	if (apply->platform->pause)
+		apply->platform->pause(apply->platform, ms);
 }
 
-static enum status_code report_conflict(struct platform *platform,
-					const char *key, struct status *status)
+static enum status_code say_refused(const struct apply *apply,
+				    struct status *status)
+{
+	const struct apply_record *winner =
+		apply->current.n_records ? &apply->current.records[0] : NULL;
+
+	return status_set(status, STATUS_CONFLICT,
+			  "release %lld is not applied; %s won the race with "
+			  "release %lld",
+			  (long long)apply->record.release,
+			  winner && *winner->by ? winner->by
+						: "another operator",
+			  (long long)apply->current.release);
+}
+
+/*
+ * After a lost answer or a conflict: asks where our write is. Sets @settled
+ * unless the write may still be on its way or was never received.
+ */
+static enum status_code look_for_write(struct apply *apply, bool *settled,
+				       struct status *status)
 {
-	struct current current;
 	struct status read;
 
+	*settled = false;
 	status_init(&read);
-	if (read_current(platform, key, &current, &read) != STATUS_OK)
-		return status_set(status, STATUS_CONFLICT,
-				  "another release won the race");
-	return status_set(status, STATUS_CONFLICT, "release %lld won the race",
-			  (long long)current.release);
+	if (read_current(apply, &read) != STATUS_OK)
+		return STATUS_UNKNOWN;
+	if (manifest_object_find_token(&apply->current, apply->record.token)) {
+		*settled = true;
+		status_init(status);
+		return STATUS_OK;
+	}
+	if (apply->current_version == apply->base_version)
+		return STATUS_UNKNOWN;
+	*settled = true;
+	return say_refused(apply, status);
 }
 
-static enum status_code write_manifest(struct platform *platform,
-				       const char *key,
-				       const struct manifest *manifest,
-				       int64_t version, struct status *status)
+/* Writes until the outcome is certain, always under one token and version. */
+static enum status_code write_settled(struct apply *apply,
+				      struct status *status)
 {
-	struct platform_request request;
-	struct platform_result result;
+	bool sent = false, settled;
+
+	for (int try = 0; try < TRIES; try++) {
+		enum status_code code = write_once(apply, status);
+
+		if (code == STATUS_OK || code == STATUS_INVALID)
+			return code;
+		/* Nothing was sent, now or before: no outcome is in doubt. */
+		if (code == STATUS_UNAVAILABLE && !sent)
+			return code;
+		sent = true;
+		code = look_for_write(apply, &settled, status);
+		if (settled)
+			return code;
+		pause_before_retry(apply, try);
+	}
+	return status_set(status, STATUS_UNKNOWN,
+			  "the platform did not say whether release %lld was "
+			  "taken; run apply again",
+			  (long long)apply->record.release);
+}
 
-	platform_request_init(&request, PLATFORM_OP_PUT, key);
-	request.timeout_ms = CALL_TIMEOUT_MS;
-	request.version = version;
-	make_token(request.token);
-	manifest_write(manifest, &request.value);
-	platform->call(platform, &request, &result);
-	*status = result.status;
-	if (status->code == STATUS_UNKNOWN)
-		settle_unknown(platform, key, request.token, status);
-	else if (status->code == STATUS_CONFLICT)
-		report_conflict(platform, key, status);
-	platform_result_finish(&result);
-	platform_request_finish(&request);
-	return status->code;
+static void build_value(struct apply *apply, const struct manifest *manifest)
+{
+	struct manifest_object next = apply->current;
+
+	strbuf_init(&next.manifest);
+	manifest_write(manifest, &next.manifest);
+	manifest_object_add_record(&next, &apply->record);
+	manifest_object_write(&next, &apply->value);
+	strbuf_finish(&next.manifest);
+	apply->base_version = apply->current_version;
+}
+
+static enum status_code
+run(struct apply *apply, const struct manifest *manifest, struct status *status)
+{
+	if (read_current(apply, status) != STATUS_OK)
+		return status->code;
+	if (apply->current.release >= manifest->release)
+		return status_set(status, STATUS_STALE,
+				  "release %lld is not newer than release "
+				  "%lld, which %s put in force",
+				  (long long)manifest->release,
+				  (long long)apply->current.release,
+				  apply->current.n_records
+					  ? apply->current.records[0].by
+					  : "another operator");
+	build_value(apply, manifest);
+	if (apply->value.len > PLATFORM_VALUE_MAX)
+		return status_set(status, STATUS_INVALID,
+				  "the manifest has %zu bytes, allowed are %d",
+				  apply->value.len, PLATFORM_VALUE_MAX);
+	return write_settled(apply, status);
 }
 
 enum status_code apply_manifest(struct platform *platform,
-				const struct manifest *manifest,
+				const struct manifest *manifest, const char *by,
 				struct status *status)
 {
-	struct current current;
-	char key[PLATFORM_KEY_MAX];
+	struct apply apply = {.platform = platform};
 
 	if (sodium_init() < 0)
 		return status_set(status, STATUS_INTERNAL,
 				  "no source of randomness");
-	platform_manifest_key(key, &manifest->deployment);
-	if (read_current(platform, key, &current, status) != STATUS_OK)
-		return status->code;
-	if (current.release >= manifest->release)
-		return status_set(status, STATUS_STALE,
-				  "release %lld is not newer than release "
-				  "%lld, which is in force",
-				  (long long)manifest->release,
-				  (long long)current.release);
-	return write_manifest(platform, key, manifest, current.version, status);
+	platform_manifest_key(apply.key, &manifest->deployment);
+	apply.record.release = manifest->release;
+	g_strlcpy(apply.record.by, by, sizeof(apply.record.by));
+	make_token(apply.record.token);
+	manifest_object_init(&apply.current);
+	strbuf_init(&apply.value);
+	run(&apply, manifest, status);
+	manifest_object_finish(&apply.current);
+	strbuf_finish(&apply.value);
+	return status->code;
 }
--- a/tarragonflow/commands/apply.c
+++ b/tarragonflow/commands/apply.c
@@ -8,10 +8,12 @@
 static enum status_code run_apply(const struct command *command, int argc,
 				  char **argv, struct status *status)
 {
-	char *url = NULL;
+	char *url = NULL, *by = NULL;
 	const GOptionEntry entries[] = {
 		{"platform", 'p', 0, G_OPTION_ARG_STRING, &url,
 		 "URL of the platform's object API", "URL"},
+		{"by", 'b', 0, G_OPTION_ARG_STRING, &by,
+		 "who applies it, default the user's name", "NAME"},
 		{NULL, 0, 0, 0, NULL, NULL, NULL},
 	};
 	struct manifest manifest;
@@ -26,7 +28,8 @@
 	manifest_init(&manifest);
 	if (manifest_load(&manifest, argv[1], status) == STATUS_OK) {
 		http_platform_init(&http, url, NULL);
-		apply_manifest(&http.platform, &manifest, status);
+		apply_manifest(&http.platform, &manifest,
+			       by ? by : g_get_user_name(), status);
 		http_platform_finish(&http);
 	}
 	if (status->code == STATUS_OK)
@@ -34,6 +37,7 @@
 		       (long long)manifest.release, manifest.deployment.data);
 	manifest_finish(&manifest);
 	g_free(url);
+	g_free(by);
 	return status->code;
 }
 
