Scenarios of the platform's faults

Change: the world's platform shows an old copy, loses races and answers, and two operators apply at once; what processes have in force is compared with what operators were told (manifest_lost), through restarts too (reverts).

--- a/tests/scenarios/runner.c
+++ b/tests/scenarios/runner.c
@@ -277,7 +277,14 @@
 	return 0;
 }
 
-/* platform{down=0|1, latency_ms=, lose_answers=, forget=1} */
+static void set_stale(bool stale)
+{
+	if (stale && !world.platform.stale)
+		object_store_copy(&world.platform.store, &world.platform.old);
+	world.platform.stale = stale;
+}
+
+/* platform{down=0|1, latency_ms=, lose_answers=, races=, stale=, forget=1} */
 static int verb_platform(lua_State *lua)
 {
 	struct world_platform *platform = &world.platform;
@@ -287,6 +294,8 @@
 		lua, "latency_ms", (double)platform->latency_ms);
 	platform->lose_answers =
 		(int)field_number(lua, "lose_answers", platform->lose_answers);
+	platform->races = (int)field_number(lua, "races", platform->races);
+	set_stale(field_number(lua, "stale", platform->stale) != 0);
 	if (field_number(lua, "forget", 0) != 0)
 		object_store_forget(&platform->store);
 	return 0;
@@ -325,6 +334,19 @@
 	return 2;
 }
 
+/* apply_race(): two operators at once; both outcomes as status names */
+static int verb_apply_race(lua_State *lua)
+{
+	struct status rival;
+	enum status_code code = world_apply_race(&world, &rival);
+
+	if (code != STATUS_OK && rival.code != STATUS_OK)
+		world.manifest.release--;
+	lua_pushstring(lua, status_name(code));
+	lua_pushstring(lua, status_name(rival.code));
+	return 2;
+}
+
 static int verb_figure(lua_State *lua)
 {
 	double value;
@@ -381,6 +403,7 @@
 	{"platform", verb_platform},
 	{"zone", verb_zone},
 	{"apply", verb_apply},
+	{"apply_race", verb_apply_race},
 	{"figure", verb_figure},
 	{"expect", verb_expect},
 	{NULL, NULL},
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -309,7 +309,7 @@
 	node->up = true;
 	node->view_dirty = false;
 	node->paused_until_ms = 0;
-	node->top_release = 0;
+	node->last_release = 0;
 	control_init(&node->control, &node->options, &node->counters,
 		     world->now_ms);
 	balancer_init(&node->balancer, &node->counters);
@@ -491,7 +491,8 @@
 {
 	struct view *view;
 
-	if (!node->view_dirty || !node->control.config.manifest.release)
+	if (node->world->control_only || !node->view_dirty ||
+	    !node->control.config.manifest.release)
 		return;
 	node->view_dirty = false;
 	view = g_new(struct view, 1);
@@ -509,8 +510,6 @@
 
 static void tick_node(struct world *world, struct world_node *node)
 {
-	int64_t release;
-
 	if (!node_runs(node))
 		return;
 	if (world->now_ms >= control_next_deadline(&node->control))
@@ -519,10 +518,23 @@
 	if (node->options.self.role == MEMBER_AGENT)
 		agent_tick(&node->agent, world->now_ms, &node->packet_sink);
 	refresh_view(node);
-	release = node->control.config.manifest.release;
-	if (release < node->top_release)
-		world->reverts++;
-	node->top_release = MAX(node->top_release, release);
+	world_check_manifest(world, node);
+}
+
+static bool lags(const struct world *world, const struct world_node *node)
+{
+	return node->up &&
+	       node->control.config.manifest.release < world->manifest.release;
+}
+
+static void note_everywhere(struct world *world)
+{
+	if (world->everywhere_ms)
+		return;
+	for (guint i = 0; i < world->nodes->len; i++)
+		if (lags(world, g_ptr_array_index(world->nodes, i)))
+			return;
+	world->everywhere_ms = world->now_ms - world->accepted_ms;
 }
 
 void world_run(struct world *world, int64_t ms)
@@ -538,6 +550,7 @@
 		for (guint i = 0; i < world->nodes->len; i++)
 			tick_node(world, g_ptr_array_index(world->nodes, i));
 		caller_pool_step(&world->callers, world->now_ms);
+		note_everywhere(world);
 	}
 }
 
@@ -552,9 +565,7 @@
 		if (!strcmp(name, "wrong_service_packets"))
 			sum += (double)node->backend.wrong_service;
 		else if (!strcmp(name, "lagging"))
-			sum += node->up &&
-			       node->control.config.manifest.release <
-				       world->manifest.release;
+			sum += lags(world, node);
 		for (int id = 0; id < COUNTER_COUNT; id++)
 			if (!strcmp(name, counter_name((enum counter_id)id)))
 				sum += (double)counter_get(&node->counters,
@@ -575,6 +586,10 @@
 
 bool world_figure(struct world *world, const char *name, double *value)
 {
+	uint64_t calls = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(world->platform.calls); i++)
+		calls += world->platform.calls[i];
 	const struct {
 		const char *name;
 		double value;
@@ -588,6 +603,10 @@
 		{"wrong_answers", (double)world->callers.wrong_service},
 		{"caller_retries", (double)world->callers.retries},
 		{"reverts", (double)world->reverts},
+		{"manifest_lost", (double)world->manifests_lost},
+		{"everywhere_ms", (double)world->everywhere_ms},
+		{"platform_calls", (double)calls},
+		{"watches_waiting", world->watches->len},
 		{"control_bytes", (double)world->control_bytes},
 		{"control_messages", (double)world->control_messages},
 		{"trace", (double)(world->trace >> 12)},
--- a/tests/scenarios/world.h
+++ b/tests/scenarios/world.h
@@ -30,6 +30,11 @@
 	int64_t latency_ms;
 	/** Writes that take effect while their answer is lost. */
 	int lose_answers;
+	/** Writes that another writer gets in before, and so fail. */
+	int races;
+	/** Watches and reads show the store as it was when this was set. */
+	bool stale;
+	struct object_store old;
 	uint64_t calls[5];
 };
 
@@ -49,8 +54,12 @@
 	bool view_dirty;
 	/** The process does nothing before this time, ms. */
 	int64_t paused_until_ms;
-	/** Greatest release seen in force; a smaller one later is a revert. */
+	/**
+	 * Greatest release seen in force, through restarts; a smaller one
+	 * later is a revert.
+	 */
 	int64_t top_release;
+	int64_t last_release;
 	/** Network partition that it is in; 0 reaches everybody. */
 	int side;
 	/** Cannot reach the platform. */
@@ -73,6 +82,15 @@
 	GPtrArray *watches;
 	uint64_t control_bytes, control_messages;
 	uint64_t reverts;
+	/** Times a process had a manifest in force that nobody was told of. */
+	uint64_t manifests_lost;
+	/** Texts that were reported accepted, by release. */
+	GHashTable *accepted;
+	int64_t accepted_ms;
+	/** From the last accepted apply until it was in force everywhere. */
+	int64_t everywhere_ms;
+	/** Only the control cores run: no views, no packets. */
+	bool control_only;
 	/** Hash over all deliveries, to compare runs. */
 	uint64_t trace;
 };
@@ -98,6 +116,12 @@
 /** Puts world->manifest on the platform as its next release. */
 enum status_code world_apply(struct world *world, struct status *status);
 
+/**
+ * Two operators apply different manifests as the next release at once.
+ * Returns what the first was told, @rival what the second was.
+ */
+enum status_code world_apply_race(struct world *world, struct status *rival);
+
 /** Lets @ms pass. */
 void world_run(struct world *world, int64_t ms);
 
--- a/tests/scenarios/world_internal.h
+++ b/tests/scenarios/world_internal.h
@@ -37,6 +37,9 @@
 /** Answers the watches that have something to tell or waited long enough. */
 void world_platform_serve(struct world *world);
 
+/** Compares what @node has in force with what operators were told. */
+void world_check_manifest(struct world *world, struct world_node *node);
+
 void world_platform_init(struct world *world);
 void world_platform_finish(struct world *world);
 
--- a/tests/scenarios/world_platform.c
+++ b/tests/scenarios/world_platform.c
@@ -1,5 +1,7 @@
 #include "world_internal.h"
 
+#include <string.h>
+
 #include "tarragonflow/manifest/apply.h"
 
 /* The platform of a world and its faults. */
@@ -13,6 +15,44 @@
 	struct platform_request request;
 };
 
+/* Another writer writes the same object once more. */
+static void write_first(struct object_store *store,
+			const struct platform_request *request)
+{
+	struct platform_request other;
+	struct platform_result result;
+
+	platform_request_init(&other, PLATFORM_OP_GET, request->key);
+	object_store_apply(store, &other, &result);
+	other.op = PLATFORM_OP_PUT;
+	other.version = result.version;
+	if (result.n_objects)
+		strbuf_add(&other.value, result.objects[0].value.data,
+			   result.objects[0].value.len);
+	else
+		strbuf_addf(&other.value, "{\"members\":[]}");
+	platform_result_finish(&result);
+	object_store_apply(store, &other, &result);
+	platform_result_finish(&result);
+	platform_request_finish(&other);
+}
+
+static void apply_request(struct world_platform *platform,
+			  const struct platform_request *request,
+			  struct platform_result *result)
+{
+	bool write = request->op == PLATFORM_OP_PUT ||
+		     request->op == PLATFORM_OP_DELETE;
+
+	if (write && platform->races > 0) {
+		platform->races--;
+		write_first(&platform->store, request);
+	}
+	object_store_apply(platform->stale && !write ? &platform->old
+						     : &platform->store,
+			   request, result);
+}
+
 static void answer_later(struct world_node *node, uint64_t instance,
 			 const struct platform_result *result, int64_t delay_ms)
 {
@@ -64,7 +104,7 @@
 		watch_add(node, request);
 		return;
 	}
-	object_store_apply(&platform->store, request, &result);
+	apply_request(platform, request, &result);
 	if (request->op == PLATFORM_OP_PUT && platform->lose_answers > 0) {
 		platform->lose_answers--;
 		status_set(&result.status, STATUS_UNKNOWN, "answer lost");
@@ -88,8 +128,7 @@
 			status_set(&result.status, STATUS_UNAVAILABLE, "down");
 			due = true;
 		} else {
-			object_store_apply(&platform->store, &watch->request,
-					   &result);
+			apply_request(platform, &watch->request, &result);
 		}
 		if (!due && !result.n_objects &&
 		    result.status.code == STATUS_OK) {
@@ -106,14 +145,37 @@
 struct operator_platform {
 	struct platform platform;
 	struct world *world;
+	/** Another operator applies just before the next write. */
+	bool rival;
+	struct status *rival_status;
 };
 
+static enum status_code apply_as(struct world *world,
+				 struct operator_platform *operator,
+				 const char * by, struct status *status);
+static void operator_call(struct platform *platform,
+			  const struct platform_request *request,
+			  struct platform_result *result);
+
+/* The rival's manifest differs in how long servers may drain. */
+static void rival_applies(struct operator_platform *operator)
+{
+	struct operator_platform second = {
+		{operator_call, NULL}, operator->world, false, NULL};
+	struct service *service = &operator->world->manifest.services[0];
+
+	service->drain_deadline_s++;
+	apply_as(operator->world, &second, "rival", operator->rival_status);
+	service->drain_deadline_s--;
+}
+
 static void operator_call(struct platform *platform,
 			  const struct platform_request *request,
 			  struct platform_result *result)
 {
-	struct world_platform *fake =
-		&((struct operator_platform *)platform)->world->platform;
+	struct operator_platform *operator=(struct operator_platform *)
+		platform;
+	struct world_platform *fake = &operator->world->platform;
 
 	fake->calls[request->op]++;
 	if (fake->down) {
@@ -121,25 +183,95 @@
 		status_set(&result->status, STATUS_UNAVAILABLE, "down");
 		return;
 	}
-	object_store_apply(&fake->store, request, result);
+	if (request->op == PLATFORM_OP_PUT && operator->rival) {
+		operator->rival = false;
+		rival_applies(operator);
+	}
+	apply_request(fake, request, result);
 	if (request->op == PLATFORM_OP_PUT && fake->lose_answers > 0) {
 		fake->lose_answers--;
 		status_set(&result->status, STATUS_UNKNOWN, "answer lost");
 	}
 }
 
+/* Operators know of this text: it may be in force from now on. */
+static void note_told(struct world *world)
+{
+	struct strbuf text;
+
+	strbuf_init(&text);
+	manifest_write(&world->manifest, &text);
+	g_hash_table_insert(world->accepted,
+			    GINT_TO_POINTER((int)world->manifest.release),
+			    g_strdup(text.data));
+	strbuf_finish(&text);
+}
+
+static void note_outcome(struct world *world, enum status_code code)
+{
+	/* After UNKNOWN the release may be in force or not. */
+	if (code == STATUS_OK || code == STATUS_UNKNOWN)
+		note_told(world);
+	if (code != STATUS_OK)
+		return;
+	world->accepted_ms = world->now_ms;
+	world->everywhere_ms = 0;
+}
+
+static enum status_code apply_as(struct world *world,
+				 struct operator_platform *operator,
+				 const char * by, struct status *status)
+{
+	apply_manifest(&operator->platform, &world->manifest, by, status);
+	note_outcome(world, status->code);
+	return status->code;
+}
+
 enum status_code world_apply(struct world *world, struct status *status)
 {
-	struct operator_platform operator= {{operator_call, NULL}, world};
+	struct operator_platform operator= {
+		{operator_call, NULL}, world, false, NULL};
+
+	return apply_as(world, &operator, "operator", status);
+}
+
+enum status_code world_apply_race(struct world *world, struct status *rival)
+{
+	struct operator_platform operator= {
+		{operator_call, NULL}, world, true, rival};
+	struct status status;
 
-	return apply_manifest(&operator.platform, &world->manifest, "operator",
-			      status);
+	status_init(&status);
+	status_init(rival);
+	world->manifest.release++;
+	return apply_as(world, &operator, "operator", &status);
+}
+
+/* In force must be just what operators were told is accepted. */
+void world_check_manifest(struct world *world, struct world_node *node)
+{
+	const struct config_store *config = &node->control.config;
+	int64_t release = config->manifest.release;
+	const char *text;
+
+	if (!release || release == node->last_release)
+		return;
+	node->last_release = release;
+	if (release < node->top_release)
+		world->reverts++;
+	node->top_release = MAX(node->top_release, release);
+	text = g_hash_table_lookup(world->accepted,
+				   GINT_TO_POINTER((int)release));
+	if (!text || strcmp(text, config->text.data) != 0)
+		world->manifests_lost++;
 }
 
 void world_platform_init(struct world *world)
 {
 	world->platform.latency_ms = PLATFORM_LATENCY_MS;
 	object_store_init(&world->platform.store);
+	object_store_init(&world->platform.old);
+	world->accepted = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	world->watches = g_ptr_array_new_with_free_func(watch_free);
 }
 
@@ -147,4 +279,6 @@
 {
 	g_ptr_array_free(world->watches, TRUE);
 	object_store_finish(&world->platform.store);
+	object_store_finish(&world->platform.old);
+	g_hash_table_destroy(world->accepted);
 }
--- a/tests/standin/object_store.c
+++ b/tests/standin/object_store.c
@@ -28,6 +28,29 @@
 	g_tree_destroy(store->objects);
 }
 
+static gboolean copy_object(gpointer key, gpointer value, gpointer user)
+{
+	const struct platform_object *object = value;
+	struct platform_object *copy = g_new0(struct platform_object, 1);
+	struct object_store *store = user;
+
+	*copy = *object;
+	strbuf_init(&copy->value);
+	strbuf_add(&copy->value, object->value.data, object->value.len);
+	g_tree_insert(store->objects, g_strdup(key), copy);
+	return FALSE;
+}
+
+void object_store_copy(const struct object_store *store,
+		       struct object_store *copy)
+{
+	object_store_finish(copy);
+	object_store_init(copy);
+	copy->version = store->version;
+	copy->history_from = store->history_from;
+	g_tree_foreach(store->objects, copy_object, copy);
+}
+
 void object_store_forget(struct object_store *store)
 {
 	store->history_from = store->version;
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -25,6 +25,10 @@
 			const struct platform_request *request,
 			struct platform_result *result);
 
+/** Makes @copy hold what @store holds now. */
+void object_store_copy(const struct object_store *store,
+		       struct object_store *copy);
+
 /** Forgets the history, so that older watches are answered GONE. */
 void object_store_forget(struct object_store *store);
 
