--- a/include/tarragonflow/flow/flow_table.h
+++ b/include/tarragonflow/flow/flow_table.h
@@ -27,10 +27,10 @@
 	FLOW_SERVER_FIN = 0x2,
 	/** The server's SYN-ACK was seen; server_seq is known. */
 	FLOW_ANSWERED = 0x4,
-	/** The caller sent its first payload at mark_ms. */
+	/** The caller sent a payload at mark_ms that waits for an answer. */
 	FLOW_ASKED = 0x8,
-	/** The server's first payload was seen. */
-	FLOW_SERVED = 0x10,
+	/** Older than a restart of the server; it has not answered since. */
+	FLOW_UNPROVEN = 0x10,
 };
 
 /** Times are ms modulo 2^32. */
@@ -43,7 +43,7 @@
 	uint8_t bits;
 	/** Last packet in either direction. */
 	uint32_t last_ms;
-	/** The SYN, then the caller's first payload. */
+	/** The SYN, then the caller's payload that waits for an answer. */
 	uint32_t mark_ms;
 	/** Sequence number of the caller's SYN. */
 	uint32_t syn_seq;
@@ -76,6 +76,9 @@
 
 void flow_table_remove(struct flow_table *table, struct flow *flow);
 
+/** Forgets all flows. */
+void flow_table_clear(struct flow_table *table);
+
 /** Bytes of memory that the slots take. */
 size_t flow_table_bytes(const struct flow_table *table);
 
--- a/tests/scenarios/world_platform.c
+++ b/tests/scenarios/world_platform.c
@@ -207,6 +207,21 @@
 	strbuf_finish(&text);
 }
 
+/* From now on nothing may reach the zones that are out. */
+static void note_zones(struct world *world)
+{
+	for (guint i = 0; i < world->nodes->len; i++) {
+		struct world_node *node = g_ptr_array_index(world->nodes, i);
+		const struct zone *zone = manifest_zone(
+			&world->manifest, &node->options.self.zone);
+
+		if (zone && zone->state == ZONE_IN)
+			node->zone_out_ms = 0;
+		else if (!node->zone_out_ms)
+			node->zone_out_ms = world->now_ms;
+	}
+}
+
 static void note_outcome(struct world *world, enum status_code code)
 {
 	/* After UNKNOWN the release may be in force or not. */
@@ -214,6 +229,7 @@
 		note_told(world);
 	if (code != STATUS_OK)
 		return;
+	note_zones(world);
 	world->accepted_ms = world->now_ms;
 	world->everywhere_ms = 0;
 }
