Take slow answers that come together for one sign of a cold server

Cause: the demo on a busy machine refused 56 of 2,000 connections: one stall of some 10 ms made three answers slow at once, and the limit fell to cold. Ruled out: membership (no suspicion at that time), the flow table's size. Conclusion: a stall no longer costs callers; a slow server still is cold after 40 ms.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -9,6 +9,8 @@
 #define SLOW_FACTOR 4
 #define SLOW_SLACK_MS 5
 #define SLOW_SIGNS 3
+/* Slow answers that come together tell of one stall, not of the server. */
+#define SLOW_BURST_MS 20
 #define RESET_SIGNS 4
 /* Growth of the usual time at each step: a lasting change is learned. */
 #define USUAL_GROWTH 1.02
@@ -142,6 +144,9 @@
 
 static void slow_sign(struct admit *admit, int64_t now_ms)
 {
+	if (admit->slow && now_ms - admit->last_slow_ms < SLOW_BURST_MS)
+		return;
+	admit->last_slow_ms = now_ms;
 	admit->slow++;
 	if (admit->slow >= SLOW_SIGNS && admit->limit > admit_cold_limit(admit))
 		admit_turn_cold(admit, now_ms);
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -40,6 +40,8 @@
 	uint32_t slots_used;
 	/** Signs since the last step. */
 	uint32_t good, slow, resets, accepted;
+	/** When the last sign of slowness was counted, ms. */
+	int64_t last_slow_ms;
 	/** Usual time of an answer, ms; 0 is unknown. */
 	double usual_ms;
 	/** What proves a warm server while usual_ms is unknown, ms. */
