--- a/bench/bench.h
+++ b/bench/bench.h
@@ -58,5 +58,6 @@
 extern const struct bench_group bench_startup;
 extern const struct bench_group bench_release;
 extern const struct bench_group bench_membership;
+extern const struct bench_group bench_platform;
 
 #endif
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -127,7 +127,8 @@
 
 /**
  * Answers a pull that a peer sent over TCP: appends the frame with our
- * configuration to @out; false when @data is not a valid pull.
+ * configuration to @out; false when @data is not a valid pull or the byte
+ * budget is spent.
  */
 bool control_answer_pull(struct control *control, const uint8_t *data,
 			 size_t len, struct strbuf *out);
