Hand connections over to a replaced agent

Cause: a replaced agent's successor knew none of its server's connections, so a planned replacement broke them; the export and import existed without a way between the processes. Change: a handover address on the VM's loopback; the successor asks there, the predecessor stops taking packets, sends its connections in one frame and ends, which frees its addresses. Ruled out: sharing the port between both runs, as both would admit.

--- a/bench/bench_pipeline.c
+++ b/bench/bench_pipeline.c
@@ -190,7 +190,8 @@
 	fill_settings(&settings, ip);
 	bench_make_view(view, bench_env("SERVERS", 7), sink);
 	if (node_init(node, &settings, &status) != STATUS_OK ||
-	    packet_duty_start(&duty, node, &status) != STATUS_OK ||
+	    packet_duty_start(&duty, node, str_from(""), &status) !=
+		    STATUS_OK ||
 	    node_start(node, &status) != STATUS_OK) {
 		fprintf(stderr, "%s\n", status.message);
 		return 0;
--- a/include/tarragonflow/node/packet_duty.h
+++ b/include/tarragonflow/node/packet_duty.h
@@ -28,8 +28,15 @@
 	_Atomic bool drain;
 };
 
+/**
+ * Starts the thread. An agent first takes @inherited, the connections of its
+ * predecessor, unless it is empty.
+ */
 enum status_code packet_duty_start(struct packet_duty *duty, struct node *node,
-				   struct status *status);
+				   struct str inherited, struct status *status);
+
+/** Ends the thread and leaves the core as it is; the node ends with it. */
+void packet_duty_stop(struct packet_duty *duty);
 
 /** Ends the thread; the node must still be there. */
 void packet_duty_finish(struct packet_duty *duty);
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -32,6 +32,8 @@
 	int64_t connections;
 	int64_t slots;
 	int64_t drain_deadline_s;
+	/** Where a successor asks for the connections; port 0 is nowhere. */
+	struct endpoint handover;
 };
 
 /** Reads and checks @root for @role; every error goes to @errors. */
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "tarragonflow/common/log.h"
+#include "tarragonflow/flow/handover.h"
 #include "tarragonflow/net/udp.h"
 
 #define POLL_MAX_MS 100
@@ -186,8 +188,21 @@
 	return STATUS_OK;
 }
 
+static void inherit(struct packet_duty *duty, struct str flows)
+{
+	if (!flows.len)
+		return;
+	if (handover_import(&duty->agent, (const uint8_t *)flows.data,
+			    flows.len, clock_now(&duty->node->clock)))
+		log_event(LOG_LEVEL_INFO, "inherited", "connections=%u",
+			  agent_open(&duty->agent));
+	else
+		log_event(LOG_LEVEL_WARN, "inherited-nothing",
+			  "reason=malformed");
+}
+
 enum status_code packet_duty_start(struct packet_duty *duty, struct node *node,
-				   struct status *status)
+				   struct str inherited, struct status *status)
 {
 	memset(duty, 0, sizeof(*duty));
 	duty->node = node;
@@ -201,6 +216,8 @@
 		return status->code;
 	if (is_agent(duty) && init_agent(duty, status) != STATUS_OK)
 		return status->code;
+	if (is_agent(duty))
+		inherit(duty, inherited);
 	balancer_init(&duty->balancer, &node->counters);
 	balancer_set_origin(&duty->balancer, &node->settings->data);
 	if (pthread_create(&duty->thread, NULL, packet_thread, duty))
@@ -209,11 +226,16 @@
 	return STATUS_OK;
 }
 
-void packet_duty_finish(struct packet_duty *duty)
+void packet_duty_stop(struct packet_duty *duty)
 {
 	atomic_store(&duty->node->stop, true);
 	node_wake(duty->node->wake_packet);
 	pthread_join(duty->thread, NULL);
+}
+
+void packet_duty_finish(struct packet_duty *duty)
+{
+	packet_duty_stop(duty);
 	node_retire_view(duty->node, duty->view);
 	if (is_agent(duty)) {
 		duty->server.finish(&duty->server);
--- a/node/settings.c
+++ b/node/settings.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define PATH_MAX_BYTES 64
+#define LOOPBACK_FIRST_BYTE 127
 #define CONNECTIONS_MAX 1000000
 #define SLOTS_MAX 10000
 #define CONTROL_BYTES_MAX (1024 * 1024)
@@ -120,6 +121,10 @@
 	 .fallback = 3600,
 	 .unit = "s",
 	 .help = "time connections are kept after SIGTERM"},
+	{.name = "handover",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, handover),
+	 .help = "TCP address on the VM's loopback for a successor"},
 };
 const size_t settings_n_agent_fields = G_N_ELEMENTS(settings_agent_fields);
 
@@ -175,6 +180,20 @@
 			url);
 }
 
+/* Whoever asks there gets the connections: nobody off the VM may. */
+static void check_handover(const struct settings *settings,
+			   struct json_errors *errors)
+{
+	char text[ENDPOINT_TEXT_MAX];
+
+	if (!settings->handover.port ||
+	    settings->handover.ip >> 24 == LOOPBACK_FIRST_BYTE)
+		return;
+	json_errors_add(errors, "handover",
+			"found \"%s\", allowed is an address in 127.0.0.0/8",
+			endpoint_format(&settings->handover, text));
+}
+
 void settings_read(struct settings *settings, enum member_role role,
 		   const json_t *root, struct json_errors *errors)
 {
@@ -190,6 +209,7 @@
 	read_seeds(settings, root, errors);
 	keyring_read(&settings->control_keys, root, "control_keys", errors);
 	check_platform(settings, errors);
+	check_handover(settings, errors);
 }
 
 enum status_code settings_load(struct settings *settings, enum member_role role,
--- a/tarragonflow/commands/agent.c
+++ b/tarragonflow/commands/agent.c
@@ -1,16 +1,42 @@
 #include "run_role.h"
 
+#include <unistd.h>
+
 #include "tarragonflow/common/log.h"
+#include "tarragonflow/flow/handover.h"
 
 #define STEP_MS 100
 /* Lets the last word reach the peers. */
 #define FAREWELL_MS 500
 
+/*
+ * Hands over to the successor and ends at once: every moment until our
+ * addresses are free is one in which nobody serves.
+ */
+static void agent_hand_over(struct role *role)
+{
+	struct strbuf flows;
+	bool sent;
+
+	strbuf_init(&flows);
+	packet_duty_stop(&role->duty);
+	handover_export(&role->duty.agent, clock_now(&role->node.clock),
+			&flows);
+	sent = handover_duty_send(&role->handover, strbuf_str(&flows));
+	log_event(sent ? LOG_LEVEL_INFO : LOG_LEVEL_ERROR, "handed-over",
+		  "connections=%u bytes=%zu", agent_open(&role->duty.agent),
+		  flows.len);
+	_exit(sent ? 0 : status_exit_code(STATUS_IO));
+}
+
 static void agent_leave(struct role *role)
 {
 	int64_t deadline = clock_now(&role->node.clock) +
 			   role->settings.drain_deadline_s * 1000;
 
+	if (role->settings.handover.port &&
+	    atomic_load(&role->handover.requested))
+		agent_hand_over(role);
 	atomic_store(&role->duty.drain, true);
 	node_set_state(&role->node, MEMBER_DRAINING);
 	clock_sleep(FAREWELL_MS);
--- a/tarragonflow/commands/run_role.c
+++ b/tarragonflow/commands/run_role.c
@@ -9,12 +9,18 @@
 {
 	struct admin admin;
 
-	if (packet_duty_start(&role->duty, &role->node, status) != STATUS_OK)
+	if (packet_duty_start(&role->duty, &role->node,
+			      strbuf_str(&role->inherited),
+			      status) != STATUS_OK)
 		return status->code;
 	if (admin_start(&admin, &role->node, status) != STATUS_OK)
 		return status->code;
 	if (node_start(&role->node, status) != STATUS_OK)
 		return status->code;
+	if (role->settings.handover.port &&
+	    handover_duty_start(&role->handover, &role->settings.handover,
+				status) != STATUS_OK)
+		return status->code;
 	log_event(LOG_LEVEL_INFO, "started", "name=%s role=%s zone=%s",
 		  role->settings.name.data,
 		  member_role_name(role->settings.role),
@@ -23,6 +29,8 @@
 	log_event(LOG_LEVEL_INFO, "leaving", "name=%s",
 		  role->settings.name.data);
 	leave(role);
+	if (role->settings.handover.port)
+		handover_duty_finish(&role->handover);
 	admin_finish(&admin);
 	packet_duty_finish(&role->duty);
 	node_finish(&role->node);
@@ -56,8 +64,12 @@
 		return status->code;
 	node_block_signals();
 	log_init((enum log_level)role.settings.log_level);
+	strbuf_init(&role.inherited);
+	if (role.settings.handover.port)
+		handover_fetch(&role.settings.handover, &role.inherited);
 	if (node_init(&role.node, &role.settings, status) == STATUS_OK)
 		run_duties(&role, leave, status);
+	strbuf_finish(&role.inherited);
 	log_finish();
 	return status->code;
 }
--- a/tarragonflow/commands/run_role.h
+++ b/tarragonflow/commands/run_role.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_RUN_ROLE_H
 
 #include "tarragonflow/commands/command.h"
+#include "tarragonflow/node/handover_duty.h"
 #include "tarragonflow/node/packet_duty.h"
 
 /** A running balancer or agent. */
@@ -9,6 +10,10 @@
 	struct settings settings;
 	struct node node;
 	struct packet_duty duty;
+	/** Agents with a handover address only. */
+	struct handover_duty handover;
+	/** What a predecessor handed over; empty without one. */
+	struct strbuf inherited;
 };
 
 /**
--- /dev/null
+++ b/tests/unit/test_handover.c
@@ -0,0 +1,107 @@
+#include <glib.h>
+#include <pthread.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "tarragonflow/node/handover_duty.h"
+#include "tarragonflow/node/node.h"
+
+#define LOOPBACK 0x7f000001u
+#define PORT 4706
+
+/* An address of this process's own, as several test runs go on at once. */
+static struct endpoint own_address(void)
+{
+	uint32_t pid = (uint32_t)getpid();
+	struct endpoint endpoint = {
+		LOOPBACK | (64 + pid % 60) << 16 | (pid / 60 % 256) << 8, PORT};
+
+	return endpoint;
+}
+
+struct successor {
+	struct endpoint local;
+	struct strbuf flows;
+	bool good;
+};
+
+static void *fetch(void *arg)
+{
+	struct successor *successor = arg;
+
+	successor->good = handover_fetch(&successor->local, &successor->flows);
+	return NULL;
+}
+
+static void test_no_predecessor(void)
+{
+	struct endpoint local = own_address();
+	struct strbuf flows;
+
+	strbuf_init(&flows);
+	strbuf_add(&flows, "old", 3);
+	g_assert_false(handover_fetch(&local, &flows));
+	g_assert_cmpuint(flows.len, ==, 0);
+	strbuf_finish(&flows);
+}
+
+/** What the predecessor does once it was asked. */
+struct handover_case {
+	const char *name;
+	size_t bytes;
+	bool send;
+	bool good;
+};
+
+static void run_case(const struct handover_case *c)
+{
+	struct successor successor = {.local = own_address()};
+	struct handover_duty duty;
+	char *flows = g_malloc0(c->bytes + 1);
+	struct status status;
+	pthread_t thread;
+
+	g_test_message("%s", c->name);
+	status_init(&status);
+	strbuf_init(&successor.flows);
+	memset(flows, 'f', c->bytes);
+	g_assert_cmpint(handover_duty_start(&duty, &successor.local, &status),
+			==, STATUS_OK);
+	pthread_create(&thread, NULL, fetch, &successor);
+	node_wait_signal();
+	g_assert_true(atomic_load(&duty.requested));
+	if (c->send)
+		g_assert_true(handover_duty_send(
+			&duty, (struct str){flows, c->bytes}));
+	handover_duty_finish(&duty);
+	pthread_join(thread, NULL);
+	g_assert_cmpint(successor.good, ==, c->good);
+	g_assert_cmpuint(successor.flows.len, ==, c->good ? c->bytes : 0);
+	if (c->good)
+		g_assert_cmpmem(successor.flows.data, successor.flows.len,
+				flows, c->bytes);
+	strbuf_finish(&successor.flows);
+	g_free(flows);
+}
+
+static void test_hand_over(void)
+{
+	static const struct handover_case cases[] = {
+		{"few connections", 100, true, true},
+		{"many connections", 1500000, true, true},
+		{"predecessor dies first", 0, false, false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		run_case(&cases[i]);
+}
+
+int main(int argc, char **argv)
+{
+	node_block_signals();
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/handover/no-predecessor", test_no_predecessor);
+	g_test_add_func("/handover/hand-over", test_hand_over);
+	return g_test_run();
+}
