Let a claim that was given back win over its own late copy

Cause: after a change of the home list a former home still held a claim that its owner had given back to the present homes; when it became a home again, the copy made the key claimed for good and repetitions unknown. Change: between copies of one owner's claim, given back wins over held.

--- a/order/claims.c
+++ b/order/claims.c
@@ -200,15 +200,24 @@
 	set_state(claims, claim, &settle->owner, settle->state, now_ms);
 }
 
-/* The graver state wins where two homes differ. */
-static bool graver(enum claim_state state, const struct claim *claim)
+/*
+ * The graver state wins where two homes differ, but for a claim that its
+ * owner gave back and that one of them missed.
+ */
+static bool graver(const struct claim_copy *copy, const struct claim *claim)
 {
 	static const int rank[] = {
 		[CLAIM_NONE] = 0,    [CLAIM_RELEASED] = 1, [CLAIM_HELD] = 2,
 		[CLAIM_UNKNOWN] = 3, [CLAIM_DONE] = 4,
 	};
 
-	return rank[state] > rank[claim->state];
+	if (same_owner(&copy->owner, &claim->owner)) {
+		if (copy->state == CLAIM_RELEASED && claim->state == CLAIM_HELD)
+			return true;
+		if (copy->state == CLAIM_HELD && claim->state == CLAIM_RELEASED)
+			return false;
+	}
+	return rank[copy->state] > rank[claim->state];
 }
 
 void claims_take_copies(struct claims *claims, const struct claim_copy *copies,
@@ -224,7 +233,7 @@
 			return;
 		}
 		/* Ages restart here: kept somewhat longer, never shorter. */
-		if (graver(copy->state, claim))
+		if (graver(copy, claim))
 			set_state(claims, claim, &copy->owner, copy->state,
 				  now_ms);
 	}
--- a/tests/unit/test_order.c
+++ b/tests/unit/test_order.c
@@ -228,14 +228,20 @@
 	size_t n_told;
 	uint64_t dispatched[16];
 	size_t n_dispatched;
+	/* The last claim sent, and to whom. */
+	struct order_message claim;
+	struct name claim_to;
 };
 
 static void on_send(struct gate_sink *sink, const struct name *to,
 		    const struct order_message *message)
 {
-	(void)sink;
-	(void)to;
-	(void)message;
+	struct bench_gate *self = (struct bench_gate *)sink;
+
+	if (message->type != ORDER_CLAIM)
+		return;
+	self->claim = *message;
+	self->claim_to = *to;
 }
 
 static void on_dispatch(struct gate_sink *sink, uint64_t id, uint32_t attempt,
@@ -396,6 +402,71 @@
 	gate_down(&self);
 }
 
+/* The home that was asked last answers. */
+static void home_answers(struct bench_gate *self, uint64_t instance,
+			 uint64_t peer_instance, uint64_t epoch, bool complete,
+			 int64_t at_ms)
+{
+	struct order_message message = {
+		.type = ORDER_CLAIM_ANSWER,
+		.from = self->claim_to,
+		.instance = instance,
+		.peer_instance = peer_instance,
+		.epoch = epoch,
+		.key = self->claim.key,
+		.owner = self->claim.owner,
+		.sent_ms = self->claim.sent_ms,
+		.verdict = CLAIM_GRANTED,
+		.complete = complete,
+	};
+
+	gate_handle(&self->gate, &message, at_ms, &self->sink);
+}
+
+/* Which pairs of grants let a request be dispatched. */
+static void test_gate_two_homes(void)
+{
+	static const struct {
+		uint64_t first_instance, told_instance, first_epoch,
+			second_epoch;
+		bool first_complete, second_complete;
+		int64_t second_ms;
+		bool dispatched;
+	} cases[] = {
+		{5, 5, 2, 2, true, true, 30, true},
+		{5, 5, 2, 2, true, false, 30, true},
+		{5, 5, 2, 2, false, true, 30, true},
+		/* Neither knows all earlier claims. */
+		{5, 5, 2, 2, false, false, 30, false},
+		/* The first restarted after it granted. */
+		{5, 6, 2, 2, true, true, 30, false},
+		/* The homes have different lists. */
+		{5, 5, 2, 3, true, true, 30, false},
+		{5, 5, 1, 2, true, true, 30, false},
+		/* The second grant came too late. */
+		{5, 5, 2, 2, true, true, 20 + CLAIM_LIFE_MS + 1, false},
+	};
+	struct home_list list;
+	struct bench_gate self;
+
+	make_list(&list, 2);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		gate_up(&self);
+		/* Our own home is not among them any more. */
+		set(&self.claims.options.self, "orders-9");
+		claims_set_list(&self.claims, &list, false, 1);
+		submit(&self, 1, 7, false, ORDER_CLASS_ORDER);
+		home_answers(&self, cases[i].first_instance, 0,
+			     cases[i].first_epoch, cases[i].first_complete, 20);
+		home_answers(&self, 8, cases[i].told_instance,
+			     cases[i].second_epoch, cases[i].second_complete,
+			     cases[i].second_ms);
+		g_assert_cmpuint(self.n_dispatched, ==, cases[i].dispatched);
+		g_assert_cmpuint(self.n_told, ==, 0);
+		gate_down(&self);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -405,5 +476,6 @@
 	g_test_add_func("/order/claims-withheld", test_claims_withheld);
 	g_test_add_func("/order/gate-answers", test_gate_answers);
 	g_test_add_func("/order/gate-queue", test_gate_queue);
+	g_test_add_func("/order/gate-two-homes", test_gate_two_homes);
 	return g_test_run();
 }
