--- a/include/tarragonflow/order/claims.h
+++ b/include/tarragonflow/order/claims.h
@@ -22,6 +22,8 @@
 #define CLAIMS_BEACON_MS 500
 /** Time for copies to complete before the next change of the list, ms. */
 #define CLAIMS_SETTLE_MS 5000
+/** Parts of a copy at most; what has more is never complete by copying. */
+#define CLAIMS_PARTS_MAX 2048
 /** Lists that are remembered. */
 #define CLAIMS_HISTORY 16
 
@@ -54,8 +56,13 @@
 	/** Since when both keep the shared keys under this list, ms. */
 	int64_t since_ms;
 	int64_t next_ask_ms;
-	/** Claims received in answer to the last asking. */
-	uint32_t copied;
+	/** Parts that came in answer to the last asking, as a set. */
+	uint64_t parts[CLAIMS_PARTS_MAX / 64];
+	uint32_t n_parts;
+	/** Parts that there are; 0 until the last came. */
+	uint32_t parts_expected;
+	/** What the last part said of the sender's knowledge. */
+	bool gives_all, gives_nothing;
 	/** It gave all that it has under this list. */
 	bool copy_done;
 };
--- a/include/tarragonflow/order/message.h
+++ b/include/tarragonflow/order/message.h
@@ -75,7 +75,7 @@
 };
 
 /** Claims in one ORDER_COPY at most. */
-#define ORDER_COPY_MAX 256
+#define ORDER_COPY_MAX 1024
 
 /**
  * Keys whose claims were lost: those that had the homes @a and @b in the
@@ -114,9 +114,10 @@
 	bool complete;
 	/** COPY: as `complete`, before the last change of the list. */
 	bool complete_before;
-	/** COPY: the last one, and the claims in all of them. */
+	/** COPY: its place among the parts, from 0, and whether it ends them.
+	 */
+	uint32_t part;
 	bool last;
-	uint32_t total;
 	/**
 	 * CLAIM_ANSWER: the instance of the key's other home, as this home
 	 * knows it. TRANSFER: the instance that it is meant for.
--- a/order/claims.c
+++ b/order/claims.c
@@ -275,11 +275,11 @@
 		copy->owner = claim->owner;
 		copy->state = claim->state;
 		copy->age_ms = now_ms - claim->changed_ms;
-		message.total++;
 		if (++message.n_copies < ORDER_COPY_MAX)
 			continue;
 		sink->send(sink, to, &message);
 		message.n_copies = 0;
+		message.part++;
 	}
 	for (size_t i = 0; i < claims->n_gaps; i++) {
 		gaps[i] = claims->gaps[i];
--- a/order/claims_list.c
+++ b/order/claims_list.c
@@ -376,6 +376,35 @@
 	return known;
 }
 
+/* The whole copy came: what it makes of our knowledge. */
+static void end_copy(struct claims *claims, struct home_peer *peer,
+		     const struct name *from, int64_t now_ms)
+{
+	peer->copy_done = true;
+	if (peer->gives_all) {
+		peer->complete = true;
+	} else if (peer->gives_nothing && peer->complete_before &&
+		   claims->removed.len) {
+		/* It lost what it shared with the removed one. */
+		note_gap(claims, claims->list.epoch - 1, from, &claims->removed,
+			 0, now_ms);
+		peer->complete = true;
+	}
+}
+
+/* False when the part came before, or there are too many. */
+static bool note_part(struct home_peer *peer, uint32_t part)
+{
+	uint64_t bit = 1ULL << (part % 64);
+
+	if (part >= CLAIMS_PARTS_MAX || (peer->parts[part / 64] & bit))
+		return false;
+	peer->parts[part / 64] |= bit;
+	peer->n_parts++;
+	return true;
+}
+
+/* The parts of a copy may come in any order, late or twice. */
 static void take_copy(struct claims *claims, struct home_peer *peer,
 		      const struct order_message *message, int64_t now_ms)
 {
@@ -383,19 +412,19 @@
 	    message->sent_ms != peer->next_ask_ms)
 		return;
 	claims_take_copies(claims, message->copies, message->n_copies, now_ms);
-	peer->copied += (uint32_t)message->n_copies;
-	if (!message->last || peer->copied != message->total)
+	if (!note_part(peer, message->part))
 		return;
-	peer->copy_done = true;
-	if (message->complete ||
-	    (message->complete_before && peer->complete_before)) {
-		peer->complete = take_gaps(claims, message, now_ms);
-	} else if (peer->complete_before && claims->removed.len) {
-		/* It lost what it shared with the removed one. */
-		note_gap(claims, claims->list.epoch - 1, &message->from,
-			 &claims->removed, 0, now_ms);
-		peer->complete = true;
+	if (message->last) {
+		peer->parts_expected = message->part + 1;
+		peer->gives_nothing = !message->complete &&
+				      !message->complete_before;
+		peer->gives_all =
+			(message->complete ||
+			 (message->complete_before && peer->complete_before)) &&
+			take_gaps(claims, message, now_ms);
 	}
+	if (peer->n_parts == peer->parts_expected)
+		end_copy(claims, peer, &message->from, now_ms);
 }
 
 void claims_handle(struct claims *claims, const struct order_message *message,
@@ -462,7 +491,9 @@
 		claims_message(claims, &message, ORDER_COPY_ASK);
 		message.sent_ms = now_ms;
 		peer->next_ask_ms = now_ms;
-		peer->copied = 0;
+		memset(peer->parts, 0, sizeof(peer->parts));
+		peer->n_parts = 0;
+		peer->parts_expected = 0;
 		sink->send(sink, &claims->list.names[i], &message);
 	}
 }
--- a/order/message.c
+++ b/order/message.c
@@ -25,7 +25,7 @@
 	pb->complete = message->complete;
 	pb->complete_before = message->complete_before;
 	pb->last = message->last;
-	pb->total = message->total;
+	pb->part = message->part;
 	pb->room = message->room;
 	pb->peer_instance = message->peer_instance;
 	pb->settled = message->settled;
@@ -209,7 +209,7 @@
 	message->complete = pb->complete;
 	message->complete_before = pb->complete_before;
 	message->last = pb->last;
-	message->total = pb->total;
+	message->part = pb->part;
 	message->room = pb->room;
 	message->peer_instance = pb->peer_instance;
 	message->settled = pb->settled;
--- a/proto/order.pb-c.c
+++ b/proto/order.pb-c.c
@@ -626,12 +626,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "total",
+    "part",
     17,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Order__OrderMessage, total),
+    offsetof(Order__OrderMessage, part),
     NULL,
     NULL,
     0,             /* flags */
@@ -812,6 +812,7 @@
   23,   /* field[23] = outcome */
   6,   /* field[6] = owner_instance */
   7,   /* field[7] = owner_request */
+  16,   /* field[16] = part */
   25,   /* field[25] = payload */
   29,   /* field[29] = peer_instance */
   24,   /* field[24] = reason */
@@ -822,7 +823,6 @@
   18,   /* field[18] = settled */
   12,   /* field[12] = state */
   20,   /* field[20] = time_left_ms */
-  16,   /* field[16] = total */
   0,   /* field[0] = type */
   11,   /* field[11] = verdict */
 };
--- a/proto/order.pb-c.h
+++ b/proto/order.pb-c.h
@@ -86,7 +86,7 @@
   protobuf_c_boolean complete;
   protobuf_c_boolean complete_before;
   protobuf_c_boolean last;
-  uint32_t total;
+  uint32_t part;
   uint32_t room;
   protobuf_c_boolean settled;
   protobuf_c_boolean joining;
--- a/tests/unit/test_order.c
+++ b/tests/unit/test_order.c
@@ -218,6 +218,71 @@
 	}
 }
 
+static void ignore_send(struct claims_sink *sink, const struct name *to,
+			const struct order_message *message)
+{
+	(void)sink;
+	(void)to;
+	(void)message;
+}
+
+static void ignore_propose(struct claims_sink *sink,
+			   const struct home_list *list)
+{
+	(void)sink;
+	(void)list;
+}
+
+/* A copy is complete when all its parts came, in whatever order. */
+static void test_copy_parts(void)
+{
+	static const struct {
+		uint32_t parts[4];
+		size_t n;
+		uint32_t last;
+		bool all, complete;
+	} cases[] = {
+		{{0, 1, 2}, 3, 2, true, true},
+		{{2, 0, 1}, 3, 2, true, true},
+		{{0}, 1, 0, true, true},
+		{{2, 0, 0, 1}, 4, 2, true, true},
+		/* One is missing, though three came. */
+		{{0, 0, 2}, 3, 2, true, false},
+		{{0, 1}, 2, 2, true, false},
+		/* The sender lacks some itself. */
+		{{0, 1, 2}, 3, 2, false, false},
+		{{5000}, 1, 5000, true, false},
+	};
+	struct claims_sink sink = {ignore_send, ignore_propose};
+	struct claims_options options = {
+		.instance = 1, .retention_ms = RETENTION_MS, .keys_max = 10};
+	struct order_message message;
+	struct counters counters;
+	struct claims claims;
+	struct home_list list;
+
+	make_list(&list, 2);
+	options.self = list.names[0];
+	counters_init(&counters);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		claims_init(&claims, &options, &counters, 1);
+		claims_set_list(&claims, &list, false, 1);
+		claims_tick(&claims, 1000, &sink);
+		for (size_t j = 0; j < cases[i].n; j++) {
+			claims_message(&claims, &message, ORDER_COPY);
+			message.from = list.names[1];
+			message.sent_ms = 1000;
+			message.part = cases[i].parts[j];
+			message.last = message.part == cases[i].last;
+			message.complete = cases[i].all;
+			claims_handle(&claims, &message, 1010, &sink);
+		}
+		g_assert_cmpint(claims.peers[1].complete, ==,
+				cases[i].complete);
+		claims_finish(&claims);
+	}
+}
+
 /* A gate alone, with what it told and dispatched. */
 struct bench_gate {
 	struct gate_sink sink;
@@ -474,6 +539,7 @@
 	g_test_add_func("/order/message-round-trip", test_message_round_trip);
 	g_test_add_func("/order/claims", test_claims);
 	g_test_add_func("/order/claims-withheld", test_claims_withheld);
+	g_test_add_func("/order/copy-parts", test_copy_parts);
 	g_test_add_func("/order/gate-answers", test_gate_answers);
 	g_test_add_func("/order/gate-queue", test_gate_queue);
 	g_test_add_func("/order/gate-two-homes", test_gate_two_homes);
