--- a/control/control.c
+++ b/control/control.c
@@ -24,6 +24,7 @@
 #define PUSHES_PER_CONFIG 2
 #define PUSH_INTERVAL_MS 150
 #define PUSH_MS 4000
+#define ASK_AGAIN_MS 150
 #define WAKE_ASK_INTERVAL_MS 300
 #define WAKE_ASK_FANOUT 3
 /* When all were paused together nobody can tell: go on after this. */
@@ -307,6 +308,18 @@
 	strbuf_finish(&storage);
 }
 
+/* Goes into debt rather than wait, but by no more than the whole burst. */
+static bool take_pull_budget(struct control *control)
+{
+	size_t bytes =
+		MIN(control->config.text.len, (size_t)control->budget.burst);
+
+	if (!byte_budget_room(&control->budget))
+		return false;
+	byte_budget_take(&control->budget, bytes);
+	return true;
+}
+
 bool control_answer_pull(struct control *control, const uint8_t *data,
 			 size_t len, struct strbuf *out)
 {
@@ -325,6 +338,10 @@
 		counter_inc(control->counters, COUNTER_CONTROL_DROP_MALFORMED);
 		return false;
 	}
+	if (!take_pull_budget(control)) {
+		counter_inc(control->counters, COUNTER_CONTROL_DELAYED);
+		return false;
+	}
 	outbound_init(&context, &answer, MESSAGE_CONFIG, true);
 	answer.manifest = strbuf_str(&control->config.text);
 	answer.config_revision = config_store_release(&control->config);
@@ -503,6 +520,41 @@
 	}
 }
 
+/* A random member that is known to have a newer release. */
+static const struct member *pick_ahead(struct control *control)
+{
+	const struct roster *roster = &control->roster;
+	size_t start = random_below(&control->random, roster->n);
+	uint64_t ours = (uint64_t)config_store_release(&control->config);
+
+	for (size_t i = 0; i < roster->n; i++) {
+		const struct member *member =
+			&roster->members[(start + i) % roster->n];
+
+		if (member->state != MEMBER_LEFT &&
+		    member->config_revision > ours)
+			return member;
+	}
+	return NULL;
+}
+
+/* Who is behind asks again until it has the release, whatever is lost. */
+static void ask_step(struct control_context *context)
+{
+	struct control *control = context->control;
+	const struct member *peer;
+
+	if (control->config.newest <= config_store_release(&control->config) ||
+	    context->now_ms < control->next_pull_ms + ASK_AGAIN_MS)
+		return;
+	control->next_pull_ms = context->now_ms;
+	peer = pick_ahead(control);
+	if (peer &&
+	    config_store_start_pull(&control->config, control->config.newest,
+				    context->now_ms))
+		outbound_pull_tcp(context, &peer->control);
+}
+
 static void zone_step(struct control_context *context)
 {
 	struct control *control = context->control;
@@ -543,6 +595,7 @@
 	sync_out_init(&sync, &context);
 	wake_step(&context);
 	push_step(&context);
+	ask_step(&context);
 	failure_detector_tick(&control->detector, now_ms, &edge.out);
 	gossip_step(&context);
 	exchange_step(&context);
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -228,8 +228,12 @@
 		outbound_want_config(context, &from->control);
 	else
 		outbound_forget_config(context, &from->control);
-	if (from->config_revision > ours && message->kind != MESSAGE_CONFIG)
-		pull_limited(context, &from->control);
+	/* Over TCP, since a lost question or answer costs seconds. */
+	if (from->config_revision > ours &&
+	    config_store_start_pull(&context->control->config,
+				    (int64_t)from->config_revision,
+				    context->now_ms))
+		outbound_pull_tcp(context, &from->control);
 }
 
 void inbound_apply_zone(struct control_context *context,
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -23,7 +23,9 @@
 #define ISOLATED_MS 10000
 /* News of a contact is old after this, and more in larger fleets. */
 #define STALE_MS 2000
-#define STALE_PER_DOUBLING_MS 200
+#define STALE_PER_DOUBLING_MS 250
+/* More than a message is on its way. */
+#define HOP_MS 100
 /* A newer release that nobody hands over is asked for after this. */
 #define BEHIND_MS 2000
 /* Calls a second by all processes together whose news is old. */
@@ -73,7 +75,7 @@
 	strbuf_finish(&sync->shard_value);
 }
 
-static bool is_old(int64_t contact_ms, size_t n_members, int64_t now_ms)
+bool platform_is_old(int64_t contact_ms, size_t n_members, int64_t now_ms)
 {
 	int64_t limit_ms = STALE_MS;
 
@@ -82,6 +84,16 @@
 	return contact_ms == INT64_MIN || now_ms - contact_ms > limit_ms;
 }
 
+/* Lost messages alone must not make everybody watch. */
+bool platform_watchers_fail(const struct platform_sync *sync,
+			    const struct roster *roster, int64_t now_ms)
+{
+	return sync->watcher_ms == INT64_MIN ||
+	       platform_is_old(sync->watcher_ms +
+				       (now_ms - sync->watcher_ms) / 2,
+			       roster->n, now_ms);
+}
+
 bool platform_sync_watches(const struct platform_sync *sync, int64_t now_ms)
 {
 	return sync->chosen || now_ms < sync->acting_until_ms;
@@ -135,6 +147,15 @@
 	platform_start_call(sync, lane, task, &request, now_ms, out);
 }
 
+static bool knows_role(const struct roster *roster, enum member_role role)
+{
+	for (size_t i = 0; i < roster->n; i++)
+		if (roster->members[i].role == role &&
+		    roster->members[i].state != MEMBER_LEFT)
+			return true;
+	return false;
+}
+
 /* Chosen ones watch; who acts for them stops when they are back. */
 static void choose(struct platform_sync *sync, const struct roster *roster,
 		   int64_t now_ms)
@@ -144,11 +165,14 @@
 	if (now_ms < sync->next_choice_ms)
 		return;
 	sync->next_choice_ms = now_ms + CHOICE_INTERVAL_MS;
+	sync->alone = !knows_role(roster, sync->options.role == MEMBER_BALANCER
+						  ? MEMBER_AGENT
+						  : MEMBER_BALANCER);
 	sync->chosen =
 		watch_choice(roster, &sync->options.name, &sync->options.zone);
 	if (sync->acting_until_ms > now_ms &&
 	    sync->acting_until_ms - now_ms <= CHOICE_INTERVAL_MS &&
-	    is_old(sync->watcher_ms, roster->n, now_ms))
+	    platform_watchers_fail(sync, roster, now_ms))
 		sync->acting_until_ms = now_ms + ACTING_MS;
 	if (!was && platform_sync_watches(sync, now_ms))
 		sync->config.next_ms = now_ms;
@@ -170,7 +194,7 @@
 		sync->behind_ms = now_ms;
 	if (now_ms - sync->start_ms < START_GRACE_MS)
 		return false;
-	return is_old(sync->any_ms, view->roster->n, now_ms) ||
+	return platform_is_old(sync->any_ms, view->roster->n, now_ms) ||
 	       (sync->behind_ms != CLOCK_NEVER &&
 		now_ms - sync->behind_ms >= BEHIND_MS);
 }
@@ -219,7 +243,7 @@
 	unsigned int page =
 		(unsigned int)platform_random_below(sync, ROSTER_SHARD_PAGES);
 
-	if (sync->pages_read == (1u << ROSTER_SHARD_PAGES) - 1)
+	if (sync->pages_read == PAGES_ALL)
 		sync->pages_read = 0;
 	while (sync->pages_read & (1u << page))
 		page = (page + 1) % ROSTER_SHARD_PAGES;
@@ -227,18 +251,29 @@
 	return page;
 }
 
-/* A process that no peer answers looks for peers at the platform. */
+/*
+ * A process that no peer answers, or that knows only its own kind, such as
+ * balancers that were all replaced at once, looks for peers at the platform.
+ * It reads all pages: whoever answers first may be as new as itself.
+ */
+static bool must_list(const struct platform_sync *sync, int64_t now_ms)
+{
+	bool isolated = sync->heard_ms == INT64_MIN ||
+			now_ms - sync->heard_ms >= ISOLATED_MS;
+	bool begun = sync->pages_read && sync->pages_read != PAGES_ALL;
+
+	return now_ms - sync->start_ms >= START_GRACE_MS &&
+	       (isolated || begun || sync->alone);
+}
+
 static void pages_step(struct platform_sync *sync, int64_t now_ms,
 		       struct platform_sync_out *out)
 {
 	struct platform_request request;
 	char prefix[PLATFORM_KEY_MAX];
 
-	if (now_ms - sync->start_ms < START_GRACE_MS ||
-	    (sync->heard_ms != INT64_MIN &&
-	     now_ms - sync->heard_ms < ISOLATED_MS) ||
-	    now_ms < sync->pages.next_ms || !calls_idle(sync) ||
-	    !take_budget(sync, &sync->pages, now_ms))
+	if (!must_list(sync, now_ms) || now_ms < sync->pages.next_ms ||
+	    !calls_idle(sync) || !take_budget(sync, &sync->pages, now_ms))
 		return;
 	roster_shard_page_prefix(prefix, &sync->options.deployment,
 				 pick_page(sync));
@@ -334,10 +369,11 @@
 	shards_step(sync, view, now_ms, out);
 }
 
+/* Without the time on the way, news that goes round would stay young. */
 static int64_t time_of_age(uint32_t age_ms, int64_t now_ms)
 {
 	return age_ms == PLATFORM_AGE_NEVER ? INT64_MIN
-					    : now_ms - (int64_t)age_ms;
+					    : now_ms - (int64_t)age_ms - HOP_MS;
 }
 
 void platform_sync_heard(struct platform_sync *sync,
--- a/include/tarragonflow/control/config_store.h
+++ b/include/tarragonflow/control/config_store.h
@@ -34,13 +34,13 @@
 };
 
 /** Manifests up to this size ride in a datagram; larger ones are pulled. */
-#define CONFIG_DATAGRAM_MAX 1200
+#define CONFIG_DATAGRAM_MAX 400
 
 /** Time a starting process listens before it takes a release, ms. */
 #define CONFIG_SETTLE_MS 300
 
 /** Time a pull may take, ms. */
-#define CONFIG_PULL_TIMEOUT_MS 2000
+#define CONFIG_PULL_TIMEOUT_MS 1000
 
 void config_store_init(struct config_store *store,
 		       const struct name *deployment, struct counters *counters,
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -181,7 +181,7 @@
 	node->view_due_ms = 0;
 	node->drain_ms = 0;
 	node->paused_until_ms = 0;
-	node->top_release = 0;
+	node->last_release = 0;
 	control_init(&node->control, &node->options, &node->counters,
 		     world->now_ms);
 	balancer_init(&node->balancer, &node->counters);
@@ -283,6 +283,7 @@
 	back->instance = event->instance;
 	control_answer_pull(&peer->control, (const uint8_t *)event->data.data,
 			    event->data.len, &back->data);
+	world_control_meter(peer, back->data.len);
 }
 
 static void deliver_pulled(struct world *world, const struct event *event)
@@ -355,7 +356,8 @@
 {
 	struct view *view;
 
-	if (!node->view_dirty || !node->control.config.manifest.release)
+	if (node->world->control_only || !node->view_dirty ||
+	    !node->control.config.manifest.release)
 		return;
 	node->view_dirty = false;
 	view = g_new(struct view, 1);
@@ -373,8 +375,6 @@
 
 static void tick_node(struct world *world, struct world_node *node)
 {
-	int64_t release;
-
 	node->backend.cold = world->now_ms < node->cold_until_ms;
 	if (!world_node_runs(node))
 		return;
@@ -384,10 +384,23 @@
 	if (node->options.self.role == MEMBER_AGENT)
 		agent_tick(&node->agent, world->now_ms, &node->packet_sink);
 	refresh_view(node);
-	release = node->control.config.manifest.release;
-	if (release < node->top_release)
-		world->reverts++;
-	node->top_release = MAX(node->top_release, release);
+	world_check_manifest(world, node);
+}
+
+static bool lags(const struct world *world, const struct world_node *node)
+{
+	return node->up &&
+	       node->control.config.manifest.release < world->manifest.release;
+}
+
+static void note_everywhere(struct world *world)
+{
+	if (world->everywhere_ms)
+		return;
+	for (guint i = 0; i < world->nodes->len; i++)
+		if (lags(world, g_ptr_array_index(world->nodes, i)))
+			return;
+	world->everywhere_ms = world->now_ms - world->accepted_ms;
 }
 
 void world_run(struct world *world, int64_t ms)
@@ -403,5 +416,6 @@
 		for (guint i = 0; i < world->nodes->len; i++)
 			tick_node(world, g_ptr_array_index(world->nodes, i));
 		caller_pool_step(&world->callers, world->now_ms);
+		note_everywhere(world);
 	}
 }
--- a/tests/scenarios/world_internal.h
+++ b/tests/scenarios/world_internal.h
@@ -38,6 +38,9 @@
 /** Answers the watches that have something to tell or waited long enough. */
 void world_platform_serve(struct world *world);
 
+/** Compares what @node has in force with what operators were told. */
+void world_check_manifest(struct world *world, struct world_node *node);
+
 /** Counts @bytes that @node sent for control. */
 void world_control_meter(struct world_node *node, size_t bytes);
 
