--- a/flow/agent.c
+++ b/flow/agent.c
@@ -206,7 +206,7 @@
 		return;
 	}
 	if (!inner_parse(&packet, data + header_len, len - header_len)) {
-		count(agent, COUNTER_DROP_MALFORMED);
+		count(agent, inner_drop_reason(&packet));
 		return;
 	}
 	if (!meant_for_us(agent, &header))
@@ -236,7 +236,7 @@
 	struct flow *flow;
 
 	if (!inner_parse(&packet, data, len)) {
-		count(agent, COUNTER_DROP_MALFORMED);
+		count(agent, inner_drop_reason(&packet));
 		return;
 	}
 	flow_key_reverse(&key, &packet.key);
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -19,6 +19,14 @@
 	X(DROP_MALFORMED, "drop_malformed_packet")          \
 	X(DROP_HEADER, "drop_malformed_header")             \
 	X(DROP_AUTH, "drop_bad_tag")                        \
+	X(DROP_FRAGMENT, "drop_fragment")                   \
+	X(DROP_CHECKSUM, "drop_bad_checksum")               \
+	X(DROP_PROTOCOL, "drop_other_protocol")             \
+	X(DROP_UNSIGNED, "drop_unsigned_packet")            \
+	X(DROP_UNKNOWN_KEY, "drop_unknown_key")             \
+	X(DROP_REPLAYED, "drop_replayed_packet")            \
+	X(DROP_SENDERS_FULL, "drop_sender_table_full")      \
+	X(MSS_CLAMPED, "segment_sizes_lowered")             \
 	X(DROP_NO_CONFIG, "drop_no_configuration")          \
 	X(DROP_NO_SERVICE, "drop_no_such_service")          \
 	X(DROP_NO_MEMBER, "drop_no_backend_server")         \
--- a/include/tarragonflow/net/inner.h
+++ b/include/tarragonflow/net/inner.h
@@ -5,11 +5,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "tarragonflow/common/counter.h"
 #include "tarragonflow/net/endpoint.h"
 
 /**
- * The callers' own packets: just enough of IPv4, IPv6 (RFC 791, 8200) and
- * TCP (RFC 9293) to name a connection and see it open and close.
+ * The callers' own packets: just enough of IPv4, IPv6 (RFC 791, 8200), ICMP
+ * errors and TCP (RFC 9293) to name a connection and see it open and close.
  */
 struct flow_key {
 	/** Caller's address. */
@@ -29,6 +30,18 @@
 	TCP_ACK = 0x10,
 };
 
+/** Why a packet can't be used. */
+enum inner_fault {
+	INNER_GOOD,
+	INNER_MALFORMED,
+	/** A part of a packet, which may lack the ports. */
+	INNER_FRAGMENT,
+	/** The checksum of the IPv4 header or of ICMP is wrong. */
+	INNER_CHECKSUM,
+	/** Neither TCP nor an ICMP error about TCP. */
+	INNER_PROTOCOL,
+};
+
 /** What the filters need to know about one packet. */
 struct inner_packet {
 	const uint8_t *data;
@@ -41,14 +54,28 @@
 	uint16_t tcp_offset;
 	/** Bytes after the TCP header. */
 	uint16_t payload_len;
+	enum inner_fault fault;
+	/**
+	 * An ICMP error. It belongs to the connection that `key` names, has
+	 * no flags and no TCP header.
+	 */
+	bool icmp;
 };
 
 /** Largest packet of callers and servers, in bytes. */
 #define INNER_MAX 9000
 
-/** Returns false when @data is not one whole TCP segment. */
+/**
+ * Returns false when @data is neither one whole TCP segment nor an ICMP
+ * error (RFC 792, 4443) about one; `fault` then says why. The key of an ICMP
+ * error is that of the opposite direction of the packet that it quotes, so
+ * that the error travels like any other packet towards that one's sender.
+ */
 bool inner_parse(struct inner_packet *packet, const uint8_t *data, size_t len);
 
+/** The counter of drops for the fault of @packet. */
+enum counter_id inner_drop_reason(const struct inner_packet *packet);
+
 /** The key as the opposite direction would have it. */
 void flow_key_reverse(struct flow_key *out, const struct flow_key *key);
 
--- a/include/tarragonflow/node/packet_duty.h
+++ b/include/tarragonflow/node/packet_duty.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_NODE_PACKET_DUTY_H
 
 #include "tarragonflow/flow/agent.h"
+#include "tarragonflow/net/packet_auth.h"
 #include "tarragonflow/net/packet_edge.h"
 #include "tarragonflow/node/node.h"
 #include "tarragonflow/route/balancer.h"
@@ -17,8 +18,18 @@
 	struct view *view;
 	/** Datagrams from and to our other processes. */
 	int data_fd;
+	/** The TUN form of the fabric's side; its fd is -1 without one. */
+	struct packet_edge fabric;
 	/** Agents only: the backend server's side. */
 	struct packet_edge server;
+	/** Keys of this thread, and new ones for it from outside. */
+	struct keyring keyring;
+	struct ring keyrings;
+	struct packet_auth auth;
+	/** Room for one outgoing packet. */
+	uint8_t *out;
+	/** Longest TCP payload on the path between our processes. */
+	uint16_t mss_v4, mss_v6;
 	struct agent agent;
 	/** Balancers only. */
 	struct balancer balancer;
@@ -29,6 +40,10 @@
 enum status_code packet_duty_start(struct packet_duty *duty, struct node *node,
 				   struct status *status);
 
+/** Replaces the keys of a running duty by a copy of @keyring. */
+void packet_duty_set_keys(struct packet_duty *duty,
+			  const struct keyring *keyring);
+
 /** Ends the thread; the node must still be there. */
 void packet_duty_finish(struct packet_duty *duty);
 
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_NODE_SETTINGS_H
 
 #include "tarragonflow/common/json_reader.h"
+#include "tarragonflow/common/keyring.h"
 #include "tarragonflow/control/control.h"
 #include "tarragonflow/net/endpoint.h"
 #include "tarragonflow/roster/roster.h"
@@ -21,11 +22,15 @@
 	struct json_text platform;
 	struct endpoint seeds[CONTROL_SEEDS_MAX];
 	size_t n_seeds;
+	struct keyring data_keys;
+	int64_t mtu;
+	struct json_text fabric_tun;
 	int log_level;
 	/** Agents only. */
 	struct name service;
 	struct endpoint server;
 	struct endpoint server_listen;
+	struct json_text server_tun;
 	struct endpoint fabric;
 	int64_t connections;
 	int64_t slots;
--- a/net/inner.c
+++ b/net/inner.c
@@ -6,10 +6,26 @@
 #define IPV4_HEADER_MIN 20
 #define IPV6_HEADER 40
 #define TCP_HEADER_MIN 20
+#define PROTOCOL_ICMP 1
 #define PROTOCOL_TCP 6
+#define PROTOCOL_ICMPV6 58
+#define IPV6_HOP_BY_HOP 0
+#define IPV6_ROUTING 43
+#define IPV6_FRAGMENT 44
+#define IPV6_DESTINATION 60
+#define IPV6_EXTENSIONS_MAX 4
+#define ICMP_HEADER 8
+#define ICMP_UNREACHABLE 3
+#define ICMP_TIME_EXCEEDED 11
+#define ICMP_PARAMETER_PROBLEM 12
+#define ICMPV6_ERROR_FIRST 1
+#define ICMPV6_ERROR_LAST 4
+/* Ports and sequence number: what any ICMP error must quote. */
+#define QUOTED_TCP_MIN 8
 #define DEFAULT_TTL 64
 #define DEFAULT_WINDOW 0xffff
 #define IPV4_FRAGMENT_MASK 0x3fff /* offset and more-fragments */
+#define IPV4_OFFSET_MASK 0x1fff
 
 static uint16_t get_u16(const uint8_t *p)
 {
@@ -33,68 +49,207 @@
 	put_u16(p + 2, (uint16_t)v);
 }
 
-static bool parse_ipv4(struct inner_packet *packet)
+static uint32_t checksum_add(uint32_t sum, const uint8_t *data, size_t len)
+{
+	for (size_t i = 0; i + 1 < len; i += 2)
+		sum += get_u16(data + i);
+	if (len & 1)
+		sum += (uint32_t)data[len - 1] << 8;
+	return sum;
+}
+
+static uint16_t checksum_fold(uint32_t sum)
+{
+	while (sum >> 16)
+		sum = (sum & 0xffff) + (sum >> 16);
+	return (uint16_t)~sum;
+}
+
+/* Where an IP header ends and what follows. */
+struct ip_layer {
+	size_t offset;
+	uint8_t protocol;
+	struct ip_addr src, dst;
+};
+
+static enum inner_fault parse_ipv4(struct ip_layer *ip, const uint8_t *data,
+				   size_t len, bool quoted)
+{
+	size_t header = (size_t)(data[0] & 0x0f) * 4;
+
+	if (header < IPV4_HEADER_MIN || len < header ||
+	    (!quoted && get_u16(data + 2) != len))
+		return INNER_MALFORMED;
+	if (!quoted && checksum_fold(checksum_add(0, data, header)))
+		return INNER_CHECKSUM;
+	if (get_u16(data + 6) &
+	    (quoted ? IPV4_OFFSET_MASK : IPV4_FRAGMENT_MASK))
+		return INNER_FRAGMENT;
+	ip->offset = header;
+	ip->protocol = data[9];
+	ip_addr_from_v4(&ip->src, data + 12);
+	ip_addr_from_v4(&ip->dst, data + 16);
+	return INNER_GOOD;
+}
+
+static bool ipv6_extension(uint8_t protocol)
 {
-	const uint8_t *ip = packet->data;
-	size_t header = (size_t)(ip[0] & 0x0f) * 4;
+	return protocol == IPV6_HOP_BY_HOP || protocol == IPV6_ROUTING ||
+	       protocol == IPV6_DESTINATION;
+}
 
-	if (header < IPV4_HEADER_MIN || packet->len < header ||
-	    get_u16(ip + 2) != packet->len || ip[9] != PROTOCOL_TCP ||
-	    (get_u16(ip + 6) & IPV4_FRAGMENT_MASK))
-		return false;
-	ip_addr_from_v4(&packet->key.src, ip + 12);
-	ip_addr_from_v4(&packet->key.dst, ip + 16);
-	packet->tcp_offset = (uint16_t)header;
-	return true;
+static enum inner_fault parse_ipv6(struct ip_layer *ip, const uint8_t *data,
+				   size_t len, bool quoted)
+{
+	if (len < IPV6_HEADER ||
+	    (!quoted && (size_t)get_u16(data + 4) + IPV6_HEADER != len))
+		return INNER_MALFORMED;
+	ip->offset = IPV6_HEADER;
+	ip->protocol = data[6];
+	memcpy(ip->src.bytes, data + 8, 16);
+	memcpy(ip->dst.bytes, data + 24, 16);
+	for (int i = 0; ipv6_extension(ip->protocol); i++) {
+		if (i == IPV6_EXTENSIONS_MAX || len < ip->offset + 8)
+			return INNER_MALFORMED;
+		ip->protocol = data[ip->offset];
+		ip->offset += ((size_t)data[ip->offset + 1] + 1) * 8;
+	}
+	return ip->protocol == IPV6_FRAGMENT ? INNER_FRAGMENT : INNER_GOOD;
 }
 
-static bool parse_ipv6(struct inner_packet *packet)
+/* @quoted: the start of a packet, as an ICMP error holds it. */
+static enum inner_fault parse_ip(struct ip_layer *ip, const uint8_t *data,
+				 size_t len, bool quoted)
 {
-	const uint8_t *ip = packet->data;
+	enum inner_fault fault = INNER_MALFORMED;
 
-	if (packet->len < IPV6_HEADER || ip[6] != PROTOCOL_TCP ||
-	    (size_t)get_u16(ip + 4) + IPV6_HEADER != packet->len)
-		return false;
-	memcpy(packet->key.src.bytes, ip + 8, 16);
-	memcpy(packet->key.dst.bytes, ip + 24, 16);
-	packet->tcp_offset = IPV6_HEADER;
-	return true;
+	if (len < IPV4_HEADER_MIN)
+		return INNER_MALFORMED;
+	if (data[0] >> 4 == 4)
+		fault = parse_ipv4(ip, data, len, quoted);
+	else if (data[0] >> 4 == 6)
+		fault = parse_ipv6(ip, data, len, quoted);
+	if (fault == INNER_GOOD && ip->offset > len)
+		return INNER_MALFORMED;
+	return fault;
 }
 
-static bool parse_tcp(struct inner_packet *packet)
+static enum inner_fault parse_tcp(struct inner_packet *packet,
+				  const struct ip_layer *ip)
 {
-	const uint8_t *tcp = packet->data + packet->tcp_offset;
-	size_t rest = packet->len - packet->tcp_offset;
+	const uint8_t *tcp = packet->data + ip->offset;
+	size_t rest = packet->len - ip->offset;
 	size_t header;
 
 	if (rest < TCP_HEADER_MIN)
-		return false;
+		return INNER_MALFORMED;
 	header = (size_t)(tcp[12] >> 4) * 4;
 	if (header < TCP_HEADER_MIN || header > rest)
-		return false;
+		return INNER_MALFORMED;
+	packet->key.src = ip->src;
+	packet->key.dst = ip->dst;
 	packet->key.src_port = get_u16(tcp);
 	packet->key.dst_port = get_u16(tcp + 2);
 	packet->seq = get_u32(tcp + 4);
 	packet->ack = get_u32(tcp + 8);
 	packet->flags = tcp[13];
+	packet->tcp_offset = (uint16_t)ip->offset;
 	packet->payload_len = (uint16_t)(rest - header);
-	return true;
+	return INNER_GOOD;
 }
 
-bool inner_parse(struct inner_packet *packet, const uint8_t *data, size_t len)
+static bool icmp_error(uint8_t type, bool v4)
+{
+	if (v4)
+		return type == ICMP_UNREACHABLE || type == ICMP_TIME_EXCEEDED ||
+		       type == ICMP_PARAMETER_PROBLEM;
+	return type >= ICMPV6_ERROR_FIRST && type <= ICMPV6_ERROR_LAST;
+}
+
+static bool icmp_checksum_good(const struct ip_layer *ip, const uint8_t *icmp,
+			       size_t len)
 {
-	bool good = false;
+	uint32_t sum = 0;
+
+	if (ip->protocol == PROTOCOL_ICMPV6) {
+		sum = PROTOCOL_ICMPV6 + (uint32_t)len;
+		sum = checksum_add(sum, ip->src.bytes, 16);
+		sum = checksum_add(sum, ip->dst.bytes, 16);
+	}
+	return !checksum_fold(checksum_add(sum, icmp, len));
+}
 
-	if (len < IPV4_HEADER_MIN || len > INNER_MAX)
-		return false;
+static enum inner_fault parse_icmp(struct inner_packet *packet,
+				   const struct ip_layer *ip)
+{
+	const uint8_t *icmp = packet->data + ip->offset;
+	size_t len = packet->len - ip->offset;
+	enum inner_fault fault;
+	struct ip_layer quoted;
+	const uint8_t *tcp;
+
+	if (len < ICMP_HEADER)
+		return INNER_MALFORMED;
+	if (!icmp_checksum_good(ip, icmp, len))
+		return INNER_CHECKSUM;
+	if (!icmp_error(icmp[0], ip->protocol == PROTOCOL_ICMP))
+		return INNER_PROTOCOL;
+	fault = parse_ip(&quoted, icmp + ICMP_HEADER, len - ICMP_HEADER, true);
+	if (fault != INNER_GOOD)
+		return fault;
+	if (quoted.protocol != PROTOCOL_TCP)
+		return INNER_PROTOCOL;
+	if (len < ICMP_HEADER + quoted.offset + QUOTED_TCP_MIN ||
+	    !ip_addr_equal(&quoted.src, &ip->dst))
+		return INNER_MALFORMED;
+	tcp = icmp + ICMP_HEADER + quoted.offset;
+	packet->key.src = quoted.dst;
+	packet->key.dst = quoted.src;
+	packet->key.src_port = get_u16(tcp + 2);
+	packet->key.dst_port = get_u16(tcp);
+	packet->icmp = true;
+	return INNER_GOOD;
+}
+
+static enum inner_fault parse(struct inner_packet *packet)
+{
+	struct ip_layer ip;
+	enum inner_fault fault;
+
+	if (packet->len > INNER_MAX)
+		return INNER_MALFORMED;
+	fault = parse_ip(&ip, packet->data, packet->len, false);
+	if (fault != INNER_GOOD)
+		return fault;
+	if (ip.protocol == PROTOCOL_TCP)
+		return parse_tcp(packet, &ip);
+	if (ip.protocol ==
+	    (ip_addr_is_v4(&ip.dst) ? PROTOCOL_ICMP : PROTOCOL_ICMPV6))
+		return parse_icmp(packet, &ip);
+	return INNER_PROTOCOL;
+}
+
+bool inner_parse(struct inner_packet *packet, const uint8_t *data, size_t len)
+{
+	memset(packet, 0, sizeof(*packet));
 	packet->data = data;
 	packet->len = len;
-	packet->key.zero = 0;
-	if (data[0] >> 4 == 4)
-		good = parse_ipv4(packet);
-	else if (data[0] >> 4 == 6)
-		good = parse_ipv6(packet);
-	return good && parse_tcp(packet);
+	packet->fault = parse(packet);
+	return packet->fault == INNER_GOOD;
+}
+
+enum counter_id inner_drop_reason(const struct inner_packet *packet)
+{
+	switch (packet->fault) {
+	case INNER_FRAGMENT:
+		return COUNTER_DROP_FRAGMENT;
+	case INNER_CHECKSUM:
+		return COUNTER_DROP_CHECKSUM;
+	case INNER_PROTOCOL:
+		return COUNTER_DROP_PROTOCOL;
+	default:
+		return COUNTER_DROP_MALFORMED;
+	}
 }
 
 void flow_key_reverse(struct flow_key *out, const struct flow_key *key)
@@ -119,22 +274,6 @@
 	return XXH3_64bits_withSeed(key, sizeof(*key), seed);
 }
 
-static uint32_t checksum_add(uint32_t sum, const uint8_t *data, size_t len)
-{
-	for (size_t i = 0; i + 1 < len; i += 2)
-		sum += get_u16(data + i);
-	if (len & 1)
-		sum += (uint32_t)data[len - 1] << 8;
-	return sum;
-}
-
-static uint16_t checksum_fold(uint32_t sum)
-{
-	while (sum >> 16)
-		sum = (sum & 0xffff) + (sum >> 16);
-	return (uint16_t)~sum;
-}
-
 static void build_tcp(const struct inner_spec *spec, uint8_t *tcp, size_t len)
 {
 	uint32_t sum = PROTOCOL_TCP + (uint32_t)len;
--- /dev/null
+++ b/net/tun.c
@@ -0,0 +1,66 @@
+#include "tarragonflow/net/tun.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <linux/if_tun.h>
+#include <net/if.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/ioctl.h>
+#include <unistd.h>
+
+static_assert(TUN_NAME_MAX == IFNAMSIZ - 1, "length of a name");
+
+static ssize_t tun_receive(struct packet_edge *edge, uint8_t *buf, size_t cap)
+{
+	return read(edge->fd, buf, cap);
+}
+
+static bool tun_send(struct packet_edge *edge, const uint8_t *data, size_t len)
+{
+	return write(edge->fd, data, len) == (ssize_t)len;
+}
+
+static void tun_finish(struct packet_edge *edge)
+{
+	close(edge->fd);
+	edge->fd = -1;
+}
+
+static enum status_code attach(int fd, const char *name, struct status *status)
+{
+	struct ifreq request = {.ifr_flags = IFF_TUN | IFF_NO_PI};
+
+	snprintf(request.ifr_name, sizeof(request.ifr_name), "%s", name);
+	if (ioctl(fd, TUNSETIFF, &request) == 0)
+		return STATUS_OK;
+	return status_set(status, STATUS_IO,
+			  "cannot attach to TUN interface %s: %s; it needs "
+			  "CAP_NET_ADMIN or an interface made for this user",
+			  name, strerror(errno));
+}
+
+enum status_code packet_edge_init_tun(struct packet_edge *edge,
+				      const char *device, const char *name,
+				      struct status *status)
+{
+	if (!*name || strlen(name) > TUN_NAME_MAX)
+		return status_set(status, STATUS_INVALID,
+				  "TUN interface \"%s\": allowed are 1 to %d "
+				  "bytes",
+				  name, TUN_NAME_MAX);
+	edge->receive = tun_receive;
+	edge->send = tun_send;
+	edge->finish = tun_finish;
+	edge->fd = open(device, O_RDWR | O_NONBLOCK | O_CLOEXEC);
+	if (edge->fd < 0)
+		return status_set(
+			status, STATUS_IO,
+			"cannot open %s for TUN interface %s: %s; use "
+			"the udp form where the VM has no TUN",
+			device, name, strerror(errno));
+	if (attach(edge->fd, name, status) != STATUS_OK)
+		tun_finish(edge);
+	return status->code;
+}
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -5,11 +5,14 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "tarragonflow/net/mss.h"
+#include "tarragonflow/net/tun.h"
 #include "tarragonflow/net/udp.h"
 
 #define POLL_MAX_MS 100
 #define BATCH_MAX 64
-#define BUFFER_BYTES (INNER_MAX + PACKET_HEADER_MAX)
+#define BUFFER_BYTES (INNER_MAX + PACKET_HEADER_MAX + PACKET_AUTH_BYTES)
+#define KEYRINGS_WAITING 8
 
 static struct packet_duty *duty_of(struct packet_sink *sink)
 {
@@ -22,11 +25,10 @@
 		counter_inc(&duty->node->counters, COUNTER_DROP_SEND);
 }
 
-static void send_to_peer(struct packet_sink *sink, const struct endpoint *to,
-			 const struct packet_header *header,
-			 const uint8_t *inner, size_t len)
+static void send_plain(struct packet_duty *duty, const struct endpoint *to,
+		       const struct packet_header *header, const uint8_t *inner,
+		       size_t len)
 {
-	struct packet_duty *duty = duty_of(sink);
 	uint8_t head[PACKET_HEADER_MAX];
 	size_t head_len = packet_header_encode(header, head);
 
@@ -34,11 +36,49 @@
 		   udp_send_two(duty->data_fd, to, head, head_len, inner, len));
 }
 
+static void send_to_peer(struct packet_sink *sink, const struct endpoint *to,
+			 const struct packet_header *header,
+			 const uint8_t *inner, size_t len)
+{
+	struct packet_duty *duty = duty_of(sink);
+	uint8_t *head = duty->out + PACKET_AUTH_BYTES;
+	size_t head_len;
+
+	if (keyring_empty(&duty->keyring)) {
+		send_plain(duty, to, header, inner, len);
+		return;
+	}
+	head_len = packet_header_encode(header, head);
+	if (len)
+		memcpy(head + head_len, inner, len);
+	packet_auth_seal(&duty->auth, to, duty->out, head_len + len);
+	count_send(duty, udp_send(duty->data_fd, to, duty->out,
+				  PACKET_AUTH_BYTES + head_len + len));
+}
+
+/* The packet itself, or its copy with a lower maximum segment size. */
+static const uint8_t *with_clamped_mss(struct packet_duty *duty,
+				       const uint8_t *inner, size_t len)
+{
+	struct inner_packet packet;
+	bool v4;
+
+	if (!inner_parse(&packet, inner, len) || !(packet.flags & TCP_SYN))
+		return inner;
+	v4 = ip_addr_is_v4(&packet.key.dst);
+	memcpy(duty->out, inner, len);
+	if (!mss_clamp(duty->out, &packet, v4 ? duty->mss_v4 : duty->mss_v6))
+		return inner;
+	counter_inc(&duty->node->counters, COUNTER_MSS_CLAMPED);
+	return duty->out;
+}
+
 static void send_to_server(struct packet_sink *sink, const uint8_t *inner,
 			   size_t len)
 {
 	struct packet_duty *duty = duty_of(sink);
 
+	inner = with_clamped_mss(duty, inner, len);
 	count_send(duty, duty->server.send(&duty->server, inner, len));
 }
 
@@ -47,8 +87,13 @@
 {
 	struct packet_duty *duty = duty_of(sink);
 
-	count_send(duty, udp_send(duty->data_fd, &duty->node->settings->fabric,
-				  inner, len));
+	inner = with_clamped_mss(duty, inner, len);
+	if (duty->fabric.fd >= 0)
+		count_send(duty, duty->fabric.send(&duty->fabric, inner, len));
+	else
+		count_send(duty,
+			   udp_send(duty->data_fd,
+				    &duty->node->settings->fabric, inner, len));
 }
 
 static bool is_agent(const struct packet_duty *duty)
@@ -70,6 +115,42 @@
 	}
 }
 
+static void take_keys(struct packet_duty *duty)
+{
+	struct keyring *keyring;
+
+	while ((keyring = ring_pop(&duty->keyrings))) {
+		duty->keyring = *keyring;
+		keyring_finish(keyring);
+		g_free(keyring);
+	}
+}
+
+/* The fabric's own packets carry no envelope; all others must. */
+static bool from_fabric(const uint8_t *data, size_t len)
+{
+	uint8_t version = len ? data[0] >> 4 : 0;
+
+	return version == 4 || version == 6;
+}
+
+static void handle_datagram(struct packet_duty *duty, const uint8_t *data,
+			    size_t len, int64_t now_ms)
+{
+	int skip = 0;
+
+	if (is_agent(duty) || !from_fabric(data, len))
+		skip = packet_auth_open(&duty->auth, data, len, now_ms);
+	if (skip < 0)
+		return;
+	data += skip;
+	len -= (size_t)skip;
+	if (is_agent(duty))
+		agent_handle_peer(&duty->agent, data, len, now_ms, &duty->sink);
+	else
+		balancer_handle(&duty->balancer, data, len, &duty->sink);
+}
+
 static void receive_data(struct packet_duty *duty, uint8_t *buf)
 {
 	int64_t now_ms = clock_now(&duty->node->clock);
@@ -79,12 +160,20 @@
 		len = udp_receive(duty->data_fd, buf, BUFFER_BYTES, NULL);
 		if (len < 0)
 			return;
-		if (is_agent(duty))
-			agent_handle_peer(&duty->agent, buf, (size_t)len,
-					  now_ms, &duty->sink);
-		else
-			balancer_handle(&duty->balancer, buf, (size_t)len,
-					&duty->sink);
+		handle_datagram(duty, buf, (size_t)len, now_ms);
+	}
+}
+
+/* Balancers: callers' packets from the TUN form of the fabric. */
+static void receive_fabric(struct packet_duty *duty, uint8_t *buf)
+{
+	ssize_t len;
+
+	for (int i = 0; i < BATCH_MAX; i++) {
+		len = duty->fabric.receive(&duty->fabric, buf, BUFFER_BYTES);
+		if (len < 0)
+			return;
+		balancer_handle(&duty->balancer, buf, (size_t)len, &duty->sink);
 	}
 }
 
@@ -118,19 +207,23 @@
 	struct pollfd fds[3] = {
 		{.fd = duty->data_fd, .events = POLLIN},
 		{.fd = node->wake_packet, .events = POLLIN},
-		{.fd = duty->server.fd, .events = POLLIN},
+		{.fd = is_agent(duty) ? duty->server.fd : duty->fabric.fd,
+		 .events = POLLIN},
 	};
 
 	while (!atomic_load(&node->stop)) {
-		poll(fds, is_agent(duty) ? 3 : 2, POLL_MAX_MS);
+		poll(fds, G_N_ELEMENTS(fds), POLL_MAX_MS);
 		if (fds[1].revents)
 			node_wake_clear(node->wake_packet);
 		take_views(duty);
+		take_keys(duty);
 		if (fds[0].revents)
 			receive_data(duty, buf);
 		if (is_agent(duty)) {
 			receive_server(duty, buf);
 			agent_step(duty);
+		} else if (duty->fabric.fd >= 0) {
+			receive_fabric(duty, buf);
 		}
 	}
 	g_free(buf);
@@ -150,14 +243,33 @@
 		.seed = duty->node->instance,
 	};
 
-	if (packet_edge_init_udp(&duty->server, &settings->server_listen,
-				 &settings->server, status) != STATUS_OK)
+	if (settings->server_tun.len)
+		packet_edge_init_tun(&duty->server, TUN_DEVICE,
+				     settings->server_tun.data, status);
+	else
+		packet_edge_init_udp(&duty->server, &settings->server_listen,
+				     &settings->server, status);
+	if (status->code != STATUS_OK)
 		return status->code;
 	agent_init(&duty->agent, &identity, &duty->node->counters,
 		   clock_now(&duty->node->clock));
 	return STATUS_OK;
 }
 
+static void init_path(struct packet_duty *duty)
+{
+	const struct settings *settings = duty->node->settings;
+
+	duty->out = g_malloc(BUFFER_BYTES);
+	duty->mss_v4 = mss_for_mtu((uint16_t)settings->mtu, true);
+	duty->mss_v6 = mss_for_mtu((uint16_t)settings->mtu, false);
+	duty->keyring = settings->data_keys;
+	ring_init(&duty->keyrings, KEYRINGS_WAITING);
+	packet_auth_init(&duty->auth, &duty->keyring,
+			 packet_auth_sender_id(&settings->name),
+			 duty->node->instance, &duty->node->counters);
+}
+
 enum status_code packet_duty_start(struct packet_duty *duty, struct node *node,
 				   struct status *status)
 {
@@ -167,11 +279,18 @@
 	duty->sink.to_server = send_to_server;
 	duty->sink.to_fabric = send_to_fabric;
 	duty->server.fd = -1;
+	duty->fabric.fd = -1;
 	if (udp_open(&node->settings->data, &duty->data_fd, status) !=
 	    STATUS_OK)
 		return status->code;
+	if (node->settings->fabric_tun.len &&
+	    packet_edge_init_tun(&duty->fabric, TUN_DEVICE,
+				 node->settings->fabric_tun.data,
+				 status) != STATUS_OK)
+		return status->code;
 	if (is_agent(duty) && init_agent(duty, status) != STATUS_OK)
 		return status->code;
+	init_path(duty);
 	balancer_init(&duty->balancer, &node->counters);
 	if (pthread_create(&duty->thread, NULL, packet_thread, duty))
 		return status_set(status, STATUS_INTERNAL,
@@ -179,6 +298,20 @@
 	return STATUS_OK;
 }
 
+void packet_duty_set_keys(struct packet_duty *duty,
+			  const struct keyring *keyring)
+{
+	struct keyring *copy = g_memdup2(keyring, sizeof(*keyring));
+
+	if (ring_push(&duty->keyrings, copy)) {
+		node_wake(duty->node->wake_packet);
+		return;
+	}
+	counter_inc(&duty->node->counters, COUNTER_DROP_RING_FULL);
+	keyring_finish(copy);
+	g_free(copy);
+}
+
 void packet_duty_finish(struct packet_duty *duty)
 {
 	atomic_store(&duty->node->stop, true);
@@ -189,5 +322,12 @@
 		duty->server.finish(&duty->server);
 		agent_finish(&duty->agent);
 	}
+	if (duty->fabric.fd >= 0)
+		duty->fabric.finish(&duty->fabric);
+	take_keys(duty);
+	ring_finish(&duty->keyrings);
+	packet_auth_finish(&duty->auth);
+	keyring_finish(&duty->keyring);
+	g_free(duty->out);
 	close(duty->data_fd);
 }
--- a/node/settings.c
+++ b/node/settings.c
@@ -4,9 +4,13 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "tarragonflow/net/tun.h"
+
 #define PATH_MAX_BYTES 64
 #define CONNECTIONS_MAX 1000000
 #define SLOTS_MAX 10000
+#define MTU_MIN 1280
+#define MTU_MAX 9000
 #define DRAIN_DEADLINE_MAX_S (7 * 24 * 3600)
 
 static const char *const log_levels[] = {"debug", "info", "warn", "error",
@@ -54,6 +58,23 @@
 	{.name = "seeds",
 	 .type = FIELD_NESTED,
 	 .help = "control addresses of peers to begin with"},
+	{.name = "data_keys",
+	 .type = FIELD_NESTED,
+	 .help = "keys of data packets; the first signs, all verify"},
+	{.name = "mtu",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, mtu),
+	 .min = MTU_MIN,
+	 .max = MTU_MAX,
+	 .fallback = 1500,
+	 .unit = "bytes",
+	 .help = "largest IP packet on the path between our processes"},
+	{.name = "fabric_tun",
+	 .type = FIELD_TEXT,
+	 .offset = offsetof(struct settings, fabric_tun),
+	 .min = 1,
+	 .max = TUN_NAME_MAX,
+	 .help = "TUN interface towards the fabric, in place of UDP"},
 	{.name = "log_level",
 	 .type = FIELD_CHOICE,
 	 .offset = offsetof(struct settings, log_level),
@@ -72,17 +93,20 @@
 	{.name = "server",
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, server),
-	 .required = true,
 	 .help = "UDP address that takes the server's packets"},
 	{.name = "server_listen",
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, server_listen),
-	 .required = true,
 	 .help = "UDP address for packets from the server"},
+	{.name = "server_tun",
+	 .type = FIELD_TEXT,
+	 .offset = offsetof(struct settings, server_tun),
+	 .min = 1,
+	 .max = TUN_NAME_MAX,
+	 .help = "TUN interface towards the server, in place of UDP"},
 	{.name = "fabric",
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, fabric),
-	 .required = true,
 	 .help = "UDP address of the fabric for answers"},
 	{.name = "connections",
 	 .type = FIELD_INT,
@@ -163,6 +187,28 @@
 			url);
 }
 
+static void need_endpoint(const struct endpoint *endpoint, const char *name,
+			  const struct json_text *tun, const char *tun_name,
+			  struct json_errors *errors)
+{
+	if (!endpoint->port && !tun->len)
+		json_errors_add(errors, name,
+				"found nothing usable, needed unless %s is set",
+				tun_name);
+}
+
+/* Each edge is UDP or TUN. */
+static void check_edges(const struct settings *settings,
+			struct json_errors *errors)
+{
+	need_endpoint(&settings->server, "server", &settings->server_tun,
+		      "server_tun", errors);
+	need_endpoint(&settings->server_listen, "server_listen",
+		      &settings->server_tun, "server_tun", errors);
+	need_endpoint(&settings->fabric, "fabric", &settings->fabric_tun,
+		      "fabric_tun", errors);
+}
+
 void settings_read(struct settings *settings, enum member_role role,
 		   const json_t *root, struct json_errors *errors)
 {
@@ -176,7 +222,10 @@
 	if (!json_is_object(root))
 		return;
 	read_seeds(settings, root, errors);
+	keyring_read(&settings->data_keys, root, "data_keys", errors);
 	check_platform(settings, errors);
+	if (role == MEMBER_AGENT)
+		check_edges(settings, errors);
 }
 
 enum status_code settings_load(struct settings *settings, enum member_role role,
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -38,7 +38,7 @@
 		return;
 	}
 	if (!inner_parse(&packet, data, len)) {
-		counter_inc(balancer->counters, COUNTER_DROP_MALFORMED);
+		counter_inc(balancer->counters, inner_drop_reason(&packet));
 		return;
 	}
 	service = view_lookup(view, &packet.key);
