--- a/route/balancer.c
+++ b/route/balancer.c
@@ -131,7 +131,11 @@
 		return;
 	}
 	if (!inner_parse(&packet, data, len)) {
-		handle_hint(balancer, data, len);
+		if (packet.fault == INNER_MALFORMED)
+			handle_hint(balancer, data, len);
+		else
+			counter_inc(balancer->counters,
+				    inner_drop_reason(&packet));
 		return;
 	}
 	service = view_lookup(view, &packet.key);
--- a/tarragonflow/commands/agent.c
+++ b/tarragonflow/commands/agent.c
@@ -15,8 +15,11 @@
 	node_set_state(&role->node, MEMBER_DRAINING);
 	clock_sleep(FAREWELL_MS);
 	while (atomic_load(&role->node.open_connections) &&
-	       clock_now(&role->node.clock) < deadline)
+	       clock_now(&role->node.clock) < deadline) {
+		if (node_reload_pending())
+			role_reload_keys(role);
 		clock_sleep(STEP_MS);
+	}
 	log_event(LOG_LEVEL_INFO, "drained", "connections_left=%u",
 		  atomic_load(&role->node.open_connections));
 	node_set_state(&role->node, MEMBER_LEFT);
