--- a/control/context.h
+++ b/control/context.h
@@ -63,6 +63,10 @@
 void outbound_want_config(struct control_context *context,
 			  const struct endpoint *to);
 
+/** @to has our configuration meanwhile. */
+void outbound_forget_config(struct control_context *context,
+			    const struct endpoint *to);
+
 /** Sends the configuration to those that wait, as the budget allows. */
 void outbound_configs(struct control_context *context);
 
@@ -83,6 +87,9 @@
 void inbound_config(struct control_context *context, struct str text,
 		    const char *source);
 
+/** Another configuration is in force: tells the others. */
+void inbound_config_changed(struct control_context *context);
+
 /** Applies a zone report that is news here. */
 void inbound_apply_zone(struct control_context *context,
 			const struct zone_report *report);
--- a/control/control.c
+++ b/control/control.c
@@ -12,6 +12,11 @@
 /* Between two comparisons with a random peer, ms. */
 #define EXCHANGE_INTERVAL_MS 5000
 #define JOIN_INTERVAL_MS 400
+/* Who knows so few members is still joining. */
+#define JOIN_MEMBERS 6
+/* A process that started lately compares more often. */
+#define JOINED_INTERVAL_MS 1000
+#define JOIN_MS 6000
 #define JOIN_FANOUT 3
 /* One in so many comparisons goes to a seed or to a member held for gone. */
 #define FAR_SHARE 3
@@ -50,7 +55,8 @@
 	control->counters = counters;
 	random_init(&control->random, options->random_seed);
 	roster_init(&control->roster);
-	config_store_init(&control->config, &options->deployment, counters);
+	config_store_init(&control->config, &options->deployment, counters,
+			  now_ms);
 	platform_sync_init(&control->platform, &sync_options, counters, now_ms);
 	failure_detector_init(&control->detector, &control->roster,
 			      &options->self.name,
@@ -361,17 +367,29 @@
 	self->context = context;
 }
 
+static struct platform_view platform_view(const struct control *control)
+{
+	const struct platform_view view = {
+		.roster = &control->roster,
+		.release = config_store_release(&control->config),
+		.newest = control->config.newest,
+	};
+
+	return view;
+}
+
 void control_handle_result(struct control *control,
 			   const struct platform_result *result, int64_t now_ms,
 			   struct control_sink *sink)
 {
+	const struct platform_view view = platform_view(control);
 	struct control_context context;
 	struct sync_out self;
 
 	context_init(&context, control, sink, now_ms);
 	sync_out_init(&self, &context);
-	platform_sync_handle_result(&control->platform, result,
-				    &control->roster, now_ms, &self.out);
+	platform_sync_handle_result(&control->platform, result, &view, now_ms,
+				    &self.out);
 }
 
 /* A seed, or a member held for gone: heals what was split. */
@@ -418,14 +436,16 @@
 
 	if (context->now_ms < control->next_exchange_ms)
 		return;
-	if (context->now_ms == control->started_ms)
+	if (!control->number)
 		for (size_t i = 0;
 		     i < MIN(control->options.n_seeds, JOIN_FANOUT); i++)
 			outbound_digest(context, &control->options.seeds[i]);
 	else
 		exchange_once(context, joining);
-	if (joining)
+	if (control->roster.n < JOIN_MEMBERS)
 		interval_ms = JOIN_INTERVAL_MS;
+	else if (context->now_ms < control->started_ms + JOIN_MS)
+		interval_ms = JOINED_INTERVAL_MS;
 	control->next_exchange_ms =
 		context->now_ms + interval_ms / 2 +
 		(int64_t)random_below(&control->random, (size_t)interval_ms);
@@ -513,6 +533,7 @@
 void control_tick(struct control *control, int64_t now_ms,
 		  struct control_sink *sink)
 {
+	const struct platform_view view = platform_view(control);
 	struct control_context context;
 	struct detector_edge edge;
 	struct sync_out sync;
@@ -525,8 +546,9 @@
 	failure_detector_tick(&control->detector, now_ms, &edge.out);
 	gossip_step(&context);
 	exchange_step(&context);
-	platform_sync_tick(&control->platform, &control->roster, now_ms,
-			   &sync.out);
+	platform_sync_tick(&control->platform, &view, now_ms, &sync.out);
+	if (config_store_tick(&control->config, now_ms))
+		inbound_config_changed(&context);
 }
 
 int64_t control_next_deadline(const struct control *control)
@@ -535,6 +557,7 @@
 
 	next = MIN(next, failure_detector_next_deadline(&control->detector));
 	next = MIN(next, platform_sync_next_deadline(&control->platform));
+	next = MIN(next, config_store_next_deadline(&control->config));
 	if (control->next_push_ms < control->push_until_ms)
 		next = MIN(next, control->next_push_ms);
 	return next;
--- a/include/tarragonflow/control/message.h
+++ b/include/tarragonflow/control/message.h
@@ -84,6 +84,8 @@
 	int64_t config_revision;
 	/** What the sender knows about contacts with the platform. */
 	struct platform_ages ages;
+	/** Release that the receiver had in force before it was restarted. */
+	uint64_t former_release;
 	uint32_t nonce;
 	/** Whom a PING_REQUEST is about; brief. */
 	struct member target;
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -175,10 +175,15 @@
    */
   uint32_t platform_any_age;
   uint32_t platform_watcher_age;
+  /*
+   * Release that the receiver had in force before it was started again, as
+   * the sender remembers; 0 for none.
+   */
+  uint64_t former_release;
 };
 #define CONTROL__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__message__descriptor) \
-    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0,NULL, NULL, 0, 0 }
+    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0,NULL, NULL, 0, 0, 0 }
 
 
 /* Control__Member methods */
