Admin documents and page, fuzz targets, man pages, operations, install

Operators could only read counters and a list of members, nothing told where a connection would go, malformed input was met by tables of cases only, and there were no pages to install.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 BUILD = build
-.PHONY: all install-packages demo demo-tcp check bench format lint clean
+.PHONY: all install-packages demo demo-tcp check bench fuzz install format lint clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -23,6 +23,14 @@
 bench: all
 	BENCH_JSON=$(BUILD)/bench.json $(BUILD)/bench/bench
 
+install: all
+	DESTDIR="$(DESTDIR)" meson install -C $(BUILD) --no-rebuild
+
+FUZZ_SECONDS = 10
+
+fuzz: install-packages
+	tools/fuzz $(FUZZ_SECONDS)
+
 format:
 	tools/format
 
--- a/admin/admin.c
+++ b/admin/admin.c
@@ -1,10 +1,20 @@
 #include "tarragonflow/admin/admin.h"
 
 #include <civetweb.h>
+#include <signal.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "page.h"
+
+#define LEAVE_PATH "/v1/leave"
 #define HTTP_OK 200
+#define HTTP_ACCEPTED 202
+#define HTTP_BAD_REQUEST 400
+#define HTTP_UNAUTHORIZED 401
+#define HTTP_METHOD 405
 #define HTTP_UNAVAILABLE 503
 
 static int answer(struct mg_connection *conn, int code, const char *type,
@@ -27,14 +37,19 @@
 static int handle_ready(struct mg_connection *conn, void *user)
 {
 	struct node *node = user;
-	int64_t release;
+	const char *reason = NULL;
 
 	pthread_mutex_lock(&node->lock);
-	release = node->control.config.manifest.release;
+	if (!node->control.config.manifest.release)
+		reason = "no configuration\n";
+	else if (control_stale(&node->control))
+		reason = "was paused; waits for a peer\n";
+	else if (atomic_load(&node->wanted_state) != MEMBER_ACTIVE)
+		reason = "leaving\n";
 	pthread_mutex_unlock(&node->lock);
-	if (!release)
+	if (reason)
 		return answer(conn, HTTP_UNAVAILABLE, "text/plain",
-			      str_from("no configuration\n"));
+			      str_from(reason));
 	return answer(conn, HTTP_OK, "text/plain", str_from("ready\n"));
 }
 
@@ -61,57 +76,109 @@
 	return code;
 }
 
-static json_t *member_json(const struct member *member)
+static int answer_json(struct mg_connection *conn, int code, json_t *root)
 {
-	char data[ENDPOINT_TEXT_MAX], control[ENDPOINT_TEXT_MAX];
-	char admin[ENDPOINT_TEXT_MAX];
-
-	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:s,s:s}",
-			 "name", member->name.data, "role",
-			 member_role_name(member->role), "zone",
-			 member->zone.data, "service", member->service.data,
-			 "state", member_state_name(member->state), "instance",
-			 (json_int_t)member->instance, "sequence",
-			 (json_int_t)member->sequence, "release",
-			 (json_int_t)member->config_revision, "data",
-			 endpoint_format(&member->data, data), "control",
-			 endpoint_format(&member->control, control), "admin",
-			 endpoint_format(&member->admin, admin));
+	char *text = json_dumps(root, JSON_INDENT(2));
+
+	answer(conn, code, "application/json", str_from(text));
+	free(text);
+	json_decref(root);
+	return code;
 }
 
-json_t *admin_status_json(struct node *node)
+static int handle_status(struct mg_connection *conn, void *user)
 {
-	json_t *members = json_array();
-	json_t *root;
+	return answer_json(conn, HTTP_OK, admin_status_json(user));
+}
 
-	pthread_mutex_lock(&node->lock);
-	for (size_t i = 0; i < node->control.roster.n; i++)
-		json_array_append_new(
-			members, member_json(&node->control.roster.members[i]));
-	root = json_pack(
-		"{s:s,s:s,s:I,s:I,s:o}", "name", node->settings->name.data,
-		"deployment", node->settings->deployment.data, "release",
-		(json_int_t)node->control.config.manifest.release,
-		"connections", (json_int_t)atomic_load(&node->open_connections),
-		"members", members);
-	pthread_mutex_unlock(&node->lock);
-	return root;
+static int handle_overview(struct mg_connection *conn, void *user)
+{
+	return answer_json(conn, HTTP_OK, admin_overview_json(user));
 }
 
-static int handle_status(struct mg_connection *conn, void *user)
+static int handle_chain(struct mg_connection *conn, void *user)
 {
-	json_t *root = admin_status_json(user);
-	char *text = json_dumps(root, JSON_INDENT(2));
-	int code = answer(conn, HTTP_OK, "application/json", str_from(text));
+	const char *query = mg_get_request_info(conn)->query_string;
+	size_t len = query ? strlen(query) : 0;
+	char src[ADMIN_ADDRESS_MAX] = "", dst[ADMIN_ADDRESS_MAX] = "";
+	struct flow_key key = {0};
+
+	mg_get_var(query ? query : "", len, "src", src, sizeof(src));
+	mg_get_var(query ? query : "", len, "dst", dst, sizeof(dst));
+	if (!admin_parse_side(src, &key.src, &key.src_port) ||
+	    !admin_parse_side(dst, &key.dst, &key.dst_port))
+		return answer(conn, HTTP_BAD_REQUEST, "text/plain",
+			      str_from("src and dst: needed as a.b.c.d:port or "
+				       "[address]:port\n"));
+	return answer_json(conn, HTTP_OK, admin_chain_json(user, &key));
+}
 
-	free(text);
-	json_decref(root);
-	return code;
+static int handle_page(struct mg_connection *conn, void *user)
+{
+	(void)user;
+	return answer(conn, HTTP_OK, "text/html; charset=utf-8",
+		      str_from(admin_page));
+}
+
+/* Begins to leave, as SIGTERM does. */
+static int handle_leave(struct mg_connection *conn, void *user)
+{
+	(void)user;
+	kill(getpid(), SIGTERM);
+	return answer(conn, HTTP_ACCEPTED, "text/plain", str_from("leaving\n"));
+}
+
+bool admin_token_matches(const struct json_text *token, const char *header)
+{
+	static const char scheme[] = "Bearer ";
+	size_t skip = sizeof(scheme) - 1;
+
+	return token->len && header && !strncmp(header, scheme, skip) &&
+	       strlen(header + skip) == token->len &&
+	       !sodium_memcmp(header + skip, token->data, token->len);
+}
+
+/* Whatever isn't read-only needs the token; runs before all handlers. */
+static int check_access(struct mg_connection *conn)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	const struct node *node = info->user_data;
+	bool post = !strcmp(info->request_method, "POST");
+
+	if (!strcmp(info->request_method, "GET") ||
+	    !strcmp(info->request_method, "HEAD")) {
+		if (strcmp(info->local_uri, LEAVE_PATH) != 0)
+			return 0;
+		return answer(conn, HTTP_METHOD, "text/plain",
+			      str_from("POST only\n"));
+	}
+	if (!admin_token_matches(&node->settings->admin_token,
+				 mg_get_header(conn, "Authorization")))
+		return answer(conn, HTTP_UNAUTHORIZED, "text/plain",
+			      str_from("the admin token is needed\n"));
+	if (post && !strcmp(info->local_uri, LEAVE_PATH))
+		return 0;
+	return answer(conn, HTTP_METHOD, "text/plain", str_from("read-only\n"));
 }
 
+static const struct {
+	const char *path;
+	mg_request_handler handle;
+} routes[] = {
+	{"/$", handle_page},
+	{"/healthz$", handle_health},
+	{"/readyz$", handle_ready},
+	{"/metrics$", handle_metrics},
+	{"/v1/status$", handle_status},
+	{"/v1/overview$", handle_overview},
+	{"/v1/chain$", handle_chain},
+	{LEAVE_PATH "$", handle_leave},
+};
+
 enum status_code admin_start(struct admin *admin, struct node *node,
 			     struct status *status)
 {
+	struct mg_callbacks callbacks = {0};
 	char port[ENDPOINT_TEXT_MAX];
 	const char *options[] = {
 		"listening_ports",
@@ -125,17 +192,14 @@
 
 	memset(admin, 0, sizeof(*admin));
 	admin->node = node;
-	admin->context = mg_start(NULL, node, options);
+	callbacks.begin_request = check_access;
+	admin->context = mg_start(&callbacks, node, options);
 	if (!admin->context)
 		return status_set(status, STATUS_IO,
 				  "cannot listen on admin address %s", port);
-	mg_set_request_handler(admin->context, "/healthz$", handle_health,
-			       node);
-	mg_set_request_handler(admin->context, "/readyz$", handle_ready, node);
-	mg_set_request_handler(admin->context, "/metrics$", handle_metrics,
-			       node);
-	mg_set_request_handler(admin->context, "/v1/status$", handle_status,
-			       node);
+	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
+		mg_set_request_handler(admin->context, routes[i].path,
+				       routes[i].handle, node);
 	return STATUS_OK;
 }
 
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -44,6 +44,8 @@
 	_Atomic bool stop;
 	/** Connections that are open here, for the admin API. */
 	_Atomic uint32_t open_connections;
+	/** Connections that admission allows now; agents only. */
+	_Atomic uint32_t connection_limit;
 	pthread_t control_thread;
 	uint64_t instance;
 };
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -19,6 +19,8 @@
 	struct endpoint data;
 	struct endpoint control;
 	struct endpoint admin;
+	/** Empty: nothing that isn't read-only is allowed. */
+	struct json_text admin_token;
 	struct json_text platform;
 	struct endpoint seeds[CONTROL_SEEDS_MAX];
 	size_t n_seeds;
--- a/include/tarragonflow/platform/http_platform.h
+++ b/include/tarragonflow/platform/http_platform.h
@@ -29,4 +29,7 @@
  */
 void http_platform_cancel(struct http_platform *http);
 
+/** Reads the @body of a good answer into @result. */
+void http_platform_parse(struct platform_result *result, struct str body);
+
 #endif
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -197,6 +197,7 @@
 		agent_drain(&duty->agent);
 	agent_tick(&duty->agent, clock_now(&duty->node->clock), &duty->sink);
 	atomic_store(&duty->node->open_connections, agent_open(&duty->agent));
+	atomic_store(&duty->node->connection_limit, duty->agent.admit.limit);
 }
 
 static void *packet_thread(void *arg)
--- a/node/settings.c
+++ b/node/settings.c
@@ -14,6 +14,9 @@
 #define MTU_MAX 9000
 #define DRAIN_DEADLINE_MAX_S (7 * 24 * 3600)
 
+/* 127.0.0.1:4703 */
+static const struct endpoint admin_default = {0x7f000001, 4703};
+
 static const char *const log_levels[] = {"debug", "info", "warn", "error",
 					 NULL};
 
@@ -47,8 +50,13 @@
 	{.name = "admin",
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, admin),
-	 .required = true,
 	 .help = "TCP address of the admin API"},
+	{.name = "admin_token",
+	 .type = FIELD_TEXT,
+	 .offset = offsetof(struct settings, admin_token),
+	 .min = 16,
+	 .max = 128,
+	 .help = "token for what is not read-only; none: not allowed"},
 	{.name = "platform",
 	 .type = FIELD_TEXT,
 	 .offset = offsetof(struct settings, platform),
@@ -233,6 +241,8 @@
 	json_reader_object(root, "", fields, n, settings, errors);
 	if (!json_is_object(root))
 		return;
+	if (!json_object_get(root, "admin"))
+		settings->admin = admin_default;
 	read_seeds(settings, root, errors);
 	keyring_read(&settings->control_keys, root, "control_keys", errors);
 	keyring_read(&settings->data_keys, root, "data_keys", errors);
--- /dev/null
+++ b/tarragonflow/completion/tarragonflow.bash
@@ -0,0 +1,31 @@
+# Completion of tarragonflow for bash.
+_tarragonflow () {
+	local word=${COMP_WORDS[COMP_CWORD]}
+	local options=
+
+	if test "$COMP_CWORD" = 1
+	then
+		COMPREPLY=($(compgen -W "balancer agent check apply status \
+			wait dump --help --version" -- "$word"))
+		return
+	fi
+	case ${COMP_WORDS[1]} in
+	balancer)
+		options="--help --settings" ;;
+	agent)
+		options="--help --settings" ;;
+	check)
+		options="--help --settings" ;;
+	apply)
+		options="--help --platform" ;;
+	status)
+		options="--help --admin --json --watch" ;;
+	wait)
+		options="--help --admin --release --timeout" ;;
+	dump)
+		options="--help --platform" ;;
+	esac
+	COMPREPLY=($(compgen -W "$options" -- "$word") \
+		$(compgen -f -- "$word"))
+}
+complete -o filenames -F _tarragonflow tarragonflow
