--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 BUILD = build
-.PHONY: all capacity install-packages demo demo-tcp check bench format lint clean
+.PHONY: all capacity install-packages demo demo-tcp check bench fuzz install \
+	format lint clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -27,6 +28,14 @@
 capacity:
 	tools/capacity
 
+install: all
+	DESTDIR="$(DESTDIR)" meson install -C $(BUILD) --no-rebuild
+
+FUZZ_SECONDS = 10
+
+fuzz: install-packages
+	tools/fuzz $(FUZZ_SECONDS)
+
 format:
 	tools/format
 
