--- a/include/tarragonflow/node/packet_duty.h
+++ b/include/tarragonflow/node/packet_duty.h
@@ -16,6 +16,8 @@
 	struct node *node;
 	pthread_t thread;
 	struct view *view;
+	/** When the duty ran last, and when it woke from a pause last, ms. */
+	int64_t ran_ms, woke_ms;
 	/** Datagrams from and to our other processes. */
 	int data_fd;
 	/** The TUN form of the fabric's side; its fd is -1 without one. */
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -151,6 +151,29 @@
 		balancer_handle(&duty->balancer, data, len, &duty->sink);
 }
 
+/*
+ * After a pause the views may be old until the control duty has heard from a
+ * peer. To be asked before the views are taken.
+ */
+static bool views_stale(struct packet_duty *duty)
+{
+	int64_t now_ms = clock_now(&duty->node->clock);
+
+	if (now_ms - duty->ran_ms >= CONTROL_PAUSE_MS)
+		duty->woke_ms = now_ms;
+	duty->ran_ms = now_ms;
+	return atomic_load(&duty->node->fresh_ms) < duty->woke_ms;
+}
+
+static void drop_data(struct packet_duty *duty, uint8_t *buf)
+{
+	for (int i = 0; i < BATCH_MAX; i++) {
+		if (udp_receive(duty->data_fd, buf, BUFFER_BYTES, NULL) < 0)
+			return;
+		counter_inc(&duty->node->counters, COUNTER_DROP_STALE);
+	}
+}
+
 static void receive_data(struct packet_duty *duty, uint8_t *buf)
 {
 	int64_t now_ms = clock_now(&duty->node->clock);
@@ -165,7 +188,7 @@
 }
 
 /* Balancers: callers' packets from the TUN form of the fabric. */
-static void receive_fabric(struct packet_duty *duty, uint8_t *buf)
+static void receive_fabric(struct packet_duty *duty, uint8_t *buf, bool stale)
 {
 	ssize_t len;
 
@@ -173,7 +196,11 @@
 		len = duty->fabric.receive(&duty->fabric, buf, BUFFER_BYTES);
 		if (len < 0)
 			return;
-		balancer_handle(&duty->balancer, buf, (size_t)len, &duty->sink);
+		if (stale)
+			counter_inc(&duty->node->counters, COUNTER_DROP_STALE);
+		else
+			balancer_handle(&duty->balancer, buf, (size_t)len,
+					&duty->sink);
 	}
 }
 
@@ -211,20 +238,24 @@
 		{.fd = is_agent(duty) ? duty->server.fd : duty->fabric.fd,
 		 .events = POLLIN},
 	};
+	bool stale;
 
 	while (!atomic_load(&node->stop)) {
 		poll(fds, G_N_ELEMENTS(fds), POLL_MAX_MS);
 		if (fds[1].revents)
 			node_wake_clear(node->wake_packet);
+		stale = views_stale(duty);
 		take_views(duty);
 		take_keys(duty);
-		if (fds[0].revents)
+		if (stale)
+			drop_data(duty, buf);
+		else if (fds[0].revents)
 			receive_data(duty, buf);
 		if (is_agent(duty)) {
 			receive_server(duty, buf);
 			agent_step(duty);
 		} else if (duty->fabric.fd >= 0) {
-			receive_fabric(duty, buf);
+			receive_fabric(duty, buf, stale);
 		}
 	}
 	g_free(buf);
@@ -277,6 +308,7 @@
 {
 	memset(duty, 0, sizeof(*duty));
 	duty->node = node;
+	duty->ran_ms = clock_now(&node->clock);
 	duty->sink.to_peer = send_to_peer;
 	duty->sink.to_server = send_to_server;
 	duty->sink.to_fabric = send_to_fabric;
--- a/tests/scenarios/world_network.c
+++ b/tests/scenarios/world_network.c
@@ -183,6 +183,13 @@
 		       NULL, 0, data, len);
 }
 
+/* As the packet duty judges it: after a pause until a peer has told. */
+static bool views_stale(const struct world_node *node)
+{
+	return node->control.now_ms < node->paused_until_ms ||
+	       control_stale(&node->control);
+}
+
 void world_deliver_data(struct world *world, const struct event *event)
 {
 	struct world_node *node = world_node_at(world, &event->to, false);
@@ -190,7 +197,9 @@
 
 	if (!node || !world_node_runs(node))
 		return;
-	if (node->options.self.role == MEMBER_AGENT)
+	if (views_stale(node))
+		counter_inc(&node->counters, COUNTER_DROP_STALE);
+	else if (node->options.self.role == MEMBER_AGENT)
 		agent_handle_peer(&node->agent, data, event->data.len,
 				  world->now_ms, &node->packet_sink);
 	else
