--- a/bench/bench.h
+++ b/bench/bench.h
@@ -51,11 +51,8 @@
 extern const struct bench_group bench_chains;
 extern const struct bench_group bench_churn;
 extern const struct bench_group bench_route;
-<<<<<<< HEAD
-extern const struct bench_group bench_packets;
-=======
 extern const struct bench_group bench_order;
->>>>>>> main
+extern const struct bench_group bench_packets;
 extern const struct bench_group bench_pipeline;
 extern const struct bench_group bench_flows;
 extern const struct bench_group bench_ring;
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -9,99 +9,6 @@
  * docs/COUNTERS.md says what an operator does about each; a test compares
  * the page with this list.
  */
-<<<<<<< HEAD
-#define COUNTER_LIST(X)                                     \
-	X(PACKET_IN, "packets_received")                    \
-	X(PACKET_FORWARDED, "packets_forwarded")            \
-	X(PACKET_DELIVERED, "packets_delivered_to_server")  \
-	X(PACKET_RETURNED, "packets_returned_to_fabric")    \
-	X(PACKET_HANDED_ON, "packets_handed_on")            \
-	X(OPEN_HANDED_ON, "opens_handed_on")                \
-	X(DROP_MALFORMED, "drop_malformed_packet")          \
-	X(DROP_HEADER, "drop_malformed_header")             \
-	X(DROP_AUTH, "drop_bad_tag")                        \
-	X(DROP_FRAGMENT, "drop_fragment")                   \
-	X(DROP_CHECKSUM, "drop_bad_checksum")               \
-	X(DROP_PROTOCOL, "drop_other_protocol")             \
-	X(DROP_UNSIGNED, "drop_unsigned_packet")            \
-	X(DROP_UNKNOWN_KEY, "drop_unknown_key")             \
-	X(DROP_REPLAYED, "drop_replayed_packet")            \
-	X(DROP_SENDERS_FULL, "drop_sender_table_full")      \
-	X(MSS_CLAMPED, "segment_sizes_lowered")             \
-	X(DROP_NO_CONFIG, "drop_no_configuration")          \
-	X(DROP_NO_SERVICE, "drop_no_such_service")          \
-	X(DROP_NO_MEMBER, "drop_no_backend_server")         \
-	X(DROP_WRONG_SERVICE, "drop_wrong_service")         \
-	X(DROP_WRONG_MEMBER, "drop_wrong_backend_server")   \
-	X(ZONE_OUT_PASSED, "zone_out_handed_on")            \
-	X(DROP_HOPS, "drop_hop_budget")                     \
-	X(DROP_STALE, "drop_stale_view")                    \
-	X(DROP_NO_OWNER, "drop_no_owner")                   \
-	X(DROP_RING_FULL, "drop_ring_full")                 \
-	X(DROP_SEND, "drop_send_failed")                    \
-	X(REFUSE_CONNECTIONS, "refuse_connection_limit")    \
-	X(REFUSE_COLD, "refuse_cold_start")                 \
-	X(REFUSE_DRAINING, "refuse_draining")               \
-	X(REFUSE_TABLE_FULL, "refuse_flow_table_full")      \
-	X(FLOW_OPENED, "flows_opened")                      \
-	X(FLOW_CLOSED, "flows_closed")                      \
-	X(FLOW_EXPIRED, "flows_expired")                    \
-	X(CONTROL_IN, "control_messages_received")          \
-	X(CONTROL_OUT, "control_messages_sent")             \
-	X(CONTROL_BYTES_OUT, "control_bytes_sent")          \
-	X(CONTROL_DROP_MALFORMED, "control_drop_malformed") \
-	X(CONTROL_DROP_AUTH, "control_drop_bad_tag")        \
-	X(CONTROL_DROP_REPLAY, "control_drop_replayed")     \
-	X(CONTROL_DROP_OLD, "control_drop_old_instance")    \
-	X(CONTROL_DROP_OWN_NAME, "control_drop_own_name")   \
-	X(CONTROL_DELAYED, "control_delayed_by_budget")     \
-	X(GOSSIP_FULL, "gossip_queue_full")                 \
-	X(MEMBER_SUSPECTED, "members_suspected")            \
-	X(MEMBER_DECLARED_DEAD, "members_declared_dead")    \
-	X(SUSPICION_REFUTED, "suspicions_refuted")          \
-	X(ZONE_REPORTED, "zone_losses_reported")            \
-	X(PAUSE_DETECTED, "pauses_detected")                \
-	X(CONFIG_APPLIED, "config_applied")                 \
-	X(CONFIG_OLDER_IGNORED, "config_older_ignored")     \
-	X(CONFIG_HELD, "config_held")                       \
-	X(CONFIG_PULLED, "config_pulled")                   \
-	X(CONFIG_PULL_FAILED, "config_pull_failed")         \
-	X(PLATFORM_GET, "platform_calls_get")               \
-	X(PLATFORM_LIST, "platform_calls_list")             \
-	X(PLATFORM_PUT, "platform_calls_put")               \
-	X(PLATFORM_DELETE, "platform_calls_delete")         \
-	X(PLATFORM_WATCH, "platform_calls_watch")           \
-	X(PLATFORM_FAILED, "platform_calls_failed")         \
-	X(HINT_SENT, "owner_hints_sent")                    \
-	X(HINT_RECEIVED, "owner_hints_received")            \
-	X(HINT_USED, "owner_hints_used")                    \
-	X(LOAD_SENT, "load_notices_sent")                   \
-	X(CHAIN_RESOLVED, "chains_resolved_again")          \
-	X(OPEN_PLACED, "opens_placed_by_load")              \
-	X(OPEN_REPEATED, "opens_repeated")                  \
-	X(OPEN_LOST_RACE, "opens_lost_race")                \
-	X(STALE_INSTANCE, "stale_instance")                 \
-	X(DROP_SEARCH_LIMIT, "drop_search_limit")           \
-	X(DROP_OPEN_UNSURE, "drop_open_unsure")             \
-	X(DROP_LATE, "drop_late_open")                      \
-	X(REFUSE_NO_ROOM, "refuse_no_room")                 \
-	X(REFUSE_SERVER_DOWN, "refuse_server_down")         \
-	X(REFUSE_BY_SERVER, "refuse_by_server")             \
-	X(TURNED_COLD, "turned_cold")                       \
-	X(FLOW_TAKEN_OVER, "flows_taken_over")              \
-	X(FLOW_EVICTED, "flows_evicted")                    \
-	X(PLATFORM_CONFLICT, "platform_conflicts")          \
-	X(PLATFORM_RETRY_DOWN, "platform_retry_no_answer")  \
-	X(PLATFORM_RETRY_RACED, "platform_retry_conflict")  \
-	X(PLATFORM_RETRY_UNKNOWN, "platform_retry_unknown") \
-	X(PLATFORM_RETRY_GONE, "platform_retry_gone")       \
-	X(PLATFORM_RETRY_EXPIRED, "platform_retry_expired") \
-	X(PLATFORM_RETRY_NO_NEWS, "platform_retry_no_news") \
-	X(PLATFORM_RETRY_BUDGET, "platform_retry_budget")   \
-	X(PLATFORM_LATE_RESULT, "platform_late_results")    \
-	X(PLATFORM_WRITE_FOUND, "platform_writes_found")    \
-	X(ROSTER_SHARD_WRITTEN, "roster_shards_written")
-=======
 #define COUNTER_LIST(X)                                            \
 	X(PACKET_IN, "packets_received")                           \
 	X(PACKET_FORWARDED, "packets_forwarded")                   \
@@ -112,6 +19,14 @@
 	X(DROP_MALFORMED, "drop_malformed_packet")                 \
 	X(DROP_HEADER, "drop_malformed_header")                    \
 	X(DROP_AUTH, "drop_bad_tag")                               \
+	X(DROP_FRAGMENT, "drop_fragment")                          \
+	X(DROP_CHECKSUM, "drop_bad_checksum")                      \
+	X(DROP_PROTOCOL, "drop_other_protocol")                    \
+	X(DROP_UNSIGNED, "drop_unsigned_packet")                   \
+	X(DROP_UNKNOWN_KEY, "drop_unknown_key")                    \
+	X(DROP_REPLAYED, "drop_replayed_packet")                   \
+	X(DROP_SENDERS_FULL, "drop_sender_table_full")             \
+	X(MSS_CLAMPED, "segment_sizes_lowered")                    \
 	X(DROP_NO_CONFIG, "drop_no_configuration")                 \
 	X(DROP_NO_SERVICE, "drop_no_such_service")                 \
 	X(DROP_NO_MEMBER, "drop_no_backend_server")                \
@@ -212,7 +127,6 @@
 	X(CLAIM_TAKEN, "claims_not_granted")                       \
 	X(CLAIM_ANSWER_LATE, "claim_answers_late")                 \
 	X(HOMES_CHANGED, "home_lists_adopted")
->>>>>>> main
 
 enum counter_id {
 #define COUNTER_ENUM(id, name) COUNTER_##id,
