--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -31,7 +31,6 @@
 	X(DROP_NO_SERVICE, "drop_no_such_service")                 \
 	X(DROP_NO_MEMBER, "drop_no_backend_server")                \
 	X(DROP_WRONG_SERVICE, "drop_wrong_service")                \
-	X(DROP_WRONG_MEMBER, "drop_wrong_backend_server")          \
 	X(ZONE_OUT_PASSED, "zone_out_handed_on")                   \
 	X(DROP_HOPS, "drop_hop_budget")                            \
 	X(DROP_STALE, "drop_stale_view")                           \
@@ -126,6 +125,8 @@
 	X(CLAIM_GRANTED, "claims_granted")                         \
 	X(CLAIM_TAKEN, "claims_not_granted")                       \
 	X(CLAIM_ANSWER_LATE, "claim_answers_late")                 \
+	X(STRAY_PASSED, "stray_handed_on")                         \
+	X(DROP_OPEN_WARMING, "drop_open_warming")                  \
 	X(HOMES_CHANGED, "home_lists_adopted")
 
 enum counter_id {
