--- a/tests/unit/test_agent_packets.c
+++ b/tests/unit/test_agent_packets.c
@@ -155,6 +155,7 @@
 /* Wraps the packet of @len bytes at @data in a "too big" error. */
 static size_t wrap_in_icmp(uint8_t *data, size_t len)
 {
+	static const uint8_t router[4] = {192, 0, 2, 9};
 	uint8_t quoted[128];
 	size_t total = 28 + len;
 
@@ -164,7 +165,7 @@
 	data[0] = 0x45;
 	data[3] = (uint8_t)total;
 	data[9] = 1;
-	memcpy(data + 12, "\xc0\x00\x02\x09", 4);
+	memcpy(data + 12, router, sizeof(router));
 	memcpy(data + 16, quoted + 12, 4);
 	put_checksum(data + 10, checksum(data, 20));
 	data[20] = 3;
