--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 #include <stdio.h>
 
-#include "tarragonflow/common/clock.h"
+#include "tarragonflow/manifest/manifest_object.h"
 
 /* What the platform core does with the results of its calls. */
 
@@ -62,12 +62,23 @@
 					      random_next(&sync->random));
 }
 
+static void offer_manifest(struct str value, struct platform_sync_out *out)
+{
+	struct manifest_object object;
+
+	manifest_object_init(&object);
+	if (manifest_object_read(&object, value))
+		out->config(out, strbuf_str(&object.manifest));
+	manifest_object_finish(&object);
+}
+
 static void offer_objects(const struct platform_result *result,
 			  struct platform_sync_out *out)
 {
 	for (size_t i = 0; i < result->n_objects; i++)
 		if (!result->objects[i].deleted)
-			out->config(out, strbuf_str(&result->objects[i].value));
+			offer_manifest(strbuf_str(&result->objects[i].value),
+				       out);
 }
 
 static void take_watch(struct platform_sync *sync,
@@ -92,7 +103,8 @@
 
 static void take_config(struct platform_sync *sync,
 			const struct platform_result *result,
-			enum platform_task task, int64_t now_ms,
+			enum platform_task task,
+			const struct platform_view *view, int64_t now_ms,
 			struct platform_sync_out *out)
 {
 	enum status_code code = result->status.code;
@@ -110,8 +122,11 @@
 		sync->watch.next_ms = now_ms;
 	}
 	/* Nobody else reaches the platform: stay with it for a while. */
-	if (sync->probe_ms != CLOCK_NEVER && !sync->chosen)
+	if (!sync->chosen && now_ms >= sync->acting_until_ms &&
+	    platform_watchers_fail(sync, view->roster, now_ms)) {
 		sync->acting_until_ms = now_ms + ACTING_MS;
+		sync->config.next_ms = now_ms;
+	}
 	offer_objects(result, out);
 }
 
@@ -142,9 +157,7 @@
 	}
 	for (size_t i = 0; i < result->n_objects; i++)
 		offer_members(&result->objects[i], view->roster, out);
-	/* Who was found gets the time to answer. */
-	if (result->n_objects ||
-	    sync->pages_read == (1u << ROSTER_SHARD_PAGES) - 1)
+	if (sync->pages_read == PAGES_ALL)
 		sync->pages.next_ms =
 			now_ms + backoff_next(&sync->pages.backoff,
 					      random_next(&sync->random));
@@ -216,7 +229,7 @@
 		break;
 	case TASK_LIST_CONFIG:
 	case TASK_READ_CONFIG:
-		take_config(sync, result, task, now_ms, out);
+		take_config(sync, result, task, view, now_ms, out);
 		break;
 	case TASK_LIST_ROSTER:
 		take_pages(sync, result, view, now_ms, out);
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -89,6 +89,8 @@
 	int64_t heard_ms;
 	/** We are one of the watchers of our zone. */
 	bool chosen;
+	/** No live member of the other role is known. */
+	bool alone;
 	int64_t next_choice_ms;
 	/** We watch until then although not chosen, ms. */
 	int64_t acting_until_ms;
