--- a/tarragonflow/completion/tarragonflow.bash
+++ b/tarragonflow/completion/tarragonflow.bash
@@ -17,7 +17,7 @@
 	check)
 		options="--help --settings" ;;
 	apply)
-		options="--help --platform" ;;
+		options="--help --platform --by" ;;
 	status)
 		options="--help --admin --json --watch" ;;
 	wait)
