--- a/flow/agent.c
+++ b/flow/agent.c
@@ -361,12 +361,28 @@
 	handle_open(agent, header, packet, now_ms, sink);
 }
 
+/* The error quotes a segment of the server's, which must be a recent one. */
+static void handle_icmp(struct agent *agent, const struct flow *flow,
+			struct packet_header *header,
+			const struct inner_packet *packet, int64_t now_ms,
+			struct packet_sink *sink)
+{
+	if (flow && seq_near(packet->seq, flow->server_seq))
+		deliver(agent, packet, sink);
+	else
+		agent_pass_on(agent, header, packet, now_ms, sink);
+}
+
 static void handle_flow(struct agent *agent, struct packet_header *header,
 			const struct inner_packet *packet, int64_t now_ms,
 			struct packet_sink *sink)
 {
 	struct flow *flow = flow_table_find(&agent->flows, &packet->key);
 
+	if (packet->icmp) {
+		handle_icmp(agent, flow, header, packet, now_ms, sink);
+		return;
+	}
 	switch (flow ? claim(flow, packet) : CLAIM_FOREIGN) {
 	case CLAIM_OURS:
 		handle_ours(agent, flow, header, packet, now_ms, sink);
@@ -442,7 +458,7 @@
 	struct inner_packet packet;
 
 	if (!inner_parse(&packet, data, len)) {
-		count(agent, COUNTER_DROP_MALFORMED);
+		count(agent, inner_drop_reason(&packet));
 		return;
 	}
 	if (!to_our_service(agent, &packet)) {
@@ -548,6 +564,15 @@
 	note_restart(agent, flow, packet, now_ms);
 }
 
+static void track_server(struct agent *agent, struct flow *flow,
+			 const struct inner_packet *packet, int64_t now_ms)
+{
+	note_answer(agent, flow, packet, now_ms);
+	if (!(packet->flags & TCP_RST))
+		seq_advance(&flow->server_seq, seq_after(packet));
+	flow_track(agent, flow, packet->flags, FLOW_SERVER_FIN, now_ms);
+}
+
 void agent_handle_server(struct agent *agent, const uint8_t *data, size_t len,
 			 int64_t now_ms, struct packet_sink *sink)
 {
@@ -556,7 +581,7 @@
 	struct flow *flow;
 
 	if (!inner_parse(&packet, data, len)) {
-		count(agent, COUNTER_DROP_MALFORMED);
+		count(agent, inner_drop_reason(&packet));
 		return;
 	}
 	flow_key_reverse(&key, &packet.key);
@@ -567,10 +592,8 @@
 	}
 	if (take_refusal(agent, flow, &packet, now_ms))
 		return;
-	note_answer(agent, flow, &packet, now_ms);
-	if (!(packet.flags & TCP_RST))
-		seq_advance(&flow->server_seq, seq_after(&packet));
-	flow_track(agent, flow, packet.flags, FLOW_SERVER_FIN, now_ms);
+	if (!packet.icmp)
+		track_server(agent, flow, &packet, now_ms);
 	count(agent, COUNTER_PACKET_RETURNED);
 	sink->to_fabric(sink, data, len);
 }
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -46,6 +46,8 @@
 	_Atomic int64_t fresh_ms;
 	/** Connections that are open here, for the admin API. */
 	_Atomic uint32_t open_connections;
+	/** Connections that admission allows now; agents only. */
+	_Atomic uint32_t connection_limit;
 	pthread_t control_thread;
 	uint64_t instance;
 };
@@ -73,10 +75,16 @@
 /** Gives a replaced view back to be freed. */
 void node_retire_view(struct node *node, struct view *view);
 
-/** Blocks until SIGTERM or SIGINT, which must be blocked already. */
-void node_wait_signal(void);
+/**
+ * Blocks until a signal: true for SIGHUP, which asks for a reload, false for
+ * SIGTERM and SIGINT. They must be blocked already.
+ */
+bool node_wait_signal(void);
+
+/** True when a SIGHUP waits, which this takes; for roles that are leaving. */
+bool node_reload_pending(void);
 
-/** Blocks SIGTERM and SIGINT; call before any thread starts. */
+/** Blocks these signals; call before any thread starts. */
 void node_block_signals(void);
 
 #endif
--- a/node/node.c
+++ b/node/node.c
@@ -331,24 +331,39 @@
 		view_free(view);
 }
 
+static void role_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+	sigaddset(set, SIGHUP);
+}
+
 void node_block_signals(void)
 {
 	sigset_t set;
 
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
+	role_signals(&set);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	signal(SIGPIPE, SIG_IGN);
 }
 
-void node_wait_signal(void)
+bool node_wait_signal(void)
 {
 	sigset_t set;
 	int signo;
 
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
+	role_signals(&set);
 	sigwait(&set, &signo);
+	return signo == SIGHUP;
+}
+
+bool node_reload_pending(void)
+{
+	const struct timespec none = {0};
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGHUP);
+	return sigtimedwait(&set, NULL, &none) == SIGHUP;
 }
--- a/node/settings.c
+++ b/node/settings.c
@@ -4,13 +4,20 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "tarragonflow/net/tun.h"
+
 #define PATH_MAX_BYTES 64
 #define LOOPBACK_FIRST_BYTE 127
 #define CONNECTIONS_MAX 1000000
 #define SLOTS_MAX 10000
 #define CONTROL_BYTES_MAX (1024 * 1024)
+#define MTU_MIN 1280
+#define MTU_MAX 9000
 #define DRAIN_DEADLINE_MAX_S (7 * 24 * 3600)
 
+/* 127.0.0.1:4703 */
+static const struct endpoint admin_default = {0x7f000001, 4703};
+
 static const char *const log_levels[] = {"debug", "info", "warn", "error",
 					 NULL};
 
@@ -44,8 +51,13 @@
 	{.name = "admin",
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, admin),
-	 .required = true,
 	 .help = "TCP address of the admin API"},
+	{.name = "admin_token",
+	 .type = FIELD_TEXT,
+	 .offset = offsetof(struct settings, admin_token),
+	 .min = 16,
+	 .max = 128,
+	 .help = "token for what is not read-only; none: not allowed"},
 	{.name = "platform",
 	 .type = FIELD_TEXT,
 	 .offset = offsetof(struct settings, platform),
@@ -67,6 +79,23 @@
 	 .fallback = CONTROL_BYTES_PER_S,
 	 .unit = "bytes/s",
 	 .help = "control bytes that the process sends in a second"},
+	{.name = "data_keys",
+	 .type = FIELD_NESTED,
+	 .help = "keys of data packets; the first signs, all verify"},
+	{.name = "mtu",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, mtu),
+	 .min = MTU_MIN,
+	 .max = MTU_MAX,
+	 .fallback = 1500,
+	 .unit = "bytes",
+	 .help = "largest IP packet on the path between our processes"},
+	{.name = "fabric_tun",
+	 .type = FIELD_TEXT,
+	 .offset = offsetof(struct settings, fabric_tun),
+	 .min = 1,
+	 .max = TUN_NAME_MAX,
+	 .help = "TUN interface towards the fabric, in place of UDP"},
 	{.name = "log_level",
 	 .type = FIELD_CHOICE,
 	 .offset = offsetof(struct settings, log_level),
@@ -85,17 +114,20 @@
 	{.name = "server",
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, server),
-	 .required = true,
 	 .help = "UDP address that takes the server's packets"},
 	{.name = "server_listen",
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, server_listen),
-	 .required = true,
 	 .help = "UDP address for packets from the server"},
+	{.name = "server_tun",
+	 .type = FIELD_TEXT,
+	 .offset = offsetof(struct settings, server_tun),
+	 .min = 1,
+	 .max = TUN_NAME_MAX,
+	 .help = "TUN interface towards the server, in place of UDP"},
 	{.name = "fabric",
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, fabric),
-	 .required = true,
 	 .help = "UDP address of the fabric for answers"},
 	{.name = "connections",
 	 .type = FIELD_INT,
@@ -194,6 +226,28 @@
 			endpoint_format(&settings->handover, text));
 }
 
+static void need_endpoint(const struct endpoint *endpoint, const char *name,
+			  const struct json_text *tun, const char *tun_name,
+			  struct json_errors *errors)
+{
+	if (!endpoint->port && !tun->len)
+		json_errors_add(errors, name,
+				"found nothing usable, needed unless %s is set",
+				tun_name);
+}
+
+/* Each edge is UDP or TUN. */
+static void check_edges(const struct settings *settings,
+			struct json_errors *errors)
+{
+	need_endpoint(&settings->server, "server", &settings->server_tun,
+		      "server_tun", errors);
+	need_endpoint(&settings->server_listen, "server_listen",
+		      &settings->server_tun, "server_tun", errors);
+	need_endpoint(&settings->fabric, "fabric", &settings->fabric_tun,
+		      "fabric_tun", errors);
+}
+
 void settings_read(struct settings *settings, enum member_role role,
 		   const json_t *root, struct json_errors *errors)
 {
@@ -206,10 +260,15 @@
 	json_reader_object(root, "", fields, n, settings, errors);
 	if (!json_is_object(root))
 		return;
+	if (!json_object_get(root, "admin"))
+		settings->admin = admin_default;
 	read_seeds(settings, root, errors);
 	keyring_read(&settings->control_keys, root, "control_keys", errors);
+	keyring_read(&settings->data_keys, root, "data_keys", errors);
 	check_platform(settings, errors);
 	check_handover(settings, errors);
+	if (role == MEMBER_AGENT)
+		check_edges(settings, errors);
 }
 
 enum status_code settings_load(struct settings *settings, enum member_role role,
--- a/tarragonflow/commands/agent.c
+++ b/tarragonflow/commands/agent.c
@@ -29,20 +29,30 @@
 	_exit(sent ? 0 : status_exit_code(STATUS_IO));
 }
 
+/* A successor may come at any time, also while we drain. */
+static void hand_over_if_asked(struct role *role)
+{
+	if (role->settings.handover.port &&
+	    atomic_load(&role->handover.requested))
+		agent_hand_over(role);
+}
+
 static void agent_leave(struct role *role)
 {
 	int64_t deadline = clock_now(&role->node.clock) +
 			   role->settings.drain_deadline_s * 1000;
 
-	if (role->settings.handover.port &&
-	    atomic_load(&role->handover.requested))
-		agent_hand_over(role);
+	hand_over_if_asked(role);
 	atomic_store(&role->duty.drain, true);
 	node_set_state(&role->node, MEMBER_DRAINING);
 	clock_sleep(FAREWELL_MS);
 	while (atomic_load(&role->node.open_connections) &&
-	       clock_now(&role->node.clock) < deadline)
+	       clock_now(&role->node.clock) < deadline) {
+		hand_over_if_asked(role);
+		if (node_reload_pending())
+			role_reload_keys(role);
 		clock_sleep(STEP_MS);
+	}
 	log_event(LOG_LEVEL_INFO, "drained", "connections_left=%u",
 		  atomic_load(&role->node.open_connections));
 	node_set_state(&role->node, MEMBER_LEFT);
--- a/tarragonflow/commands/run_role.c
+++ b/tarragonflow/commands/run_role.c
@@ -3,6 +3,29 @@
 #include "tarragonflow/admin/admin.h"
 #include "tarragonflow/common/log.h"
 
+void role_reload_keys(struct role *role)
+{
+	struct settings fresh;
+	struct status status;
+
+	status_init(&status);
+	if (settings_load(&fresh, role->settings.role, role->path, &status) !=
+	    STATUS_OK) {
+		log_event(LOG_LEVEL_ERROR, "reload-refused", "reason=\"%s\"",
+			  status.message);
+		return;
+	}
+	packet_duty_set_keys(&role->duty, &fresh.data_keys);
+	pthread_mutex_lock(&role->node.lock);
+	control_set_keys(&role->node.control, &fresh.control_keys);
+	pthread_mutex_unlock(&role->node.lock);
+	log_event(LOG_LEVEL_INFO, "keys-reloaded",
+		  "data_keys=%zu control_keys=%zu", fresh.data_keys.n,
+		  fresh.control_keys.n);
+	keyring_finish(&fresh.data_keys);
+	keyring_finish(&fresh.control_keys);
+}
+
 static enum status_code run_duties(struct role *role,
 				   void (*leave)(struct role *role),
 				   struct status *status)
@@ -25,7 +48,8 @@
 		  role->settings.name.data,
 		  member_role_name(role->settings.role),
 		  role->settings.zone.data);
-	node_wait_signal();
+	while (node_wait_signal())
+		role_reload_keys(role);
 	log_event(LOG_LEVEL_INFO, "leaving", "name=%s",
 		  role->settings.name.data);
 	leave(role);
@@ -58,18 +82,20 @@
 	if (!path)
 		return status_set(status, STATUS_USAGE,
 				  "--settings FILE is missing");
-	settings_load(&role.settings, member_role, path, status);
+	role.path = path;
+	if (settings_load(&role.settings, member_role, path, status) ==
+	    STATUS_OK) {
+		node_block_signals();
+		log_init((enum log_level)role.settings.log_level);
+		strbuf_init(&role.inherited);
+		if (role.settings.handover.port)
+			handover_fetch(&role.settings.handover,
+				       &role.inherited);
+		if (node_init(&role.node, &role.settings, status) == STATUS_OK)
+			run_duties(&role, leave, status);
+		strbuf_finish(&role.inherited);
+		log_finish();
+	}
 	g_free(path);
-	if (status->code != STATUS_OK)
-		return status->code;
-	node_block_signals();
-	log_init((enum log_level)role.settings.log_level);
-	strbuf_init(&role.inherited);
-	if (role.settings.handover.port)
-		handover_fetch(&role.settings.handover, &role.inherited);
-	if (node_init(&role.node, &role.settings, status) == STATUS_OK)
-		run_duties(&role, leave, status);
-	strbuf_finish(&role.inherited);
-	log_finish();
 	return status->code;
 }
--- a/tarragonflow/commands/run_role.h
+++ b/tarragonflow/commands/run_role.h
@@ -7,6 +7,8 @@
 
 /** A running balancer or agent. */
 struct role {
+	/** File of the settings, read again for new keys on SIGHUP. */
+	const char *path;
 	struct settings settings;
 	struct node node;
 	struct packet_duty duty;
@@ -25,4 +27,7 @@
 			  void (*leave)(struct role *role), int argc,
 			  char **argv, struct status *status);
 
+/** Takes the keys from the settings file; all else keeps its value. */
+void role_reload_keys(struct role *role);
+
 #endif
