Pull configurations side by side

Cause: a pull over TCP that met losses held up the next one for a second, so that one of 13 to 15 releases took over 4 s where only one process reached the platform and 30% of control messages were lost. Ruled out: the byte budget (typical releases take 1 to 2 s within it). Change: after 300 ms another holder may be asked, with at most four pulls under way; the pull duty has a thread for each.

--- a/control/config_store.c
+++ b/control/config_store.c
@@ -140,16 +140,16 @@
 bool config_store_start_pull(struct config_store *store, int64_t release,
 			     int64_t now_ms)
 {
-	if (release <= store->manifest.release || now_ms < store->pull_until_ms)
+	if (release <= store->manifest.release || now_ms < store->next_pull_ms)
 		return false;
-	store->pull_until_ms = now_ms + CONFIG_PULL_TIMEOUT_MS;
+	store->next_pull_ms = now_ms + CONFIG_PULL_HEDGE_MS;
 	counter_inc(store->counters, COUNTER_CONFIG_PULLED);
 	return true;
 }
 
 void config_store_end_pull(struct config_store *store)
 {
-	store->pull_until_ms = 0;
+	store->next_pull_ms = 0;
 }
 
 struct str config_store_datagram(const struct config_store *store)
--- a/include/tarragonflow/control/config_store.h
+++ b/include/tarragonflow/control/config_store.h
@@ -29,8 +29,8 @@
 	/** Best offer of a starting process that is not in force yet. */
 	struct strbuf held;
 	int64_t held_release;
-	/** A pull is under way until this time at most, ms; 0 for none. */
-	int64_t pull_until_ms;
+	/** No further pull before this time, ms; 0 while none is under way. */
+	int64_t next_pull_ms;
 };
 
 /** Manifests up to this size ride in a datagram; larger ones are pulled. */
@@ -42,6 +42,12 @@
 /** Time a pull may take, ms. */
 #define CONFIG_PULL_TIMEOUT_MS 1000
 
+/** A pull that takes longer than this does not hold up the next one, ms. */
+#define CONFIG_PULL_HEDGE_MS 300
+
+/** Pulls under way at once, at most. */
+#define CONFIG_PULLS_MAX 4
+
 void config_store_init(struct config_store *store,
 		       const struct name *deployment, struct counters *counters,
 		       int64_t now_ms);
--- a/include/tarragonflow/node/pull_duty.h
+++ b/include/tarragonflow/node/pull_duty.h
@@ -8,12 +8,25 @@
 #include "tarragonflow/common/ring.h"
 #include "tarragonflow/common/status.h"
 #include "tarragonflow/common/str.h"
+#include "tarragonflow/control/config_store.h"
 #include "tarragonflow/net/endpoint.h"
 
+/** One pull at a time, by a thread of its own. */
+struct pull_lane {
+	struct pull_duty *duty;
+	/** Of struct pull_job, to the thread and back. */
+	struct ring wanted, done;
+	int wake;
+	/** Jobs that wait or are under way. */
+	_Atomic unsigned int jobs;
+	pthread_t thread;
+};
+
 /**
- * Two threads for what is too large for a datagram: one serves pulls of
- * peers at the TCP port of the control address, one pulls from peers. Frames
- * both ways are control messages.
+ * Threads for what is too large for a datagram: one serves pulls of peers at
+ * the TCP port of the control address, a few pull from peers, so that one
+ * that stalls does not hold up the others. Frames both ways are control
+ * messages.
  */
 struct pull_duty {
 	/** Answers @request into @out; false refuses. From the server thread.
@@ -22,13 +35,11 @@
 		       struct strbuf *out);
 	struct clock clock;
 	int listen_fd;
-	/** Of struct pull_job, to the client thread and back. */
-	struct ring wanted, done;
-	int wake;
+	struct pull_lane lanes[CONFIG_PULLS_MAX];
 	/** Eventfd that is woken when a job is done. */
 	int wake_done;
 	_Atomic bool stop;
-	pthread_t server_thread, client_thread;
+	pthread_t server_thread;
 };
 
 /** One pull. */
--- a/node/pull_duty.c
+++ b/node/pull_duty.c
@@ -16,6 +16,28 @@
 #define SERVE_TIMEOUT_MS 1000
 #define REQUEST_MAX 4096
 
+static void lane_init(struct pull_lane *lane, struct pull_duty *duty)
+{
+	lane->duty = duty;
+	ring_init(&lane->wanted, RING_SIZE);
+	ring_init(&lane->done, RING_SIZE);
+	lane->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	atomic_init(&lane->jobs, 0);
+}
+
+static void lane_finish(struct pull_lane *lane)
+{
+	struct pull_job *job;
+
+	while ((job = ring_pop(&lane->wanted)))
+		pull_job_free(job);
+	while ((job = ring_pop(&lane->done)))
+		pull_job_free(job);
+	ring_finish(&lane->wanted);
+	ring_finish(&lane->done);
+	close(lane->wake);
+}
+
 enum status_code pull_duty_init(struct pull_duty *duty,
 				const struct endpoint *control, int wake_done,
 				struct status *status)
@@ -24,9 +46,8 @@
 	if (tcp_listen(control, &duty->listen_fd, status) != STATUS_OK)
 		return status->code;
 	clock_init_monotonic(&duty->clock);
-	ring_init(&duty->wanted, RING_SIZE);
-	ring_init(&duty->done, RING_SIZE);
-	duty->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	for (int i = 0; i < CONFIG_PULLS_MAX; i++)
+		lane_init(&duty->lanes[i], duty);
 	duty->wake_done = wake_done;
 	atomic_init(&duty->stop, false);
 	return STATUS_OK;
@@ -81,31 +102,43 @@
 	close(fd);
 }
 
-static void *client_thread(void *arg)
+static void serve_jobs(struct pull_lane *lane)
 {
-	struct pull_duty *duty = arg;
-	struct pollfd fd = {.fd = duty->wake, .events = POLLIN};
+	struct pull_duty *duty = lane->duty;
 	struct pull_job *job;
 
-	while (!atomic_load(&duty->stop)) {
+	while (!atomic_load(&duty->stop) && (job = ring_pop(&lane->wanted))) {
+		run_job(duty, job);
+		atomic_fetch_sub(&lane->jobs, 1);
+		if (!ring_push(&lane->done, job))
+			pull_job_free(job);
+		node_wake(duty->wake_done);
+	}
+}
+
+static void *lane_thread(void *arg)
+{
+	struct pull_lane *lane = arg;
+	struct pollfd fd = {.fd = lane->wake, .events = POLLIN};
+
+	while (!atomic_load(&lane->duty->stop)) {
 		poll(&fd, 1, POLL_MAX_MS);
 		if (fd.revents)
-			node_wake_clear(duty->wake);
-		while (!atomic_load(&duty->stop) &&
-		       (job = ring_pop(&duty->wanted))) {
-			run_job(duty, job);
-			if (!ring_push(&duty->done, job))
-				pull_job_free(job);
-			node_wake(duty->wake_done);
-		}
+			node_wake_clear(lane->wake);
+		serve_jobs(lane);
 	}
 	return NULL;
 }
 
 enum status_code pull_duty_start(struct pull_duty *duty, struct status *status)
 {
-	if (pthread_create(&duty->server_thread, NULL, server_thread, duty) ||
-	    pthread_create(&duty->client_thread, NULL, client_thread, duty))
+	int failed =
+		pthread_create(&duty->server_thread, NULL, server_thread, duty);
+
+	for (int i = 0; i < CONFIG_PULLS_MAX; i++)
+		failed |= pthread_create(&duty->lanes[i].thread, NULL,
+					 lane_thread, &duty->lanes[i]);
+	if (failed)
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the pull duty");
 	return STATUS_OK;
@@ -114,43 +147,56 @@
 void pull_duty_stop(struct pull_duty *duty)
 {
 	atomic_store(&duty->stop, true);
-	node_wake(duty->wake);
 	pthread_join(duty->server_thread, NULL);
-	pthread_join(duty->client_thread, NULL);
+	for (int i = 0; i < CONFIG_PULLS_MAX; i++) {
+		node_wake(duty->lanes[i].wake);
+		pthread_join(duty->lanes[i].thread, NULL);
+	}
 }
 
 void pull_duty_finish(struct pull_duty *duty)
 {
-	struct pull_job *job;
-
-	while ((job = ring_pop(&duty->wanted)))
-		pull_job_free(job);
-	while ((job = ring_pop(&duty->done)))
-		pull_job_free(job);
-	ring_finish(&duty->wanted);
-	ring_finish(&duty->done);
+	for (int i = 0; i < CONFIG_PULLS_MAX; i++)
+		lane_finish(&duty->lanes[i]);
 	close(duty->listen_fd);
-	close(duty->wake);
+}
+
+static struct pull_lane *least_busy(struct pull_duty *duty)
+{
+	struct pull_lane *best = &duty->lanes[0];
+
+	for (int i = 1; i < CONFIG_PULLS_MAX; i++)
+		if (atomic_load(&duty->lanes[i].jobs) <
+		    atomic_load(&best->jobs))
+			best = &duty->lanes[i];
+	return best;
 }
 
 bool pull_duty_submit(struct pull_duty *duty, const struct endpoint *peer,
 		      struct str request)
 {
+	struct pull_lane *lane = least_busy(duty);
 	struct pull_job *job = g_new0(struct pull_job, 1);
 
 	job->peer = *peer;
 	strbuf_add(&job->request, request.data, request.len);
-	if (!ring_push(&duty->wanted, job)) {
+	atomic_fetch_add(&lane->jobs, 1);
+	if (!ring_push(&lane->wanted, job)) {
+		atomic_fetch_sub(&lane->jobs, 1);
 		pull_job_free(job);
 		return false;
 	}
-	node_wake(duty->wake);
+	node_wake(lane->wake);
 	return true;
 }
 
 struct pull_job *pull_duty_take(struct pull_duty *duty)
 {
-	return ring_pop(&duty->done);
+	struct pull_job *job = NULL;
+
+	for (int i = 0; i < CONFIG_PULLS_MAX && !job; i++)
+		job = ring_pop(&duty->lanes[i].done);
+	return job;
 }
 
 void pull_job_free(struct pull_job *job)
