--- a/flow/agent.c
+++ b/flow/agent.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "tarragonflow/flow/agent_flow.h"
 #include "tarragonflow/flow/agent_route.h"
 
 /* Open, half-open and lately closed connections, over the admission limit. */
@@ -15,8 +16,6 @@
 /* Under pressure a handshake that takes longer gives way. */
 #define HALF_OPEN_GRACE_MS 5000
 #define ROOM_SCAN_SLOTS 64
-/* Distance of a packet from its connection's sequence numbers, bytes. */
-#define SEQ_WINDOW (1 << 26)
 #define SYN_REPEAT_MS 900
 #define REFILL_MS 1000
 #define SEARCHES_PER_REFILL 2000
@@ -89,72 +88,10 @@
 	return agent->admit.open + agent->admit.unproven;
 }
 
-static void count(struct agent *agent, enum counter_id id)
-{
-	counter_inc(agent->counters, id);
-}
-
-static void flow_give_back(struct agent *agent, const struct flow *flow)
-{
-	if (flow->bits & FLOW_UNPROVEN)
-		admit_close_unproven(&agent->admit);
-	else
-		admit_close(&agent->admit);
-}
-
-static void flow_close(struct agent *agent, struct flow *flow)
-{
-	if (flow->state == FLOW_CLOSING)
-		return;
-	flow->state = FLOW_CLOSING;
-	flow_give_back(agent, flow);
-	count(agent, COUNTER_FLOW_CLOSED);
-}
-
-static void flow_forget(struct agent *agent, struct flow *flow)
-{
-	if (flow->state != FLOW_CLOSING)
-		flow_give_back(agent, flow);
-	flow_table_remove(&agent->flows, flow);
-}
-
-static uint32_t seq_after(const struct inner_packet *packet)
-{
-	uint32_t next = packet->seq + packet->payload_len;
-
-	return packet->flags & (TCP_SYN | TCP_FIN) ? next + 1 : next;
-}
-
-static bool seq_near(uint32_t a, uint32_t b)
-{
-	int32_t distance = (int32_t)(a - b);
-
-	return distance > -SEQ_WINDOW && distance < SEQ_WINDOW;
-}
-
-static void seq_advance(uint32_t *next, uint32_t seq)
-{
-	if ((int32_t)(seq - *next) > 0)
-		*next = seq;
-}
-
-/* Follows FIN and RST; @fin_bit says who sent the packet. */
-static void flow_track(struct agent *agent, struct flow *flow, uint8_t flags,
-		       uint8_t fin_bit, int64_t now_ms)
-{
-	const uint8_t both = FLOW_CALLER_FIN | FLOW_SERVER_FIN;
-
-	flow->last_ms = (uint32_t)now_ms;
-	if (flags & TCP_FIN)
-		flow->bits |= fin_bit;
-	if ((flags & TCP_RST) || (flow->bits & both) == both)
-		flow_close(agent, flow);
-}
-
 static void deliver(struct agent *agent, const struct inner_packet *packet,
 		    struct packet_sink *sink)
 {
-	count(agent, COUNTER_PACKET_DELIVERED);
+	agent_count(agent, COUNTER_PACKET_DELIVERED);
 	sink->to_server(sink, packet->data, packet->len);
 }
 
@@ -177,11 +114,6 @@
 	sink->to_server(sink, out, inner_build(&spec, out, sizeof(out)));
 }
 
-static uint32_t flow_age(const struct flow *flow, int64_t now_ms)
-{
-	return (uint32_t)now_ms - flow->last_ms;
-}
-
 /* Half-open connections give way first, then the longest closed one. */
 static bool make_room(struct agent *agent, bool half_open_only, int64_t now_ms,
 		      struct packet_sink *sink)
@@ -199,8 +131,8 @@
 			break;
 		}
 		if (flow->state == FLOW_CLOSING && !half_open_only &&
-		    (!victim ||
-		     flow_age(flow, now_ms) > flow_age(victim, now_ms)))
+		    (!victim || agent_flow_age(flow, now_ms) >
+					agent_flow_age(victim, now_ms)))
 			victim = flow;
 	}
 	flows->cursor = (flows->cursor + ROOM_SCAN_SLOTS) & flows->mask;
@@ -208,8 +140,8 @@
 		return false;
 	if (victim->state == FLOW_HALF_OPEN)
 		reset_server(agent, victim, sink);
-	count(agent, COUNTER_FLOW_EVICTED);
-	flow_forget(agent, victim);
+	agent_count(agent, COUNTER_FLOW_EVICTED);
+	agent_flow_forget(agent, victim);
 	return true;
 }
 
@@ -222,7 +154,7 @@
 		[ADMIT_DOWN] = COUNTER_REFUSE_SERVER_DOWN,
 	};
 
-	count(agent, reasons[verdict]);
+	agent_count(agent, reasons[verdict]);
 }
 
 static enum admit_verdict ask_admission(struct agent *agent, int64_t now_ms,
@@ -259,15 +191,15 @@
 		flow = flow_table_insert(&agent->flows, &packet->key);
 	if (!flow) {
 		admit_close(&agent->admit);
-		count(agent, COUNTER_REFUSE_TABLE_FULL);
+		agent_count(agent, COUNTER_REFUSE_TABLE_FULL);
 		agent_pass_on(agent, header, packet, now_ms, sink);
 		return;
 	}
 	flow->mark_ms = (uint32_t)now_ms;
 	flow->last_ms = (uint32_t)now_ms;
 	flow->syn_seq = packet->seq;
-	flow->caller_seq = seq_after(packet);
-	count(agent, COUNTER_FLOW_OPENED);
+	flow->caller_seq = agent_seq_after(packet);
+	agent_count(agent, COUNTER_FLOW_OPENED);
 	deliver(agent, packet, sink);
 }
 
@@ -318,9 +250,9 @@
 		return claim_open(flow, packet);
 	if (flow->state == FLOW_HALF_OPEN)
 		return claim_half_open(flow, packet);
-	if (!seq_near(packet->seq, flow->caller_seq) ||
+	if (!agent_seq_near(packet->seq, flow->caller_seq) ||
 	    ((packet->flags & TCP_ACK) &&
-	     !seq_near(packet->ack, flow->server_seq)))
+	     !agent_seq_near(packet->ack, flow->server_seq)))
 		return CLAIM_FOREIGN;
 	return CLAIM_OURS;
 }
@@ -345,8 +277,8 @@
 		flow->bits |= FLOW_ASKED;
 		flow->mark_ms = (uint32_t)now_ms;
 	}
-	seq_advance(&flow->caller_seq, seq_after(packet));
-	flow_track(agent, flow, packet->flags, FLOW_CALLER_FIN, now_ms);
+	agent_seq_advance(&flow->caller_seq, agent_seq_after(packet));
+	agent_flow_track(agent, flow, packet->flags, FLOW_CALLER_FIN, now_ms);
 	deliver(agent, packet, sink);
 }
 
@@ -367,7 +299,7 @@
 			const struct inner_packet *packet, int64_t now_ms,
 			struct packet_sink *sink)
 {
-	if (flow && seq_near(packet->seq, flow->server_seq))
+	if (flow && agent_seq_near(packet->seq, flow->server_seq))
 		deliver(agent, packet, sink);
 	else
 		agent_pass_on(agent, header, packet, now_ms, sink);
@@ -388,17 +320,17 @@
 		handle_ours(agent, flow, header, packet, now_ms, sink);
 		return;
 	case CLAIM_LATE:
-		count(agent, COUNTER_DROP_LATE);
+		agent_count(agent, COUNTER_DROP_LATE);
 		return;
 	case CLAIM_LOST:
-		count(agent, COUNTER_OPEN_LOST_RACE);
+		agent_count(agent, COUNTER_OPEN_LOST_RACE);
 		reset_server(agent, flow, sink);
-		flow_forget(agent, flow);
+		agent_flow_forget(agent, flow);
 		break;
 	case CLAIM_REOPENS:
 		if (flow->state == FLOW_HALF_OPEN)
 			reset_server(agent, flow, sink);
-		flow_forget(agent, flow);
+		agent_flow_forget(agent, flow);
 		break;
 	case CLAIM_FOREIGN:
 		break;
@@ -432,7 +364,7 @@
 		return false;
 	/* The flow table decides; the sender only knows an older run of us. */
 	if (self->instance_check != agent->instance_check)
-		count(agent, COUNTER_STALE_INSTANCE);
+		agent_count(agent, COUNTER_STALE_INSTANCE);
 	return true;
 }
 
@@ -446,7 +378,7 @@
 {
 	struct inner_packet packet;
 
-	count(agent, COUNTER_STRAY_PASSED);
+	agent_count(agent, COUNTER_STRAY_PASSED);
 	if (header->kind == PACKET_DATA && inner_parse(&packet, data, len))
 		agent_pass_on(agent, header, &packet, now_ms, sink);
 }
@@ -458,15 +390,15 @@
 	struct inner_packet packet;
 
 	if (!inner_parse(&packet, data, len)) {
-		count(agent, inner_drop_reason(&packet));
+		agent_count(agent, inner_drop_reason(&packet));
 		return;
 	}
 	if (!to_our_service(agent, &packet)) {
-		count(agent, COUNTER_DROP_WRONG_SERVICE);
+		agent_count(agent, COUNTER_DROP_WRONG_SERVICE);
 		return;
 	}
 	if (!agent->zone_in) {
-		count(agent, COUNTER_ZONE_OUT_PASSED);
+		agent_count(agent, COUNTER_ZONE_OUT_PASSED);
 		agent_pass_on(agent, header, &packet, now_ms, sink);
 		return;
 	}
@@ -479,14 +411,14 @@
 	struct packet_header header;
 	size_t header_len;
 
-	count(agent, COUNTER_PACKET_IN);
+	agent_count(agent, COUNTER_PACKET_IN);
 	if (!agent->view) {
-		count(agent, COUNTER_DROP_NO_CONFIG);
+		agent_count(agent, COUNTER_DROP_NO_CONFIG);
 		return;
 	}
 	header_len = packet_header_decode(&header, data, len);
 	if (!header_len || header.kind == PACKET_OWNER) {
-		count(agent, COUNTER_DROP_HEADER);
+		agent_count(agent, COUNTER_DROP_HEADER);
 		return;
 	}
 	if (!meant_for_us(agent, &header)) {
@@ -500,104 +432,6 @@
 			    now_ms, sink);
 }
 
-/* True when the server refused; its RST is not the caller's business. */
-static bool take_refusal(struct agent *agent, struct flow *flow,
-			 const struct inner_packet *packet, int64_t now_ms)
-{
-	if (!(packet->flags & TCP_RST) || flow->state != FLOW_HALF_OPEN ||
-	    (flow->bits & FLOW_ANSWERED))
-		return false;
-	count(agent, COUNTER_REFUSE_BY_SERVER);
-	admit_refused(&agent->admit, now_ms);
-	flow_forget(agent, flow);
-	return true;
-}
-
-/* What was open may be gone, so it no longer counts until it is proven. */
-static void doubt_flows(struct agent *agent)
-{
-	struct flow_table *flows = &agent->flows;
-
-	count(agent, COUNTER_TURNED_COLD);
-	admit_restarted(&agent->admit);
-	for (uint32_t i = 0; i <= flows->mask; i++)
-		if (flows->slots[i].state == FLOW_OPEN ||
-		    flows->slots[i].state == FLOW_HALF_OPEN)
-			flows->slots[i].bits |= FLOW_UNPROVEN;
-}
-
-/* A reset without a FIN before: the server forgot the connection. */
-static void note_restart(struct agent *agent, struct flow *flow,
-			 const struct inner_packet *packet, int64_t now_ms)
-{
-	const uint8_t fins = FLOW_CALLER_FIN | FLOW_SERVER_FIN;
-
-	if (flow->state != FLOW_OPEN)
-		return;
-	if (!(packet->flags & TCP_RST)) {
-		if (flow->bits & FLOW_UNPROVEN)
-			admit_proven(&agent->admit);
-		flow->bits &= (uint8_t)~FLOW_UNPROVEN;
-		return;
-	}
-	if (!(flow->bits & (fins | FLOW_UNPROVEN)) &&
-	    admit_reset(&agent->admit, now_ms))
-		doubt_flows(agent);
-}
-
-static void note_answer(struct agent *agent, struct flow *flow,
-			const struct inner_packet *packet, int64_t now_ms)
-{
-	if ((packet->flags & TCP_SYN) && flow->state == FLOW_HALF_OPEN) {
-		if (!(flow->bits & FLOW_ANSWERED))
-			admit_accepted(&agent->admit);
-		flow->bits |= FLOW_ANSWERED;
-		flow->server_seq = packet->seq + 1;
-	}
-	if (packet->payload_len && !(flow->bits & FLOW_ASKED))
-		admit_pushed(&agent->admit);
-	if (packet->payload_len && (flow->bits & FLOW_ASKED)) {
-		flow->bits &= (uint8_t)~FLOW_ASKED;
-		admit_answered(&agent->admit, (uint32_t)now_ms - flow->mark_ms,
-			       now_ms);
-	}
-	note_restart(agent, flow, packet, now_ms);
-}
-
-static void track_server(struct agent *agent, struct flow *flow,
-			 const struct inner_packet *packet, int64_t now_ms)
-{
-	note_answer(agent, flow, packet, now_ms);
-	if (!(packet->flags & TCP_RST))
-		seq_advance(&flow->server_seq, seq_after(packet));
-	flow_track(agent, flow, packet->flags, FLOW_SERVER_FIN, now_ms);
-}
-
-void agent_handle_server(struct agent *agent, const uint8_t *data, size_t len,
-			 int64_t now_ms, struct packet_sink *sink)
-{
-	struct inner_packet packet;
-	struct flow_key key;
-	struct flow *flow;
-
-	if (!inner_parse(&packet, data, len)) {
-		count(agent, inner_drop_reason(&packet));
-		return;
-	}
-	flow_key_reverse(&key, &packet.key);
-	flow = flow_table_find(&agent->flows, &key);
-	if (!flow) {
-		count(agent, COUNTER_DROP_NO_OWNER);
-		return;
-	}
-	if (take_refusal(agent, flow, &packet, now_ms))
-		return;
-	if (!packet.icmp)
-		track_server(agent, flow, &packet, now_ms);
-	count(agent, COUNTER_PACKET_RETURNED);
-	sink->to_fabric(sink, data, len);
-}
-
 static int64_t flow_timeout(const struct agent *agent, const struct flow *flow)
 {
 	switch (flow->state) {
@@ -612,11 +446,11 @@
 
 static void expire_slot(struct agent *agent, struct flow *flow, int64_t now_ms)
 {
-	if (flow_age(flow, now_ms) < flow_timeout(agent, flow))
+	if (agent_flow_age(flow, now_ms) < flow_timeout(agent, flow))
 		return;
 	if (flow->state != FLOW_CLOSING)
-		count(agent, COUNTER_FLOW_EXPIRED);
-	flow_forget(agent, flow);
+		agent_count(agent, COUNTER_FLOW_EXPIRED);
+	agent_flow_forget(agent, flow);
 }
 
 static void refill(struct agent *agent, int64_t now_ms)
--- /dev/null
+++ b/flow/agent_flow.c
@@ -0,0 +1,70 @@
+#include "tarragonflow/flow/agent_flow.h"
+
+/* Distance of a packet from its connection's sequence numbers, bytes. */
+#define SEQ_WINDOW (1 << 26)
+
+void agent_count(struct agent *agent, enum counter_id id)
+{
+	counter_inc(agent->counters, id);
+}
+
+static void flow_give_back(struct agent *agent, const struct flow *flow)
+{
+	if (flow->bits & FLOW_UNPROVEN)
+		admit_close_unproven(&agent->admit);
+	else
+		admit_close(&agent->admit);
+}
+
+void agent_flow_close(struct agent *agent, struct flow *flow)
+{
+	if (flow->state == FLOW_CLOSING)
+		return;
+	flow->state = FLOW_CLOSING;
+	flow_give_back(agent, flow);
+	agent_count(agent, COUNTER_FLOW_CLOSED);
+}
+
+void agent_flow_forget(struct agent *agent, struct flow *flow)
+{
+	if (flow->state != FLOW_CLOSING)
+		flow_give_back(agent, flow);
+	flow_table_remove(&agent->flows, flow);
+}
+
+uint32_t agent_seq_after(const struct inner_packet *packet)
+{
+	uint32_t next = packet->seq + packet->payload_len;
+
+	return packet->flags & (TCP_SYN | TCP_FIN) ? next + 1 : next;
+}
+
+bool agent_seq_near(uint32_t a, uint32_t b)
+{
+	int32_t distance = (int32_t)(a - b);
+
+	return distance > -SEQ_WINDOW && distance < SEQ_WINDOW;
+}
+
+void agent_seq_advance(uint32_t *next, uint32_t seq)
+{
+	if ((int32_t)(seq - *next) > 0)
+		*next = seq;
+}
+
+void agent_flow_track(struct agent *agent, struct flow *flow, uint8_t flags,
+		      uint8_t fin_bit, int64_t now_ms)
+{
+	const uint8_t both = FLOW_CALLER_FIN | FLOW_SERVER_FIN;
+
+	flow->last_ms = (uint32_t)now_ms;
+	if (flags & TCP_FIN)
+		flow->bits |= fin_bit;
+	if ((flags & TCP_RST) || (flow->bits & both) == both)
+		agent_flow_close(agent, flow);
+}
+
+uint32_t agent_flow_age(const struct flow *flow, int64_t now_ms)
+{
+	return (uint32_t)now_ms - flow->last_ms;
+}
