Refuse a guard that no agent enforces

Cause: a manifest could ask for guard orders, which this version takes and does not enforce: orders would run unguarded without a word.

--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -265,6 +265,22 @@
 			first - manifest->services);
 }
 
+/* A port that only looks guarded would run orders twice. */
+static void check_guards(const struct manifest *manifest,
+			 struct json_errors *errors)
+{
+	char path[PATH_MAX_BYTES];
+
+	for (size_t i = 0; i < manifest->n_services; i++) {
+		if (manifest->services[i].guard != GUARD_ORDERS)
+			continue;
+		snprintf(path, sizeof(path), "services[%zu].guard", i);
+		json_errors_add(errors, path,
+				"found \"orders\", allowed is \"none\": this "
+				"version has no request gate in its agents");
+	}
+}
+
 /* Sorting brings what must differ side by side. */
 static void check_services(const struct manifest *manifest,
 			   struct json_errors *errors)
@@ -301,6 +317,7 @@
 	read_zones(manifest, root, errors);
 	read_services(manifest, root, errors);
 	check_zones(manifest, errors);
+	check_guards(manifest, errors);
 	check_services(manifest, errors);
 }
 
--- a/tests/unit/test_manifest.c
+++ b/tests/unit/test_manifest.c
@@ -19,6 +19,9 @@
 };
 
 static const struct bad_case bad_manifests[] = {
+	{HEAD "\"services\":[{\"name\":\"a\",\"address\":\"10.0.0.1\","
+	      "\"port\":80,\"guard\":\"orders\"}]}",
+	 {"services[0].guard: found \"orders\", allowed is \"none\""}},
 	{"{", {"m.json: (document): line 1"}},
 	{"[]", {"m.json: (document): found an array, allowed is an object"}},
 	{"{\"release\":1,\"release\":2}", {"duplicate"}},
