Pick a peer by its release in one place

Cause: the search for a random member behind us and for one ahead of us stood twice, alike but for the comparison. Change: one search that takes the comparison; random draws as before.

--- a/control/control.c
+++ b/control/control.c
@@ -389,8 +389,20 @@
 		(int64_t)random_below(&control->random, (size_t)interval_ms);
 }
 
-/* A random member that is known to lack our release. */
-static const struct member *pick_behind(struct control *control)
+static bool lacks(uint64_t theirs, uint64_t ours)
+{
+	return theirs < ours;
+}
+
+static bool is_ahead(uint64_t theirs, uint64_t ours)
+{
+	return theirs > ours;
+}
+
+/* A random member whose release is @wanted beside ours. */
+static const struct member *pick_by_release(struct control *control,
+					    bool (*wanted)(uint64_t theirs,
+							   uint64_t ours))
 {
 	const struct roster *roster = &control->roster;
 	size_t start = random_below(&control->random, roster->n);
@@ -401,7 +413,7 @@
 			&roster->members[(start + i) % roster->n];
 
 		if (member->state != MEMBER_LEFT &&
-		    member->config_revision < ours)
+		    wanted(member->config_revision, ours))
 			return member;
 	}
 	return NULL;
@@ -429,7 +441,7 @@
 	    context->now_ms < control->next_push_ms)
 		return;
 	control->next_push_ms = context->now_ms + PUSH_INTERVAL_MS;
-	peer = pick_behind(control);
+	peer = pick_by_release(control, lacks);
 	if (!peer)
 		return;
 	if (control->pushes_left) {
@@ -441,24 +453,6 @@
 	}
 }
 
-/* A random member that is known to have a newer release. */
-static const struct member *pick_ahead(struct control *control)
-{
-	const struct roster *roster = &control->roster;
-	size_t start = random_below(&control->random, roster->n);
-	uint64_t ours = (uint64_t)config_store_release(&control->config);
-
-	for (size_t i = 0; i < roster->n; i++) {
-		const struct member *member =
-			&roster->members[(start + i) % roster->n];
-
-		if (member->state != MEMBER_LEFT &&
-		    member->config_revision > ours)
-			return member;
-	}
-	return NULL;
-}
-
 /* Who is behind asks again until it has the release, whatever is lost. */
 static void ask_step(struct control_context *context)
 {
@@ -469,7 +463,7 @@
 	    context->now_ms < control->next_pull_ms + ASK_AGAIN_MS)
 		return;
 	control->next_pull_ms = context->now_ms;
-	peer = pick_ahead(control);
+	peer = pick_by_release(control, is_ahead);
 	if (peer &&
 	    config_store_start_pull(&control->config, control->config.newest,
 				    context->now_ms))
