--- a/bench/bench_platform.c
+++ b/bench/bench_platform.c
@@ -152,11 +152,11 @@
 	platform->lose_answers = 3;
 	try_release(world, RELEASE_MS);
 	platform->latency_ms = 5;
-	object_store_copy(&platform->store, &platform->old);
+	memory_store_copy(&platform->store, &platform->old);
 	platform->stale = true;
 	try_release(world, RELEASE_MS);
 	platform->stale = false;
-	object_store_forget(&platform->store);
+	memory_store_forget(&platform->store);
 	try_release(world, RELEASE_MS);
 	platform->races = 20;
 	world_start_node(bench_world_node(world, "balancer", 1));
@@ -221,8 +221,8 @@
 
 static double reads_of(const struct rates *rates)
 {
-	return rates->calls[PLATFORM_OP_GET] + rates->calls[PLATFORM_OP_LIST] +
-	       rates->calls[PLATFORM_OP_WATCH] + rates->waiting;
+	return rates->calls[STORE_OP_GET] + rates->calls[STORE_OP_LIST] +
+	       rates->calls[STORE_OP_WATCH] + rates->waiting;
 }
 
 static void tell_rates(struct bench *bench, const char *where,
@@ -230,8 +230,7 @@
 {
 	for (int op = 0; op < 5; op++) {
 		char *suffix = g_strdup_printf(
-			"_%s_%s", platform_op_name((enum platform_op)op),
-			where);
+			"_%s_%s", store_op_name((enum store_op)op), where);
 
 		tell(bench, "platform_calls_per_s", suffix, rates->calls[op],
 		     "calls/s", BENCH_REPORT, 0);
@@ -288,15 +287,14 @@
 /* Writes for one member that leaves and comes back. */
 static double writes_per_change(struct world *world)
 {
-	uint64_t before = world->platform.calls[PLATFORM_OP_PUT];
+	uint64_t before = world->platform.calls[STORE_OP_PUT];
 
 	for (unsigned int i = 1; i <= CHANGES; i++) {
 		world_start_node(bench_world_node(world, "orders", i));
 		world_run(world, 3000);
 	}
 	world_run(world, 12000);
-	return (double)(world->platform.calls[PLATFORM_OP_PUT] - before) /
-	       CHANGES;
+	return (double)(world->platform.calls[STORE_OP_PUT] - before) / CHANGES;
 }
 
 static void run_fleet(struct bench *bench)
--- a/bench/bench_release.c
+++ b/bench/bench_release.c
@@ -10,7 +10,7 @@
 #include "tarragonflow/commands/fetch.h"
 #include "tarragonflow/common/clock.h"
 #include "tarragonflow/manifest/apply.h"
-#include "tarragonflow/platform/http_platform.h"
+#include "tarragonflow/store/http_store.h"
 
 /*
  * Time until a release is in force at every one of tens of real processes,
@@ -150,15 +150,15 @@
 {
 	struct endpoint store = {deployment->net + 1, 4700};
 	char text[ENDPOINT_TEXT_MAX], url[64];
-	struct http_platform http;
+	struct http_store http;
 	struct status status;
 
 	status_init(&status);
 	deployment->manifest.release++;
 	snprintf(url, sizeof(url), "http://%s", endpoint_format(&store, text));
-	http_platform_init(&http, url, NULL);
+	http_store_init(&http, url, NULL);
 	apply_manifest(&http.platform, &deployment->manifest, "bench", &status);
-	http_platform_finish(&http);
+	http_store_finish(&http);
 	if (status.code != STATUS_OK)
 		fprintf(stderr, "apply: %s\n", status.message);
 	return status.code == STATUS_OK;
--- a/bench/member_net.c
+++ b/bench/member_net.c
@@ -39,7 +39,7 @@
 }
 
 static void net_call(struct control_sink *sink,
-		     const struct platform_request *request)
+		     const struct store_request *request)
 {
 	(void)sink;
 	(void)request;
--- a/control/control.c
+++ b/control/control.c
@@ -278,7 +278,7 @@
 }
 
 static void sync_call(struct platform_sync_out *out,
-		      const struct platform_request *request)
+		      const struct store_request *request)
 {
 	struct control_sink *sink = ((struct sync_out *)out)->context->sink;
 
@@ -317,7 +317,7 @@
 }
 
 void control_handle_result(struct control *control,
-			   const struct platform_result *result, int64_t now_ms,
+			   const struct store_result *result, int64_t now_ms,
 			   struct control_sink *sink)
 {
 	const struct platform_view view = platform_view(control);
--- a/control/message.c
+++ b/control/message.c
@@ -111,12 +111,12 @@
 /* Zero on the wire stands for never. */
 static uint32_t age_to_wire(uint32_t age_ms)
 {
-	return age_ms == PLATFORM_AGE_NEVER ? 0 : age_ms + 1;
+	return age_ms == STORE_AGE_NEVER ? 0 : age_ms + 1;
 }
 
 static uint32_t age_from_wire(uint32_t wire)
 {
-	return wire ? wire - 1 : PLATFORM_AGE_NEVER;
+	return wire ? wire - 1 : STORE_AGE_NEVER;
 }
 
 /* Wire forms of the parts of one message, for as long as it is packed. */
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -10,11 +10,11 @@
 static void write_shard(struct platform_sync *sync, int64_t now_ms,
 			struct platform_sync_out *out)
 {
-	struct platform_request request;
-	char key[PLATFORM_KEY_MAX];
+	struct store_request request;
+	char key[STORE_KEY_MAX];
 
 	roster_shard_key(key, &sync->options.deployment, sync->roster.current);
-	platform_request_init(&request, PLATFORM_OP_PUT, key);
+	store_request_init(&request, STORE_OP_PUT, key);
 	request.version = sync->shard_version;
 	strbuf_add(&request.value, sync->shard_value.data,
 		   sync->shard_value.len);
@@ -72,7 +72,7 @@
 	manifest_object_finish(&object);
 }
 
-static void offer_objects(const struct platform_result *result,
+static void offer_objects(const struct store_result *result,
 			  struct platform_sync_out *out)
 {
 	for (size_t i = 0; i < result->n_objects; i++)
@@ -82,7 +82,7 @@
 }
 
 static void take_watch(struct platform_sync *sync,
-		       const struct platform_result *result, int64_t now_ms,
+		       const struct store_result *result, int64_t now_ms,
 		       struct platform_sync_out *out)
 {
 	enum status_code code = result->status.code;
@@ -102,7 +102,7 @@
 }
 
 static void take_config(struct platform_sync *sync,
-			const struct platform_result *result,
+			const struct store_result *result,
 			enum platform_task task,
 			const struct platform_view *view, int64_t now_ms,
 			struct platform_sync_out *out)
@@ -131,7 +131,7 @@
 }
 
 /* Tombstones are of use only where the member is thought to be alive. */
-static void offer_members(const struct platform_object *object,
+static void offer_members(const struct store_object *object,
 			  const struct roster *known,
 			  struct platform_sync_out *out)
 {
@@ -147,7 +147,7 @@
 }
 
 static void take_pages(struct platform_sync *sync,
-		       const struct platform_result *result,
+		       const struct store_result *result,
 		       const struct platform_view *view, int64_t now_ms,
 		       struct platform_sync_out *out)
 {
@@ -172,12 +172,12 @@
 }
 
 static void take_shard(struct platform_sync *sync,
-		       const struct platform_result *result,
+		       const struct store_result *result,
 		       const struct platform_view *view, int64_t now_ms,
 		       struct platform_sync_out *out)
 {
 	enum status_code code = result->status.code;
-	const struct platform_object *object =
+	const struct store_object *object =
 		result->n_objects ? &result->objects[0] : NULL;
 
 	if (code != STATUS_OK && code != STATUS_NOT_FOUND) {
@@ -214,7 +214,7 @@
 
 void platform_finish_task(struct platform_sync *sync,
 			  struct platform_lane *lane,
-			  const struct platform_result *result,
+			  const struct store_result *result,
 			  const struct platform_view *view, int64_t now_ms,
 			  struct platform_sync_out *out)
 {
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -117,9 +117,8 @@
 }
 
 void platform_start_call(struct platform_sync *sync, struct platform_lane *lane,
-			 enum platform_task task,
-			 struct platform_request *request, int64_t now_ms,
-			 struct platform_sync_out *out)
+			 enum platform_task task, struct store_request *request,
+			 int64_t now_ms, struct platform_sync_out *out)
 {
 	request->id = ++sync->next_id;
 	request->timeout_ms = task == TASK_WATCH ? WATCH_WAIT_MS
@@ -128,21 +127,21 @@
 	lane->id = request->id;
 	lane->until_ms = now_ms + request->timeout_ms + RESULT_GRACE_MS;
 	out->call(out, request);
-	platform_request_finish(request);
+	store_request_finish(request);
 }
 
 static void call_config(struct platform_sync *sync, struct platform_lane *lane,
-			enum platform_task task, enum platform_op op,
+			enum platform_task task, enum store_op op,
 			int64_t now_ms, struct platform_sync_out *out)
 {
-	struct platform_request request;
-	char key[PLATFORM_KEY_MAX];
+	struct store_request request;
+	char key[STORE_KEY_MAX];
 
 	if (!take_budget(sync, lane, now_ms))
 		return;
-	platform_manifest_key(key, &sync->options.deployment);
-	platform_request_init(&request, op, key);
-	if (op == PLATFORM_OP_WATCH)
+	store_manifest_key(key, &sync->options.deployment);
+	store_request_init(&request, op, key);
+	if (op == STORE_OP_WATCH)
 		request.version = sync->watch_version;
 	platform_start_call(sync, lane, task, &request, now_ms, out);
 }
@@ -217,8 +216,8 @@
 	sync->probe_ms = now_ms + probe_spread(view->roster) / 2 +
 			 (int64_t)platform_random_below(
 				 sync, probe_spread(view->roster));
-	call_config(sync, &sync->config, TASK_READ_CONFIG, PLATFORM_OP_GET,
-		    now_ms, out);
+	call_config(sync, &sync->config, TASK_READ_CONFIG, STORE_OP_GET, now_ms,
+		    out);
 }
 
 static void watch_step(struct platform_sync *sync, int64_t now_ms,
@@ -230,11 +229,10 @@
 	    now_ms >= sync->config.next_ms)
 		call_config(sync, &sync->config,
 			    listed ? TASK_READ_CONFIG : TASK_LIST_CONFIG,
-			    listed ? PLATFORM_OP_GET : PLATFORM_OP_LIST, now_ms,
-			    out);
+			    listed ? STORE_OP_GET : STORE_OP_LIST, now_ms, out);
 	if (listed && sync->watch.task == TASK_NONE &&
 	    now_ms >= sync->watch.next_ms)
-		call_config(sync, &sync->watch, TASK_WATCH, PLATFORM_OP_WATCH,
+		call_config(sync, &sync->watch, TASK_WATCH, STORE_OP_WATCH,
 			    now_ms, out);
 }
 
@@ -269,15 +267,15 @@
 static void pages_step(struct platform_sync *sync, int64_t now_ms,
 		       struct platform_sync_out *out)
 {
-	struct platform_request request;
-	char prefix[PLATFORM_KEY_MAX];
+	struct store_request request;
+	char prefix[STORE_KEY_MAX];
 
 	if (!must_list(sync, now_ms) || now_ms < sync->pages.next_ms ||
 	    !calls_idle(sync) || !take_budget(sync, &sync->pages, now_ms))
 		return;
 	roster_shard_page_prefix(prefix, &sync->options.deployment,
 				 pick_page(sync));
-	platform_request_init(&request, PLATFORM_OP_LIST, prefix);
+	store_request_init(&request, STORE_OP_LIST, prefix);
 	platform_start_call(sync, &sync->pages, TASK_LIST_ROSTER, &request,
 			    now_ms, out);
 }
@@ -285,8 +283,8 @@
 static void read_shard(struct platform_sync *sync, int64_t now_ms,
 		       struct platform_sync_out *out)
 {
-	struct platform_request request;
-	char key[PLATFORM_KEY_MAX];
+	struct store_request request;
+	char key[STORE_KEY_MAX];
 
 	if (!calls_idle(sync) || now_ms < sync->shards.next_ms ||
 	    !take_budget(sync, &sync->shards, now_ms))
@@ -294,7 +292,7 @@
 	if (roster_sync_next(&sync->roster, now_ms) < 0)
 		return;
 	roster_shard_key(key, &sync->options.deployment, sync->roster.current);
-	platform_request_init(&request, PLATFORM_OP_GET, key);
+	store_request_init(&request, STORE_OP_GET, key);
 	platform_start_call(sync, &sync->shards, TASK_READ_SHARD, &request,
 			    now_ms, out);
 }
@@ -324,7 +322,7 @@
 }
 
 void platform_sync_handle_result(struct platform_sync *sync,
-				 const struct platform_result *result,
+				 const struct store_result *result,
 				 const struct platform_view *view,
 				 int64_t now_ms, struct platform_sync_out *out)
 {
@@ -342,7 +340,7 @@
 			const struct platform_view *view, int64_t now_ms,
 			struct platform_sync_out *out)
 {
-	struct platform_result result = {
+	struct store_result result = {
 		.id = lane->id,
 		.status.code = lane->task == TASK_WRITE_SHARD ? STATUS_UNKNOWN
 							      : STATUS_TIMEOUT,
@@ -372,12 +370,12 @@
 /* Without the time on the way, news that goes round would stay young. */
 static int64_t time_of_age(uint32_t age_ms, int64_t now_ms)
 {
-	return age_ms == PLATFORM_AGE_NEVER ? INT64_MIN
-					    : now_ms - (int64_t)age_ms - HOP_MS;
+	return age_ms == STORE_AGE_NEVER ? INT64_MIN
+					 : now_ms - (int64_t)age_ms - HOP_MS;
 }
 
 void platform_sync_heard(struct platform_sync *sync,
-			 const struct platform_ages *ages, int64_t now_ms)
+			 const struct store_ages *ages, int64_t now_ms)
 {
 	sync->heard_ms = now_ms;
 	backoff_reset(&sync->pages.backoff);
@@ -389,14 +387,14 @@
 static uint32_t age_of_time(int64_t time_ms, int64_t now_ms)
 {
 	if (time_ms == INT64_MIN)
-		return PLATFORM_AGE_NEVER;
-	return (uint32_t)CLAMP(now_ms - time_ms, 0, PLATFORM_AGE_NEVER - 1);
+		return STORE_AGE_NEVER;
+	return (uint32_t)CLAMP(now_ms - time_ms, 0, STORE_AGE_NEVER - 1);
 }
 
-struct platform_ages platform_sync_ages(const struct platform_sync *sync,
-					int64_t now_ms)
+struct store_ages platform_sync_ages(const struct platform_sync *sync,
+				     int64_t now_ms)
 {
-	const struct platform_ages ages = {
+	const struct store_ages ages = {
 		.any_ms = age_of_time(sync->any_ms, now_ms),
 		.watcher_ms = age_of_time(sync->watcher_ms, now_ms),
 	};
--- a/control/platform_sync_internal.h
+++ b/control/platform_sync_internal.h
@@ -26,14 +26,13 @@
 
 /** Starts @request in @lane and finishes it. */
 void platform_start_call(struct platform_sync *sync, struct platform_lane *lane,
-			 enum platform_task task,
-			 struct platform_request *request, int64_t now_ms,
-			 struct platform_sync_out *out);
+			 enum platform_task task, struct store_request *request,
+			 int64_t now_ms, struct platform_sync_out *out);
 
 /** Takes the result of the call in @lane, which is free from then on. */
 void platform_finish_task(struct platform_sync *sync,
 			  struct platform_lane *lane,
-			  const struct platform_result *result,
+			  const struct store_result *result,
 			  const struct platform_view *view, int64_t now_ms,
 			  struct platform_sync_out *out);
 
--- a/control/roster_shard.c
+++ b/control/roster_shard.c
@@ -16,14 +16,14 @@
 void roster_shard_key(char *key, const struct name *deployment,
 		      unsigned int shard)
 {
-	snprintf(key, PLATFORM_KEY_MAX, "tarragonflow/%s/roster/%02x",
+	snprintf(key, STORE_KEY_MAX, "tarragonflow/%s/roster/%02x",
 		 deployment->data, shard);
 }
 
 void roster_shard_page_prefix(char *key, const struct name *deployment,
 			      unsigned int page)
 {
-	snprintf(key, PLATFORM_KEY_MAX, "tarragonflow/%s/roster/%x",
+	snprintf(key, STORE_KEY_MAX, "tarragonflow/%s/roster/%x",
 		 deployment->data, page);
 }
 
--- a/control/roster_sync.c
+++ b/control/roster_sync.c
@@ -184,7 +184,7 @@
 }
 
 bool roster_sync_merge(struct roster_sync *sync,
-		       const struct platform_object *object,
+		       const struct store_object *object,
 		       const struct roster *roster, int64_t now_ms,
 		       struct strbuf *value)
 {
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -11,7 +11,7 @@
 #include "tarragonflow/control/message.h"
 #include "tarragonflow/control/platform_sync.h"
 #include "tarragonflow/control/zone_monitor.h"
-#include "tarragonflow/platform/platform.h"
+#include "tarragonflow/store/object_store.h"
 #include "tarragonflow/roster/roster.h"
 
 /**
@@ -26,7 +26,7 @@
 		     const uint8_t *data, size_t len);
 	/** Starts a platform call; its result comes back as an input. */
 	void (*call)(struct control_sink *sink,
-		     const struct platform_request *request);
+		     const struct store_request *request);
 	/**
 	 * Sends the frame @request over TCP to the control address @peer; the
 	 * answer comes back through control_handle_message(), a failure
@@ -122,7 +122,7 @@
 
 /** Takes the result of a platform call. */
 void control_handle_result(struct control *control,
-			   const struct platform_result *result, int64_t now_ms,
+			   const struct store_result *result, int64_t now_ms,
 			   struct control_sink *sink);
 
 /**
--- a/include/tarragonflow/control/message.h
+++ b/include/tarragonflow/control/message.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 #include "tarragonflow/common/str.h"
-#include "tarragonflow/platform/platform.h"
+#include "tarragonflow/store/object_store.h"
 #include "tarragonflow/roster/roster.h"
 
 /**
@@ -83,7 +83,7 @@
 	struct str manifest;
 	int64_t config_revision;
 	/** What the sender knows about contacts with the platform. */
-	struct platform_ages ages;
+	struct store_ages ages;
 	/** Release that the receiver had in force before it was restarted. */
 	uint64_t former_release;
 	uint32_t nonce;
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -4,8 +4,8 @@
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/common/random.h"
 #include "tarragonflow/control/roster_sync.h"
-#include "tarragonflow/platform/call_policy.h"
-#include "tarragonflow/platform/platform.h"
+#include "tarragonflow/store/call_policy.h"
+#include "tarragonflow/store/object_store.h"
 #include "tarragonflow/roster/roster.h"
 
 /**
@@ -22,7 +22,7 @@
 struct platform_sync_out {
 	/** Starts a call; its result comes back as an input. */
 	void (*call)(struct platform_sync_out *out,
-		     const struct platform_request *request);
+		     const struct store_request *request);
 	/** A manifest that the platform holds or held. */
 	void (*config)(struct platform_sync_out *out, struct str text);
 	/** A roster entry that the platform holds. */
@@ -120,17 +120,17 @@
 
 /** Takes the result of a call; late and foreign ones are counted. */
 void platform_sync_handle_result(struct platform_sync *sync,
-				 const struct platform_result *result,
+				 const struct store_result *result,
 				 const struct platform_view *view,
 				 int64_t now_ms, struct platform_sync_out *out);
 
 /** A peer's message arrived with what it knows about the platform. */
 void platform_sync_heard(struct platform_sync *sync,
-			 const struct platform_ages *ages, int64_t now_ms);
+			 const struct store_ages *ages, int64_t now_ms);
 
 /** What to tell peers about contacts with the platform. */
-struct platform_ages platform_sync_ages(const struct platform_sync *sync,
-					int64_t now_ms);
+struct store_ages platform_sync_ages(const struct platform_sync *sync,
+				     int64_t now_ms);
 
 /** When platform_sync_tick() wants to run next, ms. */
 int64_t platform_sync_next_deadline(const struct platform_sync *sync);
--- a/include/tarragonflow/control/roster_shard.h
+++ b/include/tarragonflow/control/roster_shard.h
@@ -1,7 +1,7 @@
 #ifndef TARRAGONFLOW_CONTROL_ROSTER_SHARD_H
 #define TARRAGONFLOW_CONTROL_ROSTER_SHARD_H
 
-#include "tarragonflow/platform/platform.h"
+#include "tarragonflow/store/object_store.h"
 #include "tarragonflow/roster/roster.h"
 
 /**
--- a/include/tarragonflow/control/roster_sync.h
+++ b/include/tarragonflow/control/roster_sync.h
@@ -4,7 +4,7 @@
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/common/random.h"
 #include "tarragonflow/control/roster_shard.h"
-#include "tarragonflow/platform/call_policy.h"
+#include "tarragonflow/store/call_policy.h"
 
 /**
  * Keeps the platform's copy of the roster: says which shard to read or write
@@ -38,7 +38,7 @@
 	unsigned int current;
 	bool busy;
 	/** Token of the last write, to recognize it after a lost answer. */
-	char token[PLATFORM_TOKEN_MAX];
+	char token[STORE_TOKEN_MAX];
 	bool ambiguous;
 };
 
@@ -66,7 +66,7 @@
  * True when a write is needed: @value is what to write.
  */
 bool roster_sync_merge(struct roster_sync *sync,
-		       const struct platform_object *object,
+		       const struct store_object *object,
 		       const struct roster *roster, int64_t now_ms,
 		       struct strbuf *value);
 
--- a/include/tarragonflow/manifest/apply.h
+++ b/include/tarragonflow/manifest/apply.h
@@ -2,7 +2,7 @@
 #define TARRAGONFLOW_MANIFEST_APPLY_H
 
 #include "tarragonflow/manifest/manifest.h"
-#include "tarragonflow/platform/platform.h"
+#include "tarragonflow/store/object_store.h"
 
 /**
  * Puts a checked manifest in force by one conditional update, in the name of
@@ -16,7 +16,7 @@
  * its token, and repeated under the same token and condition when it is not
  * there, so a write that arrives late cannot follow a refusal.
  */
-enum status_code apply_manifest(struct platform *platform,
+enum status_code apply_manifest(struct object_store *platform,
 				const struct manifest *manifest, const char *by,
 				struct status *status);
 
--- a/include/tarragonflow/manifest/manifest_object.h
+++ b/include/tarragonflow/manifest/manifest_object.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 
 #include "tarragonflow/common/str.h"
-#include "tarragonflow/platform/platform.h"
+#include "tarragonflow/store/object_store.h"
 
 /**
  * The manifest as the platform holds it: the canonical manifest, and which
@@ -19,7 +19,7 @@
 
 struct apply_record {
 	int64_t release;
-	char token[PLATFORM_TOKEN_MAX];
+	char token[STORE_TOKEN_MAX];
 	char by[OPERATOR_MAX];
 };
 
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -8,7 +8,7 @@
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/common/ring.h"
 #include "tarragonflow/control/control.h"
-#include "tarragonflow/node/platform_duty.h"
+#include "tarragonflow/node/store_duty.h"
 #include "tarragonflow/node/pull_duty.h"
 #include "tarragonflow/node/settings.h"
 #include "tarragonflow/route/view.h"
@@ -27,8 +27,8 @@
 	struct control control;
 	int control_fd;
 	/** Watches, and all other calls of the platform. */
-	struct platform_duty watches;
-	struct platform_duty calls;
+	struct store_duty watches;
+	struct store_duty calls;
 	struct pull_duty pulls;
 	/** Views to the packet duty, replaced ones back to be freed. */
 	struct ring views;
--- a/include/tarragonflow/node/platform_duty.h
+++ b/include/tarragonflow/node/store_duty.h
@@ -1,21 +1,21 @@
-#ifndef TARRAGONFLOW_NODE_PLATFORM_DUTY_H
-#define TARRAGONFLOW_NODE_PLATFORM_DUTY_H
+#ifndef TARRAGONFLOW_NODE_STORE_DUTY_H
+#define TARRAGONFLOW_NODE_STORE_DUTY_H
 
 #include <pthread.h>
 #include <stdatomic.h>
 
 #include "tarragonflow/common/ring.h"
-#include "tarragonflow/platform/http_platform.h"
+#include "tarragonflow/store/http_store.h"
 
 /**
  * A thread that makes blocking calls of the platform, one at a time. A
  * process has one for watches and one for everything else, so that a waiting
  * watch holds nothing up.
  */
-struct platform_duty {
+struct store_duty {
 	struct ring requests;
 	struct ring results;
-	struct http_platform http;
+	struct http_store http;
 	/** Wakes this duty. */
 	int wake;
 	/** Eventfd that is woken when a result is there. */
@@ -25,23 +25,23 @@
 };
 
 /** @wake_results stays the caller's; @counters count the calls. */
-void platform_duty_init(struct platform_duty *duty, const char *url,
-			struct counters *counters, int wake_results);
+void store_duty_init(struct store_duty *duty, const char *url,
+		     struct counters *counters, int wake_results);
 
-enum status_code platform_duty_start(struct platform_duty *duty,
-				     struct status *status);
+enum status_code store_duty_start(struct store_duty *duty,
+				  struct status *status);
 
 /** Ends the call under way and the thread. */
-void platform_duty_stop(struct platform_duty *duty);
+void store_duty_stop(struct store_duty *duty);
 
-/** After platform_duty_stop(), or when never started. */
-void platform_duty_finish(struct platform_duty *duty);
+/** After store_duty_stop(), or when never started. */
+void store_duty_finish(struct store_duty *duty);
 
 /** Hands a copy of @request to the duty; false when its ring is full. */
-bool platform_duty_submit(struct platform_duty *duty,
-			  const struct platform_request *request);
+bool store_duty_submit(struct store_duty *duty,
+		       const struct store_request *request);
 
 /** The next result, which the caller finishes and frees, or NULL. */
-struct platform_result *platform_duty_take(struct platform_duty *duty);
+struct store_result *store_duty_take(struct store_duty *duty);
 
 #endif
--- a/include/tarragonflow/platform/platform.h
+++ b/include/tarragonflow/store/object_store.h
@@ -1,5 +1,5 @@
-#ifndef TARRAGONFLOW_PLATFORM_PLATFORM_H
-#define TARRAGONFLOW_PLATFORM_PLATFORM_H
+#ifndef TARRAGONFLOW_STORE_OBJECT_STORE_H
+#define TARRAGONFLOW_STORE_OBJECT_STORE_H
 
 #include <stddef.h>
 #include <stdint.h>
@@ -15,55 +15,55 @@
  * The cores issue requests and take results as messages; a duty makes the
  * calls through a table of functions, which tests replace by a fake.
  */
-enum platform_op {
-	PLATFORM_OP_GET,
-	PLATFORM_OP_LIST,
-	PLATFORM_OP_PUT,
-	PLATFORM_OP_DELETE,
-	PLATFORM_OP_WATCH,
+enum store_op {
+	STORE_OP_GET,
+	STORE_OP_LIST,
+	STORE_OP_PUT,
+	STORE_OP_DELETE,
+	STORE_OP_WATCH,
 };
 
 /** Longest key, in bytes with the terminator. */
-#define PLATFORM_KEY_MAX 160
+#define STORE_KEY_MAX 160
 
 /** Bytes of a write token as text, with the terminator. */
-#define PLATFORM_TOKEN_MAX 33
+#define STORE_TOKEN_MAX 33
 
 /** Largest value, in bytes. */
-#define PLATFORM_VALUE_MAX (1024 * 1024)
+#define STORE_VALUE_MAX (1024 * 1024)
 
-struct platform_request {
+struct store_request {
 	/** Chosen by the caller; comes back in the result. */
 	uint64_t id;
-	enum platform_op op;
+	enum store_op op;
 	/** Key, or prefix for LIST and WATCH. */
-	char key[PLATFORM_KEY_MAX];
+	char key[STORE_KEY_MAX];
 	/**
 	 * PUT, DELETE: version that must be current, 0 for "must not exist".
 	 * WATCH: report changes after this version.
 	 */
 	int64_t version;
 	/** PUT: unique to the write, to recognize it after a lost answer. */
-	char token[PLATFORM_TOKEN_MAX];
+	char token[STORE_TOKEN_MAX];
 	/** Time the whole call may take, ms; for WATCH also its wait. */
 	int64_t timeout_ms;
 	/** PUT: the value. */
 	struct strbuf value;
 };
 
-struct platform_object {
-	char key[PLATFORM_KEY_MAX];
+struct store_object {
+	char key[STORE_KEY_MAX];
 	int64_t version;
 	/** Token of the write that made this version. */
-	char token[PLATFORM_TOKEN_MAX];
+	char token[STORE_TOKEN_MAX];
 	/** The object was deleted (WATCH only). */
 	bool deleted;
 	struct strbuf value;
 };
 
-struct platform_result {
+struct store_result {
 	uint64_t id;
-	enum platform_op op;
+	enum store_op op;
 	/**
 	 * OK; NOT_FOUND; CONFLICT; GONE for a watch past the history;
 	 * UNAVAILABLE when it certainly had no effect; UNKNOWN when a write
@@ -72,12 +72,12 @@
 	struct status status;
 	/** Version of the store (LIST, WATCH) or of the object. */
 	int64_t version;
-	struct platform_object *objects;
+	struct store_object *objects;
 	size_t n_objects;
 };
 
 /** Time since the platform was last reached, ms, as known here. */
-struct platform_ages {
+struct store_ages {
 	/** By any process. */
 	uint32_t any_ms;
 	/** By a process that is chosen to watch. */
@@ -85,33 +85,33 @@
 };
 
 /** No process is known to have reached the platform. */
-#define PLATFORM_AGE_NEVER UINT32_MAX
+#define STORE_AGE_NEVER UINT32_MAX
 
-struct platform {
+struct object_store {
 	/** Makes one call, blocking at most request->timeout_ms. */
-	void (*call)(struct platform *platform,
-		     const struct platform_request *request,
-		     struct platform_result *result);
+	void (*call)(struct object_store *platform,
+		     const struct store_request *request,
+		     struct store_result *result);
 	/** Lets @ms pass between two tries; NULL in tests. */
-	void (*pause)(struct platform *platform, int64_t ms);
+	void (*pause)(struct object_store *platform, int64_t ms);
 };
 
-void platform_request_init(struct platform_request *request,
-			   enum platform_op op, const char *key);
-void platform_request_finish(struct platform_request *request);
+void store_request_init(struct store_request *request, enum store_op op,
+			const char *key);
+void store_request_finish(struct store_request *request);
 
-void platform_result_init(struct platform_result *result,
-			  const struct platform_request *request);
-void platform_result_finish(struct platform_result *result);
+void store_result_init(struct store_result *result,
+		       const struct store_request *request);
+void store_result_finish(struct store_result *result);
 
 /** Adds an object with copies of @key and @value; returns it. */
-struct platform_object *platform_result_add(struct platform_result *result,
-					    const char *key, int64_t version,
-					    struct str value);
+struct store_object *store_result_add(struct store_result *result,
+				      const char *key, int64_t version,
+				      struct str value);
 
 /** The key of the manifest of @deployment. */
-void platform_manifest_key(char *key, const struct name *deployment);
+void store_manifest_key(char *key, const struct name *deployment);
 
-const char *platform_op_name(enum platform_op op);
+const char *store_op_name(enum store_op op);
 
 #endif
--- a/manifest/apply.c
+++ b/manifest/apply.c
@@ -13,8 +13,8 @@
 
 /** One apply under way. */
 struct apply {
-	struct platform *platform;
-	char key[PLATFORM_KEY_MAX];
+	struct object_store *platform;
+	char key[STORE_KEY_MAX];
 	struct apply_record record;
 	/** What the platform held when it was last read. */
 	struct manifest_object current;
@@ -29,17 +29,17 @@
 	unsigned char bytes[TOKEN_BYTES];
 
 	randombytes_buf(bytes, sizeof(bytes));
-	sodium_bin2hex(token, PLATFORM_TOKEN_MAX, bytes, sizeof(bytes));
+	sodium_bin2hex(token, STORE_TOKEN_MAX, bytes, sizeof(bytes));
 }
 
 static enum status_code read_current(struct apply *apply, struct status *status)
 {
-	struct platform_request request;
-	struct platform_result result;
+	struct store_request request;
+	struct store_result result;
 
 	manifest_object_finish(&apply->current);
 	apply->current_version = 0;
-	platform_request_init(&request, PLATFORM_OP_GET, apply->key);
+	store_request_init(&request, STORE_OP_GET, apply->key);
 	request.timeout_ms = CALL_TIMEOUT_MS;
 	apply->platform->call(apply->platform, &request, &result);
 	if (result.status.code == STATUS_OK && result.n_objects) {
@@ -49,25 +49,25 @@
 	} else if (result.status.code != STATUS_NOT_FOUND) {
 		*status = result.status;
 	}
-	platform_result_finish(&result);
-	platform_request_finish(&request);
+	store_result_finish(&result);
+	store_request_finish(&request);
 	return status->code;
 }
 
 static enum status_code write_once(struct apply *apply, struct status *status)
 {
-	struct platform_request request;
-	struct platform_result result;
+	struct store_request request;
+	struct store_result result;
 
-	platform_request_init(&request, PLATFORM_OP_PUT, apply->key);
+	store_request_init(&request, STORE_OP_PUT, apply->key);
 	request.timeout_ms = CALL_TIMEOUT_MS;
 	request.version = apply->base_version;
 	g_strlcpy(request.token, apply->record.token, sizeof(request.token));
 	strbuf_add(&request.value, apply->value.data, apply->value.len);
 	apply->platform->call(apply->platform, &request, &result);
 	*status = result.status;
-	platform_result_finish(&result);
-	platform_request_finish(&request);
+	store_result_finish(&result);
+	store_request_finish(&request);
 	return status->code;
 }
 
@@ -171,14 +171,14 @@
 					  ? apply->current.records[0].by
 					  : "another operator");
 	build_value(apply, manifest);
-	if (apply->value.len > PLATFORM_VALUE_MAX)
+	if (apply->value.len > STORE_VALUE_MAX)
 		return status_set(status, STATUS_INVALID,
 				  "the manifest has %zu bytes, allowed are %d",
-				  apply->value.len, PLATFORM_VALUE_MAX);
+				  apply->value.len, STORE_VALUE_MAX);
 	return write_settled(apply, status);
 }
 
-enum status_code apply_manifest(struct platform *platform,
+enum status_code apply_manifest(struct object_store *platform,
 				const struct manifest *manifest, const char *by,
 				struct status *status)
 {
@@ -187,7 +187,7 @@
 	if (sodium_init() < 0)
 		return status_set(status, STATUS_INTERNAL,
 				  "no source of randomness");
-	platform_manifest_key(apply.key, &manifest->deployment);
+	store_manifest_key(apply.key, &manifest->deployment);
 	apply.record.release = manifest->release;
 	g_strlcpy(apply.record.by, by, sizeof(apply.record.by));
 	make_token(apply.record.token);
--- a/node/node.c
+++ b/node/node.c
@@ -48,14 +48,13 @@
 }
 
 static void sink_call(struct control_sink *sink,
-		      const struct platform_request *request)
+		      const struct store_request *request)
 {
 	struct node *node = ((struct node_sink *)sink)->node;
-	struct platform_duty *duty = request->op == PLATFORM_OP_WATCH
-					     ? &node->watches
-					     : &node->calls;
+	struct store_duty *duty = request->op == STORE_OP_WATCH ? &node->watches
+								: &node->calls;
 
-	if (!platform_duty_submit(duty, request))
+	if (!store_duty_submit(duty, request))
 		counter_inc(&node->counters, COUNTER_DROP_RING_FULL);
 }
 
@@ -111,15 +110,15 @@
 				       clock_now(&node->clock), &sink->sink);
 }
 
-static void receive_results(struct node *node, struct platform_duty *duty,
+static void receive_results(struct node *node, struct store_duty *duty,
 			    struct node_sink *sink)
 {
-	struct platform_result *result;
+	struct store_result *result;
 
-	while ((result = platform_duty_take(duty))) {
+	while ((result = store_duty_take(duty))) {
 		control_handle_result(&node->control, result,
 				      clock_now(&node->clock), &sink->sink);
-		platform_result_finish(result);
+		store_result_finish(result);
 		g_free(result);
 	}
 }
@@ -262,10 +261,10 @@
 	self_from_settings(&options, settings, node->instance);
 	control_init(&node->control, &options, &node->counters,
 		     clock_now(&node->clock));
-	platform_duty_init(&node->watches, settings->platform.data,
-			   &node->counters, node->wake_control);
-	platform_duty_init(&node->calls, settings->platform.data,
-			   &node->counters, node->wake_control);
+	store_duty_init(&node->watches, settings->platform.data,
+			&node->counters, node->wake_control);
+	store_duty_init(&node->calls, settings->platform.data, &node->counters,
+			node->wake_control);
 	node->pulls.answer = answer_pull;
 	return STATUS_OK;
 }
@@ -275,8 +274,8 @@
 	if (pthread_create(&node->control_thread, NULL, control_duty, node))
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the control duty");
-	if (platform_duty_start(&node->watches, status) != STATUS_OK ||
-	    platform_duty_start(&node->calls, status) != STATUS_OK)
+	if (store_duty_start(&node->watches, status) != STATUS_OK ||
+	    store_duty_start(&node->calls, status) != STATUS_OK)
 		return status->code;
 	return pull_duty_start(&node->pulls, status);
 }
@@ -296,11 +295,11 @@
 	atomic_store(&node->stop, true);
 	node_wake(node->wake_control);
 	pthread_join(node->control_thread, NULL);
-	platform_duty_stop(&node->watches);
-	platform_duty_stop(&node->calls);
+	store_duty_stop(&node->watches);
+	store_duty_stop(&node->calls);
 	pull_duty_stop(&node->pulls);
-	platform_duty_finish(&node->watches);
-	platform_duty_finish(&node->calls);
+	store_duty_finish(&node->watches);
+	store_duty_finish(&node->calls);
 	pull_duty_finish(&node->pulls);
 	drain_rings(node);
 	ring_finish(&node->views);
--- a/node/platform_duty.c
+++ b/node/store_duty.c
@@ -1,4 +1,4 @@
-#include "tarragonflow/node/platform_duty.h"
+#include "tarragonflow/node/store_duty.h"
 
 #include <glib.h>
 #include <poll.h>
@@ -12,32 +12,31 @@
 #define RING_SIZE 64
 #define POLL_MAX_MS 200
 
-void platform_duty_init(struct platform_duty *duty, const char *url,
-			struct counters *counters, int wake_results)
+void store_duty_init(struct store_duty *duty, const char *url,
+		     struct counters *counters, int wake_results)
 {
 	memset(duty, 0, sizeof(*duty));
 	ring_init(&duty->requests, RING_SIZE);
 	ring_init(&duty->results, RING_SIZE);
-	http_platform_init(&duty->http, url, counters);
+	http_store_init(&duty->http, url, counters);
 	duty->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	duty->wake_results = wake_results;
 	atomic_init(&duty->stop, false);
 }
 
-static void free_request(struct platform_request *request)
+static void free_request(struct store_request *request)
 {
-	platform_request_finish(request);
+	store_request_finish(request);
 	g_free(request);
 }
 
-static void free_result(struct platform_result *result)
+static void free_result(struct store_result *result)
 {
-	platform_result_finish(result);
+	store_result_finish(result);
 	g_free(result);
 }
 
-static void push_result(struct platform_duty *duty,
-			struct platform_result *result)
+static void push_result(struct store_duty *duty, struct store_result *result)
 {
 	while (!ring_push(&duty->results, result)) {
 		if (atomic_load(&duty->stop)) {
@@ -49,15 +48,15 @@
 	node_wake(duty->wake_results);
 }
 
-static void serve_requests(struct platform_duty *duty)
+static void serve_requests(struct store_duty *duty)
 {
-	struct platform *platform = &duty->http.platform;
-	struct platform_request *request;
-	struct platform_result *result;
+	struct object_store *platform = &duty->http.platform;
+	struct store_request *request;
+	struct store_result *result;
 
 	while (!atomic_load(&duty->stop) &&
 	       (request = ring_pop(&duty->requests))) {
-		result = g_new(struct platform_result, 1);
+		result = g_new(struct store_result, 1);
 		platform->call(platform, request, result);
 		free_request(request);
 		push_result(duty, result);
@@ -66,7 +65,7 @@
 
 static void *duty_thread(void *arg)
 {
-	struct platform_duty *duty = arg;
+	struct store_duty *duty = arg;
 	struct pollfd fd = {.fd = duty->wake, .events = POLLIN};
 
 	while (!atomic_load(&duty->stop)) {
@@ -78,8 +77,8 @@
 	return NULL;
 }
 
-enum status_code platform_duty_start(struct platform_duty *duty,
-				     struct status *status)
+enum status_code store_duty_start(struct store_duty *duty,
+				  struct status *status)
 {
 	if (pthread_create(&duty->thread, NULL, duty_thread, duty))
 		return status_set(status, STATUS_INTERNAL,
@@ -87,18 +86,18 @@
 	return STATUS_OK;
 }
 
-void platform_duty_stop(struct platform_duty *duty)
+void store_duty_stop(struct store_duty *duty)
 {
 	atomic_store(&duty->stop, true);
-	http_platform_cancel(&duty->http);
+	http_store_cancel(&duty->http);
 	node_wake(duty->wake);
 	pthread_join(duty->thread, NULL);
 }
 
-void platform_duty_finish(struct platform_duty *duty)
+void store_duty_finish(struct store_duty *duty)
 {
-	struct platform_request *request;
-	struct platform_result *result;
+	struct store_request *request;
+	struct store_result *result;
 
 	while ((request = ring_pop(&duty->requests)))
 		free_request(request);
@@ -106,14 +105,14 @@
 		free_result(result);
 	ring_finish(&duty->requests);
 	ring_finish(&duty->results);
-	http_platform_finish(&duty->http);
+	http_store_finish(&duty->http);
 	close(duty->wake);
 }
 
-bool platform_duty_submit(struct platform_duty *duty,
-			  const struct platform_request *request)
+bool store_duty_submit(struct store_duty *duty,
+		       const struct store_request *request)
 {
-	struct platform_request *copy = g_new(struct platform_request, 1);
+	struct store_request *copy = g_new(struct store_request, 1);
 
 	*copy = *request;
 	strbuf_init(&copy->value);
@@ -126,7 +125,7 @@
 	return true;
 }
 
-struct platform_result *platform_duty_take(struct platform_duty *duty)
+struct store_result *store_duty_take(struct store_duty *duty)
 {
 	return ring_pop(&duty->results);
 }
--- a/platform/call_policy.c
+++ b/store/call_policy.c
@@ -1,4 +1,4 @@
-#include "tarragonflow/platform/call_policy.h"
+#include "tarragonflow/store/call_policy.h"
 
 #include <glib.h>
 
--- a/platform/http_platform.c
+++ b/store/http_store.c
@@ -1,4 +1,4 @@
-#include "tarragonflow/platform/http_platform.h"
+#include "tarragonflow/store/http_store.h"
 
 #include <glib.h>
 #include <jansson.h>
@@ -24,30 +24,30 @@
 {
 	struct strbuf *body = user;
 
-	if (body->len + size * n > 4 * PLATFORM_VALUE_MAX)
+	if (body->len + size * n > 4 * STORE_VALUE_MAX)
 		return 0;
 	strbuf_add(body, data, size * n);
 	return size * n;
 }
 
-static void build_url(const struct http_platform *http,
-		      const struct platform_request *request, char *url)
+static void build_url(const struct http_store *http,
+		      const struct store_request *request, char *url)
 {
 	switch (request->op) {
-	case PLATFORM_OP_GET:
+	case STORE_OP_GET:
 		snprintf(url, URL_MAX, "%s/v1/objects/%s", http->url,
 			 request->key);
 		break;
-	case PLATFORM_OP_PUT:
-	case PLATFORM_OP_DELETE:
+	case STORE_OP_PUT:
+	case STORE_OP_DELETE:
 		snprintf(url, URL_MAX, "%s/v1/objects/%s?version=%lld",
 			 http->url, request->key, (long long)request->version);
 		break;
-	case PLATFORM_OP_LIST:
+	case STORE_OP_LIST:
 		snprintf(url, URL_MAX, "%s/v1/list?prefix=%s", http->url,
 			 request->key);
 		break;
-	case PLATFORM_OP_WATCH:
+	case STORE_OP_WATCH:
 		snprintf(url, URL_MAX,
 			 "%s/v1/watch?prefix=%s&after=%lld&wait_ms=%lld",
 			 http->url, request->key, (long long)request->version,
@@ -57,7 +57,7 @@
 }
 
 /* The body of a PUT: the value as text beside the write's token. */
-static char *build_body(const struct platform_request *request)
+static char *build_body(const struct store_request *request)
 {
 	json_t *root = json_pack("{s:s,s:s%}", "token", request->token, "value",
 				 request->value.data, request->value.len);
@@ -95,12 +95,12 @@
 	return STATUS_UNKNOWN;
 }
 
-static void take_object(struct platform_result *result, const json_t *item)
+static void take_object(struct store_result *result, const json_t *item)
 {
 	const json_t *value = json_object_get(item, "value");
 	const char *key = json_string_value(json_object_get(item, "key"));
 	const char *token = json_string_value(json_object_get(item, "token"));
-	struct platform_object *object;
+	struct store_object *object;
 	struct str text = {"", 0};
 
 	if (!key)
@@ -109,7 +109,7 @@
 		text.data = json_string_value(value);
 		text.len = json_string_length(value);
 	}
-	object = platform_result_add(
+	object = store_result_add(
 		result, key,
 		json_integer_value(json_object_get(item, "version")), text);
 	object->deleted = json_is_true(json_object_get(item, "deleted"));
@@ -117,7 +117,7 @@
 		g_strlcpy(object->token, token, sizeof(object->token));
 }
 
-void http_platform_parse(struct platform_result *result, struct str body)
+void http_store_parse(struct store_result *result, struct str body)
 {
 	json_error_t error;
 	json_t *root =
@@ -127,8 +127,8 @@
 
 	if (!json_is_object(root)) {
 		status_set(&result->status,
-			   result->op == PLATFORM_OP_PUT ? STATUS_UNKNOWN
-							 : STATUS_UNAVAILABLE,
+			   result->op == STORE_OP_PUT ? STATUS_UNKNOWN
+						      : STATUS_UNAVAILABLE,
 			   "platform answered no JSON object");
 		json_decref(root);
 		return;
@@ -136,19 +136,19 @@
 	result->version = json_integer_value(json_object_get(root, "version"));
 	objects = json_object_get(root, "objects");
 	json_array_foreach(objects, i, item) take_object(result, item);
-	if (result->op == PLATFORM_OP_GET)
+	if (result->op == STORE_OP_GET)
 		take_object(result, root);
 	json_decref(root);
 }
 
-static void count_call(struct counters *counters, enum platform_op op)
+static void count_call(struct counters *counters, enum store_op op)
 {
 	static const enum counter_id ids[] = {
-		[PLATFORM_OP_GET] = COUNTER_PLATFORM_GET,
-		[PLATFORM_OP_LIST] = COUNTER_PLATFORM_LIST,
-		[PLATFORM_OP_PUT] = COUNTER_PLATFORM_PUT,
-		[PLATFORM_OP_DELETE] = COUNTER_PLATFORM_DELETE,
-		[PLATFORM_OP_WATCH] = COUNTER_PLATFORM_WATCH,
+		[STORE_OP_GET] = COUNTER_PLATFORM_GET,
+		[STORE_OP_LIST] = COUNTER_PLATFORM_LIST,
+		[STORE_OP_PUT] = COUNTER_PLATFORM_PUT,
+		[STORE_OP_DELETE] = COUNTER_PLATFORM_DELETE,
+		[STORE_OP_WATCH] = COUNTER_PLATFORM_WATCH,
 	};
 
 	if (counters)
@@ -165,25 +165,25 @@
 		counter_inc(counters, COUNTER_PLATFORM_CONFLICT);
 }
 
-static void set_method(struct http_platform *http, enum platform_op op,
+static void set_method(struct http_store *http, enum store_op op,
 		       const char *body)
 {
-	if (op == PLATFORM_OP_PUT) {
+	if (op == STORE_OP_PUT) {
 		curl_easy_setopt(http->curl, CURLOPT_CUSTOMREQUEST, "PUT");
 		curl_easy_setopt(http->curl, CURLOPT_POSTFIELDS, body);
-	} else if (op == PLATFORM_OP_DELETE) {
+	} else if (op == STORE_OP_DELETE) {
 		curl_easy_setopt(http->curl, CURLOPT_CUSTOMREQUEST, "DELETE");
 	}
 }
 
-static void prepare_call(struct http_platform *http,
-			 const struct platform_request *request,
+static void prepare_call(struct http_store *http,
+			 const struct store_request *request,
 			 struct strbuf *answer)
 {
 	long timeout = (long)request->timeout_ms;
 	char url[URL_MAX];
 
-	if (request->op == PLATFORM_OP_WATCH)
+	if (request->op == STORE_OP_WATCH)
 		timeout += WATCH_GRACE_MS;
 	build_url(http, request, url);
 	curl_easy_reset(http->curl);
@@ -197,7 +197,7 @@
 	curl_easy_setopt(http->curl, CURLOPT_WRITEDATA, answer);
 }
 
-static CURLcode take_outcome(struct http_platform *http)
+static CURLcode take_outcome(struct http_store *http)
 {
 	CURLMsg *message;
 	int left;
@@ -208,8 +208,8 @@
 	return CURLE_ABORTED_BY_CALLBACK;
 }
 
-/* Runs the prepared call to its end, or until http_platform_cancel(). */
-static CURLcode perform(struct http_platform *http)
+/* Runs the prepared call to its end, or until http_store_cancel(). */
+static CURLcode perform(struct http_store *http)
 {
 	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
 	int running = 1;
@@ -228,14 +228,14 @@
 	return code;
 }
 
-static void take_result(struct http_platform *http, CURLcode code,
-			const struct platform_request *request,
+static void take_result(struct http_store *http, CURLcode code,
+			const struct store_request *request,
 			const struct strbuf *answer,
-			struct platform_result *result)
+			struct store_result *result)
 {
-	bool write = request->op == PLATFORM_OP_PUT ||
-		     request->op == PLATFORM_OP_DELETE;
-	const char *op = platform_op_name(request->op);
+	bool write = request->op == STORE_OP_PUT ||
+		     request->op == STORE_OP_DELETE;
+	const char *op = store_op_name(request->op);
 	long http_code = 0;
 
 	if (code != CURLE_OK) {
@@ -249,22 +249,22 @@
 			   "platform %s %s: HTTP %ld", op, request->key,
 			   http_code);
 	else
-		http_platform_parse(result, strbuf_str(answer));
+		http_store_parse(result, strbuf_str(answer));
 }
 
-static void http_platform_call(struct platform *platform,
-			       const struct platform_request *request,
-			       struct platform_result *result)
+static void http_store_call(struct object_store *platform,
+			    const struct store_request *request,
+			    struct store_result *result)
 {
-	struct http_platform *http = (struct http_platform *)platform;
+	struct http_store *http = (struct http_store *)platform;
 	struct strbuf answer;
 	char *body = NULL;
 
-	platform_result_init(result, request);
+	store_result_init(result, request);
 	strbuf_init(&answer);
 	count_call(http->counters, request->op);
 	prepare_call(http, request, &answer);
-	if (request->op == PLATFORM_OP_PUT)
+	if (request->op == STORE_OP_PUT)
 		body = build_body(request);
 	set_method(http, request->op, body);
 	take_result(http, perform(http), request, &answer, result);
@@ -273,18 +273,18 @@
 	free(body);
 }
 
-static void http_platform_pause(struct platform *platform, int64_t ms)
+static void http_store_pause(struct object_store *platform, int64_t ms)
 {
 	(void)platform;
 	clock_sleep(ms);
 }
 
-void http_platform_init(struct http_platform *http, const char *url,
-			struct counters *counters)
+void http_store_init(struct http_store *http, const char *url,
+		     struct counters *counters)
 {
 	memset(http, 0, sizeof(*http));
-	http->platform.call = http_platform_call;
-	http->platform.pause = http_platform_pause;
+	http->platform.call = http_store_call;
+	http->platform.pause = http_store_pause;
 	http->counters = counters;
 	http->curl = curl_easy_init();
 	http->multi = curl_multi_init();
@@ -292,14 +292,14 @@
 	g_strlcpy(http->url, url, sizeof(http->url));
 }
 
-void http_platform_finish(struct http_platform *http)
+void http_store_finish(struct http_store *http)
 {
 	curl_easy_cleanup(http->curl);
 	curl_multi_cleanup(http->multi);
 	http->curl = NULL;
 }
 
-void http_platform_cancel(struct http_platform *http)
+void http_store_cancel(struct http_store *http)
 {
 	atomic_store(&http->cancelled, true);
 	curl_multi_wakeup(http->multi);
--- a/platform/platform.c
+++ b/store/object_store.c
@@ -1,31 +1,31 @@
-#include "tarragonflow/platform/platform.h"
+#include "tarragonflow/store/object_store.h"
 
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
-void platform_request_init(struct platform_request *request,
-			   enum platform_op op, const char *key)
+void store_request_init(struct store_request *request, enum store_op op,
+			const char *key)
 {
 	memset(request, 0, sizeof(*request));
 	request->op = op;
 	g_strlcpy(request->key, key, sizeof(request->key));
 }
 
-void platform_request_finish(struct platform_request *request)
+void store_request_finish(struct store_request *request)
 {
 	strbuf_finish(&request->value);
 }
 
-void platform_result_init(struct platform_result *result,
-			  const struct platform_request *request)
+void store_result_init(struct store_result *result,
+		       const struct store_request *request)
 {
 	memset(result, 0, sizeof(*result));
 	result->id = request->id;
 	result->op = request->op;
 }
 
-void platform_result_finish(struct platform_result *result)
+void store_result_finish(struct store_result *result)
 {
 	for (size_t i = 0; i < result->n_objects; i++)
 		strbuf_finish(&result->objects[i].value);
@@ -34,13 +34,13 @@
 	result->n_objects = 0;
 }
 
-struct platform_object *platform_result_add(struct platform_result *result,
-					    const char *key, int64_t version,
-					    struct str value)
+struct store_object *store_result_add(struct store_result *result,
+				      const char *key, int64_t version,
+				      struct str value)
 {
-	struct platform_object *object;
+	struct store_object *object;
 
-	result->objects = g_renew(struct platform_object, result->objects,
+	result->objects = g_renew(struct store_object, result->objects,
 				  result->n_objects + 1);
 	object = &result->objects[result->n_objects++];
 	memset(object, 0, sizeof(*object));
@@ -50,13 +50,13 @@
 	return object;
 }
 
-void platform_manifest_key(char *key, const struct name *deployment)
+void store_manifest_key(char *key, const struct name *deployment)
 {
-	snprintf(key, PLATFORM_KEY_MAX, "tarragonflow/%s/manifest",
+	snprintf(key, STORE_KEY_MAX, "tarragonflow/%s/manifest",
 		 deployment->data);
 }
 
-const char *platform_op_name(enum platform_op op)
+const char *store_op_name(enum store_op op)
 {
 	static const char *const names[] = {"get", "list", "put", "delete",
 					    "watch"};
--- a/tarragonflow/commands/apply.c
+++ b/tarragonflow/commands/apply.c
@@ -3,7 +3,7 @@
 
 #include "tarragonflow/commands/command.h"
 #include "tarragonflow/manifest/apply.h"
-#include "tarragonflow/platform/http_platform.h"
+#include "tarragonflow/store/http_store.h"
 
 static enum status_code run_apply(const struct command *command, int argc,
 				  char **argv, struct status *status)
@@ -17,7 +17,7 @@
 		{NULL, 0, 0, 0, NULL, NULL, NULL},
 	};
 	struct manifest manifest;
-	struct http_platform http;
+	struct http_store http;
 
 	if (command_parse(command, entries, &argc, &argv, 1, 1, status) !=
 	    STATUS_OK)
@@ -27,10 +27,10 @@
 				  "--platform URL is missing");
 	manifest_init(&manifest);
 	if (manifest_load(&manifest, argv[1], status) == STATUS_OK) {
-		http_platform_init(&http, url, NULL);
+		http_store_init(&http, url, NULL);
 		apply_manifest(&http.platform, &manifest,
 			       by ? by : g_get_user_name(), status);
-		http_platform_finish(&http);
+		http_store_finish(&http);
 	}
 	if (status->code == STATUS_OK)
 		printf("release %lld of %s accepted\n",
--- a/tarragonflow/commands/dump.c
+++ b/tarragonflow/commands/dump.c
@@ -2,15 +2,15 @@
 
 #include "tarragonflow/commands/command.h"
 #include "tarragonflow/manifest/manifest.h"
-#include "tarragonflow/platform/http_platform.h"
+#include "tarragonflow/store/http_store.h"
 
-static enum status_code dump_prefix(struct platform *platform,
+static enum status_code dump_prefix(struct object_store *platform,
 				    const char *prefix, struct status *status)
 {
-	struct platform_request request;
-	struct platform_result result;
+	struct store_request request;
+	struct store_result result;
 
-	platform_request_init(&request, PLATFORM_OP_LIST, prefix);
+	store_request_init(&request, STORE_OP_LIST, prefix);
 	request.timeout_ms = 3000;
 	platform->call(platform, &request, &result);
 	*status = result.status;
@@ -18,8 +18,8 @@
 		printf("%s version=%lld\n%s\n", result.objects[i].key,
 		       (long long)result.objects[i].version,
 		       strbuf_str(&result.objects[i].value).data);
-	platform_result_finish(&result);
-	platform_request_finish(&request);
+	store_result_finish(&result);
+	store_request_finish(&request);
 	return status->code;
 }
 
@@ -32,8 +32,8 @@
 		 "URL of the platform's object API", "URL"},
 		{NULL, 0, 0, 0, NULL, NULL, NULL},
 	};
-	char prefix[PLATFORM_KEY_MAX];
-	struct http_platform http;
+	char prefix[STORE_KEY_MAX];
+	struct http_store http;
 	struct name deployment;
 
 	if (command_parse(command, entries, &argc, &argv, 1, 1, status) !=
@@ -48,9 +48,9 @@
 				  "name",
 				  argv[1]);
 	snprintf(prefix, sizeof(prefix), "tarragonflow/%s/", deployment.data);
-	http_platform_init(&http, url, NULL);
+	http_store_init(&http, url, NULL);
 	dump_prefix(&http.platform, prefix, status);
-	http_platform_finish(&http);
+	http_store_finish(&http);
 	g_free(url);
 	return status->code;
 }
--- a/tests/scenarios/runner.c
+++ b/tests/scenarios/runner.c
@@ -273,7 +273,7 @@
 static void set_stale(bool stale)
 {
 	if (stale && !world.platform.stale)
-		object_store_copy(&world.platform.store, &world.platform.old);
+		memory_store_copy(&world.platform.store, &world.platform.old);
 	world.platform.stale = stale;
 }
 
@@ -329,7 +329,7 @@
 	platform->races = (int)field_number(lua, "races", platform->races);
 	set_stale(field_number(lua, "stale", platform->stale) != 0);
 	if (field_number(lua, "forget", 0) != 0)
-		object_store_forget(&platform->store);
+		memory_store_forget(&platform->store);
 	return 0;
 }
 
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -12,7 +12,7 @@
 
 	strbuf_finish(&event->data);
 	if (event->kind == EVENT_RESULT)
-		platform_result_finish(&event->result);
+		store_result_finish(&event->result);
 	g_free(event);
 }
 
@@ -59,7 +59,7 @@
 }
 
 static void sink_call(struct control_sink *sink,
-		      const struct platform_request *request)
+		      const struct store_request *request)
 {
 	world_platform_call(node_of_control(sink), request);
 }
--- a/tests/scenarios/world.h
+++ b/tests/scenarios/world.h
@@ -8,7 +8,7 @@
 #include "tarragonflow/route/balancer.h"
 #include "tests/standin/backend.h"
 #include "tests/standin/caller_pool.h"
-#include "tests/standin/object_store.h"
+#include "tests/standin/memory_store.h"
 
 /**
  * The real cores of one deployment under a virtual clock, with fakes at
@@ -26,7 +26,7 @@
 };
 
 struct world_platform {
-	struct object_store store;
+	struct memory_store store;
 	bool down;
 	/** Time an answer takes, ms. */
 	int64_t latency_ms;
@@ -36,7 +36,7 @@
 	int races;
 	/** Watches and reads show the store as it was when this was set. */
 	bool stale;
-	struct object_store old;
+	struct memory_store old;
 	uint64_t calls[5];
 };
 
--- a/tests/scenarios/world_internal.h
+++ b/tests/scenarios/world_internal.h
@@ -24,7 +24,7 @@
 	/** EVENT_RESULT and of pulls: for whom, and which of its runs. */
 	struct world_node *node;
 	uint64_t instance;
-	struct platform_result result;
+	struct store_result result;
 };
 
 /** Adds an event that is due in @delay_ms; the caller fills the rest. */
@@ -33,7 +33,7 @@
 
 /** Starts a call of @node; its result arrives as EVENT_RESULT. */
 void world_platform_call(struct world_node *node,
-			 const struct platform_request *request);
+			 const struct store_request *request);
 
 /** Answers the watches that have something to tell or waited long enough. */
 void world_platform_serve(struct world *world);
--- a/tests/scenarios/world_platform.c
+++ b/tests/scenarios/world_platform.c
@@ -12,49 +12,49 @@
 	struct world_node *node;
 	uint64_t instance;
 	int64_t until_ms;
-	struct platform_request request;
+	struct store_request request;
 };
 
 /* Another writer writes the same object once more. */
-static void write_first(struct object_store *store,
-			const struct platform_request *request)
+static void write_first(struct memory_store *store,
+			const struct store_request *request)
 {
-	struct platform_request other;
-	struct platform_result result;
+	struct store_request other;
+	struct store_result result;
 
-	platform_request_init(&other, PLATFORM_OP_GET, request->key);
-	object_store_apply(store, &other, &result);
-	other.op = PLATFORM_OP_PUT;
+	store_request_init(&other, STORE_OP_GET, request->key);
+	memory_store_apply(store, &other, &result);
+	other.op = STORE_OP_PUT;
 	other.version = result.version;
 	if (result.n_objects)
 		strbuf_add(&other.value, result.objects[0].value.data,
 			   result.objects[0].value.len);
 	else
 		strbuf_addf(&other.value, "{\"members\":[]}");
-	platform_result_finish(&result);
-	object_store_apply(store, &other, &result);
-	platform_result_finish(&result);
-	platform_request_finish(&other);
+	store_result_finish(&result);
+	memory_store_apply(store, &other, &result);
+	store_result_finish(&result);
+	store_request_finish(&other);
 }
 
 static void apply_request(struct world_platform *platform,
-			  const struct platform_request *request,
-			  struct platform_result *result)
+			  const struct store_request *request,
+			  struct store_result *result)
 {
-	bool write = request->op == PLATFORM_OP_PUT ||
-		     request->op == PLATFORM_OP_DELETE;
+	bool write = request->op == STORE_OP_PUT ||
+		     request->op == STORE_OP_DELETE;
 
 	if (write && platform->races > 0) {
 		platform->races--;
 		write_first(&platform->store, request);
 	}
-	object_store_apply(platform->stale && !write ? &platform->old
+	memory_store_apply(platform->stale && !write ? &platform->old
 						     : &platform->store,
 			   request, result);
 }
 
 static void answer_later(struct world_node *node, uint64_t instance,
-			 const struct platform_result *result, int64_t delay_ms)
+			 const struct store_result *result, int64_t delay_ms)
 {
 	struct event *event =
 		world_event_add(node->world, EVENT_RESULT, delay_ms);
@@ -68,12 +68,12 @@
 {
 	struct watch *watch = data;
 
-	platform_request_finish(&watch->request);
+	store_request_finish(&watch->request);
 	g_free(watch);
 }
 
 static void watch_add(struct world_node *node,
-		      const struct platform_request *request)
+		      const struct store_request *request)
 {
 	struct watch *watch = g_new0(struct watch, 1);
 
@@ -86,26 +86,26 @@
 }
 
 void world_platform_call(struct world_node *node,
-			 const struct platform_request *request)
+			 const struct store_request *request)
 {
 	struct world_platform *platform = &node->world->platform;
 	uint64_t instance = node->options.self.instance;
-	struct platform_result result;
+	struct store_result result;
 
 	platform->calls[request->op]++;
 	if (platform->down || node->platform_cut) {
-		platform_result_init(&result, request);
+		store_result_init(&result, request);
 		status_set(&result.status, STATUS_UNAVAILABLE, "down");
 		answer_later(node, instance, &result, request->timeout_ms);
 		return;
 	}
-	if (request->op == PLATFORM_OP_WATCH &&
+	if (request->op == STORE_OP_WATCH &&
 	    request->version >= platform->store.history_from) {
 		watch_add(node, request);
 		return;
 	}
 	apply_request(platform, request, &result);
-	if (request->op == PLATFORM_OP_PUT && platform->lose_answers > 0) {
+	if (request->op == STORE_OP_PUT && platform->lose_answers > 0) {
 		platform->lose_answers--;
 		status_set(&result.status, STATUS_UNKNOWN, "answer lost");
 		answer_later(node, instance, &result, request->timeout_ms);
@@ -120,11 +120,11 @@
 
 	for (guint i = world->watches->len; i-- > 0;) {
 		struct watch *watch = g_ptr_array_index(world->watches, i);
-		struct platform_result result;
+		struct store_result result;
 		bool due = world->now_ms >= watch->until_ms;
 
 		if (platform->down || watch->node->platform_cut) {
-			platform_result_init(&result, &watch->request);
+			store_result_init(&result, &watch->request);
 			status_set(&result.status, STATUS_UNAVAILABLE, "down");
 			due = true;
 		} else {
@@ -132,7 +132,7 @@
 		}
 		if (!due && !result.n_objects &&
 		    result.status.code == STATUS_OK) {
-			platform_result_finish(&result);
+			store_result_finish(&result);
 			continue;
 		}
 		answer_later(watch->node, watch->instance, &result,
@@ -143,7 +143,7 @@
 
 /** An operator's own way to the platform. */
 struct operator_platform {
-	struct platform platform;
+	struct object_store platform;
 	struct world *world;
 	/** Another operator applies just before the next write. */
 	bool rival;
@@ -153,9 +153,9 @@
 static enum status_code apply_as(struct world *world,
 				 struct operator_platform *operator,
 				 const char * by, struct status *status);
-static void operator_call(struct platform *platform,
-			  const struct platform_request *request,
-			  struct platform_result *result);
+static void operator_call(struct object_store *platform,
+			  const struct store_request *request,
+			  struct store_result *result);
 
 /* The rival's manifest differs in how long servers may drain. */
 static void rival_applies(struct operator_platform *operator)
@@ -169,9 +169,9 @@
 	service->drain_deadline_s--;
 }
 
-static void operator_call(struct platform *platform,
-			  const struct platform_request *request,
-			  struct platform_result *result)
+static void operator_call(struct object_store *platform,
+			  const struct store_request *request,
+			  struct store_result *result)
 {
 	struct operator_platform *operator=(struct operator_platform *)
 		platform;
@@ -179,16 +179,16 @@
 
 	fake->calls[request->op]++;
 	if (fake->down) {
-		platform_result_init(result, request);
+		store_result_init(result, request);
 		status_set(&result->status, STATUS_UNAVAILABLE, "down");
 		return;
 	}
-	if (request->op == PLATFORM_OP_PUT && operator->rival) {
+	if (request->op == STORE_OP_PUT && operator->rival) {
 		operator->rival = false;
 		rival_applies(operator);
 	}
 	apply_request(fake, request, result);
-	if (request->op == PLATFORM_OP_PUT && fake->lose_answers > 0) {
+	if (request->op == STORE_OP_PUT && fake->lose_answers > 0) {
 		fake->lose_answers--;
 		status_set(&result->status, STATUS_UNKNOWN, "answer lost");
 	}
@@ -285,8 +285,8 @@
 void world_platform_init(struct world *world)
 {
 	world->platform.latency_ms = PLATFORM_LATENCY_MS;
-	object_store_init(&world->platform.store);
-	object_store_init(&world->platform.old);
+	memory_store_init(&world->platform.store);
+	memory_store_init(&world->platform.old);
 	world->accepted = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	world->watches = g_ptr_array_new_with_free_func(watch_free);
 }
@@ -294,7 +294,7 @@
 void world_platform_finish(struct world *world)
 {
 	g_ptr_array_free(world->watches, TRUE);
-	object_store_finish(&world->platform.store);
-	object_store_finish(&world->platform.old);
+	memory_store_finish(&world->platform.store);
+	memory_store_finish(&world->platform.old);
 	g_hash_table_destroy(world->accepted);
 }
--- a/tests/standin/object_store.c
+++ b/tests/standin/memory_store.c
@@ -1,4 +1,4 @@
-#include "object_store.h"
+#include "memory_store.h"
 
 #include <string.h>
 
@@ -10,29 +10,29 @@
 
 static void object_free(gpointer data)
 {
-	struct platform_object *object = data;
+	struct store_object *object = data;
 
 	strbuf_finish(&object->value);
 	g_free(object);
 }
 
-void object_store_init(struct object_store *store)
+void memory_store_init(struct memory_store *store)
 {
 	store->objects = g_tree_new_full(key_order, NULL, g_free, object_free);
 	store->version = 1;
 	store->history_from = 0;
 }
 
-void object_store_finish(struct object_store *store)
+void memory_store_finish(struct memory_store *store)
 {
 	g_tree_destroy(store->objects);
 }
 
 static gboolean copy_object(gpointer key, gpointer value, gpointer user)
 {
-	const struct platform_object *object = value;
-	struct platform_object *copy = g_new0(struct platform_object, 1);
-	struct object_store *store = user;
+	const struct store_object *object = value;
+	struct store_object *copy = g_new0(struct store_object, 1);
+	struct memory_store *store = user;
 
 	*copy = *object;
 	strbuf_init(&copy->value);
@@ -41,37 +41,36 @@
 	return FALSE;
 }
 
-void object_store_copy(const struct object_store *store,
-		       struct object_store *copy)
+void memory_store_copy(const struct memory_store *store,
+		       struct memory_store *copy)
 {
-	object_store_finish(copy);
-	object_store_init(copy);
+	memory_store_finish(copy);
+	memory_store_init(copy);
 	copy->version = store->version;
 	copy->history_from = store->history_from;
 	g_tree_foreach(store->objects, copy_object, copy);
 }
 
-void object_store_forget(struct object_store *store)
+void memory_store_forget(struct memory_store *store)
 {
 	store->history_from = store->version;
 }
 
-static void copy_out(struct platform_result *result,
-		     const struct platform_object *object)
+static void copy_out(struct store_result *result,
+		     const struct store_object *object)
 {
-	struct platform_object *out =
-		platform_result_add(result, object->key, object->version,
-				    strbuf_str(&object->value));
+	struct store_object *out = store_result_add(result, object->key,
+						    object->version,
+						    strbuf_str(&object->value));
 
 	out->deleted = object->deleted;
 	memcpy(out->token, object->token, sizeof(out->token));
 }
 
-static void get(struct object_store *store, const char *key,
-		struct platform_result *result)
+static void get(struct memory_store *store, const char *key,
+		struct store_result *result)
 {
-	const struct platform_object *object =
-		g_tree_lookup(store->objects, key);
+	const struct store_object *object = g_tree_lookup(store->objects, key);
 
 	if (!object || object->deleted) {
 		status_set(&result->status, STATUS_NOT_FOUND, "no %s", key);
@@ -81,15 +80,15 @@
 	copy_out(result, object);
 }
 
-static void write_object(struct object_store *store,
-			 const struct platform_request *request,
-			 struct platform_result *result)
+static void write_object(struct memory_store *store,
+			 const struct store_request *request,
+			 struct store_result *result)
 {
-	struct platform_object *object =
+	struct store_object *object =
 		g_tree_lookup(store->objects, request->key);
 	int64_t current = object && !object->deleted ? object->version : 0;
 
-	if (request->value.len > PLATFORM_VALUE_MAX) {
+	if (request->value.len > STORE_VALUE_MAX) {
 		status_set(&result->status, STATUS_INVALID, "too large");
 		return;
 	}
@@ -99,12 +98,12 @@
 		return;
 	}
 	if (!object) {
-		object = g_new0(struct platform_object, 1);
+		object = g_new0(struct store_object, 1);
 		g_strlcpy(object->key, request->key, sizeof(object->key));
 		g_tree_insert(store->objects, g_strdup(request->key), object);
 	}
 	object->version = ++store->version;
-	object->deleted = request->op == PLATFORM_OP_DELETE;
+	object->deleted = request->op == STORE_OP_DELETE;
 	memcpy(object->token, request->token, sizeof(object->token));
 	strbuf_reset(&object->value);
 	strbuf_add(&object->value, request->value.data, request->value.len);
@@ -113,18 +112,18 @@
 
 /** One walk over the objects under a prefix. */
 struct walk {
-	const struct platform_request *request;
-	struct platform_result *result;
+	const struct store_request *request;
+	struct store_result *result;
 };
 
 static gboolean visit(gpointer key, gpointer value, gpointer user)
 {
-	const struct platform_object *object = value;
+	const struct store_object *object = value;
 	struct walk *walk = user;
 
 	if (!g_str_has_prefix(key, walk->request->key))
 		return FALSE;
-	if (walk->request->op == PLATFORM_OP_WATCH) {
+	if (walk->request->op == STORE_OP_WATCH) {
 		if (object->version > walk->request->version)
 			copy_out(walk->result, object);
 	} else if (!object->deleted) {
@@ -133,28 +132,28 @@
 	return FALSE;
 }
 
-void object_store_apply(struct object_store *store,
-			const struct platform_request *request,
-			struct platform_result *result)
+void memory_store_apply(struct memory_store *store,
+			const struct store_request *request,
+			struct store_result *result)
 {
 	struct walk walk = {request, result};
 
-	platform_result_init(result, request);
+	store_result_init(result, request);
 	switch (request->op) {
-	case PLATFORM_OP_GET:
+	case STORE_OP_GET:
 		get(store, request->key, result);
 		break;
-	case PLATFORM_OP_PUT:
-	case PLATFORM_OP_DELETE:
+	case STORE_OP_PUT:
+	case STORE_OP_DELETE:
 		write_object(store, request, result);
 		break;
-	case PLATFORM_OP_WATCH:
+	case STORE_OP_WATCH:
 		if (request->version < store->history_from) {
 			status_set(&result->status, STATUS_GONE, "history");
 			break;
 		}
 		/* fall through */
-	case PLATFORM_OP_LIST:
+	case STORE_OP_LIST:
 		result->version = store->version;
 		g_tree_foreach(store->objects, visit, &walk);
 		break;
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "object_store.h"
+#include "memory_store.h"
 #include "standin.h"
 #include "tarragonflow/common/clock.h"
 
@@ -15,13 +15,13 @@
  * The platform over HTTP and JSON. PUT /fault?down=1, ?slow_ms=N,
  * ?lose_answers=N and ?forget=1 bring about its failures.
  */
-#define BODY_MAX (2 * PLATFORM_VALUE_MAX)
+#define BODY_MAX (2 * STORE_VALUE_MAX)
 #define WATCH_POLL_MS 20
 #define OBJECTS_URI "/v1/objects/"
 
 struct standin {
 	pthread_mutex_t lock;
-	struct object_store store;
+	struct memory_store store;
 	bool down;
 	int64_t slow_ms;
 	int lose_answers;
@@ -64,7 +64,7 @@
 	}
 }
 
-static json_t *object_json(const struct platform_object *object)
+static json_t *object_json(const struct store_object *object)
 {
 	struct str value = strbuf_str(&object->value);
 
@@ -75,14 +75,14 @@
 }
 
 static int answer_result(struct mg_connection *conn,
-			 const struct platform_result *result)
+			 const struct store_result *result)
 {
 	json_t *objects = json_array();
 	json_t *root;
 	char *text;
 	int code = http_code(result->status.code);
 
-	if (result->op == PLATFORM_OP_GET && result->n_objects) {
+	if (result->op == STORE_OP_GET && result->n_objects) {
 		root = object_json(&result->objects[0]);
 		json_decref(objects);
 	} else {
@@ -100,8 +100,7 @@
 	return code;
 }
 
-static bool read_body(struct mg_connection *conn,
-		      struct platform_request *request)
+static bool read_body(struct mg_connection *conn, struct store_request *request)
 {
 	struct strbuf body;
 	char chunk[4096];
@@ -127,11 +126,11 @@
 }
 
 static int serve(struct standin *standin, struct mg_connection *conn,
-		 struct platform_request *request)
+		 struct store_request *request)
 {
 	const struct mg_request_info *info = mg_get_request_info(conn);
 	int64_t waited = 0, wait_ms = query_int(info, "wait_ms");
-	struct platform_result result;
+	struct store_result result;
 	bool lose = false;
 	int code;
 
@@ -142,18 +141,18 @@
 		mg_close_connection(conn);
 		return 503;
 	}
-	object_store_apply(&standin->store, request, &result);
-	while (request->op == PLATFORM_OP_WATCH && !result.n_objects &&
+	memory_store_apply(&standin->store, request, &result);
+	while (request->op == STORE_OP_WATCH && !result.n_objects &&
 	       result.status.code == STATUS_OK && waited < wait_ms &&
 	       !standin->down) {
-		platform_result_finish(&result);
+		store_result_finish(&result);
 		pthread_mutex_unlock(&standin->lock);
 		clock_sleep(WATCH_POLL_MS);
 		waited += WATCH_POLL_MS;
 		pthread_mutex_lock(&standin->lock);
-		object_store_apply(&standin->store, request, &result);
+		memory_store_apply(&standin->store, request, &result);
 	}
-	if (request->op == PLATFORM_OP_PUT && standin->lose_answers > 0) {
+	if (request->op == STORE_OP_PUT && standin->lose_answers > 0) {
 		standin->lose_answers--;
 		lose = true;
 	}
@@ -163,29 +162,28 @@
 	if (lose)
 		mg_close_connection(conn);
 	code = lose ? 503 : answer_result(conn, &result);
-	platform_result_finish(&result);
+	store_result_finish(&result);
 	return code;
 }
 
 static int handle_objects(struct mg_connection *conn, void *user)
 {
 	const struct mg_request_info *info = mg_get_request_info(conn);
-	struct platform_request request;
-	enum platform_op op = PLATFORM_OP_GET;
+	struct store_request request;
+	enum store_op op = STORE_OP_GET;
 	int code;
 
 	if (!strcmp(info->request_method, "PUT"))
-		op = PLATFORM_OP_PUT;
+		op = STORE_OP_PUT;
 	else if (!strcmp(info->request_method, "DELETE"))
-		op = PLATFORM_OP_DELETE;
-	platform_request_init(&request, op,
-			      info->local_uri + strlen(OBJECTS_URI));
+		op = STORE_OP_DELETE;
+	store_request_init(&request, op, info->local_uri + strlen(OBJECTS_URI));
 	request.version = query_int(info, "version");
-	if (op == PLATFORM_OP_PUT && !read_body(conn, &request))
+	if (op == STORE_OP_PUT && !read_body(conn, &request))
 		code = answer(conn, 400, "{\"error\":\"token is missing\"}");
 	else
 		code = serve(user, conn, &request);
-	platform_request_finish(&request);
+	store_request_finish(&request);
 	return code;
 }
 
@@ -194,12 +192,12 @@
 	const struct mg_request_info *info = mg_get_request_info(conn);
 	const char *query = info->query_string ? info->query_string : "";
 	bool watch = g_str_has_prefix(info->local_uri, "/v1/watch");
-	struct platform_request request;
-	char prefix[PLATFORM_KEY_MAX] = "";
+	struct store_request request;
+	char prefix[STORE_KEY_MAX] = "";
 
 	mg_get_var(query, strlen(query), "prefix", prefix, sizeof(prefix));
-	platform_request_init(
-		&request, watch ? PLATFORM_OP_WATCH : PLATFORM_OP_LIST, prefix);
+	store_request_init(&request, watch ? STORE_OP_WATCH : STORE_OP_LIST,
+			   prefix);
 	request.version = query_int(info, "after");
 	return serve(user, conn, &request);
 }
@@ -214,7 +212,7 @@
 	standin->slow_ms = query_int(info, "slow_ms");
 	standin->lose_answers = (int)query_int(info, "lose_answers");
 	if (query_int(info, "forget"))
-		object_store_forget(&standin->store);
+		memory_store_forget(&standin->store);
 	pthread_mutex_unlock(&standin->lock);
 	return answer(conn, 200, "{}");
 }
@@ -237,7 +235,7 @@
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	object_store_init(&standin.store);
+	memory_store_init(&standin.store);
 	context = mg_start(NULL, &standin, options);
 	if (!context) {
 		fprintf(stderr, "cannot listen on %s\n", argv[1]);
@@ -250,6 +248,6 @@
 	mg_set_request_handler(context, "/fault", handle_fault, &standin);
 	sigwait(&set, &signo);
 	mg_stop(context);
-	object_store_finish(&standin.store);
+	memory_store_finish(&standin.store);
 	return 0;
 }
--- a/tests/unit/test_manifest.c
+++ b/tests/unit/test_manifest.c
@@ -5,7 +5,7 @@
 #include "tarragonflow/manifest/manifest_object.h"
 #include "tarragonflow/manifest/manifest.h"
 #include "tarragonflow/node/settings.h"
-#include "tests/standin/object_store.h"
+#include "tests/standin/memory_store.h"
 
 #define ZONES "\"zones\":[{\"name\":\"tas-a\"}]"
 #define SERVICE(name, address, port) \
@@ -102,8 +102,8 @@
 
 /** A platform whose next PUTs go wrong in a chosen way. */
 struct fake_platform {
-	struct platform platform;
-	struct object_store store;
+	struct object_store platform;
+	struct memory_store store;
 	/** PUTs that take effect but whose answer is lost. */
 	int lose_answers;
 	/** PUTs that are lost on their way. */
@@ -114,37 +114,37 @@
 
 static void rival_write(struct fake_platform *fake, const char *key)
 {
-	struct platform_request request;
-	struct platform_result result;
+	struct store_request request;
+	struct store_result result;
 
-	platform_request_init(&request, PLATFORM_OP_GET, key);
-	object_store_apply(&fake->store, &request, &result);
-	request.op = PLATFORM_OP_PUT;
+	store_request_init(&request, STORE_OP_GET, key);
+	memory_store_apply(&fake->store, &request, &result);
+	request.op = STORE_OP_PUT;
 	request.version = result.version;
-	platform_result_finish(&result);
+	store_result_finish(&result);
 	strbuf_add(&request.value, fake->rival, strlen(fake->rival));
 	fake->rival = NULL;
-	object_store_apply(&fake->store, &request, &result);
-	platform_result_finish(&result);
-	platform_request_finish(&request);
+	memory_store_apply(&fake->store, &request, &result);
+	store_result_finish(&result);
+	store_request_finish(&request);
 }
 
-static void fake_call(struct platform *platform,
-		      const struct platform_request *request,
-		      struct platform_result *result)
+static void fake_call(struct object_store *platform,
+		      const struct store_request *request,
+		      struct store_result *result)
 {
 	struct fake_platform *fake = (struct fake_platform *)platform;
-	bool put = request->op == PLATFORM_OP_PUT;
+	bool put = request->op == STORE_OP_PUT;
 
 	if (put && fake->rival)
 		rival_write(fake, request->key);
 	if (put && fake->lose_requests) {
 		fake->lose_requests--;
-		platform_result_init(result, request);
+		store_result_init(result, request);
 		status_set(&result->status, STATUS_UNKNOWN, "lost");
 		return;
 	}
-	object_store_apply(&fake->store, request, result);
+	memory_store_apply(&fake->store, request, result);
 	if (put && fake->lose_answers) {
 		fake->lose_answers--;
 		status_set(&result->status, STATUS_UNKNOWN, "lost");
@@ -185,19 +185,19 @@
 
 static int64_t stored_release(struct fake_platform *fake)
 {
-	struct platform_request request;
-	struct platform_result result;
+	struct store_request request;
+	struct store_result result;
 	struct manifest_object object;
 	int64_t release;
 
 	manifest_object_init(&object);
-	platform_request_init(&request, PLATFORM_OP_GET,
-			      "tarragonflow/huon/manifest");
-	object_store_apply(&fake->store, &request, &result);
+	store_request_init(&request, STORE_OP_GET,
+			   "tarragonflow/huon/manifest");
+	memory_store_apply(&fake->store, &request, &result);
 	manifest_object_read(&object, strbuf_str(&result.objects[0].value));
 	release = object.release;
 	manifest_object_finish(&object);
-	platform_result_finish(&result);
+	store_result_finish(&result);
 	return release;
 }
 
@@ -209,7 +209,7 @@
 		struct status status;
 
 		status_init(&status);
-		object_store_init(&fake.store);
+		memory_store_init(&fake.store);
 		if (apply_cases[i].in_force) {
 			set_release(&manifest, apply_cases[i].in_force);
 			g_assert_cmpint(apply_manifest(&fake.platform,
@@ -226,7 +226,7 @@
 			==, apply_cases[i].code);
 		g_assert_cmpint(stored_release(&fake), ==,
 				apply_cases[i].after);
-		object_store_finish(&fake.store);
+		memory_store_finish(&fake.store);
 	}
 }
 
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -4,16 +4,16 @@
 #include "tarragonflow/control/config_store.h"
 #include "tarragonflow/control/platform_sync.h"
 #include "tarragonflow/control/watch_choice.h"
-#include "tests/standin/object_store.h"
+#include "tests/standin/memory_store.h"
 
 /** The platform core over a store, with the calls that it made. */
 struct fixture {
 	struct platform_sync_out out;
 	struct platform_sync sync;
 	struct counters counters;
-	struct object_store store;
+	struct memory_store store;
 	struct roster roster;
-	struct platform_request last;
+	struct store_request last;
 	unsigned int calls[5];
 	unsigned int configs, members;
 	int64_t now_ms;
@@ -23,12 +23,12 @@
 };
 
 static void record_call(struct platform_sync_out *out,
-			const struct platform_request *request)
+			const struct store_request *request)
 {
 	struct fixture *fixture = (struct fixture *)out;
 
 	fixture->calls[request->op]++;
-	platform_request_finish(&fixture->last);
+	store_request_finish(&fixture->last);
 	fixture->last = *request;
 	strbuf_init(&fixture->last.value);
 	strbuf_add(&fixture->last.value, request->value.data,
@@ -77,7 +77,7 @@
 	name_set(&options.name, str_from("self"));
 	name_set(&options.zone, str_from("z"));
 	counters_init(&fixture->counters);
-	object_store_init(&fixture->store);
+	memory_store_init(&fixture->store);
 	roster_init(&fixture->roster);
 	add_member(&fixture->roster, "self", role, MEMBER_ACTIVE);
 	platform_sync_init(&fixture->sync, &options, &fixture->counters,
@@ -87,8 +87,8 @@
 static void fixture_finish(struct fixture *fixture)
 {
 	platform_sync_finish(&fixture->sync);
-	platform_request_finish(&fixture->last);
-	object_store_finish(&fixture->store);
+	store_request_finish(&fixture->last);
+	memory_store_finish(&fixture->store);
 	roster_finish(&fixture->roster);
 }
 
@@ -102,23 +102,23 @@
 static void answer_last(struct fixture *fixture)
 {
 	const struct platform_view view = fixture_view(fixture);
-	struct platform_request request = fixture->last;
-	struct platform_result result;
+	struct store_request request = fixture->last;
+	struct store_result result;
 
 	if (fixture->down) {
-		platform_result_init(&result, &request);
+		store_result_init(&result, &request);
 		status_set(&result.status, STATUS_UNAVAILABLE, "down");
 	} else {
-		object_store_apply(&fixture->store, &request, &result);
+		memory_store_apply(&fixture->store, &request, &result);
 	}
-	if (request.op == PLATFORM_OP_PUT && fixture->lose_answers > 0) {
+	if (request.op == STORE_OP_PUT && fixture->lose_answers > 0) {
 		fixture->lose_answers--;
 		status_set(&result.status, STATUS_UNKNOWN, "lost");
 	}
 	strbuf_init(&fixture->last.value);
 	platform_sync_handle_result(&fixture->sync, &result, &view,
 				    fixture->now_ms, &fixture->out);
-	platform_result_finish(&result);
+	store_result_finish(&result);
 	strbuf_finish(&request.value);
 }
 
@@ -134,7 +134,7 @@
 				   &fixture->out);
 		while (fixture->sync.next_id > answered) {
 			answered = fixture->sync.next_id;
-			if (fixture->last.op != PLATFORM_OP_WATCH ||
+			if (fixture->last.op != STORE_OP_WATCH ||
 			    fixture->down ||
 			    fixture->last.version < fixture->store.history_from)
 				answer_last(fixture);
@@ -150,16 +150,16 @@
 static void put(struct fixture *fixture, const char *key, int64_t version,
 		const char *value)
 {
-	struct platform_request request;
-	struct platform_result result;
+	struct store_request request;
+	struct store_result result;
 
-	platform_request_init(&request, PLATFORM_OP_PUT, key);
+	store_request_init(&request, STORE_OP_PUT, key);
 	request.version = version;
 	strbuf_add(&request.value, value, strlen(value));
-	object_store_apply(&fixture->store, &request, &result);
+	memory_store_apply(&fixture->store, &request, &result);
 	g_assert_cmpint(result.status.code, ==, STATUS_OK);
-	platform_result_finish(&result);
-	platform_request_finish(&request);
+	store_result_finish(&result);
+	store_request_finish(&request);
 }
 
 static void test_watch_and_gone(void)
@@ -169,11 +169,11 @@
 	fixture_init(&fixture, MEMBER_AGENT);
 	put(&fixture, "tarragonflow/d/manifest", 0, "{\"release\":1}");
 	fixture_run(&fixture, 1500);
-	g_assert_cmpuint(fixture.calls[PLATFORM_OP_WATCH], ==, 1);
+	g_assert_cmpuint(fixture.calls[STORE_OP_WATCH], ==, 1);
 	g_assert_cmpint(fixture.sync.watch_version, ==, fixture.store.version);
 	/* The history is cut while the watch is away. */
 	put(&fixture, "tarragonflow/d/other", 0, "x");
-	object_store_forget(&fixture.store);
+	memory_store_forget(&fixture.store);
 	fixture_run(&fixture, 20000);
 	g_assert_cmpuint(count(&fixture, COUNTER_PLATFORM_RETRY_GONE), ==, 1);
 	g_assert_cmpint(fixture.sync.watch_version, ==, fixture.store.version);
@@ -209,7 +209,7 @@
 		fixture.lose_answers = lost[i];
 		fixture_run(&fixture, 20000);
 		/* A lost answer is read back and recognized, not repeated. */
-		g_assert_cmpuint(fixture.calls[PLATFORM_OP_PUT], ==, 1);
+		g_assert_cmpuint(fixture.calls[STORE_OP_PUT], ==, 1);
 		g_assert_cmpuint(count(&fixture, COUNTER_PLATFORM_WRITE_FOUND),
 				 ==, lost[i] ? 1 : 0);
 		fixture_finish(&fixture);
@@ -221,7 +221,7 @@
 	struct fixture fixture;
 	struct roster held, other;
 	struct strbuf value;
-	char key[PLATFORM_KEY_MAX], name[32];
+	char key[STORE_KEY_MAX], name[32];
 	unsigned int shard;
 	struct name self, deployment;
 
@@ -249,7 +249,7 @@
 	g_assert_nonnull(roster_find(&fixture.roster, &other.members[0].name));
 	strbuf_reset(&value);
 	strbuf_add(&value, fixture.last.value.data, fixture.last.value.len);
-	g_assert_cmpuint(fixture.calls[PLATFORM_OP_PUT], ==, 1);
+	g_assert_cmpuint(fixture.calls[STORE_OP_PUT], ==, 1);
 	fixture_finish(&fixture);
 	roster_finish(&held);
 	roster_finish(&other);
@@ -263,9 +263,9 @@
 	fixture_init(&fixture, MEMBER_BALANCER);
 	add_member(&fixture.roster, "orders-9", MEMBER_AGENT, MEMBER_LEFT);
 	fixture_run(&fixture, 20000);
-	g_assert_cmpuint(fixture.calls[PLATFORM_OP_PUT], ==, 2);
+	g_assert_cmpuint(fixture.calls[STORE_OP_PUT], ==, 2);
 	fixture_run(&fixture, ROSTER_TOMBSTONE_MS);
-	g_assert_cmpuint(fixture.calls[PLATFORM_OP_PUT], ==, 3);
+	g_assert_cmpuint(fixture.calls[STORE_OP_PUT], ==, 3);
 	g_assert_cmpstr(fixture.last.key, !=, "");
 	fixture_finish(&fixture);
 }
