--- a/admin/admin.c
+++ b/admin/admin.c
@@ -3,13 +3,18 @@
 #include <civetweb.h>
 #include <signal.h>
 #include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "page.h"
 
+#define REASON_MAX 64
+#define PORTS_MAX (4 * ENDPOINT_TEXT_MAX)
 #define LEAVE_PATH "/v1/leave"
+/* All paths of adapters begin with this. */
+#define MOUNTS_PATH "/-/"
 #define HTTP_OK 200
 #define HTTP_ACCEPTED 202
 #define HTTP_BAD_REQUEST 400
@@ -36,20 +41,14 @@
 
 static int handle_ready(struct mg_connection *conn, void *user)
 {
-	struct node *node = user;
-	const char *reason = NULL;
-
-	pthread_mutex_lock(&node->lock);
-	if (!node->control.config.manifest.release)
-		reason = "no configuration\n";
-	else if (control_stale(&node->control))
-		reason = "was paused; waits for a peer\n";
-	else if (atomic_load(&node->wanted_state) != MEMBER_ACTIVE)
-		reason = "leaving\n";
-	pthread_mutex_unlock(&node->lock);
-	if (reason)
+	const char *reason = node_not_ready_reason(user);
+	char body[REASON_MAX];
+
+	if (reason) {
+		snprintf(body, sizeof(body), "%s\n", reason);
 		return answer(conn, HTTP_UNAVAILABLE, "text/plain",
-			      str_from(reason));
+			      str_from(body));
+	}
 	return answer(conn, HTTP_OK, "text/plain", str_from("ready\n"));
 }
 
@@ -145,6 +144,10 @@
 	const struct node *node = info->user_data;
 	bool post = !strcmp(info->request_method, "POST");
 
+	/* The adapter answers for its own paths. */
+	if (node->adapter->n_mounts &&
+	    !strncmp(info->local_uri, MOUNTS_PATH, strlen(MOUNTS_PATH)))
+		return 0;
 	if (!strcmp(info->request_method, "GET") ||
 	    !strcmp(info->request_method, "HEAD")) {
 		if (strcmp(info->local_uri, LEAVE_PATH) != 0)
@@ -175,14 +178,25 @@
 	{LEAVE_PATH "$", handle_leave},
 };
 
+/* Adds @endpoint to the list @ports, once. */
+static void add_port(char *ports, const struct endpoint *endpoint)
+{
+	char text[ENDPOINT_TEXT_MAX];
+	size_t len = strlen(ports);
+
+	if (!endpoint->port || strstr(ports, endpoint_format(endpoint, text)))
+		return;
+	snprintf(ports + len, PORTS_MAX - len, "%s%s", len ? "," : "", text);
+}
+
 enum status_code admin_start(struct admin *admin, struct node *node,
 			     struct status *status)
 {
 	struct mg_callbacks callbacks = {0};
-	char port[ENDPOINT_TEXT_MAX];
+	char ports[PORTS_MAX] = "";
 	const char *options[] = {
 		"listening_ports",
-		endpoint_format(&node->settings->admin, port),
+		ports,
 		"num_threads",
 		"4",
 		"enable_directory_listing",
@@ -190,16 +204,23 @@
 		NULL,
 	};
 
+	add_port(ports, &node->settings->admin);
+	add_port(ports, &node->settings->ready);
+	add_port(ports, &node->settings->announce);
 	memset(admin, 0, sizeof(*admin));
 	admin->node = node;
 	callbacks.begin_request = check_access;
 	admin->context = mg_start(&callbacks, node, options);
 	if (!admin->context)
 		return status_set(status, STATUS_IO,
-				  "cannot listen on admin address %s", port);
+				  "cannot listen on admin addresses %s", ports);
 	for (size_t i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
 		mg_set_request_handler(admin->context, routes[i].path,
 				       routes[i].handle, node);
+	for (size_t i = 0; i < node->adapter->n_mounts; i++)
+		mg_set_request_handler(admin->context,
+				       node->adapter->mounts[i].pattern,
+				       node->adapter->mounts[i].handle, node);
 	return STATUS_OK;
 }
 
--- a/admit/admit.c
+++ b/admit/admit.c
@@ -1,6 +1,7 @@
 #include "tarragonflow/admit/admit.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #include "tarragonflow/net/packet.h"
@@ -19,7 +20,17 @@
 #define DEFAULT_ANSWER_MS 50
 #define BACK_OFF_MIN_MS 500
 #define BACK_OFF_MAX_MS 8000
+/* About the time of a few requests: a full server has room again. */
+#define RETURNED_PAUSE_MS 100
 #define USUAL_MIN_MS 1.0
+#define MS_PER_S 1000
+/* Time over which running requests are averaged. */
+#define MEAN_MS 1000.0
+/* All slots busy is a quarter of the load scale: queues show above it. */
+#define SLOTS_IN_SCALE 4
+/* A cold server counts as this much slower, and as this busy beforehand. */
+#define COLD_FACTOR 1.6
+#define COLD_EXTRA 0.1
 /* A limit counts as used from this share of it on, 1/4. */
 #define USED_SHARE 4
 
@@ -41,6 +52,42 @@
 	admit->back_off_ms = BACK_OFF_MIN_MS;
 }
 
+void admit_report(struct admit *admit, uint32_t slots, int64_t cold_left_ms,
+		  int64_t cold_per_s, int64_t now_ms)
+{
+	admit->reported = true;
+	admit->slots_max = MAX(slots, 1);
+	admit->limit = admit->connections_max;
+	admit->cold_until_ms = now_ms + cold_left_ms;
+	admit->cold_gap_ms = cold_per_s ? (MS_PER_S + cold_per_s - 1) /
+						  cold_per_s
+					: 0;
+}
+
+void admit_running(struct admit *admit, int change, int64_t now_ms)
+{
+	double keep = exp(-(double)(now_ms - admit->mean_ms) / MEAN_MS);
+
+	admit->mean_running =
+		keep * admit->mean_running + (1 - keep) * admit->running;
+	admit->mean_ms = now_ms;
+	if (change > 0)
+		admit->running++;
+	else if (change < 0 && admit->running)
+		admit->running--;
+}
+
+/* Spreads the connections of a cold server evenly over each second. */
+static bool cold_gate(struct admit *admit, int64_t now_ms)
+{
+	if (now_ms >= admit->cold_until_ms || !admit->cold_gap_ms)
+		return true;
+	if (now_ms < admit->next_cold_ms)
+		return false;
+	admit->next_cold_ms = now_ms + admit->cold_gap_ms;
+	return true;
+}
+
 enum admit_verdict admit_open(struct admit *admit, int64_t now_ms)
 {
 	if (admit->draining)
@@ -49,7 +96,7 @@
 		return ADMIT_DOWN;
 	if (admit->open + admit->unproven >= admit->connections_max)
 		return ADMIT_FULL;
-	if (admit->open >= admit->limit)
+	if (admit->open >= admit->limit || !cold_gate(admit, now_ms))
 		return ADMIT_COLD;
 	admit_take_over(admit);
 	return ADMIT_YES;
@@ -123,6 +170,8 @@
 
 void admit_turn_cold(struct admit *admit, int64_t now_ms)
 {
+	if (admit->reported)
+		return;
 	admit->limit = admit_cold_limit(admit);
 	admit->next_step_ms = now_ms + ADMIT_STEP_MS;
 	admit->last_good_ms = now_ms;
@@ -198,6 +247,12 @@
 	admit->back_off_ms = MIN(admit->back_off_ms * 2, BACK_OFF_MAX_MS);
 }
 
+void admit_returned(struct admit *admit, int64_t now_ms)
+{
+	admit->down_until_ms =
+		MAX(admit->down_until_ms, now_ms + RETURNED_PAUSE_MS);
+}
+
 void admit_hear_usual(struct admit *admit, uint16_t usual_ms)
 {
 	if (usual_ms && (admit->usual_ms <= 0 || usual_ms < admit->usual_ms))
@@ -209,6 +264,19 @@
 	return (uint16_t)MAX(PACKET_LOAD_SCALE / admit->connections_max, 1);
 }
 
+/* The load of the requests: now and of late in equal parts. */
+static uint64_t busy_load(const struct admit *admit, int64_t now_ms)
+{
+	double keep = exp(-(double)(now_ms - admit->mean_ms) / MEAN_MS);
+	double mean =
+		keep * admit->mean_running + (1 - keep) * admit->running;
+	double busy = (mean + admit->running) / 2 / admit->slots_max;
+
+	if (now_ms < admit->cold_until_ms)
+		busy = (busy + COLD_EXTRA) * COLD_FACTOR;
+	return (uint64_t)(busy * PACKET_LOAD_SCALE / SLOTS_IN_SCALE);
+}
+
 uint16_t admit_load(const struct admit *admit, int64_t now_ms)
 {
 	uint64_t load = (uint64_t)admit->open * PACKET_LOAD_SCALE;
@@ -217,7 +285,10 @@
 	    admit->open >= admit->limit ||
 	    admit->open + admit->unproven >= admit->connections_max)
 		return PACKET_LOAD_FULL;
-	return (uint16_t)(load / admit->connections_max);
+	load /= admit->connections_max;
+	if (admit->reported)
+		load += busy_load(admit, now_ms);
+	return (uint16_t)MIN(load, PACKET_LOAD_SCALE);
 }
 
 void admit_drain(struct admit *admit)
@@ -225,6 +296,11 @@
 	admit->draining = true;
 }
 
+void admit_undrain(struct admit *admit)
+{
+	admit->draining = false;
+}
+
 /* Answers came as usual, or there are none to be had for a long time. */
 static bool proven(const struct admit *admit, int64_t now_ms)
 {
--- a/bench/bench_pipeline.c
+++ b/bench/bench_pipeline.c
@@ -189,7 +189,7 @@
 	status_init(&status);
 	fill_settings(&settings, ip);
 	bench_make_view(view, bench_env("SERVERS", 7), sink);
-	if (node_init(node, &settings, &status) != STATUS_OK ||
+	if (node_init(node, &settings, &adapter_native, &status) != STATUS_OK ||
 	    packet_duty_start(&duty, node, str_from(""), &status) !=
 		    STATUS_OK ||
 	    node_start(node, &status) != STATUS_OK) {
--- a/control/context.h
+++ b/control/context.h
@@ -87,6 +87,10 @@
 void inbound_config(struct control_context *context, struct str text,
 		    const char *source);
 
+/** Merges orders on zones; a change is told to the others. */
+void inbound_orders(struct control_context *context,
+		    const struct zone_orders *orders);
+
 /** Another configuration is in force: tells the others. */
 void inbound_config_changed(struct control_context *context);
 
--- a/control/control.c
+++ b/control/control.c
@@ -290,6 +290,27 @@
 	inbound_config(((struct sync_out *)out)->context, text, "platform");
 }
 
+/* Zones that a whole list leaves out are in as of its version. */
+static void sync_zones(struct platform_sync_out *out,
+		       const struct zone_orders *orders, bool whole,
+		       uint64_t version)
+{
+	struct control_context *context = ((struct sync_out *)out)->context;
+	const struct zone_orders *known = &context->control->orders;
+	struct zone_orders merged = *orders;
+
+	for (size_t i = 0; whole && i < known->n; i++) {
+		struct zone_order in = known->entries[i];
+
+		if (zone_orders_out(orders, &in.zone))
+			continue;
+		in.version = version;
+		in.out = false;
+		zone_orders_take(&merged, &in);
+	}
+	inbound_orders(context, &merged);
+}
+
 static void sync_member(struct platform_sync_out *out,
 			const struct member *entry)
 {
@@ -301,6 +322,7 @@
 {
 	self->out.call = sync_call;
 	self->out.config = sync_config;
+	self->out.zones = sync_zones;
 	self->out.member = sync_member;
 	self->context = context;
 }
@@ -536,6 +558,21 @@
 	control->options.keys = *keys;
 }
 
+void control_set_server(struct control *control, const struct name *service,
+			uint32_t slots)
+{
+	struct member *self = &control->options.self;
+
+	if (self->slots == slots && name_equal(&self->service, service))
+		return;
+	self->service = *service;
+	self->slots = slots;
+	self->instance++;
+	self->sequence = 1;
+	roster_merge(&control->roster, self, control->now_ms);
+	gossip_queue_put(&control->queue, GOSSIP_JOIN, &self->name, true);
+}
+
 void control_set_state(struct control *control, enum member_state state,
 		       int64_t now_ms, struct control_sink *sink)
 {
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -7,6 +7,8 @@
 /* Beyond this, releases at members are heard from them and not gossiped. */
 #define REVISION_GOSSIP_MEMBERS_MAX 256
 #define PULL_INTERVAL_MS 100
+/* Peers that are told of an order on a zone at once. */
+#define ORDER_FANOUT 4
 /* After news by anti-entropy there may be more, ms. */
 #define EXCHANGE_AGAIN_MS 400
 
@@ -236,6 +238,29 @@
 		outbound_pull_tcp(context, &from->control);
 }
 
+void inbound_orders(struct control_context *context,
+		    const struct zone_orders *orders)
+{
+	struct control *control = context->control;
+	bool changed = false;
+
+	for (size_t i = 0; i < orders->n; i++) {
+		const struct zone_order *order = &orders->entries[i];
+
+		if (!zone_orders_take(&control->orders, order))
+			continue;
+		changed = true;
+		log_event(LOG_LEVEL_INFO, "zone-order",
+			  "zone=%s out=%d version=%llu", order->zone.data,
+			  order->out, (unsigned long long)order->version);
+	}
+	if (!changed)
+		return;
+	control_own_changed(context, GOSSIP_OWN);
+	outbound_gossip(context, ORDER_FANOUT);
+	context->sink->changed(context->sink);
+}
+
 void inbound_apply_zone(struct control_context *context,
 			const struct zone_report *report)
 {
@@ -351,6 +376,7 @@
 
 	take_sender(context, message);
 	take_entries(context, message);
+	inbound_orders(context, &message->orders);
 	if (message->kind == MESSAGE_CONFIG)
 		take_config(context, message);
 	compare_revisions(context, message);
--- a/control/message.c
+++ b/control/message.c
@@ -126,6 +126,8 @@
 	Control__Member *member_pointers[MESSAGE_MEMBERS_MAX];
 	Control__ZoneReport zones[MESSAGE_ZONES_MAX];
 	Control__ZoneReport *zone_pointers[MESSAGE_ZONES_MAX];
+	Control__ZoneOrder orders[ZONE_ORDERS_MAX];
+	Control__ZoneOrder *order_pointers[ZONE_ORDERS_MAX];
 	Control__Config config;
 	Control__Digest digest;
 };
@@ -159,12 +161,29 @@
 	wire->digest = &parts->digest;
 }
 
+static void orders_to_wire(const struct zone_orders *orders,
+			   Control__Message *wire, struct wire_parts *parts)
+{
+	for (size_t i = 0; i < orders->n; i++) {
+		Control__ZoneOrder *order = &parts->orders[i];
+
+		control__zone_order__init(order);
+		order->zone = (char *)orders->entries[i].zone.data;
+		order->version = orders->entries[i].version;
+		order->out = orders->entries[i].out;
+		parts->order_pointers[i] = order;
+	}
+	wire->n_zone_orders = orders->n;
+	wire->zone_orders = parts->order_pointers;
+}
+
 static void message_to_wire(const struct message *message,
 			    Control__Message *wire, struct wire_parts *parts)
 {
 	wire->kind = (Control__Kind)message->kind;
 	wire->number = message->number;
 	wire->nonce = message->nonce;
+	wire->former_release = message->former_release;
 	wire->platform_any_age = age_to_wire(message->ages.any_ms);
 	wire->platform_watcher_age = age_to_wire(message->ages.watcher_ms);
 	from_to_wire(&message->from, &parts->from);
@@ -186,6 +205,7 @@
 		member_to_wire(&message->target, true, &parts->target);
 		wire->target = &parts->target;
 	}
+	orders_to_wire(&message->orders, wire, parts);
 	config_to_wire(message, wire, parts);
 	digest_to_wire(message, wire, parts);
 }
@@ -275,6 +295,25 @@
 	return true;
 }
 
+static bool orders_from_wire(struct message *message,
+			     const Control__Message *wire)
+{
+	if (wire->n_zone_orders > ZONE_ORDERS_MAX)
+		return false;
+	for (size_t i = 0; i < wire->n_zone_orders; i++) {
+		const Control__ZoneOrder *from = wire->zone_orders[i];
+		struct zone_order order = {
+			.version = from->version,
+			.out = from->out,
+		};
+
+		if (!name_from_wire(&order.zone, from->zone, false))
+			return false;
+		zone_orders_take(&message->orders, &order);
+	}
+	return true;
+}
+
 static bool message_from_wire(struct message *message,
 			      const Control__Message *wire,
 			      struct strbuf *storage)
@@ -291,6 +330,7 @@
 	return member_from_wire(&message->from.member, &message->from.brief,
 				wire->from) &&
 	       entries_from_wire(message, wire) &&
+	       orders_from_wire(message, wire) &&
 	       target_from_wire(message, wire->target) &&
 	       digest_from_wire(message, wire->digest) &&
 	       config_from_wire(message, wire->config, storage);
--- a/control/outbound.c
+++ b/control/outbound.c
@@ -28,6 +28,7 @@
 	message->kind = kind;
 	message->from.member = context->control->options.self;
 	message->from.brief = !whole;
+	message->orders = context->control->orders;
 }
 
 void outbound_add(struct message *message, const struct member *member,
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "tarragonflow/manifest/manifest_object.h"
 
@@ -130,6 +131,48 @@
 	offer_objects(result, out);
 }
 
+/* An object that is there takes its zone out, whatever it holds. */
+static void read_zone_orders(const struct store_result *result,
+			     struct zone_orders *orders)
+{
+	for (size_t i = 0; i < result->n_objects; i++) {
+		const struct store_object *object = &result->objects[i];
+		const char *slash = strrchr(object->key, '/');
+		struct zone_order order = {
+			.version = (uint64_t)MAX(object->version, 1),
+			.out = !object->deleted,
+		};
+
+		if (object->deleted)
+			order.version = (uint64_t)MAX(result->version,
+						      object->version);
+		if (slash && name_set(&order.zone, str_from(slash + 1)))
+			zone_orders_take(orders, &order);
+	}
+}
+
+static void take_zones(struct platform_sync *sync,
+		       const struct store_result *result,
+		       enum platform_task task, int64_t now_ms,
+		       struct platform_sync_out *out)
+{
+	enum status_code code = result->status.code;
+	struct zone_orders orders = {0};
+
+	if (code == STATUS_GONE)
+		sync->zones_version = 0;
+	if (code != STATUS_OK) {
+		lane_failed(sync, &sync->zones, code, now_ms);
+		return;
+	}
+	backoff_reset(&sync->zones.backoff);
+	sync->zones.next_ms = now_ms;
+	sync->zones_version = MAX(sync->zones_version, result->version);
+	read_zone_orders(result, &orders);
+	out->zones(out, &orders, task == TASK_LIST_ZONES,
+		   (uint64_t)result->version);
+}
+
 /* Tombstones are of use only where the member is thought to be alive. */
 static void offer_members(const struct store_object *object,
 			  const struct roster *known,
@@ -231,6 +274,10 @@
 	case TASK_READ_CONFIG:
 		take_config(sync, result, task, view, now_ms, out);
 		break;
+	case TASK_LIST_ZONES:
+	case TASK_WATCH_ZONES:
+		take_zones(sync, result, task, now_ms, out);
+		break;
 	case TASK_LIST_ROSTER:
 		take_pages(sync, result, view, now_ms, out);
 		break;
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -56,6 +56,7 @@
 	call_budget_init(&sync->budget, BUDGET_PER_S, BUDGET_BURST, now_ms);
 	lane_init(&sync->watch, BACKOFF_MAX_MS, now_ms);
 	lane_init(&sync->config, BACKOFF_MAX_MS, now_ms);
+	lane_init(&sync->zones, BACKOFF_MAX_MS, now_ms);
 	lane_init(&sync->pages, PAGES_BACKOFF_MAX_MS, now_ms);
 	lane_init(&sync->shards, PAGES_BACKOFF_MAX_MS, now_ms);
 	sync->start_ms = now_ms;
@@ -121,8 +122,13 @@
 			 int64_t now_ms, struct platform_sync_out *out)
 {
 	request->id = ++sync->next_id;
-	request->timeout_ms = task == TASK_WATCH ? WATCH_WAIT_MS
-						 : CALL_TIMEOUT_MS;
+	request->timeout_ms = CALL_TIMEOUT_MS;
+	if (task == TASK_WATCH || task == TASK_WATCH_ZONES)
+		request->timeout_ms = WATCH_WAIT_MS;
+	if (lane == &sync->zones)
+		request->lane = STORE_LANE_ZONES;
+	else if (lane == &sync->watch)
+		request->lane = STORE_LANE_WATCH;
 	lane->task = task;
 	lane->id = request->id;
 	lane->until_ms = now_ms + request->timeout_ms + RESULT_GRACE_MS;
@@ -236,6 +242,25 @@
 			    now_ms, out);
 }
 
+static void zones_step(struct platform_sync *sync, int64_t now_ms,
+		       struct platform_sync_out *out)
+{
+	bool listed = sync->zones_version > 0;
+	struct store_request request;
+	char prefix[STORE_KEY_MAX];
+
+	if (sync->zones.task != TASK_NONE || now_ms < sync->zones.next_ms ||
+	    !take_budget(sync, &sync->zones, now_ms))
+		return;
+	store_zones_prefix(prefix, &sync->options.deployment);
+	store_request_init(&request, listed ? STORE_OP_WATCH : STORE_OP_LIST,
+			   prefix);
+	request.version = sync->zones_version;
+	platform_start_call(sync, &sync->zones,
+			    listed ? TASK_WATCH_ZONES : TASK_LIST_ZONES,
+			    &request, now_ms, out);
+}
+
 static unsigned int pick_page(struct platform_sync *sync)
 {
 	unsigned int page =
@@ -313,7 +338,8 @@
 static struct platform_lane *lane_of(struct platform_sync *sync, uint64_t id)
 {
 	struct platform_lane *lanes[] = {&sync->watch, &sync->config,
-					 &sync->pages, &sync->shards};
+					 &sync->zones, &sync->pages,
+					 &sync->shards};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lanes); i++)
 		if (lanes[i]->task != TASK_NONE && lanes[i]->id == id)
@@ -356,13 +382,16 @@
 {
 	expire_lane(sync, &sync->watch, view, now_ms, out);
 	expire_lane(sync, &sync->config, view, now_ms, out);
+	expire_lane(sync, &sync->zones, view, now_ms, out);
 	expire_lane(sync, &sync->pages, view, now_ms, out);
 	expire_lane(sync, &sync->shards, view, now_ms, out);
 	choose(sync, view->roster, now_ms);
-	if (platform_sync_watches(sync, now_ms))
+	if (platform_sync_watches(sync, now_ms)) {
 		watch_step(sync, now_ms, out);
-	else
+		zones_step(sync, now_ms, out);
+	} else {
 		probe_step(sync, view, now_ms, out);
+	}
 	pages_step(sync, now_ms, out);
 	shards_step(sync, view, now_ms, out);
 }
@@ -433,6 +462,10 @@
 	int64_t next =
 		MIN(sync->next_choice_ms, calls_deadline(sync, watching));
 
+	if (sync->zones.task != TASK_NONE)
+		next = MIN(next, sync->zones.until_ms);
+	else if (watching)
+		next = MIN(next, sync->zones.next_ms);
 	if (sync->watch.task != TASK_NONE)
 		return MIN(next, sync->watch.until_ms);
 	if (watching && sync->watch_version)
--- a/examples/cores/route_one.c
+++ b/examples/cores/route_one.c
@@ -111,7 +111,7 @@
 	spec.key.dst_port = 80;
 	balancer_handle(&balancer, packet,
 			inner_build(&spec, packet, sizeof(packet)),
-			&trial.sink);
+			trial.now_ms, &trial.sink);
 	printf("delivered %d\n", trial.delivered);
 	agent_finish(&trial.agent);
 	view_finish(&view);
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -30,6 +30,11 @@
 
 	memset(agent, 0, sizeof(*agent));
 	agent->counters = counters;
+	agent->format = identity->format ? identity->format : &packet_format_ip;
+	agent->tells_balancers = identity->tells_balancers;
+	agent->unsure_until_ms = now_ms + identity->flow_lifetime_ms;
+	server_watch_init(&agent->server, identity->server_reports,
+			  identity->report_lease_ms);
 	agent->zone = identity->zone;
 	agent->member_id = member_id(&identity->name);
 	agent->service_id = service_id(&identity->service);
@@ -88,11 +93,31 @@
 	return agent->admit.open + agent->admit.unproven;
 }
 
-static void deliver(struct agent *agent, const struct inner_packet *packet,
-		    struct packet_sink *sink)
+/* Marked, so that the search can go on when the server returns it. */
+static void deliver(struct agent *agent, const struct packet_header *header,
+		    const struct inner_packet *packet, struct packet_sink *sink)
 {
+	uint8_t marked[INNER_MAX];
+
 	agent_count(agent, COUNTER_PACKET_DELIVERED);
-	sink->to_server(sink, packet->data, packet->len);
+	if (!agent->format->set_mark) {
+		sink->to_server(sink, packet->data, packet->len);
+		return;
+	}
+	memcpy(marked, packet->data, packet->len);
+	agent->format->set_mark(marked, agent_make_mark(header));
+	sink->to_server(sink, marked, packet->len);
+}
+
+void agent_ask_server(struct agent *agent, struct packet_header *header,
+		      const struct inner_packet *packet, int position,
+		      int64_t now_ms, struct packet_sink *sink)
+{
+	(void)now_ms;
+	header->position = (uint8_t)position;
+	header->asking = true;
+	agent_count(agent, COUNTER_SERVER_ASKED);
+	deliver(agent, header, packet, sink);
 }
 
 /* Makes the local server give up a handshake that the caller gave up. */
@@ -105,13 +130,11 @@
 	};
 	uint8_t out[RESET_BYTES];
 
-	if (!agent->service)
+	if (!agent->service || !agent->format->resets_servers)
 		return;
-	memcpy(spec.key.src.bytes, flow->src, sizeof(flow->src));
-	spec.key.src_port = flow->src_port;
-	spec.key.dst = agent->service->service.address;
-	spec.key.dst_port = (uint16_t)agent->service->service.port;
-	sink->to_server(sink, out, inner_build(&spec, out, sizeof(out)));
+	flow_key_of(&spec.key, flow);
+	sink->to_server(sink, out,
+			agent->format->build(&spec, out, sizeof(out)));
 }
 
 /* Half-open connections give way first, then the longest closed one. */
@@ -152,6 +175,7 @@
 		[ADMIT_COLD] = COUNTER_REFUSE_COLD,
 		[ADMIT_DRAINING] = COUNTER_REFUSE_DRAINING,
 		[ADMIT_DOWN] = COUNTER_REFUSE_SERVER_DOWN,
+		[ADMIT_UNHEARD] = COUNTER_REFUSE_UNHEARD,
 	};
 
 	agent_count(agent, reasons[verdict]);
@@ -160,8 +184,11 @@
 static enum admit_verdict ask_admission(struct agent *agent, int64_t now_ms,
 					struct packet_sink *sink)
 {
-	enum admit_verdict verdict = admit_open(&agent->admit, now_ms);
+	enum admit_verdict verdict;
 
+	if (!server_watch_opens(&agent->server, now_ms))
+		return ADMIT_UNHEARD;
+	verdict = admit_open(&agent->admit, now_ms);
 	if (verdict != ADMIT_FULL && verdict != ADMIT_COLD)
 		return verdict;
 	if (!make_room(agent, true, now_ms, sink))
@@ -181,7 +208,8 @@
 	verdict = ask_admission(agent, now_ms, sink);
 	if (verdict != ADMIT_YES) {
 		count_refusal(agent, verdict);
-		if (verdict == ADMIT_COLD || verdict == ADMIT_DOWN)
+		if (verdict == ADMIT_COLD || verdict == ADMIT_DOWN ||
+		    verdict == ADMIT_UNHEARD)
 			header->warming = true;
 		agent_pass_on(agent, header, packet, now_ms, sink);
 		return;
@@ -200,7 +228,7 @@
 	flow->syn_seq = packet->seq;
 	flow->caller_seq = agent_seq_after(packet);
 	agent_count(agent, COUNTER_FLOW_OPENED);
-	deliver(agent, packet, sink);
+	deliver(agent, header, packet, sink);
 }
 
 /* What a flow of the packet's 5-tuple has to do with the packet. */
@@ -267,30 +295,38 @@
 		    !(flow->bits & FLOW_ANSWERED) &&
 		    (uint32_t)now_ms - flow->mark_ms > SYN_REPEAT_MS)
 			admit_unanswered(&agent->admit, now_ms);
-		deliver(agent, packet, sink);
+		deliver(agent, header, packet, sink);
 		return;
 	}
 	agent_hint(agent, header, packet, sink);
 	if (flow->state == FLOW_HALF_OPEN)
 		flow->state = FLOW_OPEN;
-	if (packet->payload_len && !(flow->bits & FLOW_ASKED)) {
-		flow->bits |= FLOW_ASKED;
+	if (packet->payload_len && !(flow->bits & FLOW_ASKED) &&
+	    flow->state == FLOW_OPEN) {
+		agent_flow_ask(agent, flow, true, now_ms);
 		flow->mark_ms = (uint32_t)now_ms;
 	}
 	agent_seq_advance(&flow->caller_seq, agent_seq_after(packet));
 	agent_flow_track(agent, flow, packet->flags, FLOW_CALLER_FIN, now_ms);
-	deliver(agent, packet, sink);
+	deliver(agent, header, packet, sink);
 }
 
 static void handle_foreign(struct agent *agent, struct packet_header *header,
 			   const struct inner_packet *packet, int64_t now_ms,
 			   struct packet_sink *sink)
 {
-	if (!inner_opens(packet) || !agent->service || !agent->zone_in) {
-		agent_pass_on(agent, header, packet, now_ms, sink);
+	if (inner_opens(packet) && agent->service && agent->zone_in) {
+		handle_open(agent, header, packet, now_ms, sink);
 		return;
 	}
-	handle_open(agent, header, packet, now_ms, sink);
+	if (header->asking) {
+		agent_ask_server(agent, header, packet, header->position,
+				 now_ms, sink);
+		return;
+	}
+	if (now_ms < agent->unsure_until_ms && !inner_opens(packet))
+		header->unsure |= (uint8_t)(1U << header->position);
+	agent_pass_on(agent, header, packet, now_ms, sink);
 }
 
 /* The error quotes a segment of the server's, which must be a recent one. */
@@ -300,7 +336,7 @@
 			struct packet_sink *sink)
 {
 	if (flow && agent_seq_near(packet->seq, flow->server_seq))
-		deliver(agent, packet, sink);
+		deliver(agent, header, packet, sink);
 	else
 		agent_pass_on(agent, header, packet, now_ms, sink);
 }
@@ -315,6 +351,11 @@
 		handle_icmp(agent, flow, header, packet, now_ms, sink);
 		return;
 	}
+	if (flow && (flow->bits & FLOW_LOST) && !inner_opens(packet)) {
+		agent_count(agent, COUNTER_RESET_LOST);
+		agent_reset_caller(agent, packet, sink);
+		return;
+	}
 	switch (flow ? claim(flow, packet) : CLAIM_FOREIGN) {
 	case CLAIM_OURS:
 		handle_ours(agent, flow, header, packet, now_ms, sink);
@@ -341,13 +382,13 @@
 static bool to_our_service(const struct agent *agent,
 			   const struct inner_packet *packet)
 {
-	const struct service *service;
+	const struct route_view *route;
 
 	if (!agent->service)
 		return true;
-	service = &agent->service->service;
-	return packet->key.dst_port == service->port &&
-	       ip_addr_equal(&packet->key.dst, &service->address);
+	route = view_route(agent->view, &packet->key);
+	return route &&
+	       view_route_allows(agent->view, route, agent->service_id);
 }
 
 /* True when the header addresses this very agent and service. */
@@ -379,7 +420,8 @@
 	struct inner_packet packet;
 
 	agent_count(agent, COUNTER_STRAY_PASSED);
-	if (header->kind == PACKET_DATA && inner_parse(&packet, data, len))
+	if (header->kind == PACKET_DATA &&
+	    agent->format->parse(&packet, data, len))
 		agent_pass_on(agent, header, &packet, now_ms, sink);
 }
 
@@ -389,14 +431,18 @@
 {
 	struct inner_packet packet;
 
-	if (!inner_parse(&packet, data, len)) {
+	if (!agent->format->parse(&packet, data, len)) {
 		agent_count(agent, inner_drop_reason(&packet));
 		return;
 	}
-	if (!to_our_service(agent, &packet)) {
+	if (inner_opens(&packet) && !to_our_service(agent, &packet)) {
 		agent_count(agent, COUNTER_DROP_WRONG_SERVICE);
 		return;
 	}
+	if (!inner_opens(&packet) && !view_route(agent->view, &packet.key)) {
+		agent_count(agent, COUNTER_DROP_NO_SERVICE);
+		return;
+	}
 	if (!agent->zone_in) {
 		agent_count(agent, COUNTER_ZONE_OUT_PASSED);
 		agent_pass_on(agent, header, &packet, now_ms, sink);
@@ -482,3 +528,54 @@
 {
 	return MIN(agent->admit.next_step_ms, agent->next_notice_ms);
 }
+
+/* What was open at a former start of the server is gone with it. */
+static void lose_flows(struct agent *agent)
+{
+	struct flow_table *flows = &agent->flows;
+
+	agent_count(agent, COUNTER_SERVER_RESTARTED);
+	for (uint32_t i = 0; i <= flows->mask; i++) {
+		struct flow *flow = &flows->slots[i];
+
+		if (flow->state == FLOW_FREE)
+			continue;
+		if (flow->state != FLOW_CLOSING)
+			flow->bits |= FLOW_LOST;
+		agent_flow_close(agent, flow);
+	}
+	agent->admit.running = 0;
+	agent->unsure_until_ms = INT64_MIN;
+}
+
+static int64_t cold_per_s(const struct agent *agent)
+{
+	return agent->service ? agent->service->service.cold_per_s : 0;
+}
+
+void agent_take_report(struct agent *agent, const struct server_report *report,
+		       int64_t now_ms)
+{
+	switch (server_watch_take(&agent->server, report, now_ms)) {
+	case SERVER_LATE:
+		return;
+	case SERVER_RESTARTED:
+		lose_flows(agent);
+		break;
+	case SERVER_SAME:
+		break;
+	}
+	if (report->state == SERVER_GONE) {
+		admit_drain(&agent->admit);
+		return;
+	}
+	agent->service_id = service_id(&report->service);
+	if (agent->view)
+		agent->service = view_service(agent->view, agent->service_id);
+	admit_report(&agent->admit, report->slots, report->cold_left_ms,
+		     cold_per_s(agent), now_ms);
+	if (report->state == SERVER_READY)
+		admit_undrain(&agent->admit);
+	else
+		admit_drain(&agent->admit);
+}
--- a/flow/agent_flow.c
+++ b/flow/agent_flow.c
@@ -2,14 +2,25 @@
 
 /* Distance of a packet from its connection's sequence numbers, bytes. */
 #define SEQ_WINDOW (1 << 26)
+#define RESET_BYTES 64
 
 void agent_count(struct agent *agent, enum counter_id id)
 {
 	counter_inc(agent->counters, id);
 }
 
-static void flow_give_back(struct agent *agent, const struct flow *flow)
+void agent_flow_ask(struct agent *agent, struct flow *flow, bool asked,
+		    int64_t now_ms)
 {
+	if (asked == ((flow->bits & FLOW_ASKED) != 0))
+		return;
+	flow->bits ^= FLOW_ASKED;
+	admit_running(&agent->admit, asked ? 1 : -1, now_ms);
+}
+
+static void flow_give_back(struct agent *agent, struct flow *flow)
+{
+	agent_flow_ask(agent, flow, false, agent->admit.mean_ms);
 	if (flow->bits & FLOW_UNPROVEN)
 		admit_close_unproven(&agent->admit);
 	else
@@ -64,6 +75,21 @@
 		agent_flow_close(agent, flow);
 }
 
+void agent_reset_caller(struct agent *agent, const struct inner_packet *packet,
+			struct packet_sink *sink)
+{
+	struct inner_spec spec = {
+		.seq = packet->ack,
+		.ack = packet->seq + 1 + packet->payload_len,
+		.flags = TCP_RST | TCP_ACK,
+	};
+	uint8_t out[RESET_BYTES];
+
+	flow_key_reverse(&spec.key, &packet->key);
+	sink->to_fabric(sink, out,
+			agent->format->build(&spec, out, sizeof(out)));
+}
+
 uint32_t agent_flow_age(const struct flow *flow, int64_t now_ms)
 {
 	return (uint32_t)now_ms - flow->last_ms;
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -1,6 +1,9 @@
 #include "tarragonflow/flow/agent_route.h"
 
+#include "tarragonflow/flow/agent_flow.h"
+
 #include <glib.h>
+#include <string.h>
 
 #define NO_CANDIDATE (-1)
 /* Services whose servers carry this few compare all candidates. */
@@ -8,12 +11,15 @@
 /* A peer is clearly better when it has this share less, 1/80. */
 #define MARGIN_SHARE 80
 /* Detours after which a balancer is told the owner. */
-#define HINT_HOPS 2
+#define HINT_HOPS 1
 #define HASH_HIGH_SHIFT 32
-#define RESET_BYTES 64
 #define NOTICE_INTERVAL_MS 200
 #define NOTICE_INTERVAL_FEW_MS 10
 #define NOTICE_REPEAT_MS 500
+/* Balancers take a silent agent for unreachable after some of these. */
+#define NOTICE_ALIVE_MS 150
+/* Between two notices to balancers, which place by them. */
+#define NOTICE_INTERVAL_ENTRY_MS 40
 #define NOTICE_PEERS 8
 #define NOTICE_CHANGE_SHARE 100
 
@@ -27,10 +33,18 @@
 	return header->visited & (1U << i);
 }
 
+/* A server that may not open connections counts as full. */
+static uint16_t own_load(const struct agent *agent, int64_t now_ms)
+{
+	if (!server_watch_opens(&agent->server, now_ms))
+		return PACKET_LOAD_FULL;
+	return admit_load(&agent->admit, now_ms);
+}
+
 static void stamp_load(struct agent *agent, struct packet_header *header,
 		       int64_t now_ms)
 {
-	header->load = admit_load(&agent->admit, now_ms);
+	header->load = own_load(agent, now_ms);
 	header->usual_ms = (uint16_t)agent->admit.usual_ms;
 }
 
@@ -103,19 +117,6 @@
 	return false;
 }
 
-static void send_reset(const struct inner_packet *packet,
-		       struct packet_sink *sink)
-{
-	struct inner_spec spec = {
-		.ack = packet->seq + 1 + packet->payload_len,
-		.flags = TCP_RST | TCP_ACK,
-	};
-	uint8_t out[RESET_BYTES];
-
-	flow_key_reverse(&spec.key, &packet->key);
-	sink->to_fabric(sink, out, inner_build(&spec, out, sizeof(out)));
-}
-
 /*
  * Nobody is left to ask. The caller is told so only when every member of a
  * view that is not older than the sender's was asked; otherwise it repeats.
@@ -139,7 +140,37 @@
 		return;
 	}
 	count(agent, COUNTER_REFUSE_NO_ROOM);
-	send_reset(packet, sink);
+	agent_reset_caller(agent, packet, sink);
+}
+
+/* Goes on to a service of the route that was not searched yet. */
+static bool next_service(struct agent *agent, struct packet_header *header,
+			 const struct inner_packet *packet)
+{
+	const struct route_view *route = view_route(agent->view, &packet->key);
+	const struct service_view *first, *next;
+
+	if (!route || inner_opens(packet))
+		return false;
+	first = view_route_service(agent->view, route, &packet->key);
+	while (header->services_tried < route->n_backends) {
+		const struct backend_view *backend =
+			&route->backends[header->services_tried++];
+
+		next = &agent->view->services[backend->service];
+		if (next == first || !next->n_members)
+			continue;
+		header->service_id = next->service.id;
+		header->bucket = view_bucket(agent->view, next, &packet->key);
+		view_chain(next, header->bucket, header);
+		header->visited = 0;
+		header->unsure = 0;
+		header->asking = false;
+		header->resolves = 0;
+		header->from = PACKET_FROM_OUTSIDE;
+		return true;
+	}
+	return false;
 }
 
 /* Whether a chain of our own view replaced the used one. */
@@ -163,6 +194,81 @@
 	return true;
 }
 
+/* Once all agents were asked, the servers of those that may not know are. */
+static int next_unsure(struct packet_header *header)
+{
+	for (int i = 0; i < header->n_candidates; i++) {
+		if (!(header->unsure & (1U << i)))
+			continue;
+		header->asking = true;
+		header->unsure &= (uint8_t)~(1U << i);
+		return i;
+	}
+	return NO_CANDIDATE;
+}
+
+static bool is_self(const struct agent *agent,
+		    const struct packet_header *header, int i)
+{
+	return header->service_id == agent->service_id &&
+	       header->candidates[i].member_id == agent->member_id;
+}
+
+/*
+ * The mark: position, hops, candidates visited and unsure, and whether the
+ * servers of unsure ones are asked. Chains beyond the first are not told
+ * apart, so a search through a larger service may meet an agent again.
+ */
+#define MARK_POSITION_BITS 3
+#define MARK_HOPS_BITS 6
+#define MARK_CHAIN_BITS 8
+
+uint32_t agent_make_mark(const struct packet_header *header)
+{
+	uint32_t hops = MIN(header->hops_left, (1U << MARK_HOPS_BITS) - 1);
+	uint32_t mark = header->asking;
+
+	mark = mark << MARK_POSITION_BITS | header->position;
+	mark = mark << MARK_HOPS_BITS | hops;
+	mark = mark << MARK_CHAIN_BITS | header->visited;
+	mark = mark << MARK_CHAIN_BITS | header->unsure;
+	return mark;
+}
+
+static uint32_t mark_take(uint32_t *mark, unsigned int bits)
+{
+	uint32_t value = *mark & ((1U << bits) - 1);
+
+	*mark >>= bits;
+	return value;
+}
+
+bool agent_read_mark(struct agent *agent, const struct inner_packet *packet,
+		     struct packet_header *header)
+{
+	const struct service_view *service = agent->service;
+	uint32_t mark = packet->mark;
+
+	if (!service || !service->n_members)
+		return false;
+	memset(header, 0, sizeof(*header));
+	header->unsure = (uint8_t)mark_take(&mark, MARK_CHAIN_BITS);
+	header->visited = (uint8_t)mark_take(&mark, MARK_CHAIN_BITS);
+	header->hops_left = (uint8_t)mark_take(&mark, MARK_HOPS_BITS);
+	header->position = (uint8_t)mark_take(&mark, MARK_POSITION_BITS);
+	header->asking = mark & 1;
+	header->service_id = agent->service_id;
+	header->config_revision = (uint64_t)agent->view->config_revision;
+	header->roster_version = agent->view->roster_version;
+	header->from = PACKET_FROM_OUTSIDE;
+	header->placed = true;
+	header->bucket = view_bucket(agent->view, service, &packet->key);
+	view_chain(service, header->bucket, header);
+	if (header->position >= header->n_candidates)
+		header->position = 0;
+	return true;
+}
+
 void agent_pass_on(struct agent *agent, struct packet_header *header,
 		   const struct inner_packet *packet, int64_t now_ms,
 		   struct packet_sink *sink)
@@ -176,10 +282,15 @@
 			       ? header->position
 			       : PACKET_FROM_OUTSIDE;
 	next = next_candidate(agent, header, opens, now_ms);
-	if (next == NO_CANDIDATE && resolve_again(agent, header, &asked_all))
+	if (next == NO_CANDIDATE && !opens)
+		next = next_unsure(header);
+	if (next == NO_CANDIDATE && (resolve_again(agent, header, &asked_all) ||
+				     next_service(agent, header, packet)))
 		next = next_candidate(agent, header, opens, now_ms);
 	if (next == NO_CANDIDATE)
 		give_up(agent, header, packet, asked_all, sink);
+	else if (is_self(agent, header, next))
+		agent_ask_server(agent, header, packet, next, now_ms, sink);
 	else
 		send_to(agent, header, next, packet, now_ms, sink);
 }
@@ -232,7 +343,7 @@
 static int better_candidate(const struct agent *agent,
 			    const struct packet_header *header, int64_t now_ms)
 {
-	uint16_t own = admit_load(&agent->admit, now_ms);
+	uint16_t own = own_load(agent, now_ms);
 	int best = NO_CANDIDATE;
 	int64_t limit = (int64_t)own - margin(agent, own);
 
@@ -319,19 +430,29 @@
 	sink->to_peer(sink, &header->origin, &hint, NULL, 0);
 }
 
+static int64_t notice_interval_ms(const struct agent *agent)
+{
+	if (few(agent))
+		return NOTICE_INTERVAL_FEW_MS;
+	return agent->tells_balancers ? NOTICE_INTERVAL_ENTRY_MS
+				      : NOTICE_INTERVAL_MS;
+}
+
 static bool load_due(const struct agent *agent, uint16_t load, int64_t now_ms)
 {
 	int change = ABS((int)load - (int)agent->told_load);
 	int worth = few(agent) ? 1 : MAX(load / NOTICE_CHANGE_SHARE, 1);
+	int64_t repeat_ms = agent->tells_balancers ? NOTICE_ALIVE_MS
+						   : NOTICE_REPEAT_MS;
 
 	if (now_ms < agent->next_notice_ms)
 		return false;
-	return change >= worth || now_ms - agent->told_ms >= NOTICE_REPEAT_MS;
+	return change >= worth || now_ms - agent->told_ms >= repeat_ms;
 }
 
-static void tell_peer(struct agent *agent, const struct candidate *self,
-		      const struct candidate *peer, int64_t now_ms,
-		      struct packet_sink *sink)
+static void tell_process(struct agent *agent, const struct candidate *self,
+			 const struct endpoint *process, int64_t now_ms,
+			 struct packet_sink *sink)
 {
 	struct packet_header notice = {
 		.service_id = agent->service_id,
@@ -344,14 +465,22 @@
 
 	stamp_load(agent, &notice, now_ms);
 	count(agent, COUNTER_LOAD_SENT);
-	sink->to_peer(sink, &peer->data, &notice, NULL, 0);
+	sink->to_peer(sink, process, &notice, NULL, 0);
+}
+
+static void tell_balancers(struct agent *agent, const struct candidate *self,
+			   int64_t now_ms, struct packet_sink *sink)
+{
+	for (size_t i = 0; i < agent->view->n_balancers; i++)
+		tell_process(agent, self, &agent->view->balancers[i], now_ms,
+			     sink);
 }
 
 void agent_tell_load(struct agent *agent, int64_t now_ms,
 		     struct packet_sink *sink)
 {
 	const struct service_view *service = agent->service;
-	uint16_t load = admit_load(&agent->admit, now_ms);
+	uint16_t load = own_load(agent, now_ms);
 	const struct candidate *self;
 	size_t n;
 
@@ -360,18 +489,20 @@
 	self = view_member(service, agent->member_id);
 	if (!self)
 		return;
-	agent->next_notice_ms = now_ms + (few(agent) ? NOTICE_INTERVAL_FEW_MS
-						     : NOTICE_INTERVAL_MS);
+	agent->next_notice_ms = now_ms + notice_interval_ms(agent);
 	agent->told_load = load;
 	agent->told_ms = now_ms;
+	if (agent->tells_balancers)
+		tell_balancers(agent, self, now_ms, sink);
 	n = MIN(service->n_members,
 		MAX(NOTICE_PEERS, service->n_members / NOTICE_PEERS));
 	while (n--) {
 		agent->notice_cursor =
 			(agent->notice_cursor + 1) % service->n_members;
 		if (&service->members[agent->notice_cursor] != self)
-			tell_peer(agent, self,
-				  &service->members[agent->notice_cursor],
-				  now_ms, sink);
+			tell_process(
+				agent, self,
+				&service->members[agent->notice_cursor].data,
+				now_ms, sink);
 	}
 }
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -1,5 +1,9 @@
 #include "tarragonflow/flow/agent_flow.h"
 
+#include <string.h>
+
+#include "tarragonflow/flow/agent_route.h"
+
 /* True when the server refused; its RST is not the caller's business. */
 static bool take_refusal(struct agent *agent, struct flow *flow,
 			 const struct inner_packet *packet, int64_t now_ms)
@@ -57,7 +61,7 @@
 	if (packet->payload_len && !(flow->bits & FLOW_ASKED))
 		admit_pushed(&agent->admit);
 	if (packet->payload_len && (flow->bits & FLOW_ASKED)) {
-		flow->bits &= (uint8_t)~FLOW_ASKED;
+		agent_flow_ask(agent, flow, false, now_ms);
 		admit_answered(&agent->admit, (uint32_t)now_ms - flow->mark_ms,
 			       now_ms);
 	}
@@ -73,6 +77,63 @@
 	agent_flow_track(agent, flow, packet->flags, FLOW_SERVER_FIN, now_ms);
 }
 
+/* The server has a connection that our table, younger than it, lacks. */
+static struct flow *adopt(struct agent *agent, const struct flow_key *key,
+			  const struct inner_packet *packet, int64_t now_ms)
+{
+	struct flow *flow;
+
+	if (now_ms >= agent->unsure_until_ms || packet->icmp ||
+	    (packet->flags & (TCP_SYN | TCP_RST)))
+		return NULL;
+	flow = flow_table_insert(&agent->flows, key);
+	if (!flow)
+		return NULL;
+	flow->state = FLOW_OPEN;
+	flow->bits = FLOW_ANSWERED;
+	flow->last_ms = (uint32_t)now_ms;
+	flow->caller_seq = packet->ack;
+	flow->server_seq = packet->seq;
+	admit_take_over(&agent->admit);
+	agent_count(agent, COUNTER_FLOW_ADOPTED);
+	return flow;
+}
+
+/*
+ * The server took no new connection, or does not have the connection: the
+ * search goes on where the mark left it. A caller whose connection was open
+ * here is told that it is gone.
+ */
+static void handle_returned(struct agent *agent,
+			    const struct inner_packet *packet, int64_t now_ms,
+			    struct packet_sink *sink)
+{
+	struct flow *flow = flow_table_find(&agent->flows, &packet->key);
+	struct packet_header header;
+	uint8_t copy[INNER_MAX];
+	struct inner_packet again = *packet;
+
+	agent_count(agent, COUNTER_SERVER_RETURNED);
+	if (flow && !inner_opens(packet) && flow->state == FLOW_OPEN) {
+		agent_count(agent, COUNTER_RESET_LOST);
+		flow->bits |= FLOW_LOST;
+		agent_flow_close(agent, flow);
+		agent_reset_caller(agent, packet, sink);
+		return;
+	}
+	if (flow && flow->state == FLOW_HALF_OPEN)
+		agent_flow_forget(agent, flow);
+	if (!agent_read_mark(agent, packet, &header))
+		return;
+	memcpy(copy, packet->data, packet->len);
+	agent->format->clear_returned(copy);
+	again.data = copy;
+	again.returned = false;
+	if (inner_opens(packet))
+		admit_returned(&agent->admit, now_ms);
+	agent_pass_on(agent, &header, &again, now_ms, sink);
+}
+
 void agent_handle_server(struct agent *agent, const uint8_t *data, size_t len,
 			 int64_t now_ms, struct packet_sink *sink)
 {
@@ -80,12 +141,18 @@
 	struct flow_key key;
 	struct flow *flow;
 
-	if (!inner_parse(&packet, data, len)) {
+	if (!agent->format->parse(&packet, data, len)) {
 		agent_count(agent, inner_drop_reason(&packet));
 		return;
 	}
+	if (packet.returned) {
+		handle_returned(agent, &packet, now_ms, sink);
+		return;
+	}
 	flow_key_reverse(&key, &packet.key);
 	flow = flow_table_find(&agent->flows, &key);
+	if (!flow)
+		flow = adopt(agent, &key, &packet, now_ms);
 	if (!flow) {
 		agent_count(agent, COUNTER_DROP_NO_OWNER);
 		return;
--- a/flow/flow_table.c
+++ b/flow/flow_table.c
@@ -5,8 +5,8 @@
 #include <xxhash.h>
 
 #define SLOTS_MIN 64
-/* Address and port, which lie next to each other in struct flow. */
-#define KEY_BYTES (offsetof(struct flow, src_port) + sizeof(uint16_t))
+/* Addresses and ports, which lie next to each other in struct flow. */
+#define KEY_BYTES (offsetof(struct flow, dst_port) + sizeof(uint16_t))
 
 void flow_table_init(struct flow_table *table, uint32_t max, uint64_t seed)
 {
@@ -39,7 +39,18 @@
 static void flow_set_key(struct flow *flow, const struct flow_key *key)
 {
 	memcpy(flow->src, key->src.bytes, sizeof(flow->src));
+	memcpy(flow->dst, key->dst.bytes, sizeof(flow->dst));
 	flow->src_port = key->src_port;
+	flow->dst_port = key->dst_port;
+}
+
+void flow_key_of(struct flow_key *key, const struct flow *flow)
+{
+	memset(key, 0, sizeof(*key));
+	memcpy(key->src.bytes, flow->src, sizeof(flow->src));
+	memcpy(key->dst.bytes, flow->dst, sizeof(flow->dst));
+	key->src_port = flow->src_port;
+	key->dst_port = flow->dst_port;
 }
 
 static bool flow_same_key(const struct flow *a, const struct flow *b)
--- a/flow/handover.c
+++ b/flow/handover.c
@@ -12,6 +12,9 @@
 	record->address.data = flow->src;
 	record->address.len = sizeof(flow->src);
 	record->port = flow->src_port;
+	record->service_address.data = flow->dst;
+	record->service_address.len = sizeof(flow->dst);
+	record->service_port = flow->dst_port;
 	record->state = flow->state;
 	record->bits = flow->bits;
 	record->idle_ms = (uint32_t)now_ms - flow->last_ms;
@@ -60,7 +63,10 @@
 static bool record_valid(const Handover__FlowRecord *record)
 {
 	return record->address.len == sizeof(struct ip_addr) &&
-	       record->port <= UINT16_MAX && record->state > FLOW_FREE &&
+	       record->service_address.len == sizeof(struct ip_addr) &&
+	       record->port <= UINT16_MAX &&
+	       record->service_port <= UINT16_MAX &&
+	       record->state > FLOW_FREE &&
 	       record->state <= FLOW_CLOSING && record->bits <= UINT8_MAX;
 }
 
@@ -79,10 +85,15 @@
 static void take_record(struct agent *agent, const Handover__FlowRecord *record,
 			int64_t now_ms)
 {
-	struct flow_key key = {.src_port = (uint16_t)record->port};
+	struct flow_key key = {
+		.src_port = (uint16_t)record->port,
+		.dst_port = (uint16_t)record->service_port,
+	};
 	struct flow *flow;
 
 	memcpy(key.src.bytes, record->address.data, sizeof(key.src.bytes));
+	memcpy(key.dst.bytes, record->service_address.data,
+	       sizeof(key.dst.bytes));
 	if (flow_table_find(&agent->flows, &key))
 		return;
 	flow = flow_table_insert(&agent->flows, &key);
--- a/flow/peer_load.c
+++ b/flow/peer_load.c
@@ -19,12 +19,18 @@
 
 uint16_t peer_load_of(const struct peer_loads *loads, uint32_t member_id,
 		      int64_t now_ms)
+{
+	return peer_load_fresh(loads, member_id, PEER_LOAD_FRESH_MS, now_ms);
+}
+
+uint16_t peer_load_fresh(const struct peer_loads *loads, uint32_t member_id,
+			 int64_t fresh_ms, int64_t now_ms)
 {
 	const struct peer_load *entry =
 		&loads->entries[member_id & (PEER_LOADS - 1)];
 
 	if (entry->member_id != member_id ||
-	    now_ms - entry->heard_ms > PEER_LOAD_FRESH_MS)
+	    now_ms - entry->heard_ms > fresh_ms)
 		return PACKET_LOAD_FULL;
 	return entry->load;
 }
--- /dev/null
+++ b/flow/server_report.c
@@ -0,0 +1,22 @@
+#include "tarragonflow/flow/server_report.h"
+
+#include <string.h>
+
+bool server_report_restarted(const struct server_report *report,
+			     const struct server_report *known)
+{
+	return strcmp(report->id, known->id) != 0 ||
+	       (report->started_ms && known->started_ms &&
+		report->started_ms != known->started_ms);
+}
+
+bool server_report_late(const struct server_report *report,
+			const struct server_report *known)
+{
+	if (report->started_ms && known->started_ms &&
+	    report->started_ms != known->started_ms)
+		return report->started_ms < known->started_ms;
+	return !strcmp(report->id, known->id) &&
+	       report->state != SERVER_GONE &&
+	       report->sequence < known->sequence;
+}
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -20,6 +20,8 @@
 	ADMIT_DRAINING,
 	/** The server refused connections; see down_until_ms. */
 	ADMIT_DOWN,
+	/** The server has not reported, or its report ran out. */
+	ADMIT_UNHEARD,
 };
 
 struct admit {
@@ -55,6 +57,19 @@
 	/** Next wait after a refusal by the server, ms. */
 	int64_t back_off_ms;
 	bool draining;
+	/** The server tells how cold it is, so nothing is learnt from signs. */
+	bool reported;
+	/** Until then the server is cold by its own word, ms. */
+	int64_t cold_until_ms;
+	/** Time between two connections of a cold server, ms. */
+	int64_t cold_gap_ms;
+	/** Next time that a cold server may get a connection, ms. */
+	int64_t next_cold_ms;
+	/** Requests that wait for an answer or run. */
+	uint32_t running;
+	/** Their mean over about a second, and when it was computed last, ms. */
+	double mean_running;
+	int64_t mean_ms;
 };
 
 /** Share of the warm limit that a cold server starts with, 1/64. */
@@ -66,6 +81,16 @@
 void admit_init(struct admit *admit, uint32_t connections_max,
 		uint32_t slots_max, int64_t now_ms);
 
+/**
+ * Takes the server's word: @slots requests at once, cold for @cold_left_ms,
+ * and while cold @cold_per_s new connections a second (0: no limit known).
+ */
+void admit_report(struct admit *admit, uint32_t slots, int64_t cold_left_ms,
+		  int64_t cold_per_s, int64_t now_ms);
+
+/** A request began (@change 1) or ended (-1) at the server. */
+void admit_running(struct admit *admit, int change, int64_t now_ms);
+
 /** Asks for one more connection; counts it when the answer is yes. */
 enum admit_verdict admit_open(struct admit *admit, int64_t now_ms);
 
@@ -116,6 +141,9 @@
 /** The server reset a connection; returns true when it turned cold. */
 bool admit_reset(struct admit *admit, int64_t now_ms);
 
+/** The server gave an opening packet back: it has no room just now. */
+void admit_returned(struct admit *admit, int64_t now_ms);
+
 /** The server refused a connection. */
 void admit_refused(struct admit *admit, int64_t now_ms);
 
@@ -131,6 +159,9 @@
 /** Takes nothing new from now on. */
 void admit_drain(struct admit *admit);
 
+/** Takes new connections again: another server has started. */
+void admit_undrain(struct admit *admit);
+
 /** Moves the limit when its time has come. */
 void admit_tick(struct admit *admit, int64_t now_ms);
 
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -127,7 +127,14 @@
 	X(CLAIM_ANSWER_LATE, "claim_answers_late")                 \
 	X(STRAY_PASSED, "stray_handed_on")                         \
 	X(DROP_OPEN_WARMING, "drop_open_warming")                  \
-	X(HOMES_CHANGED, "home_lists_adopted")
+	X(HOMES_CHANGED, "home_lists_adopted")                     \
+	X(REFUSE_UNHEARD, "refuse_server_unheard")                 \
+	X(SERVER_ASKED, "servers_asked")                           \
+	X(SERVER_RETURNED, "servers_returned")                     \
+	X(SERVER_RESTARTED, "servers_restarted")                   \
+	X(RESET_LOST, "resets_lost_connection")                    \
+	X(FLOW_ADOPTED, "flows_adopted")                           \
+	X(LOAD_HEARD, "loads_heard")
 
 enum counter_id {
 #define COUNTER_ENUM(id, name) COUNTER_##id,
--- a/include/tarragonflow/common/log.h
+++ b/include/tarragonflow/common/log.h
@@ -2,7 +2,8 @@
 #define TARRAGONFLOW_COMMON_LOG_H
 
 /**
- * Structured lines for changes of state, `event key=value ...`, over log4c.
+ * Structured lines for changes of state, `event=NAME at_ms=MS key=value ...`,
+ * over log4c, on standard output. Never blocks the caller.
  * Anything that happens per packet or per request is a counter instead.
  */
 enum log_level {
@@ -12,7 +13,7 @@
 	LOG_LEVEL_ERROR,
 };
 
-/** Starts logging to standard error from @threshold up. */
+/** Starts logging from @threshold up. */
 void log_init(enum log_level threshold);
 void log_finish(void);
 
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -80,6 +80,7 @@
 	struct control_options options;
 	struct counters *counters;
 	struct roster roster;
+	struct zone_orders orders;
 	struct config_store config;
 	struct platform_sync platform;
 	struct random random;
@@ -152,6 +153,13 @@
 /** Replaces the keys; messages under keys left out are dropped from now. */
 void control_set_keys(struct control *control, const struct keyring *keys);
 
+/**
+ * Our backend server is of @service and runs @slots requests at once. When
+ * that changes, it counts as a new run of ours, so that all take it whole.
+ */
+void control_set_server(struct control *control, const struct name *service,
+			uint32_t slots);
+
 /** Changes our own state and announces it at once. */
 void control_set_state(struct control *control, enum member_state state,
 		       int64_t now_ms, struct control_sink *sink);
--- a/include/tarragonflow/control/message.h
+++ b/include/tarragonflow/control/message.h
@@ -8,6 +8,7 @@
 #include "tarragonflow/common/str.h"
 #include "tarragonflow/store/object_store.h"
 #include "tarragonflow/roster/roster.h"
+#include "tarragonflow/roster/zone_orders.h"
 
 /**
  * Control messages in the form that the cores use. The wire form is
@@ -86,6 +87,8 @@
 	struct store_ages ages;
 	/** Release that the receiver had in force before it was restarted. */
 	uint64_t former_release;
+	/** All orders on zones that the sender knows. */
+	struct zone_orders orders;
 	uint32_t nonce;
 	/** Whom a PING_REQUEST is about; brief. */
 	struct member target;
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -7,6 +7,7 @@
 #include "tarragonflow/store/call_policy.h"
 #include "tarragonflow/store/object_store.h"
 #include "tarragonflow/roster/roster.h"
+#include "tarragonflow/roster/zone_orders.h"
 
 /**
  * Decides when one process calls the platform and takes the results. Pure:
@@ -25,6 +26,13 @@
 		     const struct store_request *request);
 	/** A manifest that the platform holds or held. */
 	void (*config)(struct platform_sync_out *out, struct str text);
+	/**
+	 * The orders on zones that the platform holds at @version: all of
+	 * them when @whole, else those that changed.
+	 */
+	void (*zones)(struct platform_sync_out *out,
+		      const struct zone_orders *orders, bool whole,
+		      uint64_t version);
 	/** A roster entry that the platform holds. */
 	void (*member)(struct platform_sync_out *out,
 		       const struct member *entry);
@@ -46,6 +54,9 @@
 	/** The manifest, and the store's version to watch from. */
 	TASK_LIST_CONFIG,
 	TASK_READ_CONFIG,
+	/** All orders on zones, and the version to watch from. */
+	TASK_LIST_ZONES,
+	TASK_WATCH_ZONES,
 	/** One page of the roster, by a process that has no peers. */
 	TASK_LIST_ROSTER,
 	TASK_READ_SHARD,
@@ -79,6 +90,8 @@
 	struct call_budget budget;
 	struct platform_lane watch;
 	struct platform_lane config;
+	/** Lists the orders on zones, then watches them. */
+	struct platform_lane zones;
 	struct platform_lane pages;
 	struct platform_lane shards;
 	uint64_t next_id;
@@ -100,6 +113,8 @@
 	int64_t behind_ms;
 	/** Version of the platform's store that the watch has reached. */
 	int64_t watch_version;
+	/** The same for orders on zones; 0: to be listed. */
+	int64_t zones_version;
 	/** Pages of the roster that are read already, as bits. */
 	uint32_t pages_read;
 	struct roster_sync roster;
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -6,6 +6,8 @@
 #include "tarragonflow/flow/flow_table.h"
 #include "tarragonflow/flow/open_memory.h"
 #include "tarragonflow/flow/peer_load.h"
+#include "tarragonflow/flow/server_watch.h"
+#include "tarragonflow/net/packet_format.h"
 #include "tarragonflow/net/packet_sink.h"
 #include "tarragonflow/route/view.h"
 
@@ -20,8 +22,16 @@
 	/** Our service in the view, NULL when the view has none. */
 	const struct service_view *service;
 	struct counters *counters;
+	/** How the packets of callers and the server look. */
+	const struct packet_format *format;
 	struct flow_table flows;
 	struct admit admit;
+	/** The server's own word on itself, where servers report. */
+	struct server_watch server;
+	/** Until then connections may live here that are not in `flows`, ms. */
+	int64_t unsure_until_ms;
+	/** Balancers choose by load, so they are told ours. */
+	bool tells_balancers;
 	struct open_memory handed_on;
 	struct peer_loads peers;
 	struct name zone;
@@ -54,6 +64,16 @@
 	uint32_t slots;
 	/** Seed of the flow table's hash. */
 	uint64_t seed;
+	/** NULL: packet_format_ip. */
+	const struct packet_format *format;
+	/** The server reports on itself, see server_watch. */
+	bool server_reports;
+	/** Time for which a report holds, ms. */
+	int64_t report_lease_ms;
+	/** Longest life of a connection, ms; 0 where none outlives its agent. */
+	int64_t flow_lifetime_ms;
+	/** Balancers choose backend servers by load. */
+	bool tells_balancers;
 };
 
 void agent_init(struct agent *agent, const struct agent_identity *identity,
@@ -66,6 +86,10 @@
 /** Takes no new connections from now on. */
 void agent_drain(struct agent *agent);
 
+/** Takes the server's own word on itself. */
+void agent_take_report(struct agent *agent, const struct server_report *report,
+		       int64_t now_ms);
+
 /** Handles a datagram from a balancer or another agent. */
 void agent_handle_peer(struct agent *agent, const uint8_t *data, size_t len,
 		       int64_t now_ms, struct packet_sink *sink);
--- a/include/tarragonflow/flow/agent_flow.h
+++ b/include/tarragonflow/flow/agent_flow.h
@@ -20,6 +20,14 @@
 void agent_flow_track(struct agent *agent, struct flow *flow, uint8_t flags,
 		      uint8_t fin_bit, int64_t now_ms);
 
+/** The caller's request waits for an answer, or no longer does. */
+void agent_flow_ask(struct agent *agent, struct flow *flow, bool asked,
+		    int64_t now_ms);
+
+/** Tells the caller of @packet that its connection is gone. */
+void agent_reset_caller(struct agent *agent, const struct inner_packet *packet,
+			struct packet_sink *sink);
+
 /** Time since the connection's last packet, ms. */
 uint32_t agent_flow_age(const struct flow *flow, int64_t now_ms);
 
--- a/include/tarragonflow/flow/agent_route.h
+++ b/include/tarragonflow/flow/agent_route.h
@@ -18,6 +18,19 @@
 		   const struct inner_packet *packet, int64_t now_ms,
 		   struct packet_sink *sink);
 
+/** Gives @packet to our server, which may have the connection, as candidate
+ * @position of @header. The server returns it when it has not. */
+void agent_ask_server(struct agent *agent, struct packet_header *header,
+		      const struct inner_packet *packet, int position,
+		      int64_t now_ms, struct packet_sink *sink);
+
+/** The header of a packet that our server returned, with its position. */
+bool agent_read_mark(struct agent *agent, const struct inner_packet *packet,
+		     struct packet_header *header);
+
+/** What the server is to give back with @header's packet. */
+uint32_t agent_make_mark(const struct packet_header *header);
+
 /**
  * Hands an opening packet to a candidate with clearly less load, or to the
  * one that got its first copy. Returns false when it is ours to admit.
--- a/include/tarragonflow/flow/flow_table.h
+++ b/include/tarragonflow/flow/flow_table.h
@@ -9,9 +9,7 @@
 
 /**
  * The connections that live at one backend server. Open addressing with a
- * fixed number of slots, so nothing is allocated on the packet path. All
- * connections of a table go to the one address and port of its service, so
- * only the caller's half of the key is kept.
+ * fixed number of slots, so nothing is allocated on the packet path.
  */
 enum flow_state {
 	FLOW_FREE = 0,
@@ -31,12 +29,17 @@
 	FLOW_ASKED = 0x8,
 	/** Older than a restart of the server; it has not answered since. */
 	FLOW_UNPROVEN = 0x10,
+	/** The server that had it is gone; the caller is yet to be told. */
+	FLOW_LOST = 0x20,
 };
 
 /** Times are ms modulo 2^32. */
 struct flow {
+	/** The key: caller's and service's address and port. */
 	uint8_t src[16];
+	uint8_t dst[16];
 	uint16_t src_port;
+	uint16_t dst_port;
 	/** One of enum flow_state. */
 	uint8_t state;
 	/** Bits of enum flow_bit. */
@@ -74,6 +77,9 @@
 struct flow *flow_table_insert(struct flow_table *table,
 			       const struct flow_key *key);
 
+/** The key of @flow. */
+void flow_key_of(struct flow_key *key, const struct flow *flow);
+
 void flow_table_remove(struct flow_table *table, struct flow *flow);
 
 /** Forgets all flows. */
--- a/include/tarragonflow/flow/peer_load.h
+++ b/include/tarragonflow/flow/peer_load.h
@@ -33,6 +33,10 @@
 uint16_t peer_load_of(const struct peer_loads *loads, uint32_t member_id,
 		      int64_t now_ms);
 
+/** The same, for loads not older than @fresh_ms. */
+uint16_t peer_load_fresh(const struct peer_loads *loads, uint32_t member_id,
+			 int64_t fresh_ms, int64_t now_ms);
+
 /** Adds what we sent there ourselves since it was last heard. */
 void peer_load_add(struct peer_loads *loads, uint32_t member_id, uint16_t load);
 
--- a/include/tarragonflow/manifest/manifest.h
+++ b/include/tarragonflow/manifest/manifest.h
@@ -27,6 +27,42 @@
 	GUARD_ORDERS = 1,
 };
 
+/** What a caller may do after a request that got no answer. */
+enum route_kind {
+	/** Requests are idempotent: they may be repeated. */
+	ROUTE_SAFE = 0,
+	/** A request runs at most once. */
+	ROUTE_UNSAFE = 1,
+	/** A request with a large body that runs at most once. */
+	ROUTE_UPLOAD = 2,
+};
+
+/** Services that one route may split its connections over, at most. */
+#define ROUTE_BACKENDS_MAX 8
+
+/** A service of a route and its share of the new connections. */
+struct route_backend {
+	struct name service;
+	int64_t weight;
+};
+
+/** An address and port that callers connect to. */
+struct route {
+	struct name name;
+	struct ip_addr address;
+	int64_t port;
+	/** One of enum route_kind. */
+	int kind;
+	/** 0 goes first. */
+	int64_t priority;
+	/** Time after which the caller gives up, ms; 0 is not known. */
+	int64_t timeout_ms;
+	/** Time within which an answer is of full use, ms; 0 is not known. */
+	int64_t objective_ms;
+	struct route_backend backends[ROUTE_BACKENDS_MAX];
+	size_t n_backends;
+};
+
 struct zone {
 	struct name name;
 	/** Zones of one region probe one another; empty: one region. */
@@ -38,6 +74,7 @@
 	struct name name;
 	/** Carried in packet headers; derived from the name. */
 	uint32_t id;
+	/** Where callers connect to; port 0: only through routes. */
 	struct ip_addr address;
 	int64_t port;
 	int guard;
@@ -53,6 +90,8 @@
 	int64_t answer_ms;
 	/** Size of the table of chains, a power of two. */
 	int64_t buckets;
+	/** New connections a second that a cold server bears; 0: unknown. */
+	int64_t cold_per_s;
 };
 
 struct manifest {
@@ -62,8 +101,11 @@
 	size_t n_zones;
 	struct service *services;
 	size_t n_services;
+	struct route *routes;
+	size_t n_routes;
 };
 
+#define MANIFEST_MAX_ROUTES 65536
 #define MANIFEST_MAX_ZONES 256
 #define MANIFEST_MAX_SERVICES 4096
 
@@ -96,6 +138,9 @@
 const struct zone *manifest_zone(const struct manifest *manifest,
 				 const struct name *name);
 
+/** Whether @name takes part; a manifest without zones has all of them in. */
+bool manifest_zone_in(const struct manifest *manifest, const struct name *name);
+
 /** The identifier of the service called @name. */
 uint32_t service_id(const struct name *name);
 
@@ -106,5 +151,9 @@
 extern const size_t manifest_n_zone_fields;
 extern const struct field manifest_service_fields[];
 extern const size_t manifest_n_service_fields;
+extern const struct field manifest_route_fields[];
+extern const size_t manifest_n_route_fields;
+extern const struct field manifest_backend_fields[];
+extern const size_t manifest_n_backend_fields;
 
 #endif
--- a/include/tarragonflow/net/endpoint.h
+++ b/include/tarragonflow/net/endpoint.h
@@ -48,6 +48,9 @@
 
 bool ip_addr_is_v4(const struct ip_addr *addr);
 
+/** The IPv4 address of @addr in host order; 0 when it is none. */
+uint32_t ip_addr_v4(const struct ip_addr *addr);
+
 /** Sets @addr to the mapped form of the four bytes at @v4. */
 void ip_addr_from_v4(struct ip_addr *addr, const uint8_t *v4);
 
--- a/include/tarragonflow/net/inner.h
+++ b/include/tarragonflow/net/inner.h
@@ -60,6 +60,10 @@
 	 * no flags and no TCP header; `seq` is that of the quoted packet.
 	 */
 	bool icmp;
+	/** The backend server did not take this caller's packet. */
+	bool returned;
+	/** What packet_format.set_mark() wrote into a returned packet. */
+	uint32_t mark;
 };
 
 /** Largest packet of callers and servers, in bytes. */
--- a/include/tarragonflow/net/packet.h
+++ b/include/tarragonflow/net/packet.h
@@ -89,6 +89,15 @@
 	bool placed;
 	/** Set once a server refused that will have room within seconds. */
 	bool warming;
+	/**
+	 * Candidates, by index, whose agents started too lately to know all
+	 * connections of their servers: the server itself is asked last.
+	 */
+	uint8_t unsure;
+	/** Set while the servers of unsure candidates are asked. */
+	bool asking;
+	/** Services of the route that were searched before this one. */
+	uint8_t services_tried;
 	union {
 		/** Lets the last candidate resolve again. */
 		uint32_t bucket;
@@ -99,7 +108,7 @@
 };
 
 /** Bytes of an encoded header with the longest chain. */
-#define PACKET_HEADER_MAX (44 + CHAIN_MAX * 12)
+#define PACKET_HEADER_MAX (46 + CHAIN_MAX * 12)
 
 /** Encodes into @out of PACKET_HEADER_MAX; returns the length. */
 size_t packet_header_encode(const struct packet_header *header, uint8_t *out);
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -8,6 +8,8 @@
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/common/ring.h"
 #include "tarragonflow/control/control.h"
+#include "tarragonflow/flow/server_watch.h"
+#include "tarragonflow/node/adapter.h"
 #include "tarragonflow/node/store_duty.h"
 #include "tarragonflow/node/pull_duty.h"
 #include "tarragonflow/node/settings.h"
@@ -26,9 +28,8 @@
 	pthread_mutex_t lock;
 	struct control control;
 	int control_fd;
-	/** Watches, and all other calls of the platform. */
-	struct store_duty watches;
-	struct store_duty calls;
+	/** Calls of the object store, one thread for each lane. */
+	struct store_duty store[STORE_LANES];
 	struct pull_duty pulls;
 	/** Views to the packet duty, replaced ones back to be freed. */
 	struct ring views;
@@ -50,10 +51,18 @@
 	_Atomic uint32_t connection_limit;
 	pthread_t control_thread;
 	uint64_t instance;
+	const struct adapter *adapter;
+	/** Reports of the backend server, to the packet duty. */
+	struct ring reports;
+	/** What is known from them, under `lock`. */
+	struct server_watch server;
+	/** Set when the process itself is to end. */
+	_Atomic bool leaving;
 };
 
 /** Opens the control socket; the duties start with node_start(). */
 enum status_code node_init(struct node *node, const struct settings *settings,
+			   const struct adapter *adapter,
 			   struct status *status);
 enum status_code node_start(struct node *node, struct status *status);
 
@@ -63,6 +72,21 @@
 /** Announces @state through the control duty. */
 void node_set_state(struct node *node, enum member_state state);
 
+/** Announces that the process leaves; reports no longer change its state. */
+void node_leave(struct node *node, enum member_state state);
+
+/**
+ * Takes the local backend server's word on itself; false when this process
+ * has no backend server or is too busy to take it. From any thread.
+ */
+bool node_take_report(struct node *node, const struct server_report *report);
+
+/** The next report for the packet duty, which frees it, or NULL. */
+struct server_report *node_next_report(struct node *node);
+
+/** Why the process should get no packets, or NULL. From any thread. */
+const char *node_not_ready_reason(struct node *node);
+
 /** Wakes a duty through its eventfd. */
 void node_wake(int fd);
 
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -24,11 +24,22 @@
 	struct json_text platform;
 	struct endpoint seeds[CONTROL_SEEDS_MAX];
 	size_t n_seeds;
+	/** Port that replaces those of the seeds; 0: they are right. */
+	int64_t seed_port;
+	/** One of the names in settings_adapters. */
+	int adapter;
+	/** Where the adapter's paths are served, besides `admin`. */
+	struct endpoint ready;
+	struct endpoint announce;
+	/** Time a leaving balancer goes on, ms. */
+	int64_t linger_ms;
 	struct keyring control_keys;
 	int64_t control_bytes_per_s;
 	struct keyring data_keys;
 	int64_t mtu;
 	struct json_text fabric_tun;
+	/** Balancers: a socket of its own for callers' packets. */
+	struct endpoint fabric_listen;
 	int log_level;
 	/** Agents only. */
 	struct name service;
@@ -36,6 +47,12 @@
 	struct endpoint server_listen;
 	struct json_text server_tun;
 	struct endpoint fabric;
+	/** Answers go to the caller's own address, at the port of `fabric`. */
+	bool fabric_at_caller;
+	/** Time for which the server's word on itself holds, ms. */
+	int64_t report_lease_ms;
+	/** Longest life of a connection, ms; 0: none outlives its agent. */
+	int64_t flow_lifetime_ms;
 	int64_t connections;
 	int64_t slots;
 	int64_t drain_deadline_s;
@@ -51,6 +68,9 @@
 enum status_code settings_load(struct settings *settings, enum member_role role,
 			       const char *path, struct status *status);
 
+/** Names of the adapters, in the order of the choices; NULL-terminated. */
+extern const char *const settings_adapters[];
+
 /** The tables of fields, for the settings page and its test. */
 extern const struct field settings_fields[];
 extern const size_t settings_n_fields;
--- a/include/tarragonflow/node/store_duty.h
+++ b/include/tarragonflow/node/store_duty.h
@@ -26,6 +26,7 @@
 
 /** @wake_results stays the caller's; @counters count the calls. */
 void store_duty_init(struct store_duty *duty, const char *url,
+		     const struct http_dialect *dialect,
 		     struct counters *counters, int wake_results);
 
 enum status_code store_duty_start(struct store_duty *duty,
--- a/include/tarragonflow/route/balancer.h
+++ b/include/tarragonflow/route/balancer.h
@@ -2,6 +2,8 @@
 #define TARRAGONFLOW_ROUTE_BALANCER_H
 
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/flow/peer_load.h"
+#include "tarragonflow/net/packet_format.h"
 #include "tarragonflow/net/packet_sink.h"
 #include "tarragonflow/route/view.h"
 
@@ -27,11 +29,23 @@
 	struct counters *counters;
 	/** Where agents send hints to; without a port they send none. */
 	struct endpoint origin;
+	/** How callers' packets look. */
+	const struct packet_format *format;
+	/** Opening packets go by the loads that agents tell. */
+	bool places_by_load;
+	struct peer_loads loads;
 	struct owner_hint hints[BALANCER_HINTS];
 };
 
 void balancer_init(struct balancer *balancer, struct counters *counters);
 
+/** Reads callers' packets as @format from now on. */
+void balancer_set_format(struct balancer *balancer,
+			 const struct packet_format *format);
+
+/** Opening packets go to the least loaded backend server from now on. */
+void balancer_place_by_load(struct balancer *balancer);
+
 /** Agents send owner hints to @origin from now on. */
 void balancer_set_origin(struct balancer *balancer,
 			 const struct endpoint *origin);
@@ -41,6 +55,10 @@
 
 /** Handles one packet from the fabric, or an agent's hint. */
 void balancer_handle(struct balancer *balancer, const uint8_t *data, size_t len,
-		     struct packet_sink *sink);
+		     int64_t now_ms, struct packet_sink *sink);
+
+/** Handles an agent's hint or notice of its load. */
+void balancer_handle_agent(struct balancer *balancer, const uint8_t *data,
+			   size_t len, int64_t now_ms);
 
 #endif
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -8,6 +8,7 @@
 #include "tarragonflow/net/inner.h"
 #include "tarragonflow/net/packet.h"
 #include "tarragonflow/roster/roster.h"
+#include "tarragonflow/roster/zone_orders.h"
 
 /**
  * An immutable picture of configuration and roster for the packet path. It
@@ -35,6 +36,28 @@
 	uint16_t *chains;
 };
 
+/** A service of a route, by its index in the view. */
+struct backend_view {
+	uint32_t service;
+	/** Share of the new connections; 0 takes none. */
+	uint32_t weight;
+};
+
+/** An address and port that callers connect to. */
+struct route_view {
+	struct ip_addr address;
+	uint16_t port;
+	/** One of enum route_kind. */
+	uint8_t kind;
+	uint16_t priority;
+	/** Times of the route in the manifest, ms; 0 is not known. */
+	uint32_t objective_ms, timeout_ms;
+	struct backend_view backends[ROUTE_BACKENDS_MAX];
+	uint8_t n_backends;
+	/** Sum of the weights. */
+	uint32_t weights;
+};
+
 struct view {
 	int64_t config_revision;
 	uint64_t roster_version;
@@ -42,19 +65,50 @@
 	uint64_t seed;
 	struct service_view *services;
 	size_t n_services;
-	/** Open-addressed index of services by address and port. */
+	/** Those of the manifest, and one for each service with an address. */
+	struct route_view *routes;
+	size_t n_routes;
+	/** Open-addressed index of routes by address and port. */
 	uint32_t *index;
 	uint32_t index_mask;
-	/** Names of the zones that are in, for the agents' own check. */
+	/** Zones of the manifest that are in; none named: all of them. */
 	struct name *zones_in;
 	size_t n_zones_in;
+	bool all_zones;
+	/** Zones that are out by order, whatever the manifest says. */
+	struct name *zones_out;
+	size_t n_zones_out;
+	/** Data addresses of the balancers that take part. */
+	struct endpoint *balancers;
+	size_t n_balancers;
 };
 
 /** Computes a view of @manifest and @roster. */
 void view_init(struct view *view, const struct manifest *manifest,
 	       const struct roster *roster);
+
+/** The same, with the zones that @orders takes out left out. */
+void view_init_ordered(struct view *view, const struct manifest *manifest,
+		       const struct roster *roster,
+		       const struct zone_orders *orders);
 void view_finish(struct view *view);
 
+/** The route that @key is addressed to, or NULL. */
+const struct route_view *view_route(const struct view *view,
+				    const struct flow_key *key);
+
+/**
+ * The service that a connection of @route with @key opens at, by the weights
+ * of the route; NULL when all of them are zero.
+ */
+const struct service_view *view_route_service(const struct view *view,
+					      const struct route_view *route,
+					      const struct flow_key *key);
+
+/** Whether @route may lead to the service @id. */
+bool view_route_allows(const struct view *view, const struct route_view *route,
+		       uint32_t id);
+
 /** The service that @key is addressed to, or NULL. */
 const struct service_view *view_lookup(const struct view *view,
 				       const struct flow_key *key);
--- a/include/tarragonflow/store/http_store.h
+++ b/include/tarragonflow/store/http_store.h
@@ -5,21 +5,24 @@
 #include <stdatomic.h>
 
 #include "tarragonflow/common/counter.h"
-#include "tarragonflow/store/object_store.h"
+#include "tarragonflow/store/http_dialect.h"
 
-/** The platform over HTTP and JSON, through libcurl; for one thread. */
+/** An object store over HTTP and JSON, through libcurl; for one thread. */
 struct http_store {
-	struct object_store platform;
+	struct object_store store;
+	const struct http_dialect *dialect;
 	CURL *curl;
 	/** Drives `curl`, so that another thread can end a call. */
 	CURLM *multi;
 	_Atomic bool cancelled;
 	struct counters *counters;
+	struct curl_slist *headers;
 	char url[256];
 };
 
 /** @url such as "http://127.0.0.1:4700"; @counters may be NULL. */
 void http_store_init(struct http_store *http, const char *url,
+		     const struct http_dialect *dialect,
 		     struct counters *counters);
 void http_store_finish(struct http_store *http);
 
@@ -29,7 +32,4 @@
  */
 void http_store_cancel(struct http_store *http);
 
-/** Reads the @body of a good answer into @result. */
-void http_store_parse(struct store_result *result, struct str body);
-
 #endif
--- a/include/tarragonflow/store/object_store.h
+++ b/include/tarragonflow/store/object_store.h
@@ -23,6 +23,13 @@
 	STORE_OP_WATCH,
 };
 
+enum store_lane {
+	STORE_LANE_CALLS,
+	STORE_LANE_WATCH,
+	STORE_LANE_ZONES,
+	STORE_LANES,
+};
+
 /** Longest key, in bytes with the terminator. */
 #define STORE_KEY_MAX 160
 
@@ -45,6 +52,8 @@
 	int64_t version;
 	/** PUT: unique to the write, to recognize it after a lost answer. */
 	char token[STORE_TOKEN_MAX];
+	/** Calls of different lanes do not wait for one another. */
+	enum store_lane lane;
 	/** Time the whole call may take, ms; for WATCH also its wait. */
 	int64_t timeout_ms;
 	/** PUT: the value. */
@@ -109,6 +118,9 @@
 				      const char *key, int64_t version,
 				      struct str value);
 
+/** Prefix of the keys of orders on zones; the zone's name follows. */
+void store_zones_prefix(char *key, const struct name *deployment);
+
 /** The key of the manifest of @deployment. */
 void store_manifest_key(char *key, const struct name *deployment);
 
--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -15,9 +15,14 @@
 #define ANSWER_MAX_MS 600000
 #define BUCKETS_MIN 64
 #define BUCKETS_MAX 65536
+#define COLD_PER_S_MAX 1000000
+#define PRIORITY_MAX 1000
+#define TIMEOUT_MAX_MS (24 * 3600 * 1000)
+#define WEIGHT_MAX 1000000
 
 static const char *const zone_states[] = {"in", "out", NULL};
 static const char *const guards[] = {"none", "orders", NULL};
+static const char *const route_kinds[] = {"safe", "unsafe", "upload", NULL};
 
 const struct field manifest_fields[] = {
 	{.name = "deployment",
@@ -35,11 +40,14 @@
 	{.name = "zones",
 	 .type = FIELD_NESTED,
 	 .required = true,
-	 .help = "availability zones"},
+	 .help = "availability zones; an empty list: every zone is in"},
 	{.name = "services",
 	 .type = FIELD_NESTED,
 	 .required = true,
 	 .help = "services"},
+	{.name = "routes",
+	 .type = FIELD_NESTED,
+	 .help = "further addresses that callers connect to"},
 };
 const size_t manifest_n_fields = G_N_ELEMENTS(manifest_fields);
 
@@ -71,12 +79,10 @@
 	{.name = "address",
 	 .type = FIELD_ADDRESS,
 	 .offset = offsetof(struct service, address),
-	 .required = true,
-	 .help = "address that callers connect to"},
+	 .help = "address that callers connect to; none: only by routes"},
 	{.name = "port",
 	 .type = FIELD_INT,
 	 .offset = offsetof(struct service, port),
-	 .required = true,
 	 .min = 1,
 	 .max = PORT_MAX,
 	 .help = "TCP port that callers connect to"},
@@ -134,9 +140,88 @@
 	 .fallback = 1024,
 	 .help = "size of the table of chains, 64 for each backend server "
 		 "that is planned; rounded up to a power of two"},
+	{.name = "cold_per_s",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct service, cold_per_s),
+	 .min = 0,
+	 .max = COLD_PER_S_MAX,
+	 .fallback = 0,
+	 .unit = "connections/s",
+	 .help = "new connections that a cold server bears; 0: learnt from "
+		 "its answers"},
 };
 const size_t manifest_n_service_fields = G_N_ELEMENTS(manifest_service_fields);
 
+const struct field manifest_route_fields[] = {
+	{.name = "name",
+	 .type = FIELD_NAME,
+	 .offset = offsetof(struct route, name),
+	 .required = true,
+	 .help = "name of the route"},
+	{.name = "address",
+	 .type = FIELD_ADDRESS,
+	 .offset = offsetof(struct route, address),
+	 .required = true,
+	 .help = "address that callers connect to"},
+	{.name = "port",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct route, port),
+	 .required = true,
+	 .min = 1,
+	 .max = PORT_MAX,
+	 .help = "TCP port that callers connect to"},
+	{.name = "kind",
+	 .type = FIELD_CHOICE,
+	 .offset = offsetof(struct route, kind),
+	 .choices = route_kinds,
+	 .fallback = ROUTE_UNSAFE,
+	 .help = "what may be repeated: all (safe) or nothing that ran"},
+	{.name = "priority",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct route, priority),
+	 .min = 0,
+	 .max = PRIORITY_MAX,
+	 .fallback = 0,
+	 .help = "order under load; 0 goes first"},
+	{.name = "timeout_ms",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct route, timeout_ms),
+	 .min = 0,
+	 .max = TIMEOUT_MAX_MS,
+	 .fallback = 0,
+	 .unit = "ms",
+	 .help = "time after which a caller gives up; 0: unknown"},
+	{.name = "objective_ms",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct route, objective_ms),
+	 .min = 0,
+	 .max = TIMEOUT_MAX_MS,
+	 .fallback = 0,
+	 .unit = "ms",
+	 .help = "time within which an answer is in time; 0: unknown"},
+	{.name = "backends",
+	 .type = FIELD_NESTED,
+	 .required = true,
+	 .help = "services that new connections are split over"},
+};
+const size_t manifest_n_route_fields = G_N_ELEMENTS(manifest_route_fields);
+
+const struct field manifest_backend_fields[] = {
+	{.name = "service",
+	 .type = FIELD_NAME,
+	 .offset = offsetof(struct route_backend, service),
+	 .required = true,
+	 .help = "a service of this manifest"},
+	{.name = "weight",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct route_backend, weight),
+	 .min = 0,
+	 .max = WEIGHT_MAX,
+	 .fallback = 1,
+	 .help = "share of the new connections"},
+};
+const size_t manifest_n_backend_fields = G_N_ELEMENTS(manifest_backend_fields);
+
 uint32_t service_id(const struct name *name)
 {
 	return XXH32(name->data, name->len, 0);
@@ -151,6 +236,7 @@
 {
 	g_free(manifest->zones);
 	g_free(manifest->services);
+	g_free(manifest->routes);
 	manifest_init(manifest);
 }
 
@@ -195,6 +281,49 @@
 	}
 }
 
+static void read_backends(struct route *route, const json_t *object,
+			  const char *path, struct json_errors *errors)
+{
+	const json_t *array = json_reader_array(
+		object, path, "backends", ROUTE_BACKENDS_MAX, false, errors);
+	char item[2 * PATH_MAX_BYTES];
+
+	if (!array)
+		return;
+	route->n_backends = json_array_size(array);
+	for (size_t i = 0; i < route->n_backends; i++) {
+		snprintf(item, sizeof(item), "%s.backends[%zu]", path, i);
+		json_reader_object(json_array_get(array, i), item,
+				   manifest_backend_fields,
+				   manifest_n_backend_fields,
+				   &route->backends[i], errors);
+	}
+}
+
+static void read_routes(struct manifest *manifest, const json_t *root,
+			struct json_errors *errors)
+{
+	const json_t *array = json_reader_array(
+		root, "", "routes", MANIFEST_MAX_ROUTES, false, errors);
+	char path[PATH_MAX_BYTES];
+
+	if (!array)
+		return;
+	manifest->n_routes = json_array_size(array);
+	manifest->routes = g_new0(struct route, manifest->n_routes);
+	for (size_t i = 0; i < manifest->n_routes; i++) {
+		const json_t *object = json_array_get(array, i);
+
+		snprintf(path, sizeof(path), "routes[%zu]", i);
+		json_reader_object(object, path, manifest_route_fields,
+				   manifest_n_route_fields,
+				   &manifest->routes[i], errors);
+		if (json_is_object(object))
+			read_backends(&manifest->routes[i], object, path,
+				      errors);
+	}
+}
+
 static void check_zones(const struct manifest *manifest,
 			struct json_errors *errors)
 {
@@ -223,17 +352,28 @@
 	return x < y ? -1 : 1;
 }
 
-static int service_address_order(const void *a, const void *b)
+/** An address and port that callers connect to, and what has it. */
+struct entrance {
+	const struct ip_addr *address;
+	int64_t port;
+	/** "services" or "routes". */
+	const char *list;
+	size_t index;
+};
+
+static int entrance_order(const void *a, const void *b)
 {
-	const struct service *x = *(const struct service *const *)a;
-	const struct service *y = *(const struct service *const *)b;
-	int order = memcmp(&x->address, &y->address, sizeof(x->address));
+	const struct entrance *x = a, *y = b;
+	int order = memcmp(x->address, y->address, sizeof(*x->address));
 
 	if (order)
 		return order;
 	if (x->port != y->port)
 		return x->port < y->port ? -1 : 1;
-	return x < y ? -1 : 1;
+	order = strcmp(y->list, x->list);
+	if (order)
+		return order;
+	return x->index < y->index ? -1 : 1;
 }
 
 static void add_id_error(const struct manifest *manifest,
@@ -251,18 +391,82 @@
 			again->name.data, first - manifest->services);
 }
 
-static void add_address_error(const struct manifest *manifest,
-			      const struct service *first,
-			      const struct service *again,
-			      struct json_errors *errors)
+/* Sorting brings what must differ side by side. */
+static void check_entrances(const struct manifest *manifest,
+			    struct json_errors *errors)
 {
+	size_t n = 0;
+	struct entrance *all =
+		g_new(struct entrance, manifest->n_services +
+					       manifest->n_routes);
 	char path[PATH_MAX_BYTES];
 
-	snprintf(path, sizeof(path), "services[%td].address",
-		 again - manifest->services);
-	json_errors_add(errors, path,
-			"overlaps the address and port of services[%td]",
-			first - manifest->services);
+	for (size_t i = 0; i < manifest->n_services; i++)
+		if (manifest->services[i].port)
+			all[n++] = (struct entrance){
+				&manifest->services[i].address,
+				manifest->services[i].port, "services", i};
+	for (size_t i = 0; i < manifest->n_routes; i++)
+		all[n++] = (struct entrance){&manifest->routes[i].address,
+					     manifest->routes[i].port, "routes",
+					     i};
+	if (n)
+		qsort(all, n, sizeof(*all), entrance_order);
+	for (size_t i = 1; i < n; i++) {
+		if (all[i - 1].port != all[i].port ||
+		    !ip_addr_equal(all[i - 1].address, all[i].address))
+			continue;
+		snprintf(path, sizeof(path), "%s[%zu].address", all[i].list,
+			 all[i].index);
+		json_errors_add(errors, path,
+				"overlaps the address and port of %s[%zu]",
+				all[i - 1].list, all[i - 1].index);
+	}
+	g_free(all);
+}
+
+static void check_backends(const struct manifest *manifest, size_t i,
+			   struct json_errors *errors)
+{
+	const struct route *route = &manifest->routes[i];
+	char path[2 * PATH_MAX_BYTES];
+
+	if (!route->n_backends) {
+		snprintf(path, sizeof(path), "routes[%zu].backends", i);
+		json_errors_add(errors, path,
+				"found none, allowed are 1 to %d",
+				ROUTE_BACKENDS_MAX);
+	}
+	for (size_t j = 0; j < route->n_backends; j++) {
+		if (manifest_service(manifest, &route->backends[j].service))
+			continue;
+		snprintf(path, sizeof(path), "routes[%zu].backends[%zu].service",
+			 i, j);
+		json_errors_add(errors, path,
+				"found \"%s\", allowed is the name of a "
+				"service",
+				route->backends[j].service.data);
+	}
+}
+
+/* An address needs its port, a port its address. */
+static void check_addresses(const struct manifest *manifest,
+			    struct json_errors *errors)
+{
+	static const struct ip_addr none;
+	char path[PATH_MAX_BYTES];
+
+	for (size_t i = 0; i < manifest->n_services; i++) {
+		const struct service *service = &manifest->services[i];
+		bool address = !ip_addr_equal(&service->address, &none);
+
+		if (address == (service->port != 0))
+			continue;
+		snprintf(path, sizeof(path), "services[%zu].%s", i,
+			 address ? "port" : "address");
+		json_errors_add(errors, path, "missing, needed with %s",
+				address ? "address" : "port");
+	}
 }
 
 /* A port that only looks guarded would run orders twice. */
@@ -298,12 +502,6 @@
 		if (sorted[i - 1]->id == sorted[i]->id)
 			add_id_error(manifest, sorted[i - 1], sorted[i],
 				     errors);
-	qsort(sorted, n, sizeof(const struct service *), service_address_order);
-	for (size_t i = 1; i < n; i++)
-		if (sorted[i - 1]->port == sorted[i]->port &&
-		    ip_addr_equal(&sorted[i - 1]->address, &sorted[i]->address))
-			add_address_error(manifest, sorted[i - 1], sorted[i],
-					  errors);
 	g_free(sorted);
 }
 
@@ -316,9 +514,14 @@
 		return;
 	read_zones(manifest, root, errors);
 	read_services(manifest, root, errors);
+	read_routes(manifest, root, errors);
 	check_zones(manifest, errors);
 	check_guards(manifest, errors);
 	check_services(manifest, errors);
+	check_addresses(manifest, errors);
+	check_entrances(manifest, errors);
+	for (size_t i = 0; i < manifest->n_routes; i++)
+		check_backends(manifest, i, errors);
 }
 
 static enum status_code manifest_take(struct manifest *manifest, json_t *root,
@@ -371,18 +574,47 @@
 static json_t *service_json(const struct service *service)
 {
 	char address[IP_ADDR_TEXT_MAX];
+	json_t *object = json_pack(
+		"{s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "name", service->name.data,
+		"guard", guards[service->guard], "connections",
+		(json_int_t)service->connections, "slots",
+		(json_int_t)service->slots, "drain_deadline_s",
+		(json_int_t)service->drain_deadline_s, "idle_timeout_s",
+		(json_int_t)service->idle_timeout_s, "answer_ms",
+		(json_int_t)service->answer_ms, "buckets",
+		(json_int_t)service->buckets);
+
+	if (service->port) {
+		ip_addr_format(&service->address, address);
+		json_object_set_new(object, "address", json_string(address));
+		json_object_set_new(object, "port",
+				    json_integer(service->port));
+	}
+	if (service->cold_per_s)
+		json_object_set_new(object, "cold_per_s",
+				    json_integer(service->cold_per_s));
+	return object;
+}
+
+static json_t *route_json(const struct route *route)
+{
+	json_t *backends = json_array();
+	char address[IP_ADDR_TEXT_MAX];
 
-	return json_pack("{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "name",
-			 service->name.data, "address",
-			 ip_addr_format(&service->address, address), "port",
-			 (json_int_t)service->port, "guard",
-			 guards[service->guard], "connections",
-			 (json_int_t)service->connections, "slots",
-			 (json_int_t)service->slots, "drain_deadline_s",
-			 (json_int_t)service->drain_deadline_s,
-			 "idle_timeout_s", (json_int_t)service->idle_timeout_s,
-			 "answer_ms", (json_int_t)service->answer_ms, "buckets",
-			 (json_int_t)service->buckets);
+	for (size_t i = 0; i < route->n_backends; i++)
+		json_array_append_new(
+			backends,
+			json_pack("{s:s,s:I}", "service",
+				  route->backends[i].service.data, "weight",
+				  (json_int_t)route->backends[i].weight));
+	return json_pack("{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:o}", "name",
+			 route->name.data, "address",
+			 ip_addr_format(&route->address, address), "port",
+			 (json_int_t)route->port, "kind",
+			 route_kinds[route->kind], "priority",
+			 (json_int_t)route->priority, "timeout_ms",
+			 (json_int_t)route->timeout_ms, "objective_ms",
+			 (json_int_t)route->objective_ms, "backends", backends);
 }
 
 void manifest_write(const struct manifest *manifest, struct strbuf *out)
@@ -401,6 +633,14 @@
 			 manifest->deployment.data, "release",
 			 (json_int_t)manifest->release, "zones", zones,
 			 "services", services);
+	if (manifest->n_routes) {
+		json_t *routes = json_array();
+
+		for (size_t i = 0; i < manifest->n_routes; i++)
+			json_array_append_new(
+				routes, route_json(&manifest->routes[i]));
+		json_object_set_new(root, "routes", routes);
+	}
 	text = json_dumps(root, JSON_COMPACT);
 	strbuf_add(out, text, strlen(text));
 	free(text);
@@ -435,3 +675,10 @@
 			return &manifest->zones[i];
 	return NULL;
 }
+
+bool manifest_zone_in(const struct manifest *manifest, const struct name *name)
+{
+	const struct zone *zone = manifest_zone(manifest, name);
+
+	return zone ? zone->state == ZONE_IN : !manifest->n_zones;
+}
--- a/net/endpoint.c
+++ b/net/endpoint.c
@@ -97,3 +97,13 @@
 	memcpy(addr->bytes, v4_prefix, sizeof(v4_prefix));
 	memcpy(addr->bytes + sizeof(v4_prefix), v4, 4);
 }
+
+uint32_t ip_addr_v4(const struct ip_addr *addr)
+{
+	const uint8_t *v4 = addr->bytes + 12;
+
+	if (!ip_addr_is_v4(addr))
+		return 0;
+	return (uint32_t)v4[0] << 24 | (uint32_t)v4[1] << 16 |
+	       (uint32_t)v4[2] << 8 | v4[3];
+}
--- a/net/packet.c
+++ b/net/packet.c
@@ -3,12 +3,14 @@
 #include <string.h>
 
 #define MAGIC 0x5446
-#define VERSION 2
-#define FIXED_BYTES 44
+#define VERSION 3
+#define FIXED_BYTES 46
 #define CANDIDATE_BYTES 12
 /* These share a byte with the kind. */
 #define PLACED_BIT 0x80
 #define WARMING_BIT 0x40
+#define ASKING_BIT 0x20
+#define KIND_FLAGS (PLACED_BIT | WARMING_BIT | ASKING_BIT)
 #define FLAG_BITS 2
 #define FLAG_MASK 0x3
 #define CHECK_MASK 0x3fff
@@ -74,11 +76,14 @@
 	*p++ = header->position;
 	*p++ = header->n_candidates;
 	*p++ = (uint8_t)(header->kind | (header->placed ? PLACED_BIT : 0) |
-			 (header->warming ? WARMING_BIT : 0));
+			 (header->warming ? WARMING_BIT : 0) |
+			 (header->asking ? ASKING_BIT : 0));
 	*p++ = header->visited;
 	p = put_u32(p, header->bucket);
 	*p++ = header->from;
 	*p++ = header->resolves;
+	*p++ = header->unsure;
+	*p++ = header->services_tried;
 	p = put_u16(p, header->load);
 	p = put_u16(p, header->usual_ms);
 	p = put_u32(p, header->origin.ip);
@@ -126,11 +131,14 @@
 	kind = *p++;
 	header->placed = kind & PLACED_BIT;
 	header->warming = kind & WARMING_BIT;
-	header->kind = kind & (uint8_t) ~(PLACED_BIT | WARMING_BIT);
+	header->asking = kind & ASKING_BIT;
+	header->kind = kind & (uint8_t)~KIND_FLAGS;
 	header->visited = *p++;
 	header->bucket = get_u32(&p);
 	header->from = *p++;
 	header->resolves = *p++;
+	header->unsure = *p++;
+	header->services_tried = *p++;
 	header->load = get_u16(&p);
 	header->usual_ms = get_u16(&p);
 	header->origin.ip = get_u32(&p);
--- a/node/node.c
+++ b/node/node.c
@@ -51,10 +51,8 @@
 		      const struct store_request *request)
 {
 	struct node *node = ((struct node_sink *)sink)->node;
-	struct store_duty *duty = request->op == STORE_OP_WATCH ? &node->watches
-								: &node->calls;
 
-	if (!store_duty_submit(duty, request))
+	if (!store_duty_submit(&node->store[request->lane], request))
 		counter_inc(&node->counters, COUNTER_DROP_RING_FULL);
 }
 
@@ -88,7 +86,8 @@
 	    now_ms < node->next_view_ms)
 		return;
 	view = g_new(struct view, 1);
-	view_init(view, &node->control.config.manifest, &node->control.roster);
+	view_init_ordered(view, &node->control.config.manifest,
+			  &node->control.roster, &node->control.orders);
 	if (!ring_push(&node->views, view)) {
 		view_free(view);
 		return;
@@ -178,8 +177,8 @@
 			node_wake_clear(node->wake_control);
 		pthread_mutex_lock(&node->lock);
 		receive_messages(node, &sink);
-		receive_results(node, &node->watches, &sink);
-		receive_results(node, &node->calls, &sink);
+		for (int i = 0; i < STORE_LANES; i++)
+			receive_results(node, &node->store[i], &sink);
 		receive_pulled(node, &sink);
 		apply_wanted_state(node, &sink);
 		now_ms = clock_now(&node->clock);
@@ -209,7 +208,8 @@
 
 static void self_from_settings(struct control_options *options,
 			       const struct settings *settings,
-			       uint64_t instance)
+			       uint64_t instance,
+			       enum member_state initial_state)
 {
 	struct member *self = &options->self;
 
@@ -218,7 +218,7 @@
 	self->zone = settings->zone;
 	self->service = settings->service;
 	self->role = settings->role;
-	self->state = MEMBER_ACTIVE;
+	self->state = initial_state;
 	self->instance = instance;
 	self->data = settings->data;
 	self->control = settings->control;
@@ -234,9 +234,13 @@
 }
 
 enum status_code node_init(struct node *node, const struct settings *settings,
-			   struct status *status)
+			   const struct adapter *adapter, struct status *status)
 {
 	struct control_options options;
+	bool unheard =
+		adapter->servers_report && settings->role == MEMBER_AGENT;
+	/* Takes nothing new until its backend server has reported. */
+	enum member_state state = unheard ? MEMBER_DRAINING : MEMBER_ACTIVE;
 
 	memset(node, 0, sizeof(*node));
 	if (udp_open(&settings->control, &node->control_fd, status) !=
@@ -250,6 +254,9 @@
 		return status->code;
 	}
 	node->settings = settings;
+	node->adapter = adapter;
+	ring_init(&node->reports, RING_SIZE);
+	server_watch_init(&node->server, unheard, settings->report_lease_ms);
 	node->instance = (uint64_t)clock_wall_ms();
 	clock_init_monotonic(&node->clock);
 	counters_init(&node->counters);
@@ -257,14 +264,14 @@
 	ring_init(&node->views, RING_SIZE);
 	ring_init(&node->retired_views, RING_SIZE);
 	node->wake_packet = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-	atomic_init(&node->wanted_state, MEMBER_ACTIVE);
-	self_from_settings(&options, settings, node->instance);
+	atomic_init(&node->wanted_state, (int)state);
+	self_from_settings(&options, settings, node->instance, state);
 	control_init(&node->control, &options, &node->counters,
 		     clock_now(&node->clock));
-	store_duty_init(&node->watches, settings->platform.data,
-			&node->counters, node->wake_control);
-	store_duty_init(&node->calls, settings->platform.data, &node->counters,
-			node->wake_control);
+	for (int i = 0; i < STORE_LANES; i++)
+		store_duty_init(&node->store[i], settings->platform.data,
+				adapter->dialect, &node->counters,
+				node->wake_control);
 	node->pulls.answer = answer_pull;
 	return STATUS_OK;
 }
@@ -274,20 +281,23 @@
 	if (pthread_create(&node->control_thread, NULL, control_duty, node))
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the control duty");
-	if (store_duty_start(&node->watches, status) != STATUS_OK ||
-	    store_duty_start(&node->calls, status) != STATUS_OK)
-		return status->code;
+	for (int i = 0; i < STORE_LANES; i++)
+		if (store_duty_start(&node->store[i], status) != STATUS_OK)
+			return status->code;
 	return pull_duty_start(&node->pulls, status);
 }
 
 static void drain_rings(struct node *node)
 {
+	struct server_report *report;
 	struct view *view;
 
 	while ((view = ring_pop(&node->views)))
 		view_free(view);
 	while ((view = ring_pop(&node->retired_views)))
 		view_free(view);
+	while ((report = ring_pop(&node->reports)))
+		g_free(report);
 }
 
 void node_finish(struct node *node)
@@ -295,15 +305,16 @@
 	atomic_store(&node->stop, true);
 	node_wake(node->wake_control);
 	pthread_join(node->control_thread, NULL);
-	store_duty_stop(&node->watches);
-	store_duty_stop(&node->calls);
+	for (int i = 0; i < STORE_LANES; i++)
+		store_duty_stop(&node->store[i]);
 	pull_duty_stop(&node->pulls);
-	store_duty_finish(&node->watches);
-	store_duty_finish(&node->calls);
+	for (int i = 0; i < STORE_LANES; i++)
+		store_duty_finish(&node->store[i]);
 	pull_duty_finish(&node->pulls);
 	drain_rings(node);
 	ring_finish(&node->views);
 	ring_finish(&node->retired_views);
+	ring_finish(&node->reports);
 	control_finish(&node->control);
 	close(node->control_fd);
 	close(node->wake_control);
@@ -313,8 +324,93 @@
 
 void node_set_state(struct node *node, enum member_state state)
 {
-	atomic_store(&node->wanted_state, (int)state);
-	node_wake(node->wake_control);
+	if (atomic_exchange(&node->wanted_state, (int)state) != (int)state)
+		node_wake(node->wake_control);
+}
+
+void node_leave(struct node *node, enum member_state state)
+{
+	atomic_store(&node->leaving, true);
+	node_set_state(node, state);
+}
+
+static enum member_state state_for(const struct server_report *report)
+{
+	switch (report->state) {
+	case SERVER_READY:
+		return MEMBER_ACTIVE;
+	case SERVER_DRAINING:
+		return MEMBER_DRAINING;
+	case SERVER_GONE:
+		break;
+	}
+	return MEMBER_LEFT;
+}
+
+static void log_report(const struct server_report *report)
+{
+	static const char *const states[] = {"", "ready", "draining", "gone"};
+
+	log_event(LOG_LEVEL_INFO, "server",
+		  "id=%s service=%s state=%s slots=%u cold_left_ms=%lld "
+		  "started_ms=%llu sequence=%llu",
+		  report->id, report->service.data, states[report->state],
+		  report->slots, (long long)report->cold_left_ms,
+		  (unsigned long long)report->started_ms,
+		  (unsigned long long)report->sequence);
+}
+
+bool node_take_report(struct node *node, const struct server_report *report)
+{
+	bool first, news, taken = true;
+
+	if (!node->server.required)
+		return false;
+	pthread_mutex_lock(&node->lock);
+	first = !node->server.heard;
+	news = first || node->server.report.state != report->state ||
+	       server_report_restarted(report, &node->server.report);
+	if (server_watch_take(&node->server, report, clock_now(&node->clock)) !=
+	    SERVER_LATE) {
+		struct server_report *copy =
+			g_memdup2(report, sizeof(*report));
+
+		taken = ring_push(&node->reports, copy);
+		if (!taken)
+			g_free(copy);
+		if (taken && report->state != SERVER_GONE)
+			control_set_server(&node->control, &report->service,
+					   report->slots);
+		if (taken && news)
+			log_report(report);
+		if (taken && !atomic_load(&node->leaving))
+			node_set_state(node, state_for(report));
+	}
+	pthread_mutex_unlock(&node->lock);
+	if (!taken)
+		counter_inc(&node->counters, COUNTER_DROP_RING_FULL);
+	node_wake(node->wake_packet);
+	return taken;
+}
+
+struct server_report *node_next_report(struct node *node)
+{
+	return ring_pop(&node->reports);
+}
+
+const char *node_not_ready_reason(struct node *node)
+{
+	const char *reason = NULL;
+
+	pthread_mutex_lock(&node->lock);
+	if (!node->control.config.manifest.release)
+		reason = "no configuration";
+	else if (control_stale(&node->control))
+		reason = "was paused; waits for a peer";
+	else if (atomic_load(&node->wanted_state) != MEMBER_ACTIVE)
+		reason = "leaving";
+	pthread_mutex_unlock(&node->lock);
+	return reason;
 }
 
 struct view *node_take_view(struct node *node)
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -65,7 +65,8 @@
 	struct inner_packet packet;
 	bool v4;
 
-	if (!inner_parse(&packet, inner, len) || !(packet.flags & TCP_SYN))
+	if (duty->node->adapter->format != &packet_format_ip ||
+	    !inner_parse(&packet, inner, len) || !(packet.flags & TCP_SYN))
 		return inner;
 	v4 = ip_addr_is_v4(&packet.key.dst);
 	memcpy(duty->out, inner, len);
@@ -84,18 +85,32 @@
 	count_send(duty, duty->server.send(&duty->server, inner, len));
 }
 
+/* Where the fabric takes @inner, an answer to a caller. */
+static struct endpoint fabric_address(struct packet_duty *duty,
+				      const uint8_t *inner, size_t len)
+{
+	struct endpoint to = duty->node->settings->fabric;
+	struct inner_packet packet;
+
+	if (duty->node->settings->fabric_at_caller &&
+	    duty->node->adapter->format->parse(&packet, inner, len))
+		to.ip = ip_addr_v4(&packet.key.dst);
+	return to;
+}
+
 static void send_to_fabric(struct packet_sink *sink, const uint8_t *inner,
 			   size_t len)
 {
 	struct packet_duty *duty = duty_of(sink);
+	struct endpoint to;
 
 	inner = with_clamped_mss(duty, inner, len);
-	if (duty->fabric.fd >= 0)
+	if (duty->fabric.fd >= 0) {
 		count_send(duty, duty->fabric.send(&duty->fabric, inner, len));
-	else
-		count_send(duty,
-			   udp_send(duty->data_fd,
-				    &duty->node->settings->fabric, inner, len));
+		return;
+	}
+	to = fabric_address(duty, inner, len);
+	count_send(duty, udp_send(duty->data_fd, &to, inner, len));
 }
 
 static bool is_agent(const struct packet_duty *duty)
@@ -117,6 +132,17 @@
 	}
 }
 
+static void take_reports(struct packet_duty *duty)
+{
+	struct server_report *report;
+
+	while ((report = node_next_report(duty->node))) {
+		agent_take_report(&duty->agent, report,
+				  clock_now(&duty->node->clock));
+		g_free(report);
+	}
+}
+
 static void take_keys(struct packet_duty *duty)
 {
 	struct keyring *keyring;
@@ -141,7 +167,10 @@
 {
 	int skip = 0;
 
-	if (is_agent(duty) || !from_fabric(data, len))
+	/* A socket of its own for callers' packets leaves agents' here. */
+	bool from_agents = duty->fabric.fd >= 0 || !from_fabric(data, len);
+
+	if (is_agent(duty) || from_agents)
 		skip = packet_auth_open(&duty->auth, data, len, now_ms);
 	if (skip < 0)
 		return;
@@ -149,8 +178,11 @@
 	len -= (size_t)skip;
 	if (is_agent(duty))
 		agent_handle_peer(&duty->agent, data, len, now_ms, &duty->sink);
+	else if (from_agents)
+		balancer_handle_agent(&duty->balancer, data, len, now_ms);
 	else
-		balancer_handle(&duty->balancer, data, len, &duty->sink);
+		balancer_handle(&duty->balancer, data, len, now_ms,
+				&duty->sink);
 }
 
 /*
@@ -192,6 +224,7 @@
 /* Balancers: callers' packets from the TUN form of the fabric. */
 static void receive_fabric(struct packet_duty *duty, uint8_t *buf, bool stale)
 {
+	int64_t now_ms = clock_now(&duty->node->clock);
 	ssize_t len;
 
 	for (int i = 0; i < BATCH_MAX; i++) {
@@ -202,7 +235,7 @@
 			counter_inc(&duty->node->counters, COUNTER_DROP_STALE);
 		else
 			balancer_handle(&duty->balancer, buf, (size_t)len,
-					&duty->sink);
+					now_ms, &duty->sink);
 	}
 }
 
@@ -249,6 +282,7 @@
 		stale = views_stale(duty);
 		take_views(duty);
 		take_keys(duty);
+		take_reports(duty);
 		if (stale)
 			drop_data(duty, buf);
 		else if (fds[0].revents)
@@ -276,6 +310,11 @@
 		.connections = (uint32_t)settings->connections,
 		.slots = (uint32_t)settings->slots,
 		.seed = duty->node->instance,
+		.format = duty->node->adapter->format,
+		.server_reports = duty->node->adapter->servers_report,
+		.report_lease_ms = settings->report_lease_ms,
+		.flow_lifetime_ms = settings->flow_lifetime_ms,
+		.tells_balancers = duty->node->adapter->servers_report,
 	};
 
 	if (settings->server_tun.len)
@@ -337,6 +376,11 @@
 				 node->settings->fabric_tun.data,
 				 status) != STATUS_OK)
 		return status->code;
+	if (node->settings->fabric_listen.port &&
+	    packet_edge_init_udp(&duty->fabric, &node->settings->fabric_listen,
+				 &node->settings->fabric,
+				 status) != STATUS_OK)
+		return status->code;
 	if (is_agent(duty) && init_agent(duty, status) != STATUS_OK)
 		return status->code;
 	if (is_agent(duty))
@@ -344,6 +388,9 @@
 	init_path(duty);
 	balancer_init(&duty->balancer, &node->counters);
 	balancer_set_origin(&duty->balancer, &node->settings->data);
+	balancer_set_format(&duty->balancer, node->adapter->format);
+	if (node->adapter->servers_report)
+		balancer_place_by_load(&duty->balancer);
 	if (pthread_create(&duty->thread, NULL, packet_thread, duty))
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the packet duty");
--- a/node/settings.c
+++ b/node/settings.c
@@ -11,6 +11,8 @@
 #define CONNECTIONS_MAX 1000000
 #define SLOTS_MAX 10000
 #define CONTROL_BYTES_MAX (1024 * 1024)
+#define LINGER_MAX_MS 60000
+#define FLOW_LIFETIME_MAX_MS (24 * 3600 * 1000)
 #define MTU_MIN 1280
 #define MTU_MAX 9000
 #define DRAIN_DEADLINE_MAX_S (7 * 24 * 3600)
@@ -21,6 +23,8 @@
 static const char *const log_levels[] = {"debug", "info", "warn", "error",
 					 NULL};
 
+const char *const settings_adapters[] = {"native", "platform", NULL};
+
 /* Fields of both roles; the agents' table repeats none of them. */
 const struct field settings_fields[] = {
 	{.name = "name",
@@ -68,6 +72,40 @@
 	{.name = "seeds",
 	 .type = FIELD_NESTED,
 	 .help = "control addresses of peers to begin with"},
+	{.name = "seed_port",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, seed_port),
+	 .min = 0,
+	 .max = UINT16_MAX,
+	 .fallback = 0,
+	 .help = "control port of all seeds, where theirs is another; 0: as "
+		 "the seeds say"},
+	{.name = "adapter",
+	 .type = FIELD_CHOICE,
+	 .offset = offsetof(struct settings, adapter),
+	 .choices = settings_adapters,
+	 .fallback = 0,
+	 .help = "surroundings that the process runs in"},
+	{.name = "ready",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, ready),
+	 .help = "TCP address where the fabric asks whether we are ready"},
+	{.name = "announce",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, announce),
+	 .help = "TCP address where backend servers announce themselves"},
+	{.name = "fabric_listen",
+	 .type = FIELD_ENDPOINT,
+	 .offset = offsetof(struct settings, fabric_listen),
+	 .help = "UDP address for callers' packets alone; none: `data`"},
+	{.name = "linger_ms",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, linger_ms),
+	 .min = 0,
+	 .max = LINGER_MAX_MS,
+	 .fallback = 1000,
+	 .unit = "ms",
+	 .help = "time a leaving balancer goes on, until the fabric knows"},
 	{.name = "control_keys",
 	 .type = FIELD_NESTED,
 	 .help = "keys of control messages; the first signs, all verify"},
@@ -129,6 +167,29 @@
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, fabric),
 	 .help = "UDP address of the fabric for answers"},
+	{.name = "fabric_at_caller",
+	 .type = FIELD_BOOL,
+	 .offset = offsetof(struct settings, fabric_at_caller),
+	 .fallback = 0,
+	 .help = "answers go to each caller's address at the port of `fabric`"},
+	{.name = "report_lease_ms",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, report_lease_ms),
+	 .min = 100,
+	 .max = LINGER_MAX_MS,
+	 .fallback = 2000,
+	 .unit = "ms",
+	 .help = "time for which a server's word on itself holds; less than "
+		 "the time after which its address may go to another"},
+	{.name = "flow_lifetime_ms",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, flow_lifetime_ms),
+	 .min = 0,
+	 .max = FLOW_LIFETIME_MAX_MS,
+	 .fallback = 0,
+	 .unit = "ms",
+	 .help = "longest life of a connection, where servers keep theirs "
+		 "when an agent restarts; 0: they do not"},
 	{.name = "connections",
 	 .type = FIELD_INT,
 	 .offset = offsetof(struct settings, connections),
@@ -175,6 +236,9 @@
 
 		if (text &&
 		    endpoint_parse(&settings->seeds[settings->n_seeds], text)) {
+			if (settings->seed_port)
+				settings->seeds[settings->n_seeds].port =
+					(uint16_t)settings->seed_port;
 			settings->n_seeds++;
 			continue;
 		}
--- a/node/store_duty.c
+++ b/node/store_duty.c
@@ -13,12 +13,13 @@
 #define POLL_MAX_MS 200
 
 void store_duty_init(struct store_duty *duty, const char *url,
+		     const struct http_dialect *dialect,
 		     struct counters *counters, int wake_results)
 {
 	memset(duty, 0, sizeof(*duty));
 	ring_init(&duty->requests, RING_SIZE);
 	ring_init(&duty->results, RING_SIZE);
-	http_store_init(&duty->http, url, counters);
+	http_store_init(&duty->http, url, dialect, counters);
 	duty->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	duty->wake_results = wake_results;
 	atomic_init(&duty->stop, false);
@@ -50,7 +51,7 @@
 
 static void serve_requests(struct store_duty *duty)
 {
-	struct object_store *platform = &duty->http.platform;
+	struct object_store *platform = &duty->http.store;
 	struct store_request *request;
 	struct store_result *result;
 
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &control__digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   control__zone_order__init
+                     (Control__ZoneOrder         *message)
+{
+  static const Control__ZoneOrder init_value = CONTROL__ZONE_ORDER__INIT;
+  *message = init_value;
+}
+size_t control__zone_order__get_packed_size
+                     (const Control__ZoneOrder *message)
+{
+  assert(message->base.descriptor == &control__zone_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t control__zone_order__pack
+                     (const Control__ZoneOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &control__zone_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t control__zone_order__pack_to_buffer
+                     (const Control__ZoneOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &control__zone_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Control__ZoneOrder *
+       control__zone_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Control__ZoneOrder *)
+     protobuf_c_message_unpack (&control__zone_order__descriptor,
+                                allocator, len, data);
+}
+void   control__zone_order__free_unpacked
+                     (Control__ZoneOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &control__zone_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   control__message__init
                      (Control__Message         *message)
 {
@@ -657,7 +702,71 @@
   (ProtobufCMessageInit) control__digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__message__field_descriptors[12] =
+static const ProtobufCFieldDescriptor control__zone_order__field_descriptors[3] =
+{
+  {
+    "zone",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Control__ZoneOrder, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__ZoneOrder, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "out",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Control__ZoneOrder, out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned control__zone_order__field_indices_by_name[] = {
+  2,   /* field[2] = out */
+  1,   /* field[1] = version */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange control__zone_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor control__zone_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "control.ZoneOrder",
+  "ZoneOrder",
+  "Control__ZoneOrder",
+  "control",
+  sizeof(Control__ZoneOrder),
+  3,
+  control__zone_order__field_descriptors,
+  control__zone_order__field_indices_by_name,
+  1,  control__zone_order__number_ranges,
+  (ProtobufCMessageInit) control__zone_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor control__message__field_descriptors[13] =
 {
   {
     "kind",
@@ -803,6 +912,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "zone_orders",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Control__Message, n_zone_orders),
+    offsetof(Control__Message, zone_orders),
+    &control__zone_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__message__field_indices_by_name[] = {
   3,   /* field[3] = config */
@@ -816,12 +937,13 @@
   9,   /* field[9] = platform_any_age */
   10,   /* field[10] = platform_watcher_age */
   5,   /* field[5] = target */
+  12,   /* field[12] = zone_orders */
   7,   /* field[7] = zones */
 };
 static const ProtobufCIntRange control__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor control__message__descriptor =
 {
@@ -831,7 +953,7 @@
   "Control__Message",
   "control",
   sizeof(Control__Message),
-  12,
+  13,
   control__message__field_descriptors,
   control__message__field_indices_by_name,
   1,  control__message__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Control__Config Control__Config;
 typedef struct Control__ZoneReport Control__ZoneReport;
 typedef struct Control__Digest Control__Digest;
+typedef struct Control__ZoneOrder Control__ZoneOrder;
 typedef struct Control__Message Control__Message;
 
 
@@ -143,6 +144,21 @@
     , 0, 0, 0,NULL, 0 }
 
 
+/*
+ * An operator's order on an availability zone, as roster/zone_orders.h has it.
+ */
+struct  Control__ZoneOrder
+{
+  ProtobufCMessage base;
+  char *zone;
+  uint64_t version;
+  protobuf_c_boolean out;
+};
+#define CONTROL__ZONE_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&control__zone_order__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Control__Message
 {
   ProtobufCMessage base;
@@ -180,10 +196,15 @@
    * the sender remembers; 0 for none.
    */
   uint64_t former_release;
+  /*
+   * All orders on zones that the sender knows.
+   */
+  size_t n_zone_orders;
+  Control__ZoneOrder **zone_orders;
 };
 #define CONTROL__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__message__descriptor) \
-    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0,NULL, NULL, 0, 0, 0 }
+    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL }
 
 
 /* Control__Member methods */
@@ -262,6 +283,25 @@
 void   control__digest__free_unpacked
                      (Control__Digest *message,
                       ProtobufCAllocator *allocator);
+/* Control__ZoneOrder methods */
+void   control__zone_order__init
+                     (Control__ZoneOrder         *message);
+size_t control__zone_order__get_packed_size
+                     (const Control__ZoneOrder   *message);
+size_t control__zone_order__pack
+                     (const Control__ZoneOrder   *message,
+                      uint8_t             *out);
+size_t control__zone_order__pack_to_buffer
+                     (const Control__ZoneOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Control__ZoneOrder *
+       control__zone_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   control__zone_order__free_unpacked
+                     (Control__ZoneOrder *message,
+                      ProtobufCAllocator *allocator);
 /* Control__Message methods */
 void   control__message__init
                      (Control__Message         *message);
@@ -295,6 +335,9 @@
 typedef void (*Control__Digest_Closure)
                  (const Control__Digest *message,
                   void *closure_data);
+typedef void (*Control__ZoneOrder_Closure)
+                 (const Control__ZoneOrder *message,
+                  void *closure_data);
 typedef void (*Control__Message_Closure)
                  (const Control__Message *message,
                   void *closure_data);
@@ -309,6 +352,7 @@
 extern const ProtobufCMessageDescriptor control__config__descriptor;
 extern const ProtobufCMessageDescriptor control__zone_report__descriptor;
 extern const ProtobufCMessageDescriptor control__digest__descriptor;
+extern const ProtobufCMessageDescriptor control__zone_order__descriptor;
 extern const ProtobufCMessageDescriptor control__message__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/proto/handover.pb-c.c
+++ b/proto/handover.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &handover__handover__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor handover__flow_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor handover__flow_record__field_descriptors[10] =
 {
   {
     "address",
@@ -195,6 +195,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service_address",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Handover__FlowRecord, service_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_port",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Handover__FlowRecord, service_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned handover__flow_record__field_indices_by_name[] = {
   0,   /* field[0] = address */
@@ -203,13 +227,15 @@
   4,   /* field[4] = idle_ms */
   1,   /* field[1] = port */
   7,   /* field[7] = server_seq */
+  8,   /* field[8] = service_address */
+  9,   /* field[9] = service_port */
   2,   /* field[2] = state */
   5,   /* field[5] = syn_seq */
 };
 static const ProtobufCIntRange handover__flow_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor handover__flow_record__descriptor =
 {
@@ -219,7 +245,7 @@
   "Handover__FlowRecord",
   "handover",
   sizeof(Handover__FlowRecord),
-  8,
+  10,
   handover__flow_record__field_descriptors,
   handover__flow_record__field_indices_by_name,
   1,  handover__flow_record__number_ranges,
--- a/proto/handover.pb-c.h
+++ b/proto/handover.pb-c.h
@@ -38,10 +38,15 @@
   uint32_t syn_seq;
   uint32_t caller_seq;
   uint32_t server_seq;
+  /*
+   * Address and port of the service that the caller connected to.
+   */
+  ProtobufCBinaryData service_address;
+  uint32_t service_port;
 };
 #define HANDOVER__FLOW_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&handover__flow_record__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
 
 
 /*
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -5,11 +5,28 @@
 #include "tarragonflow/net/inner.h"
 
 #define HASH_HIGH_SHIFT 32
+/* Three notices of an agent lost in a row: it may be out of reach. */
+#define LOAD_FRESH_MS 500
+/* What a connection that was placed adds until its server tells: a request
+ * in one of a few slots. */
+#define PLACED_LOAD (PACKET_LOAD_SCALE / 32)
 
 void balancer_init(struct balancer *balancer, struct counters *counters)
 {
 	memset(balancer, 0, sizeof(*balancer));
 	balancer->counters = counters;
+	balancer->format = &packet_format_ip;
+}
+
+void balancer_set_format(struct balancer *balancer,
+			 const struct packet_format *format)
+{
+	balancer->format = format;
+}
+
+void balancer_place_by_load(struct balancer *balancer)
+{
+	balancer->places_by_load = true;
 }
 
 void balancer_set_origin(struct balancer *balancer,
@@ -29,21 +46,40 @@
 	return &balancer->hints[flow_hash & (BALANCER_HINTS - 1)];
 }
 
-/* Anything but a caller's packet: only hints are for us. */
-static void handle_hint(struct balancer *balancer, const uint8_t *data,
-			size_t len)
+static void set_hint(struct balancer *balancer, uint32_t flow_hash,
+		     uint32_t member_id)
+{
+	struct owner_hint *hint = hint_slot(balancer, flow_hash);
+
+	hint->flow_hash = flow_hash;
+	hint->member_id = member_id;
+}
+
+/* The member that a hint names as owner, or 0. */
+static uint32_t hinted_owner(struct balancer *balancer, uint32_t flow_hash)
+{
+	const struct owner_hint *hint = hint_slot(balancer, flow_hash);
+
+	return hint->flow_hash == flow_hash ? hint->member_id : 0;
+}
+
+void balancer_handle_agent(struct balancer *balancer, const uint8_t *data,
+			   size_t len, int64_t now_ms)
 {
 	struct packet_header header;
-	struct owner_hint *hint;
 
 	if (!packet_header_decode(&header, data, len) ||
-	    header.kind != PACKET_OWNER) {
+	    header.kind == PACKET_DATA) {
 		counter_inc(balancer->counters, COUNTER_DROP_MALFORMED);
 		return;
 	}
-	hint = hint_slot(balancer, header.flow_hash);
-	hint->flow_hash = header.flow_hash;
-	hint->member_id = header.candidates[0].member_id;
+	if (header.kind == PACKET_LOAD) {
+		peer_load_hear(&balancer->loads, header.candidates[0].member_id,
+			       header.load, now_ms);
+		counter_inc(balancer->counters, COUNTER_LOAD_HEARD);
+		return;
+	}
+	set_hint(balancer, header.flow_hash, header.candidates[0].member_id);
 	counter_inc(balancer->counters, COUNTER_HINT_RECEIVED);
 }
 
@@ -72,26 +108,74 @@
 	return header->n_candidates - 1;
 }
 
+/* The candidate with the least load that was heard from lately. */
+static uint8_t least_loaded(struct balancer *balancer,
+			    const struct packet_header *header, int64_t now_ms)
+{
+	uint8_t best = opening_position(header);
+	uint16_t best_load = PACKET_LOAD_FULL;
+
+	for (uint8_t i = 0; i < header->n_candidates; i++) {
+		const struct candidate *candidate = &header->candidates[i];
+		uint16_t load;
+
+		if (!(candidate->flags & CANDIDATE_TAKES_NEW))
+			continue;
+		load = peer_load_fresh(&balancer->loads, candidate->member_id,
+				       LOAD_FRESH_MS, now_ms);
+		if (load >= best_load)
+			continue;
+		best = i;
+		best_load = load;
+	}
+	return best;
+}
+
+/* A copy of an opening packet goes where the first went while that is up. */
+static uint8_t place_open(struct balancer *balancer,
+			  const struct service_view *service,
+			  struct packet_header *header, uint32_t flow_hash,
+			  int64_t now_ms)
+{
+	uint32_t before = hinted_owner(balancer, flow_hash);
+	uint8_t best;
+
+	if (before && peer_load_fresh(&balancer->loads, before, LOAD_FRESH_MS,
+				      now_ms) != PACKET_LOAD_FULL)
+		return hinted_position(service, header, before);
+	best = least_loaded(balancer, header, now_ms);
+	header->placed = true;
+	peer_load_add(&balancer->loads, header->candidates[best].member_id,
+		      PLACED_LOAD);
+	set_hint(balancer, flow_hash, header->candidates[best].member_id);
+	return best;
+}
+
 static uint8_t first_position(struct balancer *balancer,
 			      const struct service_view *service,
 			      struct packet_header *header,
-			      const struct inner_packet *packet, uint64_t hash)
+			      const struct inner_packet *packet, uint64_t hash,
+			      int64_t now_ms)
 {
 	uint32_t flow_hash = (uint32_t)(hash >> HASH_HIGH_SHIFT);
-	const struct owner_hint *hint;
+	uint32_t owner;
 
 	if (inner_opens(packet))
-		return opening_position(header);
-	hint = hint_slot(balancer, flow_hash);
-	if (!hint->member_id || hint->flow_hash != flow_hash)
+		return balancer->places_by_load
+			       ? place_open(balancer, service, header,
+					    flow_hash, now_ms)
+			       : opening_position(header);
+	owner = hinted_owner(balancer, flow_hash);
+	if (!owner)
 		return 0;
 	counter_inc(balancer->counters, COUNTER_HINT_USED);
-	return hinted_position(service, header, hint->member_id);
+	return hinted_position(service, header, owner);
 }
 
 static void forward(struct balancer *balancer,
 		    const struct service_view *service,
-		    const struct inner_packet *packet, struct packet_sink *sink)
+		    const struct inner_packet *packet, int64_t now_ms,
+		    struct packet_sink *sink)
 {
 	const struct view *view = balancer->view;
 	uint64_t hash = flow_key_hash(&packet->key, view->seed);
@@ -109,18 +193,22 @@
 	header.usual_ms = 0;
 	header.placed = false;
 	header.warming = false;
+	header.unsure = 0;
+	header.asking = false;
+	header.services_tried = 0;
 	header.origin = balancer->origin;
 	header.bucket = (uint32_t)hash & (service->n_buckets - 1);
 	view_chain(service, header.bucket, &header);
 	header.position =
-		first_position(balancer, service, &header, packet, hash);
+		first_position(balancer, service, &header, packet, hash,
+			       now_ms);
 	counter_inc(balancer->counters, COUNTER_PACKET_FORWARDED);
 	sink->to_peer(sink, &header.candidates[header.position].data, &header,
 		      packet->data, packet->len);
 }
 
 void balancer_handle(struct balancer *balancer, const uint8_t *data, size_t len,
-		     struct packet_sink *sink)
+		     int64_t now_ms, struct packet_sink *sink)
 {
 	const struct view *view = balancer->view;
 	const struct service_view *service;
@@ -131,9 +219,9 @@
 		counter_inc(balancer->counters, COUNTER_DROP_NO_CONFIG);
 		return;
 	}
-	if (!inner_parse(&packet, data, len)) {
+	if (!balancer->format->parse(&packet, data, len)) {
 		if (packet.fault == INNER_MALFORMED)
-			handle_hint(balancer, data, len);
+			balancer_handle_agent(balancer, data, len, now_ms);
 		else
 			counter_inc(balancer->counters,
 				    inner_drop_reason(&packet));
@@ -148,5 +236,5 @@
 		counter_inc(balancer->counters, COUNTER_DROP_NO_MEMBER);
 		return;
 	}
-	forward(balancer, service, &packet, sink);
+	forward(balancer, service, &packet, now_ms, sink);
 }
--- a/route/view.c
+++ b/route/view.c
@@ -10,6 +10,8 @@
 /* Every process must agree, so these are part of the protocol. */
 #define BUCKET_SEED 0x7461727261676f6eULL
 #define MEMBER_SEED 0
+/* Picks a service of a route; independent of the bucket. */
+#define SPLIT_SEED 0x73706c6974ULL
 #define INDEX_EMPTY UINT32_MAX
 
 /** One member's claim on a bucket while its chain is sorted. */
@@ -129,24 +131,24 @@
 }
 
 static bool member_serves(const struct member *member,
-			  const struct manifest *manifest)
+			  const struct manifest *manifest,
+			  const struct zone_orders *orders)
 {
-	const struct zone *zone;
-
 	if (member->role != MEMBER_AGENT || member->state == MEMBER_LEFT)
 		return false;
-	zone = manifest_zone(manifest, &member->zone);
-	return zone && zone->state == ZONE_IN;
+	return manifest_zone_in(manifest, &member->zone) &&
+	       !zone_orders_out(orders, &member->zone);
 }
 
 static void servers_init(struct servers *servers,
 			 const struct manifest *manifest,
-			 const struct roster *roster)
+			 const struct roster *roster,
+			 const struct zone_orders *orders)
 {
 	servers->n = 0;
 	servers->members = g_new(const struct member *, roster->n);
 	for (size_t i = 0; i < roster->n; i++)
-		if (member_serves(&roster->members[i], manifest))
+		if (member_serves(&roster->members[i], manifest, orders))
 			servers->members[servers->n++] = &roster->members[i];
 	if (servers->n)
 		qsort(servers->members, servers->n,
@@ -225,16 +227,15 @@
 {
 	uint32_t size = 2;
 
-	while (size < view->n_services * 2)
+	while (size < view->n_routes * 2)
 		size *= 2;
 	view->index_mask = size - 1;
 	view->index = g_new(uint32_t, size);
 	for (uint32_t i = 0; i < size; i++)
 		view->index[i] = INDEX_EMPTY;
-	for (uint32_t i = 0; i < view->n_services; i++) {
-		const struct service *service = &view->services[i].service;
-		uint32_t slot = index_slot(view, &service->address,
-					   (uint16_t)service->port);
+	for (uint32_t i = 0; i < view->n_routes; i++) {
+		const struct route_view *route = &view->routes[i];
+		uint32_t slot = index_slot(view, &route->address, route->port);
 
 		while (view->index[slot] != INDEX_EMPTY)
 			slot = (slot + 1) & view->index_mask;
@@ -244,6 +245,7 @@
 
 static void view_copy_zones(struct view *view, const struct manifest *manifest)
 {
+	view->all_zones = !manifest->n_zones;
 	view->zones_in = g_new(struct name, manifest->n_zones);
 	for (size_t i = 0; i < manifest->n_zones; i++)
 		if (manifest->zones[i].state == ZONE_IN)
@@ -251,13 +253,95 @@
 				manifest->zones[i].name;
 }
 
+static void view_copy_orders(struct view *view,
+			     const struct zone_orders *orders)
+{
+	view->zones_out = g_new(struct name, orders->n);
+	for (size_t i = 0; i < orders->n; i++)
+		if (orders->entries[i].out)
+			view->zones_out[view->n_zones_out++] =
+				orders->entries[i].zone;
+}
+
+static void view_copy_balancers(struct view *view, const struct roster *roster)
+{
+	view->balancers = g_new(struct endpoint, roster->n);
+	for (size_t i = 0; i < roster->n; i++)
+		if (roster->members[i].role == MEMBER_BALANCER &&
+		    roster->members[i].state != MEMBER_LEFT)
+			view->balancers[view->n_balancers++] =
+				roster->members[i].data;
+}
+
+static void route_view_add(struct route_view *route, const struct view *view,
+			   const struct route_backend *backend)
+{
+	for (uint32_t i = 0; i < view->n_services; i++) {
+		if (!name_equal(&view->services[i].service.name,
+				&backend->service))
+			continue;
+		route->backends[route->n_backends].service = i;
+		route->backends[route->n_backends++].weight =
+			(uint32_t)backend->weight;
+		route->weights += (uint32_t)backend->weight;
+		return;
+	}
+}
+
+static void route_view_init(struct route_view *out, const struct view *view,
+			    const struct route *route)
+{
+	out->address = route->address;
+	out->port = (uint16_t)route->port;
+	out->kind = (uint8_t)route->kind;
+	out->priority = (uint16_t)route->priority;
+	out->objective_ms = (uint32_t)route->objective_ms;
+	out->timeout_ms = (uint32_t)route->timeout_ms;
+	for (size_t i = 0; i < route->n_backends; i++)
+		route_view_add(out, view, &route->backends[i]);
+}
+
+static void view_build_routes(struct view *view,
+			      const struct manifest *manifest)
+{
+	view->routes = g_new0(struct route_view,
+			      manifest->n_routes + manifest->n_services);
+	for (size_t i = 0; i < manifest->n_routes; i++)
+		route_view_init(&view->routes[view->n_routes++], view,
+				&manifest->routes[i]);
+	for (size_t i = 0; i < manifest->n_services; i++) {
+		const struct service *service = &manifest->services[i];
+		struct route_view *route;
+
+		if (!service->port)
+			continue;
+		route = &view->routes[view->n_routes++];
+		route->address = service->address;
+		route->port = (uint16_t)service->port;
+		route->kind = ROUTE_UNSAFE;
+		route->backends[0].service = (uint32_t)i;
+		route->backends[0].weight = 1;
+		route->n_backends = 1;
+		route->weights = 1;
+	}
+}
+
 void view_init(struct view *view, const struct manifest *manifest,
 	       const struct roster *roster)
+{
+	const struct zone_orders none = {0};
+
+	view_init_ordered(view, manifest, roster, &none);
+}
+
+void view_init_ordered(struct view *view, const struct manifest *manifest,
+		       const struct roster *roster,
+		       const struct zone_orders *orders)
 {
 	struct servers servers;
 
 	memset(view, 0, sizeof(*view));
-	servers_init(&servers, manifest, roster);
+	servers_init(&servers, manifest, roster, orders);
 	view->config_revision = manifest->release;
 	view->roster_version = roster->version;
 	view->seed = BUCKET_SEED;
@@ -267,8 +351,11 @@
 		service_view_init(&view->services[i], &manifest->services[i],
 				  &servers);
 	g_free(servers.members);
+	view_build_routes(view, manifest);
 	view_build_index(view);
 	view_copy_zones(view, manifest);
+	view_copy_orders(view, orders);
+	view_copy_balancers(view, roster);
 }
 
 void view_finish(struct view *view)
@@ -279,28 +366,70 @@
 		g_free(view->services[i].chains);
 	}
 	g_free(view->services);
+	g_free(view->routes);
 	g_free(view->index);
 	g_free(view->zones_in);
+	g_free(view->zones_out);
+	g_free(view->balancers);
 	memset(view, 0, sizeof(*view));
 }
 
-const struct service_view *view_lookup(const struct view *view,
-				       const struct flow_key *key)
+const struct route_view *view_route(const struct view *view,
+				    const struct flow_key *key)
 {
 	uint32_t slot = index_slot(view, &key->dst, key->dst_port);
 
 	while (view->index[slot] != INDEX_EMPTY) {
-		const struct service_view *service =
-			&view->services[view->index[slot]];
+		const struct route_view *route =
+			&view->routes[view->index[slot]];
 
-		if (service->service.port == key->dst_port &&
-		    ip_addr_equal(&service->service.address, &key->dst))
-			return service;
+		if (route->port == key->dst_port &&
+		    ip_addr_equal(&route->address, &key->dst))
+			return route;
 		slot = (slot + 1) & view->index_mask;
 	}
 	return NULL;
 }
 
+const struct service_view *view_route_service(const struct view *view,
+					      const struct route_view *route,
+					      const struct flow_key *key)
+{
+	uint32_t point;
+
+	if (!route->weights)
+		return NULL;
+	if (route->n_backends == 1)
+		return &view->services[route->backends[0].service];
+	point = (uint32_t)(flow_key_hash(key, SPLIT_SEED) % route->weights);
+	for (int i = 0; i < route->n_backends; i++) {
+		const struct backend_view *backend = &route->backends[i];
+
+		if (point < backend->weight)
+			return &view->services[backend->service];
+		point -= backend->weight;
+	}
+	return NULL;
+}
+
+bool view_route_allows(const struct view *view, const struct route_view *route,
+		       uint32_t id)
+{
+	for (int i = 0; i < route->n_backends; i++)
+		if (route->backends[i].weight &&
+		    view->services[route->backends[i].service].service.id == id)
+			return true;
+	return false;
+}
+
+const struct service_view *view_lookup(const struct view *view,
+				       const struct flow_key *key)
+{
+	const struct route_view *route = view_route(view, key);
+
+	return route ? view_route_service(view, route, key) : NULL;
+}
+
 const struct service_view *view_service(const struct view *view, uint32_t id)
 {
 	for (size_t i = 0; i < view->n_services; i++)
@@ -311,10 +440,13 @@
 
 bool view_zone_in(const struct view *view, const struct name *zone)
 {
+	for (size_t i = 0; i < view->n_zones_out; i++)
+		if (name_equal(&view->zones_out[i], zone))
+			return false;
 	for (size_t i = 0; i < view->n_zones_in; i++)
 		if (name_equal(&view->zones_in[i], zone))
 			return true;
-	return false;
+	return view->all_zones;
 }
 
 uint32_t view_bucket(const struct view *view,
--- a/store/http_store.c
+++ b/store/http_store.c
@@ -1,24 +1,17 @@
 #include "tarragonflow/store/http_store.h"
 
 #include <glib.h>
-#include <jansson.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "tarragonflow/common/clock.h"
 
-#define URL_MAX 768
+#define URL_MAX (HTTP_PATH_MAX + 256)
 #define CONNECT_TIMEOUT_MS 1000L
 #define WAIT_MAX_MS 1000
 /* What a watch call may take beyond the wait it asks for. */
-#define WATCH_GRACE_MS 2000
-
-#define HTTP_OK 200
-#define HTTP_BAD_REQUEST 400
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONFLICT 409
-#define HTTP_GONE 410
-#define HTTP_TOO_LARGE 413
+#define WATCH_GRACE_MS 1000
+/* Pages of one LIST, at most. */
+#define PAGES_MAX 64
 
 static size_t collect_body(char *data, size_t size, size_t n, void *user)
 {
@@ -30,62 +23,6 @@
 	return size * n;
 }
 
-static void build_url(const struct http_store *http,
-		      const struct store_request *request, char *url)
-{
-	switch (request->op) {
-	case STORE_OP_GET:
-		snprintf(url, URL_MAX, "%s/v1/objects/%s", http->url,
-			 request->key);
-		break;
-	case STORE_OP_PUT:
-	case STORE_OP_DELETE:
-		snprintf(url, URL_MAX, "%s/v1/objects/%s?version=%lld",
-			 http->url, request->key, (long long)request->version);
-		break;
-	case STORE_OP_LIST:
-		snprintf(url, URL_MAX, "%s/v1/list?prefix=%s", http->url,
-			 request->key);
-		break;
-	case STORE_OP_WATCH:
-		snprintf(url, URL_MAX,
-			 "%s/v1/watch?prefix=%s&after=%lld&wait_ms=%lld",
-			 http->url, request->key, (long long)request->version,
-			 (long long)request->timeout_ms);
-		break;
-	}
-}
-
-/* The body of a PUT: the value as text beside the write's token. */
-static char *build_body(const struct store_request *request)
-{
-	json_t *root = json_pack("{s:s,s:s%}", "token", request->token, "value",
-				 request->value.data, request->value.len);
-	char *text = root ? json_dumps(root, JSON_COMPACT) : NULL;
-
-	json_decref(root);
-	return text;
-}
-
-static enum status_code code_from_http(long http_code, bool write)
-{
-	switch (http_code) {
-	case HTTP_OK:
-		return STATUS_OK;
-	case HTTP_NOT_FOUND:
-		return STATUS_NOT_FOUND;
-	case HTTP_CONFLICT:
-		return STATUS_CONFLICT;
-	case HTTP_GONE:
-		return STATUS_GONE;
-	case HTTP_BAD_REQUEST:
-	case HTTP_TOO_LARGE:
-		return STATUS_INVALID;
-	default:
-		return write ? STATUS_UNKNOWN : STATUS_UNAVAILABLE;
-	}
-}
-
 /* Before the request was sent nothing can have happened. */
 static enum status_code code_from_curl(CURLcode code, bool write)
 {
@@ -95,52 +32,6 @@
 	return STATUS_UNKNOWN;
 }
 
-static void take_object(struct store_result *result, const json_t *item)
-{
-	const json_t *value = json_object_get(item, "value");
-	const char *key = json_string_value(json_object_get(item, "key"));
-	const char *token = json_string_value(json_object_get(item, "token"));
-	struct store_object *object;
-	struct str text = {"", 0};
-
-	if (!key)
-		return;
-	if (json_is_string(value)) {
-		text.data = json_string_value(value);
-		text.len = json_string_length(value);
-	}
-	object = store_result_add(
-		result, key,
-		json_integer_value(json_object_get(item, "version")), text);
-	object->deleted = json_is_true(json_object_get(item, "deleted"));
-	if (token)
-		g_strlcpy(object->token, token, sizeof(object->token));
-}
-
-void http_store_parse(struct store_result *result, struct str body)
-{
-	json_error_t error;
-	json_t *root =
-		json_loadb(body.data ? body.data : "", body.len, 0, &error);
-	const json_t *objects, *item;
-	size_t i;
-
-	if (!json_is_object(root)) {
-		status_set(&result->status,
-			   result->op == STORE_OP_PUT ? STATUS_UNKNOWN
-						      : STATUS_UNAVAILABLE,
-			   "platform answered no JSON object");
-		json_decref(root);
-		return;
-	}
-	result->version = json_integer_value(json_object_get(root, "version"));
-	objects = json_object_get(root, "objects");
-	json_array_foreach(objects, i, item) take_object(result, item);
-	if (result->op == STORE_OP_GET)
-		take_object(result, root);
-	json_decref(root);
-}
-
 static void count_call(struct counters *counters, enum store_op op)
 {
 	static const enum counter_id ids[] = {
@@ -165,27 +56,16 @@
 		counter_inc(counters, COUNTER_PLATFORM_CONFLICT);
 }
 
-static void set_method(struct http_store *http, enum store_op op,
-		       const char *body)
-{
-	if (op == STORE_OP_PUT) {
-		curl_easy_setopt(http->curl, CURLOPT_CUSTOMREQUEST, "PUT");
-		curl_easy_setopt(http->curl, CURLOPT_POSTFIELDS, body);
-	} else if (op == STORE_OP_DELETE) {
-		curl_easy_setopt(http->curl, CURLOPT_CUSTOMREQUEST, "DELETE");
-	}
-}
-
 static void prepare_call(struct http_store *http,
 			 const struct store_request *request,
-			 struct strbuf *answer)
+			 const struct http_call *call, struct strbuf *answer)
 {
 	long timeout = (long)request->timeout_ms;
 	char url[URL_MAX];
 
 	if (request->op == STORE_OP_WATCH)
 		timeout += WATCH_GRACE_MS;
-	build_url(http, request, url);
+	g_snprintf(url, sizeof(url), "%s%s", http->url, call->path);
 	curl_easy_reset(http->curl);
 	curl_easy_setopt(http->curl, CURLOPT_URL, url);
 	curl_easy_setopt(http->curl, CURLOPT_NOSIGNAL, 1L);
@@ -195,6 +75,13 @@
 	curl_easy_setopt(http->curl, CURLOPT_TIMEOUT_MS, timeout);
 	curl_easy_setopt(http->curl, CURLOPT_WRITEFUNCTION, collect_body);
 	curl_easy_setopt(http->curl, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(http->curl, CURLOPT_CUSTOMREQUEST, call->method);
+	if (!call->body.len)
+		return;
+	curl_easy_setopt(http->curl, CURLOPT_HTTPHEADER, http->headers);
+	curl_easy_setopt(http->curl, CURLOPT_POSTFIELDS, call->body.data);
+	curl_easy_setopt(http->curl, CURLOPT_POSTFIELDSIZE,
+			 (long)call->body.len);
 }
 
 static CURLcode take_outcome(struct http_store *http)
@@ -228,66 +115,80 @@
 	return code;
 }
 
-static void take_result(struct http_store *http, CURLcode code,
-			const struct store_request *request,
-			const struct strbuf *answer,
-			struct store_result *result)
+/* Makes one call; @after names the next page of a LIST, if there is one. */
+static void call_once(struct http_store *http,
+		      const struct store_request *request, char *after,
+		      struct store_result *result)
 {
 	bool write = request->op == STORE_OP_PUT ||
 		     request->op == STORE_OP_DELETE;
-	const char *op = store_op_name(request->op);
+	struct http_call call = {0};
+	struct strbuf answer;
 	long http_code = 0;
+	CURLcode code;
 
+	strbuf_init(&answer);
+	if (!http->dialect->write_call(request, after, &call)) {
+		status_set(&result->status, STATUS_INVALID,
+			   "platform %s: no such call for %s",
+			   store_op_name(request->op), request->key);
+		return;
+	}
+	*after = '\0';
+	count_call(http->counters, request->op);
+	prepare_call(http, request, &call, &answer);
+	code = perform(http);
 	if (code != CURLE_OK) {
 		status_set(&result->status, code_from_curl(code, write),
-			   "platform %s: %s", op, curl_easy_strerror(code));
-		return;
+			   "platform %s: %s", store_op_name(request->op),
+			   curl_easy_strerror(code));
+	} else {
+		curl_easy_getinfo(http->curl, CURLINFO_RESPONSE_CODE,
+				  &http_code);
+		http->dialect->read_answer(request, http_code,
+					   strbuf_str(&answer), result, after);
 	}
-	curl_easy_getinfo(http->curl, CURLINFO_RESPONSE_CODE, &http_code);
-	if (http_code != HTTP_OK)
-		status_set(&result->status, code_from_http(http_code, write),
-			   "platform %s %s: HTTP %ld", op, request->key,
-			   http_code);
-	else
-		http_store_parse(result, strbuf_str(answer));
+	count_outcome(http->counters, result->status.code);
+	strbuf_finish(&call.body);
+	strbuf_finish(&answer);
 }
 
-static void http_store_call(struct object_store *platform,
+static void http_store_call(struct object_store *store,
 			    const struct store_request *request,
 			    struct store_result *result)
 {
-	struct http_store *http = (struct http_store *)platform;
-	struct strbuf answer;
-	char *body = NULL;
+	struct http_store *http = (struct http_store *)store;
+	char after[STORE_KEY_MAX] = "";
 
 	store_result_init(result, request);
-	strbuf_init(&answer);
-	count_call(http->counters, request->op);
-	prepare_call(http, request, &answer);
-	if (request->op == STORE_OP_PUT)
-		body = build_body(request);
-	set_method(http, request->op, body);
-	take_result(http, perform(http), request, &answer, result);
-	count_outcome(http->counters, result->status.code);
-	strbuf_finish(&answer);
-	free(body);
+	for (int i = 0; i < PAGES_MAX; i++) {
+		call_once(http, request, after, result);
+		if (!*after || result->status.code != STATUS_OK)
+			return;
+	}
+	status_set(&result->status, STATUS_FULL,
+		   "platform %s: more than %d pages", request->key, PAGES_MAX);
 }
 
-static void http_store_pause(struct object_store *platform, int64_t ms)
+static void http_store_pause(struct object_store *store, int64_t ms)
 {
-	(void)platform;
+	(void)store;
 	clock_sleep(ms);
 }
 
 void http_store_init(struct http_store *http, const char *url,
+		     const struct http_dialect *dialect,
 		     struct counters *counters)
 {
 	memset(http, 0, sizeof(*http));
-	http->platform.call = http_store_call;
-	http->platform.pause = http_store_pause;
+	http->store.call = http_store_call;
+	http->store.pause = http_store_pause;
+	http->dialect = dialect;
 	http->counters = counters;
 	http->curl = curl_easy_init();
 	http->multi = curl_multi_init();
+	http->headers = curl_slist_append(NULL,
+					  "Content-Type: application/json");
 	atomic_init(&http->cancelled, false);
 	g_strlcpy(http->url, url, sizeof(http->url));
 }
@@ -296,6 +197,7 @@
 {
 	curl_easy_cleanup(http->curl);
 	curl_multi_cleanup(http->multi);
+	curl_slist_free_all(http->headers);
 	http->curl = NULL;
 }
 
--- a/store/object_store.c
+++ b/store/object_store.c
@@ -56,6 +56,12 @@
 		 deployment->data);
 }
 
+void store_zones_prefix(char *key, const struct name *deployment)
+{
+	snprintf(key, STORE_KEY_MAX, "tarragonflow/%s/zones/",
+		 deployment->data);
+}
+
 const char *store_op_name(enum store_op op)
 {
 	static const char *const names[] = {"get", "list", "put", "delete",
--- a/tarragonflow/commands/agent.c
+++ b/tarragonflow/commands/agent.c
@@ -44,8 +44,14 @@
 
 	hand_over_if_asked(role);
 	atomic_store(&role->duty.drain, true);
-	node_set_state(&role->node, MEMBER_DRAINING);
+	node_leave(&role->node, MEMBER_DRAINING);
 	clock_sleep(FAREWELL_MS);
+	/*
+	 * Where the server keeps its connections without us, every moment until
+	 * the next agent runs is one in which nobody reaches them.
+	 */
+	if (role->settings.flow_lifetime_ms)
+		return;
 	while (atomic_load(&role->node.open_connections) &&
 	       clock_now(&role->node.clock) < deadline) {
 		hand_over_if_asked(role);
@@ -55,7 +61,7 @@
 	}
 	log_event(LOG_LEVEL_INFO, "drained", "connections_left=%u",
 		  atomic_load(&role->node.open_connections));
-	node_set_state(&role->node, MEMBER_LEFT);
+	node_leave(&role->node, MEMBER_LEFT);
 	clock_sleep(FAREWELL_MS);
 }
 
--- a/tarragonflow/commands/balancer.c
+++ b/tarragonflow/commands/balancer.c
@@ -1,12 +1,15 @@
 #include "run_role.h"
 
-/* The fabric needs a moment to send its packets elsewhere. */
-#define LINGER_MS 1000
+/* Lets the last word reach the peers. */
+#define FAREWELL_MS 200
 
 static void balancer_leave(struct role *role)
 {
-	node_set_state(&role->node, MEMBER_LEFT);
-	clock_sleep(LINGER_MS);
+	/* Packets come until the fabric has asked whether we are ready. */
+	node_leave(&role->node, MEMBER_DRAINING);
+	clock_sleep(role->settings.linger_ms);
+	node_leave(&role->node, MEMBER_LEFT);
+	clock_sleep(FAREWELL_MS);
 }
 
 static enum status_code run_balancer(const struct command *command, int argc,
--- a/tarragonflow/commands/dump.c
+++ b/tarragonflow/commands/dump.c
@@ -48,8 +48,8 @@
 				  "name",
 				  argv[1]);
 	snprintf(prefix, sizeof(prefix), "tarragonflow/%s/", deployment.data);
-	http_store_init(&http, url, NULL);
-	dump_prefix(&http.platform, prefix, status);
+	http_store_init(&http, url, &http_dialect_own, NULL);
+	dump_prefix(&http.store, prefix, status);
 	http_store_finish(&http);
 	g_free(url);
 	return status->code;
--- a/tarragonflow/commands/run_role.c
+++ b/tarragonflow/commands/run_role.c
@@ -2,6 +2,13 @@
 
 #include "tarragonflow/admin/admin.h"
 #include "tarragonflow/common/log.h"
+#include "tarragonflow/platform/platform.h"
+
+/* In the order of settings_adapters. */
+static const struct adapter *const adapters[] = {
+	&adapter_native,
+	&adapter_platform,
+};
 
 void role_reload_keys(struct role *role)
 {
@@ -91,7 +98,9 @@
 		if (role.settings.handover.port)
 			handover_fetch(&role.settings.handover,
 				       &role.inherited);
-		if (node_init(&role.node, &role.settings, status) == STATUS_OK)
+		if (node_init(&role.node, &role.settings,
+			      adapters[role.settings.adapter],
+			      status) == STATUS_OK)
 			run_duties(&role, leave, status);
 		strbuf_finish(&role.inherited);
 		log_finish();
--- a/tests/scenarios/world_network.c
+++ b/tests/scenarios/world_network.c
@@ -211,5 +211,5 @@
 				  world->now_ms, &node->packet_sink);
 	else
 		balancer_handle(&node->balancer, data, event->data.len,
-				&node->packet_sink);
+				world->now_ms, &node->packet_sink);
 }
--- a/tests/unit/test_agent.c
+++ b/tests/unit/test_agent.c
@@ -234,7 +234,7 @@
 
 	balancer_set_view(&rig->balancer, &rig->views[n]);
 	balancer_handle(&rig->balancer, out,
-			inner_build(spec, out, sizeof(out)),
+			inner_build(spec, out, sizeof(out)), 0,
 			&rig->balancer_sink);
 	rig_pump(rig, now_ms);
 }
@@ -663,7 +663,7 @@
 		spec.key.src_port = (uint16_t)(1024 + i / 4);
 		spec.flags = flags[i % 4];
 		len = inner_build(&spec, wire + head, 200);
-		balancer_handle(&rig.balancer, wire + head, len, &sink);
+		balancer_handle(&rig.balancer, wire + head, len, i, &sink);
 		agent_handle_peer(&rig.agents[0].agent, wire, head + len, i,
 				  &rig.agents[0].sink);
 		agent_tick(&rig.agents[0].agent, i, &rig.agents[0].sink);
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -15,6 +15,12 @@
 	struct roster roster;
 	struct store_request last;
 	unsigned int calls[5];
+	/** The last call about orders on zones, kept apart. */
+	struct store_request last_zones;
+	unsigned int zone_calls;
+	struct zone_orders orders;
+	bool orders_whole;
+	uint64_t orders_version;
 	unsigned int configs, members;
 	int64_t now_ms;
 	/** The next writes take effect, their answers are lost. */
@@ -27,6 +33,11 @@
 {
 	struct fixture *fixture = (struct fixture *)out;
 
+	if (request->lane == STORE_LANE_ZONES) {
+		fixture->zone_calls++;
+		fixture->last_zones = *request;
+		return;
+	}
 	fixture->calls[request->op]++;
 	store_request_finish(&fixture->last);
 	fixture->last = *request;
@@ -41,6 +52,17 @@
 	((struct fixture *)out)->configs++;
 }
 
+static void record_zones(struct platform_sync_out *out,
+			 const struct zone_orders *orders, bool whole,
+			 uint64_t version)
+{
+	struct fixture *fixture = (struct fixture *)out;
+
+	fixture->orders = *orders;
+	fixture->orders_whole = whole;
+	fixture->orders_version = version;
+}
+
 static void record_member(struct platform_sync_out *out,
 			  const struct member *entry)
 {
@@ -71,6 +93,7 @@
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->out.call = record_call;
 	fixture->out.config = record_config;
+	fixture->out.zones = record_zones;
 	fixture->out.member = record_member;
 	fixture->now_ms = 1000;
 	name_set(&options.deployment, str_from("d"));
