Serve sooner after a start; ask servers about a connection at most once

After the closing fault processes were back at 35.8 s and knew configuration and peers at 36.7 s only. A leaving process took 1.5 s to tidy up while nobody served in its place.

Now a server whose first report is its first has no older connections; an agent asks its server about a connection once; a starting process asks a store whose answers are current at once, for configuration, orders on zones and one page of the roster; it ends without tidying up where nothing outlives it.

--- a/control/config_store.c
+++ b/control/config_store.c
@@ -63,10 +63,14 @@
 
 /* Only a process without any configuration has to wait. */
 static bool must_hold(const struct config_store *store, int64_t release,
-		      int64_t now_ms)
+		      enum config_source source, int64_t now_ms)
 {
+	bool settled =
+		now_ms >= store->settled_ms ||
+		(source == CONFIG_FROM_PLATFORM && store->platform_is_current);
+
 	return !store->manifest.release &&
-	       (now_ms < store->settled_ms || release < store->former);
+	       (!settled || release < store->former);
 }
 
 static void hold(struct config_store *store, struct str text, int64_t release)
@@ -80,16 +84,17 @@
 }
 
 bool config_store_offer(struct config_store *store, struct str text,
-			const char *source, int64_t now_ms)
+			enum config_source source, int64_t now_ms)
 {
+	static const char *const sources[] = {"platform", "peer", "held"};
 	struct manifest manifest;
 
 	manifest_init(&manifest);
-	if (!config_parse(store, &manifest, text, source)) {
+	if (!config_parse(store, &manifest, text, sources[source])) {
 		manifest_finish(&manifest);
 		return false;
 	}
-	if (must_hold(store, manifest.release, now_ms)) {
+	if (must_hold(store, manifest.release, source, now_ms)) {
 		hold(store, text, manifest.release);
 		manifest_finish(&manifest);
 		return false;
@@ -100,7 +105,7 @@
 	strbuf_add(&store->text, text.data, text.len);
 	counter_inc(store->counters, COUNTER_CONFIG_APPLIED);
 	log_event(LOG_LEVEL_INFO, "config-applied", "release=%lld source=%s",
-		  (long long)manifest.release, source);
+		  (long long)manifest.release, sources[source]);
 	return true;
 }
 
@@ -121,10 +126,11 @@
 		drop_held(store);
 		return false;
 	}
-	if (must_hold(store, store->held_release, now_ms))
+	if (must_hold(store, store->held_release, CONFIG_HELD, now_ms))
 		return false;
 	strbuf_init(&store->held);
-	applied = config_store_offer(store, strbuf_str(&text), "held", now_ms);
+	applied = config_store_offer(store, strbuf_str(&text), CONFIG_HELD,
+				     now_ms);
 	strbuf_finish(&text);
 	store->held_release = 0;
 	return applied;
--- a/control/context.h
+++ b/control/context.h
@@ -85,7 +85,7 @@
 
 /** Puts a configuration in force when it is newer. */
 void inbound_config(struct control_context *context, struct str text,
-		    const char *source);
+		    enum config_source source);
 
 /** Merges orders on zones; a change is told to the others. */
 void inbound_orders(struct control_context *context,
--- a/control/control.c
+++ b/control/control.c
@@ -12,6 +12,9 @@
 /* Between two comparisons with a random peer, ms. */
 #define EXCHANGE_INTERVAL_MS 5000
 #define JOIN_INTERVAL_MS 400
+/* Peers that start together are not all there yet for the first word. */
+#define START_MS 600
+#define START_INTERVAL_MS 150
 /* Who knows so few members is still joining. */
 #define JOIN_MEMBERS 6
 /* A process that started lately compares more often. */
@@ -47,6 +50,7 @@
 		.zone = options->self.zone,
 		.role = options->self.role,
 		.random_seed = options->random_seed,
+		.asks_at_once = options->platform_is_current,
 	};
 	int64_t bytes_per_s = options->bytes_per_s ? options->bytes_per_s
 						   : CONTROL_BYTES_PER_S;
@@ -58,6 +62,7 @@
 	roster_init(&control->roster);
 	config_store_init(&control->config, &options->deployment, counters,
 			  now_ms);
+	control->config.platform_is_current = options->platform_is_current;
 	platform_sync_init(&control->platform, &sync_options, counters, now_ms);
 	failure_detector_init(&control->detector, &control->roster,
 			      &options->self.name,
@@ -287,7 +292,8 @@
 
 static void sync_config(struct platform_sync_out *out, struct str text)
 {
-	inbound_config(((struct sync_out *)out)->context, text, "platform");
+	inbound_config(((struct sync_out *)out)->context, text,
+		       CONFIG_FROM_PLATFORM);
 }
 
 /* Zones that a whole list leaves out are in as of its version. */
@@ -402,7 +408,9 @@
 			outbound_digest(context, &control->options.seeds[i]);
 	else
 		exchange_once(context, joining);
-	if (control->roster.n < JOIN_MEMBERS)
+	if (context->now_ms < control->started_ms + START_MS)
+		interval_ms = START_INTERVAL_MS;
+	else if (control->roster.n < JOIN_MEMBERS)
 		interval_ms = JOIN_INTERVAL_MS;
 	else if (context->now_ms < control->started_ms + JOIN_MS)
 		interval_ms = JOINED_INTERVAL_MS;
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -197,7 +197,7 @@
 }
 
 void inbound_config(struct control_context *context, struct str text,
-		    const char *source)
+		    enum config_source source)
 {
 	struct config_store *store = &context->control->config;
 
@@ -211,7 +211,7 @@
 			const struct message *message)
 {
 	if (message->manifest.len)
-		inbound_config(context, message->manifest, "peer");
+		inbound_config(context, message->manifest, CONFIG_FROM_PEER);
 	else if (config_store_start_pull(&context->control->config,
 					 message->config_revision,
 					 context->now_ms))
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -18,6 +18,8 @@
 #define PAGES_BACKOFF_MAX_MS 15000
 /* A starting process hears its peers first. */
 #define START_GRACE_MS 500
+/* Calls of processes that start together are spread over this time. */
+#define START_SPREAD_MS 40
 #define CHOICE_INTERVAL_MS 1000
 /* Without a message for this long a process has no peers. */
 #define ISOLATED_MS 10000
@@ -64,6 +66,10 @@
 	sync->watcher_ms = INT64_MIN;
 	sync->heard_ms = INT64_MIN;
 	sync->next_choice_ms = now_ms + START_GRACE_MS;
+	if (options->asks_at_once)
+		sync->next_choice_ms =
+			now_ms +
+			(int64_t)platform_random_below(sync, START_SPREAD_MS);
 	sync->acting_until_ms = now_ms;
 	sync->probe_ms = CLOCK_NEVER;
 	sync->behind_ms = CLOCK_NEVER;
@@ -289,6 +295,28 @@
 	       (isolated || begun || sync->alone);
 }
 
+/*
+ * One call that brings the members of a small fleet, and enough peers of a
+ * large one, before any of them was heard.
+ */
+static void list_at_start(struct platform_sync *sync, int64_t now_ms,
+			  struct platform_sync_out *out)
+{
+	struct store_request request;
+	char prefix[STORE_KEY_MAX];
+
+	if (!sync->options.asks_at_once || sync->listed_at_start ||
+	    sync->watch_version == 0 || !calls_idle(sync) ||
+	    !take_budget(sync, &sync->pages, now_ms))
+		return;
+	sync->listed_at_start = true;
+	roster_shard_prefix(prefix, &sync->options.deployment);
+	store_request_init(&request, STORE_OP_LIST, prefix);
+	request.one_page = true;
+	platform_start_call(sync, &sync->pages, TASK_LIST_ROSTER, &request,
+			    now_ms, out);
+}
+
 static void pages_step(struct platform_sync *sync, int64_t now_ms,
 		       struct platform_sync_out *out)
 {
@@ -392,6 +420,7 @@
 	} else {
 		probe_step(sync, view, now_ms, out);
 	}
+	list_at_start(sync, now_ms, out);
 	pages_step(sync, now_ms, out);
 	shards_step(sync, view, now_ms, out);
 }
--- a/control/roster_shard.c
+++ b/control/roster_shard.c
@@ -20,6 +20,12 @@
 		 deployment->data, shard);
 }
 
+void roster_shard_prefix(char *key, const struct name *deployment)
+{
+	snprintf(key, STORE_KEY_MAX, "tarragonflow/%s/roster/",
+		 deployment->data);
+}
+
 void roster_shard_page_prefix(char *key, const struct name *deployment,
 			      unsigned int page)
 {
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -21,6 +21,8 @@
 #define SEARCHES_PER_REFILL 2000
 #define HINTS_PER_REFILL 500
 #define RESET_BYTES 64
+/* Reports are counted from zero or one at each start of a server. */
+#define FIRST_SEQUENCE 1
 
 void agent_init(struct agent *agent, const struct agent_identity *identity,
 		struct counters *counters, int64_t now_ms)
@@ -324,7 +326,8 @@
 				 now_ms, sink);
 		return;
 	}
-	if (now_ms < agent->unsure_until_ms && !inner_opens(packet))
+	if (now_ms < agent->unsure_until_ms && !inner_opens(packet) &&
+	    !absent_memory_has(&agent->absent, &packet->key))
 		header->unsure |= (uint8_t)(1U << header->position);
 	agent_pass_on(agent, header, packet, now_ms, sink);
 }
@@ -556,6 +559,8 @@
 void agent_take_report(struct agent *agent, const struct server_report *report,
 		       int64_t now_ms)
 {
+	bool first = !agent->server.heard;
+
 	switch (server_watch_take(&agent->server, report, now_ms)) {
 	case SERVER_LATE:
 		return;
@@ -565,6 +570,9 @@
 	case SERVER_SAME:
 		break;
 	}
+	/* A server that starts has no connections from before us. */
+	if (first && report->sequence <= FIRST_SEQUENCE)
+		agent->unsure_until_ms = now_ms;
 	if (report->state == SERVER_GONE) {
 		admit_drain(&agent->admit);
 		return;
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -131,6 +131,8 @@
 	again.returned = false;
 	if (inner_opens(packet))
 		admit_returned(&agent->admit, now_ms);
+	else
+		absent_memory_put(&agent->absent, &packet->key);
 	agent_pass_on(agent, &header, &again, now_ms, sink);
 }
 
--- a/include/tarragonflow/control/config_store.h
+++ b/include/tarragonflow/control/config_store.h
@@ -26,6 +26,8 @@
 	int64_t former;
 	/** Nothing is put in force before this time, ms. */
 	int64_t settled_ms;
+	/** What the platform says is current: it need not settle. */
+	bool platform_is_current;
 	/** Best offer of a starting process that is not in force yet. */
 	struct strbuf held;
 	int64_t held_release;
@@ -62,12 +64,19 @@
 /** A former run of this process had @release in force. */
 void config_store_note_former(struct config_store *store, uint64_t release);
 
+enum config_source {
+	CONFIG_FROM_PLATFORM,
+	CONFIG_FROM_PEER,
+	/** Held until the process had settled. */
+	CONFIG_HELD,
+};
+
 /**
  * Puts @text in force when it is a valid manifest of the deployment with a
- * greater release; true when it was. @source says where it came from.
+ * greater release; true when it was.
  */
 bool config_store_offer(struct config_store *store, struct str text,
-			const char *source, int64_t now_ms);
+			enum config_source source, int64_t now_ms);
 
 /** Puts in force what was held, when its time has come; true when it was. */
 bool config_store_tick(struct config_store *store, int64_t now_ms);
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -59,6 +59,8 @@
 	/** Seed of the core's random numbers. */
 	uint64_t random_seed;
 	struct keyring keys;
+	/** The platform's answers are current, never stale copies. */
+	bool platform_is_current;
 	/** Control bytes sent in a second; 0: CONTROL_BYTES_PER_S. */
 	int64_t bytes_per_s;
 };
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -45,6 +45,11 @@
 	enum member_role role;
 	/** Seed of the core's random numbers. */
 	uint64_t random_seed;
+	/**
+	 * The platform's answers are current: a starting process asks it at
+	 * once, spread over a moment, rather than hear its peers first.
+	 */
+	bool asks_at_once;
 };
 
 /** What a call is for. */
@@ -115,6 +120,8 @@
 	int64_t watch_version;
 	/** The same for orders on zones; 0: to be listed. */
 	int64_t zones_version;
+	/** The first page of the whole roster was asked for at the start. */
+	bool listed_at_start;
 	/** Pages of the roster that are read already, as bits. */
 	uint32_t pages_read;
 	struct roster_sync roster;
--- a/include/tarragonflow/control/roster_shard.h
+++ b/include/tarragonflow/control/roster_shard.h
@@ -22,6 +22,9 @@
 		      unsigned int shard);
 
 /** The common prefix of the keys of @page. */
+void roster_shard_prefix(char *key, const struct name *deployment);
+
+/** The prefix of the keys of one page of shards. */
 void roster_shard_page_prefix(char *key, const struct name *deployment,
 			      unsigned int page);
 
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -3,6 +3,7 @@
 
 #include "tarragonflow/admit/admit.h"
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/flow/absent_memory.h"
 #include "tarragonflow/flow/flow_table.h"
 #include "tarragonflow/flow/open_memory.h"
 #include "tarragonflow/flow/peer_load.h"
@@ -33,6 +34,8 @@
 	/** Balancers choose by load, so they are told ours. */
 	bool tells_balancers;
 	struct open_memory handed_on;
+	/** Connections that the server was asked about and does not have. */
+	struct absent_memory absent;
 	struct peer_loads peers;
 	struct name zone;
 	uint32_t member_id;
--- a/include/tarragonflow/node/adapter.h
+++ b/include/tarragonflow/node/adapter.h
@@ -28,6 +28,13 @@
 	 * server that it has not heard from.
 	 */
 	bool servers_report;
+	/** The object store's answers are current, never stale copies. */
+	bool store_is_current;
+	/**
+	 * Nothing outlives a process there, and nobody serves in its place until
+	 * the next one runs: it ends without tidying up.
+	 */
+	bool ends_at_once;
 };
 
 /** Raw IP packets and the product's own object-store API. */
--- a/include/tarragonflow/node/pull_duty.h
+++ b/include/tarragonflow/node/pull_duty.h
@@ -38,6 +38,8 @@
 	struct pull_lane lanes[CONFIG_PULLS_MAX];
 	/** Eventfd that is woken when a job is done. */
 	int wake_done;
+	/** Ends the thread that serves. */
+	int wake_stop;
 	_Atomic bool stop;
 	pthread_t server_thread;
 };
--- a/include/tarragonflow/store/object_store.h
+++ b/include/tarragonflow/store/object_store.h
@@ -52,6 +52,8 @@
 	int64_t version;
 	/** PUT: unique to the write, to recognize it after a lost answer. */
 	char token[STORE_TOKEN_MAX];
+	/** LIST: what one answer of the store holds is enough. */
+	bool one_page;
 	/** Calls of different lanes do not wait for one another. */
 	enum store_lane lane;
 	/** Time the whole call may take, ms; for WATCH also its wait. */
--- a/node/node.c
+++ b/node/node.c
@@ -209,7 +209,7 @@
 static void self_from_settings(struct control_options *options,
 			       const struct settings *settings,
 			       uint64_t instance,
-			       enum member_state initial_state)
+			       enum member_state initial_state, bool current)
 {
 	struct member *self = &options->self;
 
@@ -227,6 +227,7 @@
 	self->slots = (uint32_t)settings->slots;
 	options->deployment = settings->deployment;
 	options->n_seeds = settings->n_seeds;
+	options->platform_is_current = current;
 	options->keys = settings->control_keys;
 	options->bytes_per_s = settings->control_bytes_per_s;
 	memcpy(options->seeds, settings->seeds, sizeof(options->seeds));
@@ -265,7 +266,8 @@
 	ring_init(&node->retired_views, RING_SIZE);
 	node->wake_packet = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	atomic_init(&node->wanted_state, (int)state);
-	self_from_settings(&options, settings, node->instance, state);
+	self_from_settings(&options, settings, node->instance, state,
+			   adapter->store_is_current);
 	control_init(&node->control, &options, &node->counters,
 		     clock_now(&node->clock));
 	for (int i = 0; i < STORE_LANES; i++)
--- a/node/pull_duty.c
+++ b/node/pull_duty.c
@@ -11,7 +11,6 @@
 #include "tarragonflow/node/node.h"
 
 #define RING_SIZE 4
-#define POLL_MAX_MS 200
 /* A peer that stalls holds the server up for this long at most. */
 #define SERVE_TIMEOUT_MS 1000
 #define REQUEST_MAX 4096
@@ -49,6 +48,7 @@
 	for (int i = 0; i < CONFIG_PULLS_MAX; i++)
 		lane_init(&duty->lanes[i], duty);
 	duty->wake_done = wake_done;
+	duty->wake_stop = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	atomic_init(&duty->stop, false);
 	return STATUS_OK;
 }
@@ -72,12 +72,15 @@
 static void *server_thread(void *arg)
 {
 	struct pull_duty *duty = arg;
-	struct pollfd fd = {.fd = duty->listen_fd, .events = POLLIN};
+	struct pollfd fds[2] = {
+		{.fd = duty->listen_fd, .events = POLLIN},
+		{.fd = duty->wake_stop, .events = POLLIN},
+	};
 
 	while (!atomic_load(&duty->stop)) {
 		int peer;
 
-		if (poll(&fd, 1, POLL_MAX_MS) <= 0)
+		if (poll(fds, 2, -1) <= 0 || !fds[0].revents)
 			continue;
 		peer = tcp_accept(duty->listen_fd);
 		if (peer < 0)
@@ -122,7 +125,7 @@
 	struct pollfd fd = {.fd = lane->wake, .events = POLLIN};
 
 	while (!atomic_load(&lane->duty->stop)) {
-		poll(&fd, 1, POLL_MAX_MS);
+		poll(&fd, 1, -1);
 		if (fd.revents)
 			node_wake_clear(lane->wake);
 		serve_jobs(lane);
@@ -147,6 +150,7 @@
 void pull_duty_stop(struct pull_duty *duty)
 {
 	atomic_store(&duty->stop, true);
+	node_wake(duty->wake_stop);
 	pthread_join(duty->server_thread, NULL);
 	for (int i = 0; i < CONFIG_PULLS_MAX; i++) {
 		node_wake(duty->lanes[i].wake);
@@ -158,6 +162,7 @@
 {
 	for (int i = 0; i < CONFIG_PULLS_MAX; i++)
 		lane_finish(&duty->lanes[i]);
+	close(duty->wake_stop);
 	close(duty->listen_fd);
 }
 
--- a/node/store_duty.c
+++ b/node/store_duty.c
@@ -10,7 +10,6 @@
 #include "tarragonflow/node/node.h"
 
 #define RING_SIZE 64
-#define POLL_MAX_MS 200
 
 void store_duty_init(struct store_duty *duty, const char *url,
 		     const struct http_dialect *dialect,
@@ -70,7 +69,7 @@
 	struct pollfd fd = {.fd = duty->wake, .events = POLLIN};
 
 	while (!atomic_load(&duty->stop)) {
-		poll(&fd, 1, POLL_MAX_MS);
+		poll(&fd, 1, -1);
 		if (fd.revents)
 			node_wake_clear(duty->wake);
 		serve_requests(duty);
--- a/store/http_store.c
+++ b/store/http_store.c
@@ -163,7 +163,7 @@
 	store_result_init(result, request);
 	for (int i = 0; i < PAGES_MAX; i++) {
 		call_once(http, request, after, result);
-		if (!*after || result->status.code != STATUS_OK)
+		if (!*after || request->one_page || result->status.code != STATUS_OK)
 			return;
 	}
 	status_set(&result->status, STATUS_FULL,
--- a/tarragonflow/commands/run_role.c
+++ b/tarragonflow/commands/run_role.c
@@ -1,5 +1,7 @@
 #include "run_role.h"
 
+#include <unistd.h>
+
 #include "tarragonflow/admin/admin.h"
 #include "tarragonflow/common/log.h"
 #include "tarragonflow/platform/platform.h"
@@ -60,6 +62,12 @@
 	log_event(LOG_LEVEL_INFO, "leaving", "name=%s",
 		  role->settings.name.data);
 	leave(role);
+	if (role->node.adapter->ends_at_once) {
+		log_event(LOG_LEVEL_INFO, "stopped", "name=%s",
+			  role->settings.name.data);
+		log_finish();
+		_exit(0);
+	}
 	if (role->settings.handover.port)
 		handover_duty_finish(&role->handover);
 	admin_finish(&admin);
