Tell callers whose connection no living server has; grace for zones ordered out

A search that has asked every agent of every service, each sure or answered by its server, with nobody hidden, suspected or unknown, now ends in a reset. Zones ordered out keep open connections for a grace.

--- a/control/control.c
+++ b/control/control.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "context.h"
+#include "tarragonflow/common/clock.h"
 #include "tarragonflow/common/log.h"
 
 #define GOSSIP_INTERVAL_MS 200
@@ -28,6 +29,10 @@
 #define PUSH_INTERVAL_MS 150
 #define PUSH_MS 4000
 #define ASK_AGAIN_MS 150
+/* By then anti-entropy has compared the roster with several peers. */
+#define ROSTER_KNOWN_MS 5000
+/* By then peers have told whom the platform did not hold yet. */
+#define ROSTER_JOIN_MS 600
 #define WAKE_ASK_INTERVAL_MS 300
 #define WAKE_ASK_FANOUT 3
 /* When all were paused together nobody can tell: go on after this. */
@@ -73,6 +78,7 @@
 	replay_guard_init(&control->replays);
 	control->started_ms = now_ms;
 	control->now_ms = now_ms;
+	control->next_cut_ms = CLOCK_NEVER;
 	control->next_gossip_ms = now_ms;
 	control->next_exchange_ms = now_ms;
 	control->options.self.sequence++;
@@ -171,6 +177,14 @@
 		wake_up(context, gap_ms);
 }
 
+bool control_roster_known(const struct control *control, int64_t now_ms)
+{
+	int64_t age_ms = now_ms - control->started_ms;
+
+	return age_ms >= ROSTER_KNOWN_MS ||
+	       (control->platform.roster_listed && age_ms >= ROSTER_JOIN_MS);
+}
+
 bool control_stale(const struct control *control)
 {
 	return control->wake.stale;
@@ -527,6 +541,20 @@
 	outbound_gossip(context, GOSSIP_FANOUT);
 }
 
+/* Routing changes when the grace of a zone ends or the roster is known. */
+static void time_step(struct control_context *context)
+{
+	struct control *control = context->control;
+	bool known = control_roster_known(control, context->now_ms);
+
+	if (context->now_ms >= control->next_cut_ms ||
+	    known != control->roster_known)
+		context->sink->changed(context->sink);
+	control->roster_known = known;
+	control->next_cut_ms =
+		zone_orders_next_cut(&control->orders, context->now_ms);
+}
+
 void control_tick(struct control *control, int64_t now_ms,
 		  struct control_sink *sink)
 {
@@ -545,6 +573,7 @@
 	gossip_step(&context);
 	exchange_step(&context);
 	platform_sync_tick(&control->platform, &view, now_ms, &sync.out);
+	time_step(&context);
 	if (config_store_tick(&control->config, now_ms))
 		inbound_config_changed(&context);
 }
@@ -556,6 +585,7 @@
 	next = MIN(next, failure_detector_next_deadline(&control->detector));
 	next = MIN(next, platform_sync_next_deadline(&control->platform));
 	next = MIN(next, config_store_next_deadline(&control->config));
+	next = MIN(next, control->next_cut_ms);
 	if (control->next_push_ms < control->push_until_ms)
 		next = MIN(next, control->next_push_ms);
 	return next;
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -245,14 +245,15 @@
 	bool changed = false;
 
 	for (size_t i = 0; i < orders->n; i++) {
-		const struct zone_order *order = &orders->entries[i];
+		struct zone_order order = orders->entries[i];
 
-		if (!zone_orders_take(&control->orders, order))
+		order.cut_ms = context->now_ms + control->options.zone_grace_ms;
+		if (!zone_orders_take(&control->orders, &order))
 			continue;
 		changed = true;
 		log_event(LOG_LEVEL_INFO, "zone-order",
-			  "zone=%s out=%d version=%llu", order->zone.data,
-			  order->out, (unsigned long long)order->version);
+			  "zone=%s out=%d version=%llu", order.zone.data,
+			  order.out, (unsigned long long)order.version);
 	}
 	if (!changed)
 		return;
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -200,6 +200,8 @@
 	}
 	for (size_t i = 0; i < result->n_objects; i++)
 		offer_members(&result->objects[i], view->roster, out);
+	sync->roster_listed |= sync->listed_at_start && result->n_objects &&
+			       !result->more;
 	if (sync->pages_read == PAGES_ALL)
 		sync->pages.next_ms =
 			now_ms + backoff_next(&sync->pages.backoff,
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -61,6 +61,11 @@
 {
 	if (agent->zone_in == zone_in)
 		return;
+	/* A server that reports keeps its connections through an order. */
+	if (agent->server.required) {
+		agent->zone_in = zone_in;
+		return;
+	}
 	agent->zone_in = zone_in;
 	flow_table_clear(&agent->flows);
 	agent->admit.open = 0;
@@ -77,6 +82,7 @@
 	if (agent->view)
 		zone_changed(agent, zone_in);
 	agent->zone_in = zone_in;
+	agent->zone_order = view_zone_order(view, &agent->zone);
 	agent->view = view;
 	agent->service = view_service(view, agent->service_id);
 	if (!agent->service)
@@ -313,6 +319,26 @@
 	deliver(agent, header, packet, sink);
 }
 
+/* Whether the server may have a connection that is not in our table. */
+static bool may_have(const struct agent *agent,
+		     const struct inner_packet *packet, int64_t now_ms)
+{
+	return now_ms < agent->unsure_until_ms &&
+	       !absent_memory_has(&agent->absent, &packet->key);
+}
+
+/* No packet for one service reaches a server of another. */
+static bool may_ask(const struct agent *agent,
+		    const struct inner_packet *packet, int64_t now_ms)
+{
+	const struct route_view *route = view_route(agent->view, &packet->key);
+
+	return route && view_route_leads(agent->view, route,
+					 agent->service_id) &&
+	       (!agent->server.heard || server_watch_holds(&agent->server,
+							   now_ms));
+}
+
 static void handle_foreign(struct agent *agent, struct packet_header *header,
 			   const struct inner_packet *packet, int64_t now_ms,
 			   struct packet_sink *sink)
@@ -326,9 +352,12 @@
 				 now_ms, sink);
 		return;
 	}
-	if (now_ms < agent->unsure_until_ms && !inner_opens(packet) &&
-	    !absent_memory_has(&agent->absent, &packet->key))
-		header->unsure |= (uint8_t)(1U << header->position);
+	if (!inner_opens(packet) && may_have(agent, packet, now_ms)) {
+		if (may_ask(agent, packet, now_ms))
+			header->unsure |= (uint8_t)(1U << header->position);
+		else
+			header->doubt = true;
+	}
 	agent_pass_on(agent, header, packet, now_ms, sink);
 }
 
@@ -443,7 +472,15 @@
 		return;
 	}
 	if (!inner_opens(&packet) && !view_route(agent->view, &packet.key)) {
-		agent_count(agent, COUNTER_DROP_NO_SERVICE);
+		agent_count(agent, COUNTER_DROP_WRONG_SERVICE);
+		return;
+	}
+	if (agent->zone_order != ZONE_ORDER_NONE && !inner_opens(&packet)) {
+		/* Passed on, others would hold the connection for lost. */
+		if (agent->zone_order == ZONE_ORDER_CUT)
+			agent_count(agent, COUNTER_DROP_ZONE_CUT);
+		else
+			handle_flow(agent, header, &packet, now_ms, sink);
 		return;
 	}
 	if (!agent->zone_in) {
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -13,6 +13,8 @@
 /* Detours after which a balancer is told the owner. */
 #define HINT_HOPS 1
 #define HASH_HIGH_SHIFT 32
+/* Services that a search goes through; the header counts to this. */
+#define SERVICES_SEARCHED_MAX 15
 #define NOTICE_INTERVAL_MS 200
 #define NOTICE_INTERVAL_FEW_MS 10
 #define NOTICE_REPEAT_MS 500
@@ -117,6 +119,35 @@
 	return false;
 }
 
+static bool any_suspect(const struct view *view)
+{
+	for (size_t i = 0; i < view->n_services; i++)
+		for (size_t j = 0; j < view->services[i].n_members; j++)
+			if (view->services[i].members[j].flags &
+			    CANDIDATE_SUSPECT)
+				return true;
+	return false;
+}
+
+/*
+ * Whether no server that lives has the connection of @packet, whose search
+ * has ended: every agent was asked, each knew all connections of its server
+ * or had the server itself say so, and none is hidden from the search. Only
+ * what a caller waits for is worth a reset.
+ */
+static bool nobody_has(const struct agent *agent,
+		       const struct packet_header *header,
+		       const struct inner_packet *packet)
+{
+	const struct view *view = agent->view;
+
+	return agent->server.required && packet->payload_len &&
+	       !header->doubt && view->n_services <= SERVICES_SEARCHED_MAX &&
+	       header->services_tried >= view->n_services &&
+	       (uint64_t)view->config_revision >= header->config_revision &&
+	       !view_hides_members(view) && !any_suspect(view);
+}
+
 /*
  * Nobody is left to ask. The caller is told so only when every member of a
  * view that is not older than the sender's was asked; otherwise it repeats.
@@ -126,7 +157,12 @@
 		    struct packet_sink *sink)
 {
 	if (!inner_opens(packet)) {
-		count(agent, COUNTER_DROP_NO_OWNER);
+		if (asked_all && nobody_has(agent, header, packet)) {
+			count(agent, COUNTER_RESET_NO_OWNER);
+			agent_reset_caller(agent, packet, sink);
+		} else {
+			count(agent, COUNTER_DROP_NO_OWNER);
+		}
 		return;
 	}
 	if (!asked_all || has_suspect(agent) ||
@@ -143,21 +179,22 @@
 	agent_reset_caller(agent, packet, sink);
 }
 
-/* Goes on to a service of the route that was not searched yet. */
+/*
+ * Goes on to a service that was not searched yet: the connection may have
+ * been opened when the route led elsewhere.
+ */
 static bool next_service(struct agent *agent, struct packet_header *header,
 			 const struct inner_packet *packet)
 {
 	const struct route_view *route = view_route(agent->view, &packet->key);
 	const struct service_view *first, *next;
 
-	if (!route || inner_opens(packet))
+	if (!route || !agent->server.required || inner_opens(packet))
 		return false;
 	first = view_route_service(agent->view, route, &packet->key);
-	while (header->services_tried < route->n_backends) {
-		const struct backend_view *backend =
-			&route->backends[header->services_tried++];
-
-		next = &agent->view->services[backend->service];
+	while (header->services_tried <
+	       MIN(agent->view->n_services, SERVICES_SEARCHED_MAX)) {
+		next = &agent->view->services[header->services_tried++];
 		if (next == first || !next->n_members)
 			continue;
 		header->service_id = next->service.id;
@@ -188,6 +225,8 @@
 	agent->searches_left--;
 	if (!view_resolve(agent->service, header)) {
 		*asked_all = true;
+		/* There may be members that we have not heard of yet. */
+		header->doubt |= !agent->view->roster_known;
 		return false;
 	}
 	count(agent, COUNTER_CHAIN_RESOLVED);
@@ -214,20 +253,33 @@
 	       header->candidates[i].member_id == agent->member_id;
 }
 
+static int index_of(const struct packet_header *header, uint32_t member_id)
+{
+	for (int i = 0; i < header->n_candidates; i++)
+		if (header->candidates[i].member_id == member_id)
+			return i;
+	return NO_CANDIDATE;
+}
+
 /*
- * The mark: position, hops, candidates visited and unsure, and whether the
- * servers of unsure ones are asked. Chains beyond the first are not told
- * apart, so a search through a larger service may meet an agent again.
+ * The mark: whether the chain is not the first of its service, services
+ * tried, doubt, whether the servers of unsure candidates are asked, position,
+ * hops, candidates visited and unsure. Behind the first chain a search starts
+ * anew from the agent whose server returned the packet.
  */
 #define MARK_POSITION_BITS 3
 #define MARK_HOPS_BITS 6
 #define MARK_CHAIN_BITS 8
+#define MARK_SERVICES_BITS 4
 
 uint32_t agent_make_mark(const struct packet_header *header)
 {
 	uint32_t hops = MIN(header->hops_left, (1U << MARK_HOPS_BITS) - 1);
-	uint32_t mark = header->asking;
+	uint32_t mark = header->resolves > 0;
 
+	mark = mark << MARK_SERVICES_BITS | header->services_tried;
+	mark = mark << 1 | header->doubt;
+	mark = mark << 1 | header->asking;
 	mark = mark << MARK_POSITION_BITS | header->position;
 	mark = mark << MARK_HOPS_BITS | hops;
 	mark = mark << MARK_CHAIN_BITS | header->visited;
@@ -243,11 +295,30 @@
 	return value;
 }
 
+/* Begins the search through our service anew, with us as visited. */
+static void begin_here(const struct agent *agent, struct packet_header *header)
+{
+	const struct candidate *self =
+		view_member(agent->service, agent->member_id);
+	int i = index_of(header, agent->member_id);
+
+	if (i == NO_CANDIDATE) {
+		i = header->n_candidates - 1;
+		if (self)
+			header->candidates[i] = *self;
+	}
+	header->position = (uint8_t)i;
+	header->visited = 0;
+	header->unsure = 0;
+	header->asking = false;
+}
+
 bool agent_read_mark(struct agent *agent, const struct inner_packet *packet,
 		     struct packet_header *header)
 {
 	const struct service_view *service = agent->service;
 	uint32_t mark = packet->mark;
+	bool restart = false;
 
 	if (!service || !service->n_members)
 		return false;
@@ -256,7 +327,12 @@
 	header->visited = (uint8_t)mark_take(&mark, MARK_CHAIN_BITS);
 	header->hops_left = (uint8_t)mark_take(&mark, MARK_HOPS_BITS);
 	header->position = (uint8_t)mark_take(&mark, MARK_POSITION_BITS);
-	header->asking = mark & 1;
+	header->asking = mark_take(&mark, 1);
+	header->doubt = mark_take(&mark, 1);
+	header->services_tried =
+		(uint8_t)mark_take(&mark, MARK_SERVICES_BITS);
+	if (mark)
+		restart = true;
 	header->service_id = agent->service_id;
 	header->config_revision = (uint64_t)agent->view->config_revision;
 	header->roster_version = agent->view->roster_version;
@@ -264,8 +340,8 @@
 	header->placed = true;
 	header->bucket = view_bucket(agent->view, service, &packet->key);
 	view_chain(service, header->bucket, header);
-	if (header->position >= header->n_candidates)
-		header->position = 0;
+	if (restart || header->position >= header->n_candidates)
+		begin_here(agent, header);
 	return true;
 }
 
@@ -295,14 +371,6 @@
 		send_to(agent, header, next, packet, now_ms, sink);
 }
 
-static int index_of(const struct packet_header *header, uint32_t member_id)
-{
-	for (int i = 0; i < header->n_candidates; i++)
-		if (header->candidates[i].member_id == member_id)
-			return i;
-	return NO_CANDIDATE;
-}
-
 /* Sends a repeated SYN the way of its first copy; false when that is gone. */
 static bool place_repeat(struct agent *agent, struct packet_header *header,
 			 const struct inner_packet *packet, uint32_t member_id,
--- a/flow/server_watch.c
+++ b/flow/server_watch.c
@@ -31,12 +31,17 @@
 	return change;
 }
 
+bool server_watch_holds(const struct server_watch *watch, int64_t now_ms)
+{
+	return watch->heard && now_ms - watch->heard_ms < watch->lease_ms;
+}
+
 bool server_watch_opens(const struct server_watch *watch, int64_t now_ms)
 {
 	if (!watch->required)
 		return true;
-	return watch->heard && watch->report.state == SERVER_READY &&
-	       now_ms - watch->heard_ms < watch->lease_ms;
+	return watch->report.state == SERVER_READY &&
+	       server_watch_holds(watch, now_ms);
 }
 
 int64_t server_watch_cold_ms(const struct server_watch *watch, int64_t now_ms)
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -134,7 +134,9 @@
 	X(SERVER_RESTARTED, "servers_restarted")                   \
 	X(RESET_LOST, "resets_lost_connection")                    \
 	X(FLOW_ADOPTED, "flows_adopted")                           \
-	X(LOAD_HEARD, "loads_heard")
+	X(LOAD_HEARD, "loads_heard")                               \
+	X(RESET_NO_OWNER, "resets_no_owner")                       \
+	X(DROP_ZONE_CUT, "drop_zone_cut")
 
 enum counter_id {
 #define COUNTER_ENUM(id, name) COUNTER_##id,
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -61,6 +61,8 @@
 	struct keyring keys;
 	/** The platform's answers are current, never stale copies. */
 	bool platform_is_current;
+	/** Time that connections go on in a zone ordered out, ms. */
+	int64_t zone_grace_ms;
 	/** Control bytes sent in a second; 0: CONTROL_BYTES_PER_S. */
 	int64_t bytes_per_s;
 };
@@ -108,6 +110,10 @@
 	int64_t next_push_ms;
 	/** Until then peers that lag are told that there is a release, ms. */
 	int64_t push_until_ms;
+	/** When the next zone ordered out is cut, ms. */
+	int64_t next_cut_ms;
+	/** What control_roster_known() said last. */
+	bool roster_known;
 	/** A member became suspected since zones were last looked at. */
 	bool suspicions_changed;
 };
@@ -152,6 +158,12 @@
  */
 bool control_stale(const struct control *control);
 
+/**
+ * Whether our roster holds all members but the newest: the platform has told
+ * it, or we have been here long enough to hear of them.
+ */
+bool control_roster_known(const struct control *control, int64_t now_ms);
+
 /** Replaces the keys; messages under keys left out are dropped from now. */
 void control_set_keys(struct control *control, const struct keyring *keys);
 
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -43,6 +43,8 @@
 	uint16_t instance_check;
 	/** Whether the view has our zone in service. */
 	bool zone_in;
+	/** An order has taken our zone out, or is about to. */
+	enum zone_order_state zone_order;
 	/** Time until a silent connection is forgotten, ms. */
 	int64_t idle_timeout_ms;
 	/** Searches and hints that may still be sent in this second. */
--- a/include/tarragonflow/flow/server_watch.h
+++ b/include/tarragonflow/flow/server_watch.h
@@ -38,7 +38,10 @@
 				     const struct server_report *report,
 				     int64_t now_ms);
 
-/** Whether connections of @service may open at the server now. */
+/** Whether the last report still holds. */
+bool server_watch_holds(const struct server_watch *watch, int64_t now_ms);
+
+/** Whether connections may open at the server now. */
 bool server_watch_opens(const struct server_watch *watch, int64_t now_ms);
 
 /** Time that the server still needs to warm up, ms. */
--- a/include/tarragonflow/net/packet.h
+++ b/include/tarragonflow/net/packet.h
@@ -96,7 +96,9 @@
 	uint8_t unsure;
 	/** Set while the servers of unsure candidates are asked. */
 	bool asking;
-	/** Services of the route that were searched before this one. */
+	/** An agent that may not know all connections could not ask its server. */
+	bool doubt;
+	/** Services that were searched before this one. */
 	uint8_t services_tried;
 	union {
 		/** Lets the last candidate resolve again. */
@@ -108,7 +110,7 @@
 };
 
 /** Bytes of an encoded header with the longest chain. */
-#define PACKET_HEADER_MAX (46 + CHAIN_MAX * 12)
+#define PACKET_HEADER_MAX (44 + CHAIN_MAX * 12)
 
 /** Encodes into @out of PACKET_HEADER_MAX; returns the length. */
 size_t packet_header_encode(const struct packet_header *header, uint8_t *out);
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -33,6 +33,8 @@
 	struct endpoint announce;
 	/** Time a leaving balancer goes on, ms. */
 	int64_t linger_ms;
+	/** Time that connections go on in a zone ordered out, ms. */
+	int64_t zone_grace_ms;
 	struct keyring control_keys;
 	int64_t control_bytes_per_s;
 	struct keyring data_keys;
--- a/include/tarragonflow/roster/zone_orders.h
+++ b/include/tarragonflow/roster/zone_orders.h
@@ -21,6 +21,18 @@
 	/** Version of the object store at which the order was seen. */
 	uint64_t version;
 	bool out;
+	/** When the zone's open connections are given up, ms; local time. */
+	int64_t cut_ms;
+};
+
+/** What an order means for a zone now. */
+enum zone_order_state {
+	/** No order, or one that takes it back. */
+	ZONE_ORDER_NONE,
+	/** Nothing new; what is open goes on until the cut. */
+	ZONE_ORDER_LEAVING,
+	/** Nothing at all. */
+	ZONE_ORDER_CUT,
 };
 
 struct zone_orders {
@@ -38,4 +50,11 @@
 /** Whether @zone is out by an order. */
 bool zone_orders_out(const struct zone_orders *orders, const struct name *zone);
 
+enum zone_order_state zone_orders_state(const struct zone_orders *orders,
+					const struct name *zone,
+					int64_t now_ms);
+
+/** The next cut after @now_ms; CLOCK_NEVER when there is none. */
+int64_t zone_orders_next_cut(const struct zone_orders *orders, int64_t now_ms);
+
 #endif
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -25,6 +25,8 @@
 	/** Weight of each member in the rendezvous order. */
 	uint32_t *weights;
 	size_t n_members;
+	/** Living members that are left out because their zone is out. */
+	size_t n_hidden;
 	/**
 	 * A power of two. It comes from the manifest and not from the number
 	 * of members: another number of buckets reorders every chain.
@@ -75,9 +77,12 @@
 	struct name *zones_in;
 	size_t n_zones_in;
 	bool all_zones;
-	/** Zones that are out by order, whatever the manifest says. */
-	struct name *zones_out;
-	size_t n_zones_out;
+	/** Orders on zones, which hold whatever the manifest says. */
+	struct zone_orders orders;
+	/** When the view was computed, ms. */
+	int64_t made_ms;
+	/** The roster holds all members but the newest. */
+	bool roster_known;
 	/** Data addresses of the balancers that take part. */
 	struct endpoint *balancers;
 	size_t n_balancers;
@@ -87,10 +92,10 @@
 void view_init(struct view *view, const struct manifest *manifest,
 	       const struct roster *roster);
 
-/** The same, with the zones that @orders takes out left out. */
+/** The same at @now_ms, with zones in the state that @orders say. */
 void view_init_ordered(struct view *view, const struct manifest *manifest,
 		       const struct roster *roster,
-		       const struct zone_orders *orders);
+		       const struct zone_orders *orders, int64_t now_ms);
 void view_finish(struct view *view);
 
 /** The route that @key is addressed to, or NULL. */
@@ -105,7 +110,11 @@
 					      const struct route_view *route,
 					      const struct flow_key *key);
 
-/** Whether @route may lead to the service @id. */
+/** Whether the service @id stands in @route, with any weight. */
+bool view_route_leads(const struct view *view, const struct route_view *route,
+		      uint32_t id);
+
+/** Whether @route may open connections at the service @id. */
 bool view_route_allows(const struct view *view, const struct route_view *route,
 		       uint32_t id);
 
@@ -140,6 +149,13 @@
 /** Whether the manifest of this view knows @zone and has it in service. */
 bool view_zone_in(const struct view *view, const struct name *zone);
 
+/** What the orders on zones of this view mean for @zone. */
+enum zone_order_state view_zone_order(const struct view *view,
+				      const struct name *zone);
+
+/** Whether members of any service are left out because of their zone. */
+bool view_hides_members(const struct view *view);
+
 /** The identifier of the member called @name in packet headers. */
 uint32_t member_id(const struct name *name);
 
--- a/include/tarragonflow/store/object_store.h
+++ b/include/tarragonflow/store/object_store.h
@@ -83,6 +83,8 @@
 	struct status status;
 	/** Version of the store (LIST, WATCH) or of the object. */
 	int64_t version;
+	/** LIST of one page: the store holds more. */
+	bool more;
 	struct store_object *objects;
 	size_t n_objects;
 };
--- a/net/packet.c
+++ b/net/packet.c
@@ -4,13 +4,17 @@
 
 #define MAGIC 0x5446
 #define VERSION 3
-#define FIXED_BYTES 46
+#define FIXED_BYTES 44
 #define CANDIDATE_BYTES 12
 /* These share a byte with the kind. */
 #define PLACED_BIT 0x80
 #define WARMING_BIT 0x40
 #define ASKING_BIT 0x20
-#define KIND_FLAGS (PLACED_BIT | WARMING_BIT | ASKING_BIT)
+#define DOUBT_BIT 0x10
+#define KIND_FLAGS (PLACED_BIT | WARMING_BIT | ASKING_BIT | DOUBT_BIT)
+/* Position and number of candidates share a byte, as do the two counts. */
+#define HALF_BITS 4
+#define HALF_MASK 0xf
 #define FLAG_BITS 2
 #define FLAG_MASK 0x3
 #define CHECK_MASK 0x3fff
@@ -73,17 +77,17 @@
 	p = put_u32(p, header->service_id);
 	p = put_u64(p, header->config_revision);
 	p = put_u64(p, header->roster_version);
-	*p++ = header->position;
-	*p++ = header->n_candidates;
+	*p++ = (uint8_t)(header->position << HALF_BITS | header->n_candidates);
+	*p++ = header->unsure;
 	*p++ = (uint8_t)(header->kind | (header->placed ? PLACED_BIT : 0) |
 			 (header->warming ? WARMING_BIT : 0) |
-			 (header->asking ? ASKING_BIT : 0));
+			 (header->asking ? ASKING_BIT : 0) |
+			 (header->doubt ? DOUBT_BIT : 0));
 	*p++ = header->visited;
 	p = put_u32(p, header->bucket);
 	*p++ = header->from;
-	*p++ = header->resolves;
-	*p++ = header->unsure;
-	*p++ = header->services_tried;
+	*p++ = (uint8_t)(header->resolves << HALF_BITS |
+			 (header->services_tried & HALF_MASK));
 	p = put_u16(p, header->load);
 	p = put_u16(p, header->usual_ms);
 	p = put_u32(p, header->origin.ip);
@@ -126,19 +130,20 @@
 	header->service_id = get_u32(&p);
 	header->config_revision = get_u64(&p);
 	header->roster_version = get_u64(&p);
-	header->position = *p++;
-	header->n_candidates = *p++;
+	header->position = *p >> HALF_BITS;
+	header->n_candidates = *p++ & HALF_MASK;
+	header->unsure = *p++;
 	kind = *p++;
 	header->placed = kind & PLACED_BIT;
 	header->warming = kind & WARMING_BIT;
 	header->asking = kind & ASKING_BIT;
+	header->doubt = kind & DOUBT_BIT;
 	header->kind = kind & (uint8_t)~KIND_FLAGS;
 	header->visited = *p++;
 	header->bucket = get_u32(&p);
 	header->from = *p++;
-	header->resolves = *p++;
-	header->unsure = *p++;
-	header->services_tried = *p++;
+	header->resolves = *p >> HALF_BITS;
+	header->services_tried = *p++ & HALF_MASK;
 	header->load = get_u16(&p);
 	header->usual_ms = get_u16(&p);
 	header->origin.ip = get_u32(&p);
--- a/node/node.c
+++ b/node/node.c
@@ -87,7 +87,8 @@
 		return;
 	view = g_new(struct view, 1);
 	view_init_ordered(view, &node->control.config.manifest,
-			  &node->control.roster, &node->control.orders);
+			  &node->control.roster, &node->control.orders, now_ms);
+	view->roster_known = control_roster_known(&node->control, now_ms);
 	if (!ring_push(&node->views, view)) {
 		view_free(view);
 		return;
@@ -228,6 +229,7 @@
 	options->deployment = settings->deployment;
 	options->n_seeds = settings->n_seeds;
 	options->platform_is_current = current;
+	options->zone_grace_ms = settings->zone_grace_ms;
 	options->keys = settings->control_keys;
 	options->bytes_per_s = settings->control_bytes_per_s;
 	memcpy(options->seeds, settings->seeds, sizeof(options->seeds));
--- a/roster/zone_orders.c
+++ b/roster/zone_orders.c
@@ -1,5 +1,9 @@
 #include "tarragonflow/roster/zone_orders.h"
 
+#include <glib.h>
+
+#include "tarragonflow/common/clock.h"
+
 static struct zone_order *find(const struct zone_orders *orders,
 			       const struct name *zone)
 {
@@ -22,6 +26,11 @@
 			return false;
 		known = &orders->entries[orders->n++];
 	}
+	/* A renewed order does not put the cut off. */
+	if (was_out && order->out) {
+		known->version = order->version;
+		return false;
+	}
 	*known = *order;
 	return was_out != order->out;
 }
@@ -32,3 +41,30 @@
 
 	return known && known->out;
 }
+
+static enum zone_order_state order_state(const struct zone_order *order,
+					 int64_t now_ms)
+{
+	if (!order->out)
+		return ZONE_ORDER_NONE;
+	return now_ms < order->cut_ms ? ZONE_ORDER_LEAVING : ZONE_ORDER_CUT;
+}
+
+enum zone_order_state zone_orders_state(const struct zone_orders *orders,
+					const struct name *zone, int64_t now_ms)
+{
+	const struct zone_order *known = find(orders, zone);
+
+	return known ? order_state(known, now_ms) : ZONE_ORDER_NONE;
+}
+
+int64_t zone_orders_next_cut(const struct zone_orders *orders, int64_t now_ms)
+{
+	int64_t next = CLOCK_NEVER;
+
+	for (size_t i = 0; i < orders->n; i++)
+		if (order_state(&orders->entries[i], now_ms) ==
+		    ZONE_ORDER_LEAVING)
+			next = MIN(next, orders->entries[i].cut_ms);
+	return next;
+}
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -195,6 +195,7 @@
 	header.warming = false;
 	header.unsure = 0;
 	header.asking = false;
+	header.doubt = false;
 	header.services_tried = 0;
 	header.origin = balancer->origin;
 	header.bucket = (uint32_t)hash & (service->n_buckets - 1);
--- a/route/view.c
+++ b/route/view.c
@@ -130,25 +130,25 @@
 	return order ? order : name_compare(&x->name, &y->name);
 }
 
-static bool member_serves(const struct member *member,
-			  const struct manifest *manifest,
-			  const struct zone_orders *orders)
+static bool member_lives(const struct member *member)
 {
-	if (member->role != MEMBER_AGENT || member->state == MEMBER_LEFT)
-		return false;
-	return manifest_zone_in(manifest, &member->zone) &&
-	       !zone_orders_out(orders, &member->zone);
+	return member->role == MEMBER_AGENT && member->state != MEMBER_LEFT;
+}
+
+/* A zone that is out, by the manifest or by an order, hides its members. */
+static bool member_hidden(const struct member *member, const struct view *view,
+			  const struct manifest *manifest)
+{
+	return !manifest_zone_in(manifest, &member->zone) ||
+	       view_zone_order(view, &member->zone) == ZONE_ORDER_CUT;
 }
 
-static void servers_init(struct servers *servers,
-			 const struct manifest *manifest,
-			 const struct roster *roster,
-			 const struct zone_orders *orders)
+static void servers_init(struct servers *servers, const struct roster *roster)
 {
 	servers->n = 0;
 	servers->members = g_new(const struct member *, roster->n);
 	for (size_t i = 0; i < roster->n; i++)
-		if (member_serves(&roster->members[i], manifest, orders))
+		if (member_lives(&roster->members[i]))
 			servers->members[servers->n++] = &roster->members[i];
 	if (servers->n)
 		qsort(servers->members, servers->n,
@@ -184,7 +184,7 @@
 }
 
 static void candidate_from_member(struct candidate *candidate,
-				  const struct member *member)
+				  const struct member *member, bool leaving)
 {
 	candidate->data = member->data;
 	candidate->member_id = member_id(&member->name);
@@ -192,26 +192,35 @@
 	candidate->flags = 0;
 	if (member->state == MEMBER_SUSPECT)
 		candidate->flags |= CANDIDATE_SUSPECT;
-	if (member->state != MEMBER_DRAINING)
+	if (member->state != MEMBER_DRAINING && !leaving)
 		candidate->flags |= CANDIDATE_TAKES_NEW;
 }
 
 static void service_view_init(struct service_view *view,
 			      const struct service *service,
+			      const struct view *whole,
+			      const struct manifest *manifest,
 			      const struct servers *servers)
 {
 	size_t first = servers_first(servers, &service->name);
+	size_t n = servers_count(servers, first, &service->name);
 
 	memset(view, 0, sizeof(*view));
 	view->service = *service;
-	view->n_members = servers_count(servers, first, &service->name);
-	view->members = g_new0(struct candidate, view->n_members);
-	view->weights = g_new0(uint32_t, view->n_members);
-	for (size_t i = 0; i < view->n_members; i++) {
+	view->members = g_new0(struct candidate, n);
+	view->weights = g_new0(uint32_t, n);
+	for (size_t i = 0; i < n; i++) {
 		const struct member *member = servers->members[first + i];
+		bool leaving = view_zone_order(whole, &member->zone) ==
+			       ZONE_ORDER_LEAVING;
 
-		view->weights[i] = MAX(member->connections, 1);
-		candidate_from_member(&view->members[i], member);
+		if (member_hidden(member, whole, manifest)) {
+			view->n_hidden++;
+			continue;
+		}
+		view->weights[view->n_members] = MAX(member->connections, 1);
+		candidate_from_member(&view->members[view->n_members++], member,
+				      leaving);
 	}
 	service_view_build_chains(view);
 }
@@ -253,16 +262,6 @@
 				manifest->zones[i].name;
 }
 
-static void view_copy_orders(struct view *view,
-			     const struct zone_orders *orders)
-{
-	view->zones_out = g_new(struct name, orders->n);
-	for (size_t i = 0; i < orders->n; i++)
-		if (orders->entries[i].out)
-			view->zones_out[view->n_zones_out++] =
-				orders->entries[i].zone;
-}
-
 static void view_copy_balancers(struct view *view, const struct roster *roster)
 {
 	view->balancers = g_new(struct endpoint, roster->n);
@@ -331,17 +330,19 @@
 {
 	const struct zone_orders none = {0};
 
-	view_init_ordered(view, manifest, roster, &none);
+	view_init_ordered(view, manifest, roster, &none, 0);
 }
 
 void view_init_ordered(struct view *view, const struct manifest *manifest,
 		       const struct roster *roster,
-		       const struct zone_orders *orders)
+		       const struct zone_orders *orders, int64_t now_ms)
 {
 	struct servers servers;
 
 	memset(view, 0, sizeof(*view));
-	servers_init(&servers, manifest, roster, orders);
+	view->orders = *orders;
+	view->made_ms = now_ms;
+	servers_init(&servers, roster);
 	view->config_revision = manifest->release;
 	view->roster_version = roster->version;
 	view->seed = BUCKET_SEED;
@@ -349,12 +350,11 @@
 	view->services = g_new(struct service_view, view->n_services);
 	for (size_t i = 0; i < view->n_services; i++)
 		service_view_init(&view->services[i], &manifest->services[i],
-				  &servers);
+				  view, manifest, &servers);
 	g_free(servers.members);
 	view_build_routes(view, manifest);
 	view_build_index(view);
 	view_copy_zones(view, manifest);
-	view_copy_orders(view, orders);
 	view_copy_balancers(view, roster);
 }
 
@@ -369,7 +369,6 @@
 	g_free(view->routes);
 	g_free(view->index);
 	g_free(view->zones_in);
-	g_free(view->zones_out);
 	g_free(view->balancers);
 	memset(view, 0, sizeof(*view));
 }
@@ -412,6 +411,15 @@
 	return NULL;
 }
 
+bool view_route_leads(const struct view *view, const struct route_view *route,
+		      uint32_t id)
+{
+	for (int i = 0; i < route->n_backends; i++)
+		if (view->services[route->backends[i].service].service.id == id)
+			return true;
+	return false;
+}
+
 bool view_route_allows(const struct view *view, const struct route_view *route,
 		       uint32_t id)
 {
@@ -440,15 +448,28 @@
 
 bool view_zone_in(const struct view *view, const struct name *zone)
 {
-	for (size_t i = 0; i < view->n_zones_out; i++)
-		if (name_equal(&view->zones_out[i], zone))
-			return false;
+	if (zone_orders_out(&view->orders, zone))
+		return false;
 	for (size_t i = 0; i < view->n_zones_in; i++)
 		if (name_equal(&view->zones_in[i], zone))
 			return true;
 	return view->all_zones;
 }
 
+enum zone_order_state view_zone_order(const struct view *view,
+				      const struct name *zone)
+{
+	return zone_orders_state(&view->orders, zone, view->made_ms);
+}
+
+bool view_hides_members(const struct view *view)
+{
+	for (size_t i = 0; i < view->n_services; i++)
+		if (view->services[i].n_hidden)
+			return true;
+	return false;
+}
+
 uint32_t view_bucket(const struct view *view,
 		     const struct service_view *service,
 		     const struct flow_key *key)
@@ -520,6 +541,8 @@
 		header->candidates[i] = service->members[top[i].member];
 	header->n_candidates = (uint8_t)n;
 	header->visited = 0;
+	header->unsure = 0;
+	header->asking = false;
 	header->from = PACKET_FROM_OUTSIDE;
 	header->resolves++;
 	return true;
--- a/store/http_store.c
+++ b/store/http_store.c
@@ -163,7 +163,9 @@
 	store_result_init(result, request);
 	for (int i = 0; i < PAGES_MAX; i++) {
 		call_once(http, request, after, result);
-		if (!*after || request->one_page || result->status.code != STATUS_OK)
+		result->more = *after != '\0';
+		if (!result->more || request->one_page ||
+		    result->status.code != STATUS_OK)
 			return;
 	}
 	status_set(&result->status, STATUS_FULL,
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -93,6 +93,10 @@
 	header->position = 2;
 	header->n_candidates = 3;
 	header->bucket = 511;
+	header->resolves = PACKET_RESOLVES_MAX;
+	header->services_tried = 7;
+	header->unsure = 0x5a;
+	header->asking = true;
 	for (uint8_t i = 0; i < 3; i++) {
 		header->candidates[i].data.ip = 0x7f000001u + i;
 		header->candidates[i].data.port = 4701;
@@ -113,6 +117,13 @@
 	len = packet_header_encode(&in, wire);
 	g_assert_cmpuint(packet_header_decode(&out, wire, len), ==, len);
 	g_assert_cmpuint(out.bucket, ==, in.bucket);
+	g_assert_cmpuint(out.position, ==, in.position);
+	g_assert_cmpuint(out.n_candidates, ==, in.n_candidates);
+	g_assert_cmpuint(out.resolves, ==, in.resolves);
+	g_assert_cmpuint(out.services_tried, ==, in.services_tried);
+	g_assert_cmpuint(out.unsure, ==, in.unsure);
+	g_assert_true(out.asking);
+	g_assert_false(out.placed);
 	for (int i = 0; i < 3; i++) {
 		g_assert_cmpuint(out.candidates[i].member_id, ==,
 				 in.candidates[i].member_id);
@@ -131,7 +142,7 @@
 		int at;
 		uint8_t value;
 	} cases[] = {
-		{0, 0}, {2, 1}, {24, 3}, {25, 0}, {25, 9}, {26, 3},
+		{0, 0}, {2, 1}, {24, 0x33}, {24, 0x20}, {24, 0x29}, {26, 3},
 	};
 	struct packet_header header;
 	uint8_t wire[PACKET_HEADER_MAX];
