An agent whose server has ended says so, and leaves the roster

Now an agent that stops checks its server, and one whose server owes packets for 250 ms does: a refused TCP connection proves that the process is gone. Callers are told at once. A starting process acts as a watcher until it has asked the store.

--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -20,6 +20,7 @@
 #define START_GRACE_MS 500
 /* Calls of processes that start together are spread over this time. */
 #define START_SPREAD_MS 40
+#define START_ACTING_MS 500
 #define CHOICE_INTERVAL_MS 1000
 /* Without a message for this long a process has no peers. */
 #define ISOLATED_MS 10000
@@ -181,6 +182,10 @@
 						  : MEMBER_BALANCER);
 	sync->chosen =
 		watch_choice(roster, &sync->options.name, &sync->options.zone);
+	/* Whoever asks at once does so as a watcher, chosen or not. */
+	if (sync->options.asks_at_once && !sync->asked_at_start)
+		sync->acting_until_ms = now_ms + START_ACTING_MS;
+	sync->asked_at_start = true;
 	if (sync->acting_until_ms > now_ms &&
 	    sync->acting_until_ms - now_ms <= CHOICE_INTERVAL_MS &&
 	    platform_watchers_fail(sync, roster, now_ms))
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "tarragonflow/common/clock.h"
 #include "tarragonflow/flow/agent_flow.h"
 #include "tarragonflow/flow/agent_route.h"
 
@@ -23,6 +24,8 @@
 #define RESET_BYTES 64
 /* Reports are counted from zero or one at each start of a server. */
 #define FIRST_SEQUENCE 1
+/* A server with a few slots answers something within this time. */
+#define DOUBT_MS 250
 
 void agent_init(struct agent *agent, const struct agent_identity *identity,
 		struct counters *counters, int64_t now_ms)
@@ -35,6 +38,7 @@
 	agent->format = identity->format ? identity->format : &packet_format_ip;
 	agent->tells_balancers = identity->tells_balancers;
 	agent->unsure_until_ms = now_ms + identity->flow_lifetime_ms;
+	agent->owed_since_ms = CLOCK_NEVER;
 	server_watch_init(&agent->server, identity->server_reports,
 			  identity->report_lease_ms);
 	agent->zone = identity->zone;
@@ -103,11 +107,14 @@
 
 /* Marked, so that the search can go on when the server returns it. */
 static void deliver(struct agent *agent, const struct packet_header *header,
-		    const struct inner_packet *packet, struct packet_sink *sink)
+		    const struct inner_packet *packet, int64_t now_ms,
+		    struct packet_sink *sink)
 {
 	uint8_t marked[INNER_MAX];
 
 	agent_count(agent, COUNTER_PACKET_DELIVERED);
+	if (inner_opens(packet) || packet->payload_len)
+		agent->owed_since_ms = MIN(agent->owed_since_ms, now_ms);
 	if (!agent->format->set_mark) {
 		sink->to_server(sink, packet->data, packet->len);
 		return;
@@ -121,11 +128,10 @@
 		      const struct inner_packet *packet, int position,
 		      int64_t now_ms, struct packet_sink *sink)
 {
-	(void)now_ms;
 	header->position = (uint8_t)position;
 	header->asking = true;
 	agent_count(agent, COUNTER_SERVER_ASKED);
-	deliver(agent, header, packet, sink);
+	deliver(agent, header, packet, now_ms, sink);
 }
 
 /* Makes the local server give up a handshake that the caller gave up. */
@@ -236,7 +242,7 @@
 	flow->syn_seq = packet->seq;
 	flow->caller_seq = agent_seq_after(packet);
 	agent_count(agent, COUNTER_FLOW_OPENED);
-	deliver(agent, header, packet, sink);
+	deliver(agent, header, packet, now_ms, sink);
 }
 
 /* What a flow of the packet's 5-tuple has to do with the packet. */
@@ -303,7 +309,7 @@
 		    !(flow->bits & FLOW_ANSWERED) &&
 		    (uint32_t)now_ms - flow->mark_ms > SYN_REPEAT_MS)
 			admit_unanswered(&agent->admit, now_ms);
-		deliver(agent, header, packet, sink);
+		deliver(agent, header, packet, now_ms, sink);
 		return;
 	}
 	agent_hint(agent, header, packet, sink);
@@ -316,7 +322,7 @@
 	}
 	agent_seq_advance(&flow->caller_seq, agent_seq_after(packet));
 	agent_flow_track(agent, flow, packet->flags, FLOW_CALLER_FIN, now_ms);
-	deliver(agent, header, packet, sink);
+	deliver(agent, header, packet, now_ms, sink);
 }
 
 /* Whether the server may have a connection that is not in our table. */
@@ -368,7 +374,7 @@
 			struct packet_sink *sink)
 {
 	if (flow && agent_seq_near(packet->seq, flow->server_seq))
-		deliver(agent, header, packet, sink);
+		deliver(agent, header, packet, now_ms, sink);
 	else
 		agent_pass_on(agent, header, packet, now_ms, sink);
 }
@@ -569,8 +575,25 @@
 	return MIN(agent->admit.next_step_ms, agent->next_notice_ms);
 }
 
-/* What was open at a former start of the server is gone with it. */
-static void lose_flows(struct agent *agent)
+/* Tells the caller of @flow, whose last acknowledgement is known roughly. */
+static void reset_flow(struct agent *agent, const struct flow *flow,
+		       struct packet_sink *sink)
+{
+	struct inner_packet last = {
+		.ack = flow->server_seq,
+		.seq = flow->caller_seq,
+	};
+
+	flow_key_of(&last.key, flow);
+	agent_count(agent, COUNTER_RESET_LOST);
+	agent_reset_caller(agent, &last, sink);
+}
+
+/*
+ * What was open at the server is gone with it. Callers are told at once when
+ * it is certain, else when they send.
+ */
+static void lose_flows(struct agent *agent, bool tell, struct packet_sink *sink)
 {
 	struct flow_table *flows = &agent->flows;
 
@@ -582,19 +605,36 @@
 			continue;
 		if (flow->state != FLOW_CLOSING)
 			flow->bits |= FLOW_LOST;
+		if (tell && flow->state == FLOW_OPEN)
+			reset_flow(agent, flow, sink);
 		agent_flow_close(agent, flow);
 	}
 	agent->admit.running = 0;
+	agent->owed_since_ms = CLOCK_NEVER;
 	agent->unsure_until_ms = INT64_MIN;
 }
 
+bool agent_doubts_server(struct agent *agent, int64_t now_ms)
+{
+	const struct server_watch *server = &agent->server;
+	bool overdue = now_ms - server->heard_ms >= server->lease_ms;
+	bool owes = now_ms - DOUBT_MS >= agent->owed_since_ms;
+
+	if (!server->required || !server->heard ||
+	    server->report.state == SERVER_GONE || (!overdue && !owes) ||
+	    now_ms < agent->next_doubt_ms)
+		return false;
+	agent->next_doubt_ms = now_ms + DOUBT_MS;
+	return true;
+}
+
 static int64_t cold_per_s(const struct agent *agent)
 {
 	return agent->service ? agent->service->service.cold_per_s : 0;
 }
 
 void agent_take_report(struct agent *agent, const struct server_report *report,
-		       int64_t now_ms)
+		       int64_t now_ms, struct packet_sink *sink)
 {
 	bool first = !agent->server.heard;
 
@@ -602,7 +642,7 @@
 	case SERVER_LATE:
 		return;
 	case SERVER_RESTARTED:
-		lose_flows(agent);
+		lose_flows(agent, true, sink);
 		break;
 	case SERVER_SAME:
 		break;
@@ -611,6 +651,7 @@
 	if (first && report->sequence <= FIRST_SEQUENCE)
 		agent->unsure_until_ms = now_ms;
 	if (report->state == SERVER_GONE) {
+		lose_flows(agent, report->refused, sink);
 		admit_drain(&agent->admit);
 		return;
 	}
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "tarragonflow/common/clock.h"
 #include "tarragonflow/flow/agent_route.h"
 
 /* True when the server refused; its RST is not the caller's business. */
@@ -147,6 +148,7 @@
 		agent_count(agent, inner_drop_reason(&packet));
 		return;
 	}
+	agent->owed_since_ms = CLOCK_NEVER;
 	if (packet.returned) {
 		handle_returned(agent, &packet, now_ms, sink);
 		return;
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -122,6 +122,7 @@
 	int64_t zones_version;
 	/** The first page of the whole roster was asked for at the start. */
 	bool listed_at_start;
+	bool asked_at_start;
 	/** The platform has told the whole roster, or its first page. */
 	bool roster_listed;
 	/** Pages of the roster that are read already, as bits. */
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -29,6 +29,10 @@
 	struct admit admit;
 	/** The server's own word on itself, where servers report. */
 	struct server_watch server;
+	/** Since when the server owes a packet, ms; CLOCK_NEVER: it does not. */
+	int64_t owed_since_ms;
+	/** No doubt about the server is raised before this time, ms. */
+	int64_t next_doubt_ms;
 	/** Until then connections may live here that are not in `flows`, ms. */
 	int64_t unsure_until_ms;
 	/** Balancers choose by load, so they are told ours. */
@@ -93,7 +97,13 @@
 
 /** Takes the server's own word on itself. */
 void agent_take_report(struct agent *agent, const struct server_report *report,
-		       int64_t now_ms);
+		       int64_t now_ms, struct packet_sink *sink);
+
+/**
+ * Whether the server should be checked: it has been silent for too long while
+ * it owes packets. True at most once in a while.
+ */
+bool agent_doubts_server(struct agent *agent, int64_t now_ms);
 
 /** Handles a datagram from a balancer or another agent. */
 void agent_handle_peer(struct agent *agent, const uint8_t *data, size_t len,
--- a/include/tarragonflow/flow/server_report.h
+++ b/include/tarragonflow/flow/server_report.h
@@ -32,6 +32,8 @@
 	/** Empty in SERVER_GONE. */
 	struct name service;
 	enum server_state state;
+	/** SERVER_GONE: found out, as it refuses connections. */
+	bool refused;
 	/** Requests that it runs at once. */
 	uint32_t slots;
 	/** Time that it still needs to warm up, ms. */
--- a/include/tarragonflow/net/tcp.h
+++ b/include/tarragonflow/net/tcp.h
@@ -27,6 +27,13 @@
 int tcp_connect(const struct endpoint *peer, const struct clock *clock,
 		int64_t deadline_ms);
 
+/**
+ * Whether @peer's VM answers that nobody listens there; false as well when it
+ * does not answer by the deadline.
+ */
+bool tcp_refused(const struct endpoint *peer, const struct clock *clock,
+		 int64_t deadline_ms);
+
 /** Takes one waiting connection of @listen_fd, or returns -1. */
 int tcp_accept(int listen_fd);
 
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -12,6 +12,7 @@
 #include "tarragonflow/node/adapter.h"
 #include "tarragonflow/node/store_duty.h"
 #include "tarragonflow/node/pull_duty.h"
+#include "tarragonflow/node/server_check.h"
 #include "tarragonflow/node/settings.h"
 #include "tarragonflow/route/view.h"
 
@@ -56,6 +57,8 @@
 	struct ring reports;
 	/** What is known from them, under `lock`. */
 	struct server_watch server;
+	/** Agents whose servers report only. */
+	struct server_check check;
 	/** Set when the process itself is to end. */
 	_Atomic bool leaving;
 };
@@ -81,6 +84,9 @@
  */
 bool node_take_report(struct node *node, const struct server_report *report);
 
+/** Whether the local backend server has ended, as far as can be told. */
+bool node_server_ended(struct node *node);
+
 /** The next report for the packet duty, which frees it, or NULL. */
 struct server_report *node_next_report(struct node *node);
 
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -54,33 +54,61 @@
 	}
 }
 
-static bool connected(int fd)
+static int socket_error(int fd)
 {
 	int error = 0;
 	socklen_t len = sizeof(error);
 
-	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0 &&
-	       !error;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len))
+		return errno;
+	return error;
 }
 
-int tcp_connect(const struct endpoint *peer, const struct clock *clock,
-		int64_t deadline_ms)
+/* Connects to @peer; returns the socket, or -1 with the reason in @error. */
+static int try_connect(const struct endpoint *peer, const struct clock *clock,
+		       int64_t deadline_ms, int *error)
 {
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	struct sockaddr_in addr;
 
+	*error = errno;
 	if (fd < 0)
 		return -1;
 	endpoint_to_sockaddr(peer, &addr);
 	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0)
 		return fd;
-	if (errno == EINPROGRESS &&
-	    wait_ready(fd, POLLOUT, clock, deadline_ms) && connected(fd))
+	*error = errno;
+	if (*error == EINPROGRESS) {
+		*error = ETIMEDOUT;
+		if (wait_ready(fd, POLLOUT, clock, deadline_ms))
+			*error = socket_error(fd);
+	}
+	if (!*error)
 		return fd;
 	close(fd);
 	return -1;
 }
 
+int tcp_connect(const struct endpoint *peer, const struct clock *clock,
+		int64_t deadline_ms)
+{
+	int error;
+
+	return try_connect(peer, clock, deadline_ms, &error);
+}
+
+bool tcp_refused(const struct endpoint *peer, const struct clock *clock,
+		 int64_t deadline_ms)
+{
+	int error;
+	int fd = try_connect(peer, clock, deadline_ms, &error);
+
+	if (fd < 0)
+		return error == ECONNREFUSED;
+	close(fd);
+	return false;
+}
+
 int tcp_accept(int listen_fd)
 {
 	int fd = accept(listen_fd, NULL, NULL);
--- a/node/node.c
+++ b/node/node.c
@@ -280,8 +280,40 @@
 	return STATUS_OK;
 }
 
+/* The process of the server is gone: as if it had said so. */
+static void server_refused(void *user)
+{
+	struct node *node = user;
+	struct server_report report;
+
+	pthread_mutex_lock(&node->lock);
+	report = node->server.report;
+	pthread_mutex_unlock(&node->lock);
+	if (report.state == SERVER_GONE)
+		return;
+	report.state = SERVER_GONE;
+	report.refused = true;
+	node_take_report(node, &report);
+}
+
+bool node_server_ended(struct node *node)
+{
+	bool gone;
+
+	if (!node->server.required)
+		return false;
+	pthread_mutex_lock(&node->lock);
+	gone = node->server.heard && node->server.report.state == SERVER_GONE;
+	pthread_mutex_unlock(&node->lock);
+	return gone || server_check_refused(&node->check);
+}
+
 enum status_code node_start(struct node *node, struct status *status)
 {
+	if (node->server.required &&
+	    server_check_start(&node->check, &node->settings->server,
+			       server_refused, node, status) != STATUS_OK)
+		return status->code;
 	if (pthread_create(&node->control_thread, NULL, control_duty, node))
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the control duty");
@@ -307,6 +339,8 @@
 void node_finish(struct node *node)
 {
 	atomic_store(&node->stop, true);
+	if (node->server.required)
+		server_check_finish(&node->check);
 	node_wake(node->wake_control);
 	pthread_join(node->control_thread, NULL);
 	for (int i = 0; i < STORE_LANES; i++)
@@ -356,10 +390,10 @@
 	static const char *const states[] = {"", "ready", "draining", "gone"};
 
 	log_event(LOG_LEVEL_INFO, "server",
-		  "id=%s service=%s state=%s slots=%u cold_left_ms=%lld "
-		  "started_ms=%llu sequence=%llu",
+		  "id=%s service=%s state=%s refused=%d slots=%u "
+		  "cold_left_ms=%lld started_ms=%llu sequence=%llu",
 		  report->id, report->service.data, states[report->state],
-		  report->slots, (long long)report->cold_left_ms,
+		  report->refused, report->slots, (long long)report->cold_left_ms,
 		  (unsigned long long)report->started_ms,
 		  (unsigned long long)report->sequence);
 }
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -138,7 +138,7 @@
 
 	while ((report = node_next_report(duty->node))) {
 		agent_take_report(&duty->agent, report,
-				  clock_now(&duty->node->clock));
+				  clock_now(&duty->node->clock), &duty->sink);
 		g_free(report);
 	}
 }
@@ -255,9 +255,13 @@
 
 static void agent_step(struct packet_duty *duty)
 {
+	int64_t now_ms = clock_now(&duty->node->clock);
+
 	if (atomic_load(&duty->drain))
 		agent_drain(&duty->agent);
-	agent_tick(&duty->agent, clock_now(&duty->node->clock), &duty->sink);
+	agent_tick(&duty->agent, now_ms, &duty->sink);
+	if (agent_doubts_server(&duty->agent, now_ms))
+		server_check_want(&duty->node->check);
 	atomic_store(&duty->node->open_connections, agent_open(&duty->agent));
 	atomic_store(&duty->node->connection_limit, duty->agent.admit.limit);
 }
--- /dev/null
+++ b/node/server_check.c
@@ -0,0 +1,66 @@
+#include "tarragonflow/node/server_check.h"
+
+#include <poll.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "tarragonflow/net/tcp.h"
+#include "tarragonflow/node/node.h"
+
+/* On the VM itself an answer takes well under this time. */
+#define ANSWER_MS 100
+
+bool server_check_refused(const struct server_check *check)
+{
+	return tcp_refused(&check->server, &check->clock,
+			   clock_now(&check->clock) + ANSWER_MS);
+}
+
+static void *check_thread(void *arg)
+{
+	struct server_check *check = arg;
+	struct pollfd fd = {.fd = check->wake, .events = POLLIN};
+
+	for (;;) {
+		poll(&fd, 1, -1);
+		if (atomic_load(&check->stop))
+			return NULL;
+		if (!fd.revents)
+			continue;
+		node_wake_clear(check->wake);
+		if (server_check_refused(check))
+			check->ended(check->user);
+	}
+}
+
+enum status_code server_check_start(struct server_check *check,
+				    const struct endpoint *server,
+				    void (*ended)(void *user), void *user,
+				    struct status *status)
+{
+	memset(check, 0, sizeof(*check));
+	check->server = *server;
+	check->ended = ended;
+	check->user = user;
+	clock_init_monotonic(&check->clock);
+	check->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	atomic_init(&check->stop, false);
+	if (pthread_create(&check->thread, NULL, check_thread, check))
+		return status_set(status, STATUS_INTERNAL,
+				  "cannot start the server check");
+	return STATUS_OK;
+}
+
+void server_check_finish(struct server_check *check)
+{
+	atomic_store(&check->stop, true);
+	node_wake(check->wake);
+	pthread_join(check->thread, NULL);
+	close(check->wake);
+}
+
+void server_check_want(struct server_check *check)
+{
+	node_wake(check->wake);
+}
--- a/tarragonflow/commands/agent.c
+++ b/tarragonflow/commands/agent.c
@@ -44,7 +44,10 @@
 
 	hand_over_if_asked(role);
 	atomic_store(&role->duty.drain, true);
-	node_leave(&role->node, MEMBER_DRAINING);
+	/* With its server gone, nobody need look for connections here. */
+	node_leave(&role->node, node_server_ended(&role->node)
+					? MEMBER_LEFT
+					: MEMBER_DRAINING);
 	clock_sleep(FAREWELL_MS);
 	/*
 	 * Where the server keeps its connections without us, every moment until
