--- a/flow/agent.c
+++ b/flow/agent.c
@@ -39,6 +39,7 @@
 	agent->tells_balancers = identity->tells_balancers;
 	agent->unsure_until_ms = now_ms + identity->flow_lifetime_ms;
 	agent->owed_since_ms = CLOCK_NEVER;
+	agent->started_ms = now_ms;
 	server_watch_init(&agent->server, identity->server_reports,
 			  identity->report_lease_ms);
 	agent->zone = identity->zone;
@@ -435,10 +436,10 @@
 {
 	const struct candidate *self = &header->candidates[header->position];
 
-	if (header->service_id != agent->service_id)
-		return false;
 	if (header->kind == PACKET_LOAD)
 		return true;
+	if (header->service_id != agent->service_id)
+		return false;
 	if (self->member_id != agent->member_id)
 		return false;
 	/* The flow table decides; the sender only knows an older run of us. */
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -20,9 +20,15 @@
 #define NOTICE_REPEAT_MS 500
 /* Balancers take a silent agent for unreachable after some of these. */
 #define NOTICE_ALIVE_MS 150
+/* Agents that miss some notices in a row are passed over. */
+#define SILENT_MS 600
+/* A process that stops is back, or told as left, well before this. */
+#define GONE_MS 3000
 /* Between two notices to balancers, which place by them. */
 #define NOTICE_INTERVAL_ENTRY_MS 40
 #define NOTICE_PEERS 8
+/* Agents of one other service that are told that we run. */
+#define NOTICE_OTHERS_MAX 32
 #define NOTICE_CHANGE_SHARE 100
 
 static void count(struct agent *agent, enum counter_id id)
@@ -93,22 +99,41 @@
 	return best;
 }
 
-static int next_unvisited(const struct packet_header *header)
+/*
+ * The next candidate that had no copy. Where agents tell one another that they
+ * run, a silent one is passed over, for a packet would end there; unless it
+ * has been silent for long enough to be gone, it may have the connection.
+ */
+static int next_unvisited(const struct agent *agent,
+			  struct packet_header *header, int64_t now_ms)
 {
-	for (int i = 0; i < header->n_candidates; i++)
-		if (!visited(header, i))
+	for (int i = 0; i < header->n_candidates; i++) {
+		uint32_t id = header->candidates[i].member_id;
+		int64_t silent_ms;
+
+		if (visited(header, i))
+			continue;
+		if (!agent->tells_balancers || id == agent->member_id)
+			return i;
+		silent_ms = now_ms - peer_load_heard_ms(&agent->peers, id,
+							agent->started_ms);
+		if (silent_ms < SILENT_MS)
 			return i;
+		header->visited |= (uint8_t)(1U << i);
+		header->doubt |= silent_ms < GONE_MS;
+	}
 	return NO_CANDIDATE;
 }
 
 /* Draining candidates come last: they may hold the first copy of a SYN. */
 static int next_candidate(const struct agent *agent,
-			  const struct packet_header *header, bool opens,
+			  struct packet_header *header, bool opens,
 			  int64_t now_ms)
 {
 	int next = opens ? next_taker(agent, header, now_ms) : NO_CANDIDATE;
 
-	return next == NO_CANDIDATE ? next_unvisited(header) : next;
+	return next == NO_CANDIDATE ? next_unvisited(agent, header, now_ms)
+				    : next;
 }
 
 static bool has_suspect(const struct agent *agent)
@@ -119,16 +144,6 @@
 	return false;
 }
 
-static bool any_suspect(const struct view *view)
-{
-	for (size_t i = 0; i < view->n_services; i++)
-		for (size_t j = 0; j < view->services[i].n_members; j++)
-			if (view->services[i].members[j].flags &
-			    CANDIDATE_SUSPECT)
-				return true;
-	return false;
-}
-
 /*
  * Whether no server that lives has the connection of @packet, whose search
  * has ended: every agent was asked, each knew all connections of its server
@@ -145,7 +160,7 @@
 	       !header->doubt && view->n_services <= SERVICES_SEARCHED_MAX &&
 	       header->services_tried >= view->n_services &&
 	       (uint64_t)view->config_revision >= header->config_revision &&
-	       !view_hides_members(view) && !any_suspect(view);
+	       !view_hides_members(view);
 }
 
 /*
@@ -544,6 +559,25 @@
 			     sink);
 }
 
+/* The agents of other services need only know that we run. */
+static void tell_others(struct agent *agent, const struct candidate *self,
+			int64_t now_ms, struct packet_sink *sink)
+{
+	if (now_ms < agent->next_alive_ms)
+		return;
+	agent->next_alive_ms = now_ms + NOTICE_ALIVE_MS;
+	for (size_t i = 0; i < agent->view->n_services; i++) {
+		const struct service_view *service = &agent->view->services[i];
+		size_t n = MIN(service->n_members, NOTICE_OTHERS_MAX);
+
+		if (service == agent->service)
+			continue;
+		for (size_t j = 0; j < n; j++)
+			tell_process(agent, self, &service->members[j].data,
+				     now_ms, sink);
+	}
+}
+
 void agent_tell_load(struct agent *agent, int64_t now_ms,
 		     struct packet_sink *sink)
 {
@@ -560,8 +594,10 @@
 	agent->next_notice_ms = now_ms + notice_interval_ms(agent);
 	agent->told_load = load;
 	agent->told_ms = now_ms;
-	if (agent->tells_balancers)
+	if (agent->tells_balancers) {
 		tell_balancers(agent, self, now_ms, sink);
+		tell_others(agent, self, now_ms, sink);
+	}
 	n = MIN(service->n_members,
 		MAX(NOTICE_PEERS, service->n_members / NOTICE_PEERS));
 	while (n--) {
--- a/flow/peer_load.c
+++ b/flow/peer_load.c
@@ -35,6 +35,17 @@
 	return entry->load;
 }
 
+int64_t peer_load_heard_ms(const struct peer_loads *loads, uint32_t member_id,
+			   int64_t since)
+{
+	const struct peer_load *entry =
+		&loads->entries[member_id & (PEER_LOADS - 1)];
+
+	if (entry->member_id != member_id || entry->heard_ms < since)
+		return since;
+	return entry->heard_ms;
+}
+
 void peer_load_add(struct peer_loads *loads, uint32_t member_id, uint16_t load)
 {
 	struct peer_load *entry = entry_of(loads, member_id);
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -54,6 +54,10 @@
 	/** Searches and hints that may still be sent in this second. */
 	uint32_t searches_left, hints_left;
 	int64_t next_refill_ms;
+	/** When this agent started, ms. */
+	int64_t started_ms;
+	/** Next notice to the agents of other services, ms. */
+	int64_t next_alive_ms;
 	/** Load notices: when, to whom next, and what was told last. */
 	int64_t next_notice_ms;
 	size_t notice_cursor;
--- a/include/tarragonflow/flow/peer_load.h
+++ b/include/tarragonflow/flow/peer_load.h
@@ -37,6 +37,10 @@
 uint16_t peer_load_fresh(const struct peer_loads *loads, uint32_t member_id,
 			 int64_t fresh_ms, int64_t now_ms);
 
+/** When @member_id was heard last, ms; @since when it was not since then. */
+int64_t peer_load_heard_ms(const struct peer_loads *loads, uint32_t member_id,
+			   int64_t since);
+
 /** Adds what we sent there ourselves since it was last heard. */
 void peer_load_add(struct peer_loads *loads, uint32_t member_id, uint16_t load);
 
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -131,6 +131,20 @@
 	return best;
 }
 
+/* Where a search begins: an agent that is silent would end it. */
+static uint8_t first_heard(const struct balancer *balancer,
+			   const struct packet_header *header, int64_t now_ms)
+{
+	for (uint8_t i = 0; balancer->places_by_load && i < header->n_candidates;
+	     i++)
+		if (now_ms - peer_load_heard_ms(&balancer->loads,
+						header->candidates[i].member_id,
+						INT64_MIN / 2) <=
+		    LOAD_FRESH_MS)
+			return i;
+	return 0;
+}
+
 /* A copy of an opening packet goes where the first went while that is up. */
 static uint8_t place_open(struct balancer *balancer,
 			  const struct service_view *service,
@@ -166,8 +180,8 @@
 					    flow_hash, now_ms)
 			       : opening_position(header);
 	owner = hinted_owner(balancer, flow_hash);
-	if (!owner)
-		return 0;
+	if (!owner || !view_member(service, owner))
+		return first_heard(balancer, header, now_ms);
 	counter_inc(balancer->counters, COUNTER_HINT_USED);
 	return hinted_position(service, header, owner);
 }
--- a/tests/unit/test_docs.c
+++ b/tests/unit/test_docs.c
@@ -89,6 +89,8 @@
 		{manifest_fields, manifest_n_fields},
 		{manifest_zone_fields, manifest_n_zone_fields},
 		{manifest_service_fields, manifest_n_service_fields},
+		{manifest_route_fields, manifest_n_route_fields},
+		{manifest_backend_fields, manifest_n_backend_fields},
 	};
 	char *page = read_page("SETTINGS.md");
 	size_t n = 0;
