--- a/control/control.c
+++ b/control/control.c
@@ -13,7 +13,8 @@
 /* Between two comparisons with a random peer, ms. */
 #define EXCHANGE_INTERVAL_MS 5000
 #define JOIN_INTERVAL_MS 400
-/* Peers that start together are not all there yet for the first word. */
+/* Peers that start together are not all there yet for the first word. Not
+ * where seeds are all that a process has: it would spend its bytes at once. */
 #define START_MS 600
 #define START_INTERVAL_MS 150
 /* Who knows so few members is still joining. */
@@ -32,7 +33,7 @@
 /* By then anti-entropy has compared the roster with several peers. */
 #define ROSTER_KNOWN_MS 5000
 /* By then peers have told whom the platform did not hold yet. */
-#define ROSTER_JOIN_MS 600
+#define ROSTER_JOIN_MS 200
 #define WAKE_ASK_INTERVAL_MS 300
 #define WAKE_ASK_FANOUT 3
 /* When all were paused together nobody can tell: go on after this. */
@@ -55,7 +56,7 @@
 		.zone = options->self.zone,
 		.role = options->self.role,
 		.random_seed = options->random_seed,
-		.asks_at_once = options->platform_is_current,
+		.platform_is_current = options->platform_is_current,
 	};
 	int64_t bytes_per_s = options->bytes_per_s ? options->bytes_per_s
 						   : CONTROL_BYTES_PER_S;
@@ -422,7 +423,8 @@
 			outbound_digest(context, &control->options.seeds[i]);
 	else
 		exchange_once(context, joining);
-	if (context->now_ms < control->started_ms + START_MS)
+	if (control->options.platform_is_current &&
+	    context->now_ms < control->started_ms + START_MS)
 		interval_ms = START_INTERVAL_MS;
 	else if (control->roster.n < JOIN_MEMBERS)
 		interval_ms = JOIN_INTERVAL_MS;
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "tarragonflow/common/clock.h"
 #include "tarragonflow/manifest/manifest_object.h"
 
 /* What the platform core does with the results of its calls. */
@@ -88,20 +89,31 @@
 {
 	enum status_code code = result->status.code;
 
-	if (code == STATUS_GONE) {
+	if (code == STATUS_GONE)
 		sync->watch_version = 0;
-		sync->config.next_ms = now_ms;
-	}
 	if (code != STATUS_OK) {
+		sync->config.next_ms = MIN(sync->config.next_ms, now_ms);
 		lane_failed(sync, &sync->watch, code, now_ms);
 		return;
 	}
 	backoff_reset(&sync->watch.backoff);
+	/* Changes that come quickly are taken together. */
 	sync->watch.next_ms = now_ms;
+	if (result->n_objects && sync->options.platform_is_current)
+		sync->watch.next_ms += WATCH_GAP_MS;
 	sync->watch_version = MAX(sync->watch_version, result->version);
 	offer_objects(result, out);
 }
 
+/* Where answers are current, a watch that goes well needs no reads beside. */
+static int64_t next_read_ms(struct platform_sync *sync, int64_t now_ms)
+{
+	if (sync->options.platform_is_current)
+		return CLOCK_NEVER;
+	return now_ms + READ_INTERVAL_MS / 2 +
+	       (int64_t)platform_random_below(sync, READ_INTERVAL_MS);
+}
+
 static void take_config(struct platform_sync *sync,
 			const struct store_result *result,
 			enum platform_task task,
@@ -115,9 +127,7 @@
 		return;
 	}
 	backoff_reset(&sync->config.backoff);
-	sync->config.next_ms =
-		now_ms + READ_INTERVAL_MS / 2 +
-		(int64_t)platform_random_below(sync, READ_INTERVAL_MS);
+	sync->config.next_ms = next_read_ms(sync, now_ms);
 	if (task == TASK_LIST_CONFIG) {
 		sync->watch_version = MAX(result->version, 1);
 		sync->watch.next_ms = now_ms;
@@ -200,9 +210,9 @@
 	}
 	for (size_t i = 0; i < result->n_objects; i++)
 		offer_members(&result->objects[i], view->roster, out);
-	sync->roster_listed |= sync->listed_at_start && result->n_objects &&
-			       !result->more;
-	if (sync->pages_read == PAGES_ALL)
+	sync->roster_fits = sync->options.platform_is_current && !result->more;
+	sync->roster_listed |= sync->roster_fits && result->n_objects;
+	if (sync->pages_read == PAGES_ALL || sync->roster_fits)
 		sync->pages.next_ms =
 			now_ms + backoff_next(&sync->pages.backoff,
 					      random_next(&sync->random));
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -13,6 +13,8 @@
 /* How long a result may come after its call's own timeout. */
 #define RESULT_GRACE_MS 4000
 #define WATCH_WAIT_MS 10000
+/* Where the watch is all: a connection that went silent is found after it. */
+#define CURRENT_WAIT_MS 3000
 #define BACKOFF_BASE_MS 250
 #define BACKOFF_MAX_MS 2000
 #define PAGES_BACKOFF_MAX_MS 15000
@@ -67,7 +69,7 @@
 	sync->watcher_ms = INT64_MIN;
 	sync->heard_ms = INT64_MIN;
 	sync->next_choice_ms = now_ms + START_GRACE_MS;
-	if (options->asks_at_once)
+	if (options->platform_is_current)
 		sync->next_choice_ms =
 			now_ms +
 			(int64_t)platform_random_below(sync, START_SPREAD_MS);
@@ -131,7 +133,9 @@
 	request->id = ++sync->next_id;
 	request->timeout_ms = CALL_TIMEOUT_MS;
 	if (task == TASK_WATCH || task == TASK_WATCH_ZONES)
-		request->timeout_ms = WATCH_WAIT_MS;
+		request->timeout_ms = sync->options.platform_is_current
+					      ? CURRENT_WAIT_MS
+					      : WATCH_WAIT_MS;
 	if (lane == &sync->zones)
 		request->lane = STORE_LANE_ZONES;
 	else if (lane == &sync->watch)
@@ -183,7 +187,7 @@
 	sync->chosen =
 		watch_choice(roster, &sync->options.name, &sync->options.zone);
 	/* Whoever asks at once does so as a watcher, chosen or not. */
-	if (sync->options.asks_at_once && !sync->asked_at_start)
+	if (sync->options.platform_is_current && !sync->asked_at_start)
 		sync->acting_until_ms = now_ms + START_ACTING_MS;
 	sync->asked_at_start = true;
 	if (sync->acting_until_ms > now_ms &&
@@ -301,19 +305,15 @@
 }
 
 /*
- * One call that brings the members of a small fleet, and enough peers of a
- * large one, before any of them was heard.
+ * One call that brings the members of a small fleet, and some of a large one:
+ * enough peers to begin with.
  */
-static void list_at_start(struct platform_sync *sync, int64_t now_ms,
-			  struct platform_sync_out *out)
+static void list_roster(struct platform_sync *sync, int64_t now_ms,
+			struct platform_sync_out *out)
 {
 	struct store_request request;
 	char prefix[STORE_KEY_MAX];
 
-	if (!sync->options.asks_at_once || sync->listed_at_start ||
-	    sync->watch_version == 0 || !calls_idle(sync) ||
-	    !take_budget(sync, &sync->pages, now_ms))
-		return;
 	sync->listed_at_start = true;
 	roster_shard_prefix(prefix, &sync->options.deployment);
 	store_request_init(&request, STORE_OP_LIST, prefix);
@@ -322,15 +322,27 @@
 			    now_ms, out);
 }
 
+/* Before any peer was heard, where the platform's answer is current. */
+static bool must_list_at_start(const struct platform_sync *sync)
+{
+	return sync->options.platform_is_current && !sync->listed_at_start &&
+	       sync->watch_version > 0;
+}
+
 static void pages_step(struct platform_sync *sync, int64_t now_ms,
 		       struct platform_sync_out *out)
 {
 	struct store_request request;
 	char prefix[STORE_KEY_MAX];
 
-	if (!must_list(sync, now_ms) || now_ms < sync->pages.next_ms ||
-	    !calls_idle(sync) || !take_budget(sync, &sync->pages, now_ms))
+	if ((!must_list_at_start(sync) && !must_list(sync, now_ms)) ||
+	    now_ms < sync->pages.next_ms || !calls_idle(sync) ||
+	    !take_budget(sync, &sync->pages, now_ms))
 		return;
+	if (must_list_at_start(sync) || sync->roster_fits) {
+		list_roster(sync, now_ms, out);
+		return;
+	}
 	roster_shard_page_prefix(prefix, &sync->options.deployment,
 				 pick_page(sync));
 	store_request_init(&request, STORE_OP_LIST, prefix);
@@ -425,7 +437,6 @@
 	} else {
 		probe_step(sync, view, now_ms, out);
 	}
-	list_at_start(sync, now_ms, out);
 	pages_step(sync, now_ms, out);
 	shards_step(sync, view, now_ms, out);
 }
--- a/control/platform_sync_internal.h
+++ b/control/platform_sync_internal.h
@@ -11,6 +11,9 @@
 /** A watcher trusts no watch for longer than this, ms. */
 #define READ_INTERVAL_MS 2000
 
+/** Time for more changes to come after one that a watch brought, ms. */
+#define WATCH_GAP_MS 150
+
 /** All pages of the roster, as bits. */
 #define PAGES_ALL ((1u << ROSTER_SHARD_PAGES) - 1)
 
--- a/control/roster_sync.c
+++ b/control/roster_sync.c
@@ -8,11 +8,11 @@
 /* Tombstones run out without any change of the roster. */
 #define IDLE_SCAN_INTERVAL_MS 10000
 /* Announcements that come together are written together. */
-#define BATCH_MS 200
-#define SPREAD_MIN_MS 300
+#define BATCH_MS 500
+#define SPREAD_MIN_MS 500
 /* Balancers that look after a shard, and the time between their turns. */
-#define WRITERS 3
-#define TURN_MS 1500
+#define WRITERS 2
+#define TURN_MS 3000
 #define WRITE_INTERVAL_MIN_MS 250
 #define BACKOFF_BASE_MS 500
 #define BACKOFF_MAX_MS 15000
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -618,12 +618,12 @@
 bool agent_doubts_server(struct agent *agent, int64_t now_ms)
 {
 	const struct server_watch *server = &agent->server;
-	bool overdue = now_ms - server->heard_ms >= server->lease_ms;
+	bool overdue = !server->heard ||
+		       now_ms - server->heard_ms >= server->lease_ms;
 	bool owes = now_ms - DOUBT_MS >= agent->owed_since_ms;
 
-	if (!server->required || !server->heard ||
-	    server->report.state == SERVER_GONE || (!overdue && !owes) ||
-	    now_ms < agent->next_doubt_ms)
+	if (!server->required || server->report.state == SERVER_GONE ||
+	    (!overdue && !owes) || now_ms < agent->next_doubt_ms)
 		return false;
 	agent->next_doubt_ms = now_ms + DOUBT_MS;
 	return true;
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -44,7 +44,7 @@
 /* A server that may not open connections counts as full. */
 static uint16_t own_load(const struct agent *agent, int64_t now_ms)
 {
-	if (!server_watch_opens(&agent->server, now_ms))
+	if (!server_watch_opens(&agent->server, now_ms) || !agent->zone_in)
 		return PACKET_LOAD_FULL;
 	return admit_load(&agent->admit, now_ms);
 }
@@ -586,7 +586,9 @@
 	const struct candidate *self;
 	size_t n;
 
-	if (!service || !agent->zone_in || !load_due(agent, load, now_ms))
+	/* Where silence means that an agent is gone, it tells on to the cut. */
+	if (!service || (!agent->zone_in && !agent->tells_balancers) ||
+	    !load_due(agent, load, now_ms))
 		return;
 	self = view_member(service, agent->member_id);
 	if (!self)
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -49,7 +49,7 @@
 	 * The platform's answers are current: a starting process asks it at
 	 * once, spread over a moment, rather than hear its peers first.
 	 */
-	bool asks_at_once;
+	bool platform_is_current;
 };
 
 /** What a call is for. */
@@ -125,6 +125,8 @@
 	bool asked_at_start;
 	/** The platform has told the whole roster, or its first page. */
 	bool roster_listed;
+	/** The whole roster fits into one answer. */
+	bool roster_fits;
 	/** Pages of the roster that are read already, as bits. */
 	uint32_t pages_read;
 	struct roster_sync roster;
