--- /dev/null
+++ b/tests/unit/test_platform.c
@@ -0,0 +1,521 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "tarragonflow/platform/platform.h"
+
+#define HEAD_BYTES 31
+#define DATA_MAX 1200
+
+/* A SYN from 100.64.0.7:40001 to 198.18.0.1:443, as the pages show it. */
+static const uint8_t page_syn[HEAD_BYTES] = {
+	0x07, 0x00, 0x40, 0x64, 0xbb, 0x01, 0x41, 0x9c, 0x01, 0x00, 0x12,
+	0xc6, 0xd5, 0xc3, 0xb2, 0xa1, 0x80, 0x00, 0x00, 0x44, 0x33, 0x22,
+	0x11, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+};
+
+static void test_head_example(void)
+{
+	const struct packet_format *format = &packet_format_platform;
+	struct inner_packet packet;
+	struct inner_spec spec = {0};
+	uint8_t out[64];
+	char text[IP_ADDR_TEXT_MAX];
+	/* The answer that the pages show: a reset of our own. */
+	static const uint8_t reset[HEAD_BYTES] = {
+		0x01, 0x00, 0x12, 0xc6, 0x41, 0x9c, 0xbb, 0x01,
+		0x07, 0x00, 0x40, 0x64, 0x00, 0x00, 0x00, 0x00, 0x40,
+	};
+
+	g_assert_true(format->parse(&packet, page_syn, sizeof(page_syn)));
+	g_assert_cmpstr(ip_addr_format(&packet.key.src, text), ==,
+			"100.64.0.7");
+	g_assert_cmpstr(ip_addr_format(&packet.key.dst, text), ==,
+			"198.18.0.1");
+	g_assert_cmpuint(packet.key.src_port, ==, 40001);
+	g_assert_cmpuint(packet.key.dst_port, ==, 443);
+	g_assert_cmpuint(packet.seq, ==, 0x11223344);
+	g_assert_cmpuint(packet.flags, ==, TCP_SYN);
+	g_assert_true(inner_opens(&packet));
+	g_assert_false(packet.returned);
+	flow_key_reverse(&spec.key, &packet.key);
+	spec.flags = TCP_RST;
+	g_assert_cmpuint(format->build(&spec, out, sizeof(out)), ==,
+			 HEAD_BYTES);
+	g_assert_cmpmem(out, HEAD_BYTES, reset, HEAD_BYTES);
+	g_assert_cmpuint(format->build(&spec, out, HEAD_BYTES - 1), ==, 0);
+}
+
+static void test_head_malformed(void)
+{
+	/* Bytes in all, and the length that the head tells. */
+	static const struct {
+		size_t len;
+		uint16_t told;
+		bool good;
+	} cases[] = {
+		{0, 0, false},
+		{HEAD_BYTES - 1, 0, false},
+		{HEAD_BYTES, 0, true},
+		{HEAD_BYTES, 1, false},
+		{HEAD_BYTES + 5, 5, true},
+		{HEAD_BYTES + 5, 4, false},
+		{HEAD_BYTES + 5, 6, false},
+		{HEAD_BYTES + DATA_MAX, DATA_MAX, true},
+		{HEAD_BYTES + DATA_MAX + 1, DATA_MAX + 1, false},
+		{HEAD_BYTES + 5, 0xffff, false},
+	};
+	uint8_t data[HEAD_BYTES + DATA_MAX + 1] = {0};
+	struct inner_packet packet;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		memcpy(data, page_syn, HEAD_BYTES);
+		data[17] = (uint8_t)cases[i].told;
+		data[18] = (uint8_t)(cases[i].told >> 8);
+		g_assert_cmpint(packet_format_platform.parse(&packet, data,
+							     cases[i].len),
+				==, cases[i].good);
+		if (!cases[i].good)
+			g_assert_cmpint(inner_drop_reason(&packet), ==,
+					COUNTER_DROP_MALFORMED);
+	}
+}
+
+static void test_head_mark(void)
+{
+	const struct packet_format *format = &packet_format_platform;
+	uint8_t data[HEAD_BYTES];
+	struct inner_packet packet;
+
+	memcpy(data, page_syn, sizeof(data));
+	format->set_mark(data, 0xdeadbeef);
+	data[16] |= 2;
+	g_assert_true(format->parse(&packet, data, sizeof(data)));
+	g_assert_true(packet.returned);
+	g_assert_cmpuint(packet.mark, ==, 0xdeadbeef);
+	format->clear_returned(data);
+	/* Again what the caller sent, to the byte. */
+	g_assert_cmpmem(data, sizeof(data), page_syn, sizeof(page_syn));
+}
+
+#define BEAT(service, state, slots, cold, sequence)                         \
+	"{\"service\":" service ",\"address\":\"10.0.0.9:80\","             \
+	"\"zone\":\"z\",\"version\":\"v1\",\"slots\":" slots ",\"state\":"  \
+	state ",\"cold_left_ms\":" cold ",\"sequence\":" sequence           \
+	",\"born\":1700000000000}"
+
+static void test_announcement(void)
+{
+	static const struct {
+		const char *id, *body;
+		/** What the refusal names; NULL when the report is good. */
+		const char *fault;
+	} cases[] = {
+		{"i-1", BEAT("\"a\"", "\"ready\"", "5", "0", "4"), NULL},
+		{"i-1", BEAT("\"a\"", "\"draining\"", "5", "10", "4"), NULL},
+		{"", BEAT("\"a\"", "\"ready\"", "5", "0", "4"), "id"},
+		{"i-1", "", "body"},
+		{"i-1", "\x80\xff", "body"},
+		{"i-1", "[]", "body"},
+		{"i-1", "{}", "service"},
+		{"i-1", BEAT("7", "\"ready\"", "5", "0", "4"), "service"},
+		{"i-1", BEAT("\"\"", "\"ready\"", "5", "0", "4"), "service"},
+		{"i-1", BEAT("\"a\"", "\"asleep\"", "5", "0", "4"), "state"},
+		{"i-1", BEAT("\"a\"", "1", "5", "0", "4"), "state"},
+		{"i-1", BEAT("\"a\"", "\"ready\"", "0", "0", "4"), "slots"},
+		{"i-1", BEAT("\"a\"", "\"ready\"", "5.5", "0", "4"), "slots"},
+		{"i-1", BEAT("\"a\"", "\"ready\"", "5", "-1", "4"),
+		 "cold_left_ms"},
+		{"i-1", BEAT("\"a\"", "\"ready\"", "5", "null", "4"),
+		 "cold_left_ms"},
+		{"i-1", BEAT("\"a\"", "\"ready\"", "5", "0", "\"4\""),
+		 "sequence"},
+		{"i-1", "{\"service\":\"a\",\"state\":\"ready\"}", "address"},
+	};
+	struct server_report report;
+	struct status status;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		status_init(&status);
+		platform_announcement_read(str_from(cases[i].body), cases[i].id,
+					   &report, &status);
+		if (!cases[i].fault) {
+			g_assert_cmpint(status.code, ==, STATUS_OK);
+			g_assert_cmpstr(report.service.data, ==, "a");
+			g_assert_cmpuint(report.slots, ==, 5);
+			g_assert_cmpuint(report.sequence, ==, 4);
+			g_assert_cmpuint(report.started_ms, ==, 1700000000000);
+			continue;
+		}
+		g_assert_cmpint(status.code, ==, STATUS_INVALID);
+		g_assert_true(g_str_has_prefix(status.message, cases[i].fault));
+	}
+	platform_leave_read(str_from("not json"), "i-1", &report);
+	g_assert_cmpint(report.state, ==, SERVER_GONE);
+	g_assert_cmpuint(report.started_ms, ==, 0);
+}
+
+static void test_names(void)
+{
+	struct name a, b, c;
+
+	g_assert_true(platform_name(&a, "shop-1"));
+	g_assert_cmpstr(a.data, ==, "shop-1");
+	/* What is no name of ours still tells equal from different. */
+	g_assert_true(platform_name(&a, "Shop_1"));
+	g_assert_true(platform_name(&b, "Shop_1"));
+	g_assert_true(platform_name(&c, "Shop_2"));
+	g_assert_true(name_equal(&a, &b));
+	g_assert_false(name_equal(&a, &c));
+	g_assert_false(platform_name(&a, ""));
+	g_assert_false(platform_name(&a, NULL));
+}
+
+#define SERVICES                                                           \
+	"\"services\":[{\"name\":\"a\",\"max_conns\":2000,\"cold_per_s\":2.5}," \
+	"{\"name\":\"b\",\"max_conns\":100}],"                             \
+	"\"limits\":{\"idle_timeout_ms\":15000}"
+
+static bool read_config(struct manifest *manifest, const char *text)
+{
+	json_error_t error;
+	json_t *spec = json_loads(text, 0, &error);
+	struct name deployment;
+	bool good;
+
+	name_set(&deployment, str_from("main"));
+	good = platform_config_read(spec, &deployment, manifest);
+	json_decref(spec);
+	return good;
+}
+
+/* What goes out as text must come back as the same manifest. */
+static void assert_accepted(const struct manifest *manifest)
+{
+	struct manifest again;
+	struct status status;
+	struct strbuf text;
+
+	strbuf_init(&text);
+	manifest_init(&again);
+	status_init(&status);
+	manifest_write(manifest, &text);
+	g_assert_cmpint(manifest_parse(&again, strbuf_str(&text), "m", &status),
+			==, STATUS_OK);
+	g_assert_cmpuint(again.n_routes, ==, manifest->n_routes);
+	g_assert_cmpuint(again.n_services, ==, manifest->n_services);
+	g_assert_cmpint(again.release, ==, manifest->release);
+	manifest_finish(&again);
+	strbuf_finish(&text);
+}
+
+static void test_config(void)
+{
+	struct manifest manifest;
+	const struct route *route;
+
+	g_assert_true(read_config(
+		&manifest,
+		"{\"version\":7," SERVICES ",\"routes\":[{\"name\":\"r\","
+		"\"host\":\"198.18.0.1\",\"path_prefix\":\"/8443/\","
+		"\"type\":\"safe\",\"timeout_ms\":1000,\"objective_ms\":150,"
+		"\"priority\":2,\"backends\":[{\"service\":\"a\",\"weight\":90},"
+		"{\"service\":\"b\",\"weight\":10}]},{\"name\":\"u\","
+		"\"host\":\"198.18.0.1\",\"path_prefix\":\"/80/\","
+		"\"type\":\"upload\",\"service\":\"b\"}]}"));
+	g_assert_cmpint(manifest.release, ==, 7);
+	g_assert_cmpint(manifest.services[0].cold_per_s, ==, 2);
+	g_assert_cmpint(manifest.services[0].idle_timeout_s, ==, 15);
+	g_assert_cmpint(manifest.services[1].connections, ==, 100);
+	route = &manifest.routes[0];
+	g_assert_cmpint(route->port, ==, 8443);
+	g_assert_cmpint(route->kind, ==, ROUTE_SAFE);
+	g_assert_cmpint(route->objective_ms, ==, 150);
+	g_assert_cmpuint(route->n_backends, ==, 2);
+	g_assert_cmpint(route->backends[0].weight, ==, 90);
+	g_assert_cmpint(manifest.routes[1].kind, ==, ROUTE_UPLOAD);
+	assert_accepted(&manifest);
+	manifest_finish(&manifest);
+}
+
+#define ROUTE(name, host, prefix, type, service)                     \
+	"{\"version\":3," SERVICES ",\"routes\":[{\"name\":" name    \
+	",\"host\":" host ",\"path_prefix\":" prefix ",\"type\":"    \
+	type ",\"service\":" service "},{\"name\":\"good\","         \
+	"\"host\":\"198.18.0.9\",\"path_prefix\":\"/9/\","           \
+	"\"type\":\"safe\",\"service\":\"a\"}]}"
+
+/* A part that can't be read is left out, the others stay in force. */
+static void test_config_parts(void)
+{
+	static const char *const bad[] = {
+		ROUTE("7", "\"198.18.0.1\"", "\"/80/\"", "\"safe\"", "\"a\""),
+		ROUTE("\"r\"", "\"here\"", "\"/80/\"", "\"safe\"", "\"a\""),
+		ROUTE("\"r\"", "null", "\"/80/\"", "\"safe\"", "\"a\""),
+		ROUTE("\"r\"", "\"198.18.0.1\"", "\"/\"", "\"safe\"", "\"a\""),
+		ROUTE("\"r\"", "\"198.18.0.1\"", "\"/80\"", "\"safe\"",
+		      "\"a\""),
+		ROUTE("\"r\"", "\"198.18.0.1\"", "\"/70000/\"", "\"safe\"",
+		      "\"a\""),
+		ROUTE("\"r\"", "\"198.18.0.1\"", "\"/80/\"", "\"safe\"",
+		      "\"c\""),
+		ROUTE("\"r\"", "\"198.18.0.1\"", "\"/80/\"", "\"safe\"", "{}"),
+	};
+	struct manifest manifest;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_assert_true(read_config(&manifest, bad[i]));
+		g_assert_cmpuint(manifest.n_routes, ==, 1);
+		g_assert_cmpstr(manifest.routes[0].name.data, ==, "good");
+		assert_accepted(&manifest);
+		manifest_finish(&manifest);
+	}
+	/* An unknown kind must not be repeated. */
+	g_assert_true(read_config(&manifest,
+				  ROUTE("\"r\"", "\"198.18.0.1\"", "\"/80/\"",
+					"\"new\"", "\"a\"")));
+	g_assert_cmpint(manifest.routes[0].kind, ==, ROUTE_UNSAFE);
+	manifest_finish(&manifest);
+	g_assert_false(read_config(&manifest, "{\"version\":\"7\"}"));
+	manifest_finish(&manifest);
+	g_assert_false(read_config(&manifest, "[]"));
+	manifest_finish(&manifest);
+}
+
+static void test_config_large(void)
+{
+	GString *text = g_string_new("{\"version\":9," SERVICES ",\"routes\":[");
+	struct manifest manifest;
+
+	for (int i = 0; i < 360; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"name\":\"r%d\",\"host\":\"198.18.%d.%d\","
+			"\"path_prefix\":\"/443/\",\"type\":\"safe\","
+			"\"timeout_ms\":1000,\"objective_ms\":100,"
+			"\"priority\":1,\"service\":\"%s\"}",
+			i ? "," : "", i, i / 250, i % 250, i % 2 ? "a" : "b");
+	g_string_append(text, "]}");
+	g_assert_true(read_config(&manifest, text->str));
+	g_assert_cmpuint(manifest.n_routes, ==, 360);
+	assert_accepted(&manifest);
+	manifest_finish(&manifest);
+	g_string_free(text, TRUE);
+}
+
+static void test_calls(void)
+{
+	static const struct {
+		enum store_op op;
+		const char *key, *after, *method, *path;
+		int64_t version;
+	} cases[] = {
+		{STORE_OP_GET, "tarragonflow/main/manifest", "", "GET",
+		 "/-/objects/config/main", 0},
+		{STORE_OP_LIST, "tarragonflow/main/manifest", "", "GET",
+		 "/-/objects/config", 0},
+		{STORE_OP_WATCH, "tarragonflow/main/manifest", "", "GET",
+		 "/-/objects/config?watch=5&wait_ms=3000", 5},
+		{STORE_OP_LIST, "tarragonflow/main/zones/", "tas-a", "GET",
+		 "/-/objects/evacuations?after=tas-a", 0},
+		{STORE_OP_WATCH, "tarragonflow/main/zones/", "", "GET",
+		 "/-/objects/evacuations?watch=9&wait_ms=3000", 9},
+		{STORE_OP_GET, "tarragonflow/main/roster/0f", "", "GET",
+		 "/-/objects/tarragonflow-roster/0f", 0},
+		{STORE_OP_PUT, "tarragonflow/main/roster/0f", "", "POST",
+		 "/-/objects/tarragonflow-roster", 0},
+		{STORE_OP_PUT, "tarragonflow/main/roster/0f", "", "PUT",
+		 "/-/objects/tarragonflow-roster/0f", 7},
+		{STORE_OP_DELETE, "tarragonflow/main/roster/0f", "", "DELETE",
+		 "/-/objects/tarragonflow-roster/0f?rev=7", 7},
+		/* What the operator writes is not ours to write. */
+		{STORE_OP_PUT, "tarragonflow/main/manifest", "", NULL, NULL, 1},
+		{STORE_OP_PUT, "tarragonflow/main/zones/z", "", NULL, NULL, 0},
+		{STORE_OP_GET, "somebody/else", "", NULL, NULL, 0},
+		{STORE_OP_GET, "tarragonflow/main", "", NULL, NULL, 0},
+	};
+	struct store_request request;
+	struct http_call call;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		memset(&call, 0, sizeof(call));
+		store_request_init(&request, cases[i].op, cases[i].key);
+		request.version = cases[i].version;
+		request.timeout_ms = 3000;
+		strbuf_add(&request.value, "{}", 2);
+		g_assert_cmpint(http_dialect_platform.write_call(
+					&request, cases[i].after, &call),
+				==, cases[i].method != NULL);
+		if (cases[i].method) {
+			g_assert_cmpstr(call.method, ==, cases[i].method);
+			g_assert_cmpstr(call.path, ==, cases[i].path);
+		}
+		g_assert_cmpint(call.body.len > 0, ==,
+				cases[i].op == STORE_OP_PUT &&
+					cases[i].method != NULL);
+		strbuf_finish(&call.body);
+		store_request_finish(&request);
+	}
+}
+
+static void answer(enum store_op op, const char *key, long code,
+		   const char *body, struct store_result *result, char *after)
+{
+	struct store_request request;
+
+	store_request_init(&request, op, key);
+	request.version = 4;
+	store_result_init(result, &request);
+	*after = '\0';
+	http_dialect_platform.read_answer(&request, code, str_from(body),
+					  result, after);
+	store_request_finish(&request);
+}
+
+static void test_codes(void)
+{
+	static const struct {
+		enum store_op op;
+		long code;
+		enum status_code status;
+	} cases[] = {
+		{STORE_OP_GET, 404, STATUS_NOT_FOUND},
+		{STORE_OP_PUT, 404, STATUS_CONFLICT},
+		{STORE_OP_PUT, 409, STATUS_CONFLICT},
+		{STORE_OP_WATCH, 410, STATUS_GONE},
+		/* These promise that nothing was done. */
+		{STORE_OP_PUT, 429, STATUS_UNAVAILABLE},
+		{STORE_OP_PUT, 503, STATUS_UNAVAILABLE},
+		{STORE_OP_PUT, 500, STATUS_UNKNOWN},
+		{STORE_OP_GET, 500, STATUS_UNAVAILABLE},
+		{STORE_OP_GET, 400, STATUS_INVALID},
+		{STORE_OP_PUT, 413, STATUS_INVALID},
+		/* Bytes that can't be read. */
+		{STORE_OP_GET, 200, STATUS_UNAVAILABLE},
+		{STORE_OP_PUT, 200, STATUS_UNKNOWN},
+	};
+	struct store_result result;
+	char after[STORE_KEY_MAX];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		answer(cases[i].op, "tarragonflow/main/roster/00",
+		       cases[i].code, "\xff no json", &result, after);
+		g_assert_cmpint(result.status.code, ==, cases[i].status);
+		store_result_finish(&result);
+	}
+}
+
+static void test_zones_answer(void)
+{
+	struct store_result result;
+	char after[STORE_KEY_MAX];
+
+	answer(STORE_OP_LIST, "tarragonflow/main/zones/", 200,
+	       "{\"items\":[{\"meta\":{\"name\":\"tas-a\",\"rev\":8},"
+	       "\"spec\":{}},{\"meta\":7},{\"meta\":{\"name\":\"tas-b\","
+	       "\"rev\":9,\"deleting\":true},\"spec\":{}}],"
+	       "\"has_more\":true,\"current_rev\":12}",
+	       &result, after);
+	g_assert_cmpstr(after, ==, "tas-b");
+	g_assert_cmpint(result.version, ==, 12);
+	g_assert_cmpuint(result.n_objects, ==, 2);
+	g_assert_cmpstr(result.objects[0].key, ==,
+			"tarragonflow/main/zones/tas-a");
+	g_assert_cmpint(result.objects[0].version, ==, 8);
+	g_assert_false(result.objects[0].deleted);
+	g_assert_true(result.objects[1].deleted);
+	store_result_finish(&result);
+	answer(STORE_OP_WATCH, "tarragonflow/main/zones/", 200,
+	       "{\"events\":[{\"deleted\":true,\"object\":{\"meta\":{\"name\":"
+	       "\"tas-a\",\"rev\":8}}},{\"deleted\":false}],"
+	       "\"current_rev\":15}",
+	       &result, after);
+	g_assert_cmpuint(result.n_objects, ==, 1);
+	g_assert_true(result.objects[0].deleted);
+	g_assert_cmpint(result.version, ==, 15);
+	store_result_finish(&result);
+}
+
+static void test_config_answer(void)
+{
+	static const char *const bodies[] = {
+		/* An entry of another writer beside the operator's. */
+		"{\"items\":[{\"meta\":{\"name\":\"other\",\"rev\":3},"
+		"\"spec\":{\"version\":99}},{\"meta\":{\"name\":\"main\","
+		"\"rev\":4},\"spec\":{\"version\":7," SERVICES "}}],"
+		"\"has_more\":false,\"current_rev\":5}",
+		/* A configuration that can't be read changes nothing. */
+		"{\"items\":[{\"meta\":{\"name\":\"main\",\"rev\":4},"
+		"\"spec\":{\"version\":null}}],\"has_more\":false,"
+		"\"current_rev\":5}",
+	};
+	struct manifest manifest;
+	struct store_result result;
+	struct status status;
+	char after[STORE_KEY_MAX];
+
+	answer(STORE_OP_LIST, "tarragonflow/main/manifest", 200, bodies[0],
+	       &result, after);
+	g_assert_cmpuint(result.n_objects, ==, 1);
+	manifest_init(&manifest);
+	status_init(&status);
+	g_assert_cmpint(manifest_parse(&manifest,
+				       strbuf_str(&result.objects[0].value),
+				       "m", &status),
+			==, STATUS_OK);
+	g_assert_cmpint(manifest.release, ==, 7);
+	manifest_finish(&manifest);
+	store_result_finish(&result);
+	answer(STORE_OP_LIST, "tarragonflow/main/manifest", 200, bodies[1],
+	       &result, after);
+	g_assert_cmpuint(result.n_objects, ==, 0);
+	g_assert_cmpint(result.version, ==, 5);
+	store_result_finish(&result);
+}
+
+/* Our own values come back as they were, up to the largest. */
+static void test_large_value(void)
+{
+	struct store_request request;
+	struct http_call call = {0};
+	struct store_result result;
+	char after[STORE_KEY_MAX] = "";
+	GString *value = g_string_new(NULL);
+
+	while (value->len < STORE_VALUE_MAX - 100)
+		g_string_append(value, "{\"name\":\"a \\\"quoted\\\" one\"},");
+	store_request_init(&request, STORE_OP_PUT,
+			   "tarragonflow/main/roster/0f");
+	strbuf_add(&request.value, value->str, value->len);
+	g_assert_true(
+		http_dialect_platform.write_call(&request, after, &call));
+	store_result_init(&result, &request);
+	http_dialect_platform.read_answer(
+		&request, 200, strbuf_str(&call.body), &result, after);
+	g_assert_cmpuint(result.n_objects, ==, 1);
+	g_assert_cmpmem(result.objects[0].value.data,
+			result.objects[0].value.len, value->str, value->len);
+	store_result_finish(&result);
+	store_request_finish(&request);
+	strbuf_finish(&call.body);
+	g_string_free(value, TRUE);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform/head-example", test_head_example);
+	g_test_add_func("/platform/head-malformed", test_head_malformed);
+	g_test_add_func("/platform/head-mark", test_head_mark);
+	g_test_add_func("/platform/announcement", test_announcement);
+	g_test_add_func("/platform/names", test_names);
+	g_test_add_func("/platform/config", test_config);
+	g_test_add_func("/platform/config-parts", test_config_parts);
+	g_test_add_func("/platform/config-large", test_config_large);
+	g_test_add_func("/platform/calls", test_calls);
+	g_test_add_func("/platform/codes", test_codes);
+	g_test_add_func("/platform/zones-answer", test_zones_answer);
+	g_test_add_func("/platform/config-answer", test_config_answer);
+	g_test_add_func("/platform/large-value", test_large_value);
+	return g_test_run();
+}
