--- a/admin/admin.c
+++ b/admin/admin.c
@@ -195,13 +195,8 @@
 	struct mg_callbacks callbacks = {0};
 	char ports[PORTS_MAX] = "";
 	const char *options[] = {
-		"listening_ports",
-		ports,
-		"num_threads",
-		"4",
-		"enable_directory_listing",
-		"no",
-		NULL,
+		"listening_ports",	    ports, "num_threads", "4",
+		"enable_directory_listing", "no",  NULL,
 	};
 
 	add_port(ports, &node->settings->admin);
--- a/admit/admit.c
+++ b/admit/admit.c
@@ -52,16 +52,15 @@
 	admit->back_off_ms = BACK_OFF_MIN_MS;
 }
 
-void admit_report(struct admit *admit, uint32_t slots, int64_t cold_left_ms,
+void admit_report(struct admit *admit, uint32_t slots, int64_t warm_in_ms,
 		  int64_t cold_per_s, int64_t now_ms)
 {
 	admit->reported = true;
 	admit->slots_max = MAX(slots, 1);
 	admit->limit = admit->connections_max;
-	admit->cold_until_ms = now_ms + cold_left_ms;
-	admit->cold_gap_ms = cold_per_s ? (MS_PER_S + cold_per_s - 1) /
-						  cold_per_s
-					: 0;
+	admit->cold_until_ms = now_ms + warm_in_ms;
+	admit->cold_gap_ms =
+		cold_per_s ? (MS_PER_S + cold_per_s - 1) / cold_per_s : 0;
 }
 
 void admit_running(struct admit *admit, int change, int64_t now_ms)
@@ -268,8 +267,7 @@
 static uint64_t busy_load(const struct admit *admit, int64_t now_ms)
 {
 	double keep = exp(-(double)(now_ms - admit->mean_ms) / MEAN_MS);
-	double mean =
-		keep * admit->mean_running + (1 - keep) * admit->running;
+	double mean = keep * admit->mean_running + (1 - keep) * admit->running;
 	double busy = (mean + admit->running) / 2 / admit->slots_max;
 
 	if (now_ms < admit->cold_until_ms)
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -154,8 +154,8 @@
 		};
 
 		if (object->deleted)
-			order.version = (uint64_t)MAX(result->version,
-						      object->version);
+			order.version =
+				(uint64_t)MAX(result->version, object->version);
 		if (slash && name_set(&order.zone, str_from(slash + 1)))
 			zone_orders_take(orders, &order);
 	}
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -70,9 +70,8 @@
 	sync->heard_ms = INT64_MIN;
 	sync->next_choice_ms = now_ms + START_GRACE_MS;
 	if (options->platform_is_current)
-		sync->next_choice_ms =
-			now_ms +
-			(int64_t)platform_random_below(sync, START_SPREAD_MS);
+		sync->next_choice_ms = now_ms + (int64_t)platform_random_below(
+							sync, START_SPREAD_MS);
 	sync->acting_until_ms = now_ms;
 	sync->probe_ms = CLOCK_NEVER;
 	sync->behind_ms = CLOCK_NEVER;
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -340,10 +340,10 @@
 {
 	const struct route_view *route = view_route(agent->view, &packet->key);
 
-	return route && view_route_leads(agent->view, route,
-					 agent->service_id) &&
-	       (!agent->server.heard || server_watch_holds(&agent->server,
-							   now_ms));
+	return route &&
+	       view_route_leads(agent->view, route, agent->service_id) &&
+	       (!agent->server.heard ||
+		server_watch_holds(&agent->server, now_ms));
 }
 
 static void handle_foreign(struct agent *agent, struct packet_header *header,
@@ -659,7 +659,7 @@
 	agent->service_id = service_id(&report->service);
 	if (agent->view)
 		agent->service = view_service(agent->view, agent->service_id);
-	admit_report(&agent->admit, report->slots, report->cold_left_ms,
+	admit_report(&agent->admit, report->slots, report->warm_in_ms,
 		     cold_per_s(agent), now_ms);
 	if (report->state == SERVER_READY)
 		admit_undrain(&agent->admit);
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -255,7 +255,7 @@
 		if (!(header->unsure & (1U << i)))
 			continue;
 		header->asking = true;
-		header->unsure &= (uint8_t)~(1U << i);
+		header->unsure &= (uint8_t) ~(1U << i);
 		return i;
 	}
 	return NO_CANDIDATE;
@@ -344,8 +344,7 @@
 	header->position = (uint8_t)mark_take(&mark, MARK_POSITION_BITS);
 	header->asking = mark_take(&mark, 1);
 	header->doubt = mark_take(&mark, 1);
-	header->services_tried =
-		(uint8_t)mark_take(&mark, MARK_SERVICES_BITS);
+	header->services_tried = (uint8_t)mark_take(&mark, MARK_SERVICES_BITS);
 	if (mark)
 		restart = true;
 	header->service_id = agent->service_id;
--- a/flow/handover.c
+++ b/flow/handover.c
@@ -66,8 +66,8 @@
 	       record->service_address.len == sizeof(struct ip_addr) &&
 	       record->port <= UINT16_MAX &&
 	       record->service_port <= UINT16_MAX &&
-	       record->state > FLOW_FREE &&
-	       record->state <= FLOW_CLOSING && record->bits <= UINT8_MAX;
+	       record->state > FLOW_FREE && record->state <= FLOW_CLOSING &&
+	       record->bits <= UINT8_MAX;
 }
 
 static bool message_valid(const struct agent *agent,
--- a/flow/server_report.c
+++ b/flow/server_report.c
@@ -16,7 +16,6 @@
 	if (report->started_ms && known->started_ms &&
 	    report->started_ms != known->started_ms)
 		return report->started_ms < known->started_ms;
-	return !strcmp(report->id, known->id) &&
-	       report->state != SERVER_GONE &&
+	return !strcmp(report->id, known->id) && report->state != SERVER_GONE &&
 	       report->sequence < known->sequence;
 }
--- a/flow/server_watch.c
+++ b/flow/server_watch.c
@@ -48,5 +48,5 @@
 {
 	if (!watch->heard)
 		return 0;
-	return MAX(watch->heard_ms + watch->report.cold_left_ms - now_ms, 0);
+	return MAX(watch->heard_ms + watch->report.warm_in_ms - now_ms, 0);
 }
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -67,7 +67,8 @@
 	int64_t next_cold_ms;
 	/** Requests that wait for an answer or run. */
 	uint32_t running;
-	/** Their mean over about a second, and when it was computed last, ms. */
+	/** Their mean over about a second, and when it was computed last, ms.
+	 */
 	double mean_running;
 	int64_t mean_ms;
 };
@@ -82,10 +83,10 @@
 		uint32_t slots_max, int64_t now_ms);
 
 /**
- * Takes the server's word: @slots requests at once, cold for @cold_left_ms,
+ * Takes the server's word: @slots requests at once, cold for @warm_in_ms,
  * and while cold @cold_per_s new connections a second (0: no limit known).
  */
-void admit_report(struct admit *admit, uint32_t slots, int64_t cold_left_ms,
+void admit_report(struct admit *admit, uint32_t slots, int64_t warm_in_ms,
 		  int64_t cold_per_s, int64_t now_ms);
 
 /** A request began (@change 1) or ended (-1) at the server. */
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -29,7 +29,8 @@
 	struct admit admit;
 	/** The server's own word on itself, where servers report. */
 	struct server_watch server;
-	/** Since when the server owes a packet, ms; CLOCK_NEVER: it does not. */
+	/** Since when the server owes a packet, ms; CLOCK_NEVER: it does not.
+	 */
 	int64_t owed_since_ms;
 	/** No doubt about the server is raised before this time, ms. */
 	int64_t next_doubt_ms;
@@ -83,7 +84,8 @@
 	bool server_reports;
 	/** Time for which a report holds, ms. */
 	int64_t report_lease_ms;
-	/** Longest life of a connection, ms; 0 where none outlives its agent. */
+	/** Longest life of a connection, ms; 0 where none outlives its agent.
+	 */
 	int64_t flow_lifetime_ms;
 	/** Balancers choose backend servers by load. */
 	bool tells_balancers;
--- a/include/tarragonflow/flow/server_report.h
+++ b/include/tarragonflow/flow/server_report.h
@@ -37,7 +37,7 @@
 	/** Requests that it runs at once. */
 	uint32_t slots;
 	/** Time that it still needs to warm up, ms. */
-	int64_t cold_left_ms;
+	int64_t warm_in_ms;
 };
 
 /** Whether @report comes from another start of a server than @known. */
--- a/include/tarragonflow/net/packet.h
+++ b/include/tarragonflow/net/packet.h
@@ -96,7 +96,8 @@
 	uint8_t unsure;
 	/** Set while the servers of unsure candidates are asked. */
 	bool asking;
-	/** An agent that may not know all connections could not ask its server. */
+	/** An agent that may not know all connections could not ask its server.
+	 */
 	bool doubt;
 	/** Services that were searched before this one. */
 	uint8_t services_tried;
--- a/include/tarragonflow/node/adapter.h
+++ b/include/tarragonflow/node/adapter.h
@@ -31,8 +31,8 @@
 	/** The object store's answers are current, never stale copies. */
 	bool store_is_current;
 	/**
-	 * Nothing outlives a process there, and nobody serves in its place until
-	 * the next one runs: it ends without tidying up.
+	 * Nothing outlives a process there, and nobody serves in its place
+	 * until the next one runs: it ends without tidying up.
 	 */
 	bool ends_at_once;
 };
--- a/manifest/manifest.c
+++ b/manifest/manifest.c
@@ -293,10 +293,9 @@
 	route->n_backends = json_array_size(array);
 	for (size_t i = 0; i < route->n_backends; i++) {
 		snprintf(item, sizeof(item), "%s.backends[%zu]", path, i);
-		json_reader_object(json_array_get(array, i), item,
-				   manifest_backend_fields,
-				   manifest_n_backend_fields,
-				   &route->backends[i], errors);
+		json_reader_object(
+			json_array_get(array, i), item, manifest_backend_fields,
+			manifest_n_backend_fields, &route->backends[i], errors);
 	}
 }
 
@@ -396,9 +395,8 @@
 			    struct json_errors *errors)
 {
 	size_t n = 0;
-	struct entrance *all =
-		g_new(struct entrance, manifest->n_services +
-					       manifest->n_routes);
+	struct entrance *all = g_new(struct entrance,
+				     manifest->n_services + manifest->n_routes);
 	char path[PATH_MAX_BYTES];
 
 	for (size_t i = 0; i < manifest->n_services; i++)
@@ -433,15 +431,14 @@
 
 	if (!route->n_backends) {
 		snprintf(path, sizeof(path), "routes[%zu].backends", i);
-		json_errors_add(errors, path,
-				"found none, allowed are 1 to %d",
+		json_errors_add(errors, path, "found none, allowed are 1 to %d",
 				ROUTE_BACKENDS_MAX);
 	}
 	for (size_t j = 0; j < route->n_backends; j++) {
 		if (manifest_service(manifest, &route->backends[j].service))
 			continue;
-		snprintf(path, sizeof(path), "routes[%zu].backends[%zu].service",
-			 i, j);
+		snprintf(path, sizeof(path),
+			 "routes[%zu].backends[%zu].service", i, j);
 		json_errors_add(errors, path,
 				"found \"%s\", allowed is the name of a "
 				"service",
@@ -607,14 +604,13 @@
 			json_pack("{s:s,s:I}", "service",
 				  route->backends[i].service.data, "weight",
 				  (json_int_t)route->backends[i].weight));
-	return json_pack("{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:o}", "name",
-			 route->name.data, "address",
-			 ip_addr_format(&route->address, address), "port",
-			 (json_int_t)route->port, "kind",
-			 route_kinds[route->kind], "priority",
-			 (json_int_t)route->priority, "timeout_ms",
-			 (json_int_t)route->timeout_ms, "objective_ms",
-			 (json_int_t)route->objective_ms, "backends", backends);
+	return json_pack(
+		"{s:s,s:s,s:I,s:s,s:I,s:I,s:I,s:o}", "name", route->name.data,
+		"address", ip_addr_format(&route->address, address), "port",
+		(json_int_t)route->port, "kind", route_kinds[route->kind],
+		"priority", (json_int_t)route->priority, "timeout_ms",
+		(json_int_t)route->timeout_ms, "objective_ms",
+		(json_int_t)route->objective_ms, "backends", backends);
 }
 
 void manifest_write(const struct manifest *manifest, struct strbuf *out)
@@ -637,8 +633,8 @@
 		json_t *routes = json_array();
 
 		for (size_t i = 0; i < manifest->n_routes; i++)
-			json_array_append_new(
-				routes, route_json(&manifest->routes[i]));
+			json_array_append_new(routes,
+					      route_json(&manifest->routes[i]));
 		json_object_set_new(root, "routes", routes);
 	}
 	text = json_dumps(root, JSON_COMPACT);
--- a/node/node.c
+++ b/node/node.c
@@ -240,8 +240,8 @@
 			   const struct adapter *adapter, struct status *status)
 {
 	struct control_options options;
-	bool unheard =
-		adapter->servers_report && settings->role == MEMBER_AGENT;
+	bool unheard = adapter->servers_report &&
+		       settings->role == MEMBER_AGENT;
 	/* Takes nothing new until its backend server has reported. */
 	enum member_state state = unheard ? MEMBER_DRAINING : MEMBER_ACTIVE;
 
@@ -391,9 +391,9 @@
 
 	log_event(LOG_LEVEL_INFO, "server",
 		  "id=%s service=%s state=%s refused=%d slots=%u "
-		  "cold_left_ms=%lld started_ms=%llu sequence=%llu",
+		  "warm_in_ms=%lld started_ms=%llu sequence=%llu",
 		  report->id, report->service.data, states[report->state],
-		  report->refused, report->slots, (long long)report->cold_left_ms,
+		  report->refused, report->slots, (long long)report->warm_in_ms,
 		  (unsigned long long)report->started_ms,
 		  (unsigned long long)report->sequence);
 }
@@ -410,8 +410,7 @@
 	       server_report_restarted(report, &node->server.report);
 	if (server_watch_take(&node->server, report, clock_now(&node->clock)) !=
 	    SERVER_LATE) {
-		struct server_report *copy =
-			g_memdup2(report, sizeof(*report));
+		struct server_report *copy = g_memdup2(report, sizeof(*report));
 
 		taken = ring_push(&node->reports, copy);
 		if (!taken)
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -382,8 +382,7 @@
 		return status->code;
 	if (node->settings->fabric_listen.port &&
 	    packet_edge_init_udp(&duty->fabric, &node->settings->fabric_listen,
-				 &node->settings->fabric,
-				 status) != STATUS_OK)
+				 &node->settings->fabric, status) != STATUS_OK)
 		return status->code;
 	if (is_agent(duty) && init_agent(duty, status) != STATUS_OK)
 		return status->code;
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -135,8 +135,8 @@
 static uint8_t first_heard(const struct balancer *balancer,
 			   const struct packet_header *header, int64_t now_ms)
 {
-	for (uint8_t i = 0; balancer->places_by_load && i < header->n_candidates;
-	     i++)
+	for (uint8_t i = 0;
+	     balancer->places_by_load && i < header->n_candidates; i++)
 		if (now_ms - peer_load_heard_ms(&balancer->loads,
 						header->candidates[i].member_id,
 						INT64_MIN / 2) <=
@@ -214,9 +214,8 @@
 	header.origin = balancer->origin;
 	header.bucket = (uint32_t)hash & (service->n_buckets - 1);
 	view_chain(service, header.bucket, &header);
-	header.position =
-		first_position(balancer, service, &header, packet, hash,
-			       now_ms);
+	header.position = first_position(balancer, service, &header, packet,
+					 hash, now_ms);
 	counter_inc(balancer->counters, COUNTER_PACKET_FORWARDED);
 	sink->to_peer(sink, &header.candidates[header.position].data, &header,
 		      packet->data, packet->len);
--- a/store/http_dialect.c
+++ b/store/http_dialect.c
@@ -38,8 +38,7 @@
 }
 
 /* The body of a PUT: the value as text beside the write's token. */
-static void write_body(const struct store_request *request,
-		       struct strbuf *body)
+static void write_body(const struct store_request *request, struct strbuf *body)
 {
 	json_t *root = json_pack("{s:s,s:s%}", "token", request->token, "value",
 				 request->value.data, request->value.len);
--- a/store/http_store.c
+++ b/store/http_store.c
@@ -189,8 +189,8 @@
 	http->counters = counters;
 	http->curl = curl_easy_init();
 	http->multi = curl_multi_init();
-	http->headers = curl_slist_append(NULL,
-					  "Content-Type: application/json");
+	http->headers =
+		curl_slist_append(NULL, "Content-Type: application/json");
 	atomic_init(&http->cancelled, false);
 	g_strlcpy(http->url, url, sizeof(http->url));
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -23,8 +23,8 @@
 	char text[IP_ADDR_TEXT_MAX];
 	/* The answer that the pages show: a reset of our own. */
 	static const uint8_t reset[HEAD_BYTES] = {
-		0x01, 0x00, 0x12, 0xc6, 0x41, 0x9c, 0xbb, 0x01,
-		0x07, 0x00, 0x40, 0x64, 0x00, 0x00, 0x00, 0x00, 0x40,
+		0x01, 0x00, 0x12, 0xc6, 0x41, 0x9c, 0xbb, 0x01, 0x07,
+		0x00, 0x40, 0x64, 0x00, 0x00, 0x00, 0x00, 0x40,
 	};
 
 	g_assert_true(format->parse(&packet, page_syn, sizeof(page_syn)));
@@ -98,11 +98,11 @@
 	g_assert_cmpmem(data, sizeof(data), page_syn, sizeof(page_syn));
 }
 
-#define BEAT(service, state, slots, cold, sequence)                         \
-	"{\"service\":" service ",\"address\":\"10.0.0.9:80\","             \
-	"\"zone\":\"z\",\"version\":\"v1\",\"slots\":" slots ",\"state\":"  \
-	state ",\"cold_left_ms\":" cold ",\"sequence\":" sequence           \
-	",\"born\":1700000000000}"
+#define BEAT(service, state, slots, cold, sequence)             \
+	"{\"service\":" service ",\"address\":\"10.0.0.9:80\"," \
+	"\"zone\":\"z\",\"version\":\"v1\",\"slots\":" slots    \
+	",\"state\":" state ",\"cold_left_ms\":" cold           \
+	",\"sequence\":" sequence ",\"born\":1700000000000}"
 
 static void test_announcement(void)
 {
@@ -171,9 +171,9 @@
 	g_assert_false(platform_name(&a, NULL));
 }
 
-#define SERVICES                                                           \
+#define SERVICES                                                                \
 	"\"services\":[{\"name\":\"a\",\"max_conns\":2000,\"cold_per_s\":2.5}," \
-	"{\"name\":\"b\",\"max_conns\":100}],"                             \
+	"{\"name\":\"b\",\"max_conns\":100}],"                                  \
 	"\"limits\":{\"idle_timeout_ms\":15000}"
 
 static bool read_config(struct manifest *manifest, const char *text)
@@ -238,11 +238,11 @@
 	manifest_finish(&manifest);
 }
 
-#define ROUTE(name, host, prefix, type, service)                     \
-	"{\"version\":3," SERVICES ",\"routes\":[{\"name\":" name    \
-	",\"host\":" host ",\"path_prefix\":" prefix ",\"type\":"    \
-	type ",\"service\":" service "},{\"name\":\"good\","         \
-	"\"host\":\"198.18.0.9\",\"path_prefix\":\"/9/\","           \
+#define ROUTE(name, host, prefix, type, service)                       \
+	"{\"version\":3," SERVICES ",\"routes\":[{\"name\":" name      \
+	",\"host\":" host ",\"path_prefix\":" prefix ",\"type\":" type \
+	",\"service\":" service "},{\"name\":\"good\","                \
+	"\"host\":\"198.18.0.9\",\"path_prefix\":\"/9/\","             \
 	"\"type\":\"safe\",\"service\":\"a\"}]}"
 
 /* A part that can't be read is left out, the others stay in force. */
@@ -271,9 +271,9 @@
 		manifest_finish(&manifest);
 	}
 	/* An unknown kind must not be repeated. */
-	g_assert_true(read_config(&manifest,
-				  ROUTE("\"r\"", "\"198.18.0.1\"", "\"/80/\"",
-					"\"new\"", "\"a\"")));
+	g_assert_true(
+		read_config(&manifest, ROUTE("\"r\"", "\"198.18.0.1\"",
+					     "\"/80/\"", "\"new\"", "\"a\"")));
 	g_assert_cmpint(manifest.routes[0].kind, ==, ROUTE_UNSAFE);
 	manifest_finish(&manifest);
 	g_assert_false(read_config(&manifest, "{\"version\":\"7\"}"));
@@ -284,7 +284,8 @@
 
 static void test_config_large(void)
 {
-	GString *text = g_string_new("{\"version\":9," SERVICES ",\"routes\":[");
+	GString *text =
+		g_string_new("{\"version\":9," SERVICES ",\"routes\":[");
 	struct manifest manifest;
 
 	for (int i = 0; i < 360; i++)
@@ -487,11 +488,10 @@
 	store_request_init(&request, STORE_OP_PUT,
 			   "tarragonflow/main/roster/0f");
 	strbuf_add(&request.value, value->str, value->len);
-	g_assert_true(
-		http_dialect_platform.write_call(&request, after, &call));
+	g_assert_true(http_dialect_platform.write_call(&request, after, &call));
 	store_result_init(&result, &request);
-	http_dialect_platform.read_answer(
-		&request, 200, strbuf_str(&call.body), &result, after);
+	http_dialect_platform.read_answer(&request, 200, strbuf_str(&call.body),
+					  &result, after);
 	g_assert_cmpuint(result.n_objects, ==, 1);
 	g_assert_cmpmem(result.objects[0].value.data,
 			result.objects[0].value.len, value->str, value->len);
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -349,8 +349,7 @@
 			   (int)offers[i].offered);
 		if (offers[i].offered)
 			config_store_offer(&store, str_from(text),
-					   CONFIG_FROM_PEER,
-					   offers[i].at_ms);
+					   CONFIG_FROM_PEER, offers[i].at_ms);
 		config_store_tick(&store, offers[i].at_ms);
 		g_assert_cmpint(config_store_release(&store), ==,
 				offers[i].in_force);
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -232,8 +232,7 @@
 		agent_set_view(&host->agent, &rig->view);
 }
 
-static void add_member(struct rig *rig, unsigned int i,
-		       enum member_state state)
+static void add_member(struct rig *rig, unsigned int i, enum member_state state)
 {
 	struct member member = {
 		.role = MEMBER_AGENT,
@@ -294,9 +293,9 @@
 	memset(rig, 0, sizeof(*rig));
 	status_init(&status);
 	manifest_init(&rig->manifest);
-	g_assert_cmpint(manifest_parse(&rig->manifest, str_from(text), "m",
-				       &status),
-			==, STATUS_OK);
+	g_assert_cmpint(
+		manifest_parse(&rig->manifest, str_from(text), "m", &status),
+		==, STATUS_OK);
 	roster_init(&rig->roster);
 	g_queue_init(&rig->datagrams);
 	rig->n = n;
@@ -823,8 +822,8 @@
 	for (int i = 0; i < 20; i++) {
 		pass_time(&rig, 50);
 		caller_sends(&rig, 1, FLAG_ACK, 10);
-		g_assert_false(agent_doubts_server(&rig.hosts[1].agent,
-						   rig.now_ms));
+		g_assert_false(
+			agent_doubts_server(&rig.hosts[1].agent, rig.now_ms));
 	}
 	rig.hosts[1].alive = false;
 	for (int i = 0; i < 20; i++) {
@@ -845,9 +844,9 @@
 		uint64_t started_ms, sequence;
 		enum server_change change;
 	} cases[] = {
-		{"b", 2, 6, SERVER_SAME},     {"b", 2, 5, SERVER_SAME},
-		{"b", 2, 4, SERVER_LATE},     {"b", 3, 0, SERVER_RESTARTED},
-		{"b", 1, 9, SERVER_LATE},     {"a", 1, 9, SERVER_LATE},
+		{"b", 2, 6, SERVER_SAME},      {"b", 2, 5, SERVER_SAME},
+		{"b", 2, 4, SERVER_LATE},      {"b", 3, 0, SERVER_RESTARTED},
+		{"b", 1, 9, SERVER_LATE},      {"a", 1, 9, SERVER_LATE},
 		{"c", 3, 0, SERVER_RESTARTED}, {"c", 0, 0, SERVER_RESTARTED},
 	};
 	struct server_report first = {
@@ -877,7 +876,7 @@
 		uint64_t version;
 		bool out, changes, after;
 	} steps[] = {
-		{5, true, true, true},   {5, false, false, true},
+		{5, true, true, true},	 {5, false, false, true},
 		{4, false, false, true}, {6, true, false, true},
 		{8, false, true, false}, {7, true, false, false},
 		{9, true, true, true},
