Opening packets wait at the agent for a free slot

Now an agent gives its server as many requests as it runs at once and one more; the others wait, those that can be in time first, by priority, with every fourth turn to the oldest; one that meets a busy agent is handed to one with free slots, once.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -26,8 +26,13 @@
 #define MS_PER_S 1000
 /* Time over which running requests are averaged. */
 #define MEAN_MS 1000.0
-/* All slots busy is a quarter of the load scale: queues show above it. */
-#define SLOTS_IN_SCALE 4
+/* A caller's first request follows its opening packet by two ways. */
+#define REQUEST_FOLLOWS_MS 8
+/* Requests that the server may have beside those in its slots, so that none
+ * of these stands idle for the way of the next opening packet. */
+#define SLOTS_AHEAD 1
+/* Share of the newest answer in the mean, 1/16. */
+#define ANSWER_SHARE 16
 /* A cold server counts as this much slower, and as this busy beforehand. */
 #define COLD_FACTOR 1.6
 #define COLD_EXTRA 0.1
@@ -76,6 +81,24 @@
 		admit->running--;
 }
 
+void admit_opened(struct admit *admit, int64_t now_ms)
+{
+	admit->opened_ms[admit->next_opened++ % ADMIT_OPENED] = now_ms;
+}
+
+bool admit_busy(const struct admit *admit, int64_t now_ms)
+{
+	uint32_t expected = admit->running;
+
+	if (!admit->reported)
+		return false;
+	for (int i = 0; i < ADMIT_OPENED; i++)
+		if (admit->opened_ms[i] &&
+		    now_ms - admit->opened_ms[i] <= REQUEST_FOLLOWS_MS)
+			expected++;
+	return expected >= admit->slots_max + SLOTS_AHEAD;
+}
+
 /* Spreads the connections of a cold server evenly over each second. */
 static bool cold_gate(struct admit *admit, int64_t now_ms)
 {
@@ -212,6 +235,10 @@
 	bool slow = is_slow(admit, took_ms);
 	double ms = MAX((double)took_ms, USUAL_MIN_MS);
 
+	if (admit->mean_answer_ms <= 0)
+		admit->mean_answer_ms = ms;
+	admit->mean_answer_ms += (ms - admit->mean_answer_ms) / ANSWER_SHARE;
+
 	if (slow && now_ms - admit->last_good_ms > ACCEPT_SLOW_MS) {
 		admit->usual_ms = ms;
 		slow = false;
@@ -268,11 +295,12 @@
 {
 	double keep = exp(-(double)(now_ms - admit->mean_ms) / MEAN_MS);
 	double mean = keep * admit->mean_running + (1 - keep) * admit->running;
-	double busy = (mean + admit->running) / 2 / admit->slots_max;
+	double busy = ((mean + admit->running) / 2 + admit->waiting) /
+		      admit->slots_max;
 
 	if (now_ms < admit->cold_until_ms)
 		busy = (busy + COLD_EXTRA) * COLD_FACTOR;
-	return (uint64_t)(busy * PACKET_LOAD_SCALE / SLOTS_IN_SCALE);
+	return (uint64_t)(busy * ADMIT_LOAD_BUSY);
 }
 
 uint16_t admit_load(const struct admit *admit, int64_t now_ms)
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -24,6 +24,8 @@
 #define RESET_BYTES 64
 /* Reports are counted from zero or one at each start of a server. */
 #define FIRST_SEQUENCE 1
+/* Until answers have been timed. */
+#define DEFAULT_ANSWER_MS 50
 /* A server with a few slots answers something within this time. */
 #define DOUBT_MS 250
 
@@ -211,15 +213,13 @@
 	return admit_open(&agent->admit, now_ms);
 }
 
-static void handle_open(struct agent *agent, struct packet_header *header,
-			const struct inner_packet *packet, int64_t now_ms,
-			struct packet_sink *sink)
+static void open_here(struct agent *agent, struct packet_header *header,
+		      const struct inner_packet *packet, int64_t now_ms,
+		      struct packet_sink *sink)
 {
 	enum admit_verdict verdict;
 	struct flow *flow;
 
-	if (agent_place(agent, header, packet, now_ms, sink))
-		return;
 	verdict = ask_admission(agent, now_ms, sink);
 	if (verdict != ADMIT_YES) {
 		count_refusal(agent, verdict);
@@ -243,9 +243,106 @@
 	flow->syn_seq = packet->seq;
 	flow->caller_seq = agent_seq_after(packet);
 	agent_count(agent, COUNTER_FLOW_OPENED);
+	admit_opened(&agent->admit, now_ms);
+	/* The balancer sends what follows straight here. */
+	if (agent->tells_balancers)
+		agent_hint(agent, header, packet, sink);
 	deliver(agent, header, packet, now_ms, sink);
 }
 
+static int64_t answer_ms(const struct agent *agent)
+{
+	double mean = agent->admit.mean_answer_ms;
+
+	return mean > 0 ? (int64_t)mean : DEFAULT_ANSWER_MS;
+}
+
+/* Keeps the packet until the server has a free slot; false when it can't. */
+static bool let_wait(struct agent *agent, const struct inner_packet *packet,
+		     int64_t now_ms)
+{
+	const struct route_view *route = view_route(agent->view, &packet->key);
+	struct waiting entry = {
+		.id = flow_key_hash(&packet->key, packet->seq),
+		.sent_ms = now_ms - packet->sent_ago_ms,
+		.len = (uint16_t)packet->len,
+	};
+
+	if (!route || packet->len > WAITING_BYTES)
+		return false;
+	if (waiting_room_has(&agent->waiting, entry.id))
+		return true;
+	if (waiting_room_hopeless(&agent->waiting, entry.sent_ms, now_ms,
+				  answer_ms(agent), agent->admit.slots_max))
+		return false;
+	entry.objective_ms = route->objective_ms;
+	entry.priority = route->priority;
+	memcpy(entry.data, packet->data, packet->len);
+	if (!waiting_room_put(&agent->waiting, &entry))
+		return false;
+	agent->admit.waiting++;
+	agent_count(agent, COUNTER_OPEN_WAITED);
+	return true;
+}
+
+static bool must_wait(struct agent *agent, int64_t now_ms)
+{
+	return server_watch_opens(&agent->server, now_ms) &&
+	       !agent->admit.draining && agent->server.required &&
+	       (agent->waiting.n || admit_busy(&agent->admit, now_ms));
+}
+
+static void handle_open(struct agent *agent, struct packet_header *header,
+			const struct inner_packet *packet, int64_t now_ms,
+			struct packet_sink *sink)
+{
+	if (agent_place(agent, header, packet, now_ms, sink))
+		return;
+	if (must_wait(agent, now_ms)) {
+		if (agent_relieve(agent, header, packet, now_ms, sink) ||
+		    let_wait(agent, packet, now_ms))
+			return;
+		agent_count(agent, COUNTER_REFUSE_WAIT);
+		agent_pass_on(agent, header, packet, now_ms, sink);
+		return;
+	}
+	open_here(agent, header, packet, now_ms, sink);
+}
+
+/* Parses what waited and takes it up again. */
+static void resume(struct agent *agent, const struct waiting *entry,
+		   bool expired, int64_t now_ms, struct packet_sink *sink)
+{
+	struct packet_header header;
+	struct inner_packet packet;
+
+	agent->admit.waiting--;
+	if (!agent->format->parse(&packet, entry->data, entry->len))
+		return;
+	if (expired) {
+		agent_count(agent, COUNTER_REFUSE_WAITED);
+		agent_reset_caller(agent, &packet, sink);
+	} else if (agent_own_header(agent, &packet, &header)) {
+		open_here(agent, &header, &packet, now_ms, sink);
+	}
+}
+
+void agent_serve_waiting(struct agent *agent, int64_t now_ms,
+			 struct packet_sink *sink)
+{
+	struct waiting entry;
+
+	while (waiting_room_expire(&agent->waiting, now_ms, &entry))
+		resume(agent, &entry, true, now_ms, sink);
+	/* A server that takes nothing more leaves them to the others. */
+	while (agent->waiting.n &&
+	       (!must_wait(agent, now_ms) ||
+		!admit_busy(&agent->admit, now_ms)) &&
+	       waiting_room_take(&agent->waiting, now_ms, answer_ms(agent),
+				 &entry))
+		resume(agent, &entry, false, now_ms, sink);
+}
+
 /* What a flow of the packet's 5-tuple has to do with the packet. */
 enum claim {
 	/** It is of this connection. */
@@ -561,6 +658,7 @@
 
 	admit_tick(&agent->admit, now_ms);
 	refill(agent, now_ms);
+	agent_serve_waiting(agent, now_ms, sink);
 	agent_tell_load(agent, now_ms, sink);
 	for (int i = 0; i < EXPIRY_SLOTS_PER_TICK; i++) {
 		struct flow *flow = &flows->slots[flows->cursor];
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -24,6 +24,10 @@
 #define SILENT_MS 600
 /* A process that stops is back, or told as left, well before this. */
 #define GONE_MS 3000
+/* Most slots are free: an opening packet need not wait there. */
+#define RELIEF_LOAD (ADMIT_LOAD_BUSY * 7 / 10)
+/* What one that was handed over adds until its receiver tells. */
+#define PLACED_LOAD (ADMIT_LOAD_BUSY / 8)
 /* Between two notices to balancers, which place by them. */
 #define NOTICE_INTERVAL_ENTRY_MS 40
 #define NOTICE_PEERS 8
@@ -328,25 +332,15 @@
 	header->asking = false;
 }
 
-bool agent_read_mark(struct agent *agent, const struct inner_packet *packet,
-		     struct packet_header *header)
+bool agent_own_header(struct agent *agent, const struct inner_packet *packet,
+		      struct packet_header *header)
 {
 	const struct service_view *service = agent->service;
-	uint32_t mark = packet->mark;
-	bool restart = false;
 
 	if (!service || !service->n_members)
 		return false;
 	memset(header, 0, sizeof(*header));
-	header->unsure = (uint8_t)mark_take(&mark, MARK_CHAIN_BITS);
-	header->visited = (uint8_t)mark_take(&mark, MARK_CHAIN_BITS);
-	header->hops_left = (uint8_t)mark_take(&mark, MARK_HOPS_BITS);
-	header->position = (uint8_t)mark_take(&mark, MARK_POSITION_BITS);
-	header->asking = mark_take(&mark, 1);
-	header->doubt = mark_take(&mark, 1);
-	header->services_tried = (uint8_t)mark_take(&mark, MARK_SERVICES_BITS);
-	if (mark)
-		restart = true;
+	header->hops_left = PACKET_HOP_BUDGET - 1;
 	header->service_id = agent->service_id;
 	header->config_revision = (uint64_t)agent->view->config_revision;
 	header->roster_version = agent->view->roster_version;
@@ -354,8 +348,33 @@
 	header->placed = true;
 	header->bucket = view_bucket(agent->view, service, &packet->key);
 	view_chain(service, header->bucket, header);
-	if (restart || header->position >= header->n_candidates)
-		begin_here(agent, header);
+	begin_here(agent, header);
+	return true;
+}
+
+bool agent_read_mark(struct agent *agent, const struct inner_packet *packet,
+		     struct packet_header *header)
+{
+	uint32_t mark = packet->mark;
+	uint32_t unsure, visited_before, position;
+	bool asking;
+
+	if (!agent_own_header(agent, packet, header))
+		return false;
+	unsure = mark_take(&mark, MARK_CHAIN_BITS);
+	visited_before = mark_take(&mark, MARK_CHAIN_BITS);
+	header->hops_left = (uint8_t)mark_take(&mark, MARK_HOPS_BITS);
+	position = mark_take(&mark, MARK_POSITION_BITS);
+	asking = mark_take(&mark, 1);
+	header->doubt = mark_take(&mark, 1);
+	header->services_tried = (uint8_t)mark_take(&mark, MARK_SERVICES_BITS);
+	/* Behind the first chain, or when ours is shorter now: begins anew. */
+	if (mark || position >= header->n_candidates)
+		return true;
+	header->unsure = (uint8_t)unsure;
+	header->visited = (uint8_t)visited_before;
+	header->position = (uint8_t)position;
+	header->asking = asking;
 	return true;
 }
 
@@ -474,6 +493,39 @@
 	return true;
 }
 
+bool agent_relieve(struct agent *agent, struct packet_header *header,
+		   const struct inner_packet *packet, int64_t now_ms,
+		   struct packet_sink *sink)
+{
+	int best = NO_CANDIDATE;
+	uint16_t best_load = RELIEF_LOAD;
+
+	/* Once: agents that all wait must not send it round. */
+	if (header->hops_left < PACKET_HOP_BUDGET)
+		return false;
+	for (int i = 0; i < header->n_candidates; i++) {
+		const struct candidate *candidate = &header->candidates[i];
+		uint16_t load = peer_load_fresh(
+			&agent->peers, candidate->member_id, SILENT_MS, now_ms);
+
+		if (i == header->position || visited(header, i) ||
+		    candidate->flags != CANDIDATE_TAKES_NEW ||
+		    load >= best_load)
+			continue;
+		best = i;
+		best_load = load;
+	}
+	if (best == NO_CANDIDATE)
+		return false;
+	header->visited |= (uint8_t)(1U << header->position);
+	header->from = header->position;
+	peer_load_add(&agent->peers, header->candidates[best].member_id,
+		      PLACED_LOAD);
+	count(agent, COUNTER_OPEN_RELIEVED);
+	send_to(agent, header, best, packet, now_ms, sink);
+	return true;
+}
+
 void agent_hear_load(struct agent *agent, const struct packet_header *header,
 		     int64_t now_ms)
 {
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -167,4 +167,6 @@
 		track_server(agent, flow, &packet, now_ms);
 	agent_count(agent, COUNTER_PACKET_RETURNED);
 	sink->to_fabric(sink, data, len);
+	if (agent->waiting.n)
+		agent_serve_waiting(agent, now_ms, sink);
 }
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_ADMIT_ADMIT_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /**
@@ -24,6 +25,9 @@
 	ADMIT_UNHEARD,
 };
 
+/** Opens that are remembered until their requests are here. */
+#define ADMIT_OPENED 32
+
 struct admit {
 	/** Connections of the warm server. */
 	uint32_t connections_max;
@@ -65,14 +69,24 @@
 	int64_t cold_gap_ms;
 	/** Next time that a cold server may get a connection, ms. */
 	int64_t next_cold_ms;
+	/** Opening packets that wait for a slot. */
+	uint32_t waiting;
 	/** Requests that wait for an answer or run. */
 	uint32_t running;
 	/** Their mean over about a second, and when it was computed last, ms.
 	 */
 	double mean_running;
 	int64_t mean_ms;
+	/** Mean time of the latest answers, ms. */
+	double mean_answer_ms;
+	/** When the latest connections were opened, ms; a ring. */
+	int64_t opened_ms[ADMIT_OPENED];
+	size_t next_opened;
 };
 
+/** All slots of a server in use, as a load. */
+#define ADMIT_LOAD_BUSY 15000
+
 /** Share of the warm limit that a cold server starts with, 1/64. */
 #define ADMIT_COLD_SHARE 64
 
@@ -89,6 +103,15 @@
 void admit_report(struct admit *admit, uint32_t slots, int64_t warm_in_ms,
 		  int64_t cold_per_s, int64_t now_ms);
 
+/**
+ * Whether the server has as many requests as it runs at once, counting those
+ * of connections that were opened a moment ago.
+ */
+bool admit_busy(const struct admit *admit, int64_t now_ms);
+
+/** A connection was opened at the server, whose request follows. */
+void admit_opened(struct admit *admit, int64_t now_ms);
+
 /** A request began (@change 1) or ended (-1) at the server. */
 void admit_running(struct admit *admit, int change, int64_t now_ms);
 
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -136,7 +136,11 @@
 	X(FLOW_ADOPTED, "flows_adopted")                           \
 	X(LOAD_HEARD, "loads_heard")                               \
 	X(RESET_NO_OWNER, "resets_no_owner")                       \
-	X(DROP_ZONE_CUT, "drop_zone_cut")
+	X(DROP_ZONE_CUT, "drop_zone_cut")                          \
+	X(OPEN_WAITED, "opens_waited")                             \
+	X(OPEN_RELIEVED, "opens_relieved")                         \
+	X(REFUSE_WAIT, "refuse_wait_hopeless")                     \
+	X(REFUSE_WAITED, "refuse_waited_too_long")
 
 enum counter_id {
 #define COUNTER_ENUM(id, name) COUNTER_##id,
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_FLOW_AGENT_H
 
 #include "tarragonflow/admit/admit.h"
+#include "tarragonflow/admit/waiting_room.h"
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/flow/absent_memory.h"
 #include "tarragonflow/flow/flow_table.h"
@@ -27,6 +28,8 @@
 	const struct packet_format *format;
 	struct flow_table flows;
 	struct admit admit;
+	/** Opening packets that wait for a free slot of the server. */
+	struct waiting_room waiting;
 	/** The server's own word on itself, where servers report. */
 	struct server_watch server;
 	/** Since when the server owes a packet, ms; CLOCK_NEVER: it does not.
--- a/include/tarragonflow/flow/agent_flow.h
+++ b/include/tarragonflow/flow/agent_flow.h
@@ -24,6 +24,10 @@
 void agent_flow_ask(struct agent *agent, struct flow *flow, bool asked,
 		    int64_t now_ms);
 
+/** Opens connections for those that wait, as far as slots are free. */
+void agent_serve_waiting(struct agent *agent, int64_t now_ms,
+			 struct packet_sink *sink);
+
 /** Tells the caller of @packet that its connection is gone. */
 void agent_reset_caller(struct agent *agent, const struct inner_packet *packet,
 			struct packet_sink *sink);
--- a/include/tarragonflow/flow/agent_route.h
+++ b/include/tarragonflow/flow/agent_route.h
@@ -39,6 +39,19 @@
 		 const struct inner_packet *packet, int64_t now_ms,
 		 struct packet_sink *sink);
 
+/**
+ * Hands an opening packet that would have to wait here to a candidate that is
+ * known to have free slots. Returns false when there is none.
+ */
+bool agent_relieve(struct agent *agent, struct packet_header *header,
+		   const struct inner_packet *packet, int64_t now_ms,
+		   struct packet_sink *sink);
+
+/** A header for @packet as if we were its first candidate; false without one.
+ */
+bool agent_own_header(struct agent *agent, const struct inner_packet *packet,
+		      struct packet_header *header);
+
 /** Takes the load that the sender of @header told. */
 void agent_hear_load(struct agent *agent, const struct packet_header *header,
 		     int64_t now_ms);
--- a/include/tarragonflow/net/inner.h
+++ b/include/tarragonflow/net/inner.h
@@ -62,6 +62,8 @@
 	bool icmp;
 	/** The backend server did not take this caller's packet. */
 	bool returned;
+	/** Opening packets: time since the first copy, as far as told, ms. */
+	uint16_t sent_ago_ms;
 	/** What packet_format.set_mark() wrote into a returned packet. */
 	uint32_t mark;
 };
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -649,6 +649,8 @@
 	rig.hosts[1].full = true;
 	rig.hosts[2].full = true;
 	for (uint16_t port = 1; port <= 10; port++) {
+		/* Opened all at once, they would wait for free slots. */
+		pass_time(&rig, 20);
 		open_flow(&rig, port);
 		g_assert_cmpuint(owner_of(&rig, port), ==, 3);
 	}
@@ -804,6 +806,7 @@
 	caller_sends(&rig, 1, FLAG_SYN, 0);
 	g_assert_cmpuint(owner_of(&rig, 1), ==, 3);
 	for (uint16_t port = 2; port <= 10; port++) {
+		pass_time(&rig, 20);
 		open_flow(&rig, port);
 		g_assert_cmpuint(owner_of(&rig, port), ==, 3);
 	}
