--- a/admin/admin.c
+++ b/admin/admin.c
@@ -69,6 +69,10 @@
 			    (unsigned long long)counter_get(
 				    &node->counters, (enum counter_id)i));
 	}
+	if (node->answers)
+		histogram_write(node->answers, "tarragonflow_answer_ms", &body);
+	if (node->waits)
+		histogram_write(node->waits, "tarragonflow_wait_ms", &body);
 	code = answer(conn, HTTP_OK, "text/plain; version=0.0.4",
 		      strbuf_str(&body));
 	strbuf_finish(&body);
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -3,6 +3,7 @@
 
 #include "context.h"
 #include "tarragonflow/common/log.h"
+#include "tarragonflow/route/view.h"
 
 /* Beyond this, releases at members are heard from them and not gossiped. */
 #define REVISION_GOSSIP_MEMBERS_MAX 256
@@ -57,8 +58,8 @@
 	struct control *control = context->control;
 
 	log_event(LOG_LEVEL_INFO, "member",
-		  "name=%s role=%s service=%s zone=%s state=%s",
-		  member->name.data, member_role_name(member->role),
+		  "name=%s id=%08x role=%s service=%s zone=%s state=%s",
+		  member->name.data, member_id(&member->name), member_role_name(member->role),
 		  member->service.data, member->zone.data,
 		  member_state_name(member->state));
 	if (member->state == MEMBER_SUSPECT)
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -185,8 +185,15 @@
 	return true;
 }
 
-static void count_refusal(struct agent *agent, enum admit_verdict verdict)
+static void note_refusal(struct agent *agent, enum admit_verdict verdict,
+			 const struct inner_packet *packet,
+			 struct packet_sink *sink)
 {
+	static const char *const words[] = {
+		[ADMIT_FULL] = "full",	       [ADMIT_COLD] = "cold",
+		[ADMIT_DRAINING] = "draining", [ADMIT_DOWN] = "down",
+		[ADMIT_UNHEARD] = "unheard",
+	};
 	static const enum counter_id reasons[] = {
 		[ADMIT_FULL] = COUNTER_REFUSE_CONNECTIONS,
 		[ADMIT_COLD] = COUNTER_REFUSE_COLD,
@@ -196,6 +203,8 @@
 	};
 
 	agent_count(agent, reasons[verdict]);
+	agent_decided(agent, DECISION_OPEN_PASSED, packet, 0, words[verdict],
+		      sink);
 }
 
 static enum admit_verdict ask_admission(struct agent *agent, int64_t now_ms,
@@ -222,7 +231,7 @@
 
 	verdict = ask_admission(agent, now_ms, sink);
 	if (verdict != ADMIT_YES) {
-		count_refusal(agent, verdict);
+		note_refusal(agent, verdict, packet, sink);
 		if (verdict == ADMIT_COLD || verdict == ADMIT_DOWN ||
 		    verdict == ADMIT_UNHEARD)
 			header->warming = true;
@@ -243,6 +252,7 @@
 	flow->syn_seq = packet->seq;
 	flow->caller_seq = agent_seq_after(packet);
 	agent_count(agent, COUNTER_FLOW_OPENED);
+	agent_decided(agent, DECISION_OPEN_DELIVERED, packet, 0, NULL, sink);
 	admit_opened(&agent->admit, now_ms);
 	/* The balancer sends what follows straight here. */
 	if (agent->tells_balancers)
@@ -299,10 +309,16 @@
 	if (agent_place(agent, header, packet, now_ms, sink))
 		return;
 	if (must_wait(agent, now_ms)) {
-		if (agent_relieve(agent, header, packet, now_ms, sink) ||
-		    let_wait(agent, packet, now_ms))
+		if (agent_relieve(agent, header, packet, now_ms, sink))
 			return;
+		if (let_wait(agent, packet, now_ms)) {
+			agent_decided(agent, DECISION_OPEN_WAITS, packet, 0,
+				      NULL, sink);
+			return;
+		}
 		agent_count(agent, COUNTER_REFUSE_WAIT);
+		agent_decided(agent, DECISION_OPEN_PASSED, packet, 0,
+			      "wait-hopeless", sink);
 		agent_pass_on(agent, header, packet, now_ms, sink);
 		return;
 	}
@@ -317,10 +333,13 @@
 	struct inner_packet packet;
 
 	agent->admit.waiting--;
+	histogram_record(&agent->waits, now_ms - entry->sent_ms);
 	if (!agent->format->parse(&packet, entry->data, entry->len))
 		return;
 	if (expired) {
 		agent_count(agent, COUNTER_REFUSE_WAITED);
+		agent_decided(agent, DECISION_OPEN_REFUSED, &packet, 0,
+			      "waited-too-long", sink);
 		agent_reset_caller(agent, &packet, sink);
 	} else if (agent_own_header(agent, &packet, &header)) {
 		open_here(agent, &header, &packet, now_ms, sink);
@@ -489,6 +508,8 @@
 	}
 	if (flow && (flow->bits & FLOW_LOST) && !inner_opens(packet)) {
 		agent_count(agent, COUNTER_RESET_LOST);
+		agent_decided(agent, DECISION_RESET_LOST, packet, 0,
+			      "server-ended", sink);
 		agent_reset_caller(agent, packet, sink);
 		return;
 	}
@@ -685,6 +706,8 @@
 
 	flow_key_of(&last.key, flow);
 	agent_count(agent, COUNTER_RESET_LOST);
+	agent_decided(agent, DECISION_RESET_LOST, &last, 0, "server-ended",
+		      sink);
 	agent_reset_caller(agent, &last, sink);
 }
 
--- a/flow/agent_flow.c
+++ b/flow/agent_flow.c
@@ -75,6 +75,27 @@
 		agent_flow_close(agent, flow);
 }
 
+void agent_decided(const struct agent *agent, enum decision_kind kind,
+		   const struct inner_packet *packet, uint32_t member_id,
+		   const char *reason, struct packet_sink *sink)
+{
+	const struct decision decision = {
+		.kind = kind,
+		.key = &packet->key,
+		.open_seq = inner_opens(packet) ? packet->seq : 0,
+		.member_id = member_id,
+		.reason = reason,
+		.running = agent->admit.running,
+		.waiting = agent->admit.waiting,
+		.config_revision =
+			agent->view ? (uint64_t)agent->view->config_revision
+				    : 0,
+	};
+
+	if (sink->decided)
+		sink->decided(sink, &decision);
+}
+
 void agent_reset_caller(struct agent *agent, const struct inner_packet *packet,
 			struct packet_sink *sink)
 {
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -78,6 +78,9 @@
 		open_memory_put(&agent->handed_on, packet, next->member_id,
 				now_ms);
 	count(agent, opens ? COUNTER_OPEN_HANDED_ON : COUNTER_PACKET_HANDED_ON);
+	if (opens)
+		agent_decided(agent, DECISION_OPEN_PASSED, packet,
+			      next->member_id, NULL, sink);
 	sink->to_peer(sink, &next->data, header, packet->data, packet->len);
 }
 
@@ -178,23 +181,32 @@
 	if (!inner_opens(packet)) {
 		if (asked_all && nobody_has(agent, header, packet)) {
 			count(agent, COUNTER_RESET_NO_OWNER);
+			agent_decided(agent, DECISION_RESET_NO_OWNER, packet, 0,
+				      NULL, sink);
 			agent_reset_caller(agent, packet, sink);
 		} else {
 			count(agent, COUNTER_DROP_NO_OWNER);
+			agent_decided(agent, DECISION_SEARCH_ENDED, packet, 0,
+				      header->doubt ? "doubt" : "unsure", sink);
 		}
 		return;
 	}
 	if (!asked_all || has_suspect(agent) ||
 	    (uint64_t)agent->view->config_revision < header->config_revision) {
 		count(agent, COUNTER_DROP_OPEN_UNSURE);
+		agent_decided(agent, DECISION_SEARCH_ENDED, packet, 0, "unsure",
+			      sink);
 		return;
 	}
 	/* Its TCP repeats the packet, by then there may be room. */
 	if (header->warming) {
 		count(agent, COUNTER_DROP_OPEN_WARMING);
+		agent_decided(agent, DECISION_SEARCH_ENDED, packet, 0,
+			      "warming", sink);
 		return;
 	}
 	count(agent, COUNTER_REFUSE_NO_ROOM);
+	agent_decided(agent, DECISION_OPEN_REFUSED, packet, 0, "no-room", sink);
 	agent_reset_caller(agent, packet, sink);
 }
 
@@ -522,6 +534,8 @@
 	peer_load_add(&agent->peers, header->candidates[best].member_id,
 		      PLACED_LOAD);
 	count(agent, COUNTER_OPEN_RELIEVED);
+	agent_decided(agent, DECISION_OPEN_RELIEVED, packet,
+		      header->candidates[best].member_id, NULL, sink);
 	send_to(agent, header, best, packet, now_ms, sink);
 	return true;
 }
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -63,6 +63,8 @@
 		admit_pushed(&agent->admit);
 	if (packet->payload_len && (flow->bits & FLOW_ASKED)) {
 		agent_flow_ask(agent, flow, false, now_ms);
+		histogram_record(&agent->answers,
+				 (uint32_t)now_ms - flow->mark_ms);
 		admit_answered(&agent->admit, (uint32_t)now_ms - flow->mark_ms,
 			       now_ms);
 	}
@@ -80,8 +82,10 @@
 
 /* The server has a connection that our table, younger than it, lacks. */
 static struct flow *adopt(struct agent *agent, const struct flow_key *key,
-			  const struct inner_packet *packet, int64_t now_ms)
+			  const struct inner_packet *packet, int64_t now_ms,
+			  struct packet_sink *sink)
 {
+	const struct inner_packet from_caller = {.key = *key};
 	struct flow *flow;
 
 	if (now_ms >= agent->unsure_until_ms || packet->icmp ||
@@ -97,6 +101,8 @@
 	flow->server_seq = packet->seq;
 	admit_take_over(&agent->admit);
 	agent_count(agent, COUNTER_FLOW_ADOPTED);
+	agent_decided(agent, DECISION_FLOW_ADOPTED, &from_caller, 0, NULL,
+		      sink);
 	return flow;
 }
 
@@ -115,8 +121,11 @@
 	struct inner_packet again = *packet;
 
 	agent_count(agent, COUNTER_SERVER_RETURNED);
+	agent_decided(agent, DECISION_SERVER_RETURNED, packet, 0, NULL, sink);
 	if (flow && !inner_opens(packet) && flow->state == FLOW_OPEN) {
 		agent_count(agent, COUNTER_RESET_LOST);
+		agent_decided(agent, DECISION_RESET_LOST, packet, 0,
+			      "returned", sink);
 		flow->bits |= FLOW_LOST;
 		agent_flow_close(agent, flow);
 		agent_reset_caller(agent, packet, sink);
@@ -156,7 +165,7 @@
 	flow_key_reverse(&key, &packet.key);
 	flow = flow_table_find(&agent->flows, &key);
 	if (!flow)
-		flow = adopt(agent, &key, &packet, now_ms);
+		flow = adopt(agent, &key, &packet, now_ms, sink);
 	if (!flow) {
 		agent_count(agent, COUNTER_DROP_NO_OWNER);
 		return;
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -4,6 +4,7 @@
 #include "tarragonflow/admit/admit.h"
 #include "tarragonflow/admit/waiting_room.h"
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/common/histogram.h"
 #include "tarragonflow/flow/absent_memory.h"
 #include "tarragonflow/flow/flow_table.h"
 #include "tarragonflow/flow/open_memory.h"
@@ -58,6 +59,8 @@
 	/** Searches and hints that may still be sent in this second. */
 	uint32_t searches_left, hints_left;
 	int64_t next_refill_ms;
+	/** Times from a caller's request to the answer, and of waits. */
+	struct histogram answers, waits;
 	/** When this agent started, ms. */
 	int64_t started_ms;
 	/** Next notice to the agents of other services, ms. */
--- a/include/tarragonflow/flow/agent_flow.h
+++ b/include/tarragonflow/flow/agent_flow.h
@@ -28,6 +28,11 @@
 void agent_serve_waiting(struct agent *agent, int64_t now_ms,
 			 struct packet_sink *sink);
 
+/** Tells what was decided about the connection of @packet. */
+void agent_decided(const struct agent *agent, enum decision_kind kind,
+		   const struct inner_packet *packet, uint32_t member_id,
+		   const char *reason, struct packet_sink *sink);
+
 /** Tells the caller of @packet that its connection is gone. */
 void agent_reset_caller(struct agent *agent, const struct inner_packet *packet,
 			struct packet_sink *sink);
--- a/include/tarragonflow/net/packet_sink.h
+++ b/include/tarragonflow/net/packet_sink.h
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "tarragonflow/net/decision.h"
 #include "tarragonflow/net/endpoint.h"
 #include "tarragonflow/net/packet.h"
 
@@ -23,6 +24,9 @@
 	/** Returns a backend server's packet to the fabric. */
 	void (*to_fabric)(struct packet_sink *sink, const uint8_t *inner,
 			  size_t len);
+	/** Tells what was decided about a connection; NULL when not wanted. */
+	void (*decided)(struct packet_sink *sink,
+			const struct decision *decision);
 };
 
 #endif
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -6,6 +6,7 @@
 
 #include "tarragonflow/common/clock.h"
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/common/histogram.h"
 #include "tarragonflow/common/ring.h"
 #include "tarragonflow/control/control.h"
 #include "tarragonflow/flow/server_watch.h"
@@ -59,6 +60,8 @@
 	struct server_watch server;
 	/** Agents whose servers report only. */
 	struct server_check check;
+	/** Of the packet core, for the metrics; NULL where there is none. */
+	const struct histogram *answers, *waits;
 	/** Set when the process itself is to end. */
 	_Atomic bool leaving;
 };
--- a/include/tarragonflow/node/packet_duty.h
+++ b/include/tarragonflow/node/packet_duty.h
@@ -35,6 +35,9 @@
 	struct agent agent;
 	/** Balancers only. */
 	struct balancer balancer;
+	/** Lines on connections in this second, by enum decision_kind. */
+	uint32_t lines[DECISION_COUNT];
+	int64_t lines_until_ms;
 	/** Set to make the agent take nothing new. */
 	_Atomic bool drain;
 };
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -43,6 +43,8 @@
 	/** Balancers: a socket of its own for callers' packets. */
 	struct endpoint fabric_listen;
 	int log_level;
+	/** Whether decisions on connections are logged. */
+	bool log_connections;
 	/** Agents only. */
 	struct name service;
 	struct endpoint server;
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -13,6 +13,9 @@
 
 #define POLL_MAX_MS 100
 #define BATCH_MAX 64
+#define MS_PER_S 1000
+/* Lines on connections of one kind that a process logs in a second. */
+#define LINES_PER_S 20
 #define BUFFER_BYTES (INNER_MAX + PACKET_HEADER_MAX + PACKET_AUTH_BYTES)
 #define KEYRINGS_WAITING 8
 
@@ -113,6 +116,45 @@
 	count_send(duty, udp_send(duty->data_fd, &to, inner, len));
 }
 
+/* Begins another second of lines; tells how many the last one left out. */
+static void renew_lines(struct packet_duty *duty, int64_t now_ms)
+{
+	if (now_ms < duty->lines_until_ms)
+		return;
+	for (int i = 0; i < DECISION_COUNT; i++) {
+		if (duty->lines[i] > LINES_PER_S)
+			log_event(LOG_LEVEL_INFO, "conn-suppressed",
+				  "did=%s lines=%u", decision_name(i),
+				  duty->lines[i] - LINES_PER_S);
+		duty->lines[i] = 0;
+	}
+	duty->lines_until_ms = now_ms + MS_PER_S;
+}
+
+static void log_decision(struct packet_sink *sink,
+			 const struct decision *decision)
+{
+	struct packet_duty *duty = duty_of(sink);
+	char src[IP_ADDR_TEXT_MAX], dst[IP_ADDR_TEXT_MAX];
+
+	renew_lines(duty, clock_now(&duty->node->clock));
+	if (duty->lines[decision->kind]++ >= LINES_PER_S)
+		return;
+	log_event(LOG_LEVEL_INFO, "conn",
+		  "id=%s:%u>%s:%u/%u did=%s reason=%s member=%08x load=%u "
+		  "load_age_ms=%lld running=%u waiting=%u release=%llu",
+		  ip_addr_format(&decision->key->src, src),
+		  decision->key->src_port,
+		  ip_addr_format(&decision->key->dst, dst),
+		  decision->key->dst_port, decision->open_seq,
+		  decision_name(decision->kind),
+		  decision->reason ? decision->reason : "-",
+		  decision->member_id, decision->load,
+		  (long long)decision->load_age_ms, decision->running,
+		  decision->waiting,
+		  (unsigned long long)decision->config_revision);
+}
+
 static bool is_agent(const struct packet_duty *duty)
 {
 	return duty->node->settings->role == MEMBER_AGENT;
@@ -331,6 +373,8 @@
 		return status->code;
 	agent_init(&duty->agent, &identity, &duty->node->counters,
 		   clock_now(&duty->node->clock));
+	duty->node->answers = &duty->agent.answers;
+	duty->node->waits = &duty->agent.waits;
 	return STATUS_OK;
 }
 
@@ -370,6 +414,8 @@
 	duty->sink.to_peer = send_to_peer;
 	duty->sink.to_server = send_to_server;
 	duty->sink.to_fabric = send_to_fabric;
+	if (node->settings->log_connections)
+		duty->sink.decided = log_decision;
 	duty->server.fd = -1;
 	duty->fabric.fd = -1;
 	if (udp_open(&node->settings->data, &duty->data_fd, status) !=
--- a/node/settings.c
+++ b/node/settings.c
@@ -149,6 +149,12 @@
 	 .choices = log_levels,
 	 .fallback = 1,
 	 .help = "least severe lines to write"},
+	{.name = "log_connections",
+	 .type = FIELD_BOOL,
+	 .offset = offsetof(struct settings, log_connections),
+	 .fallback = 0,
+	 .help = "whether decisions on connections are logged, within a budget "
+		 "of lines"},
 };
 const size_t settings_n_fields = G_N_ELEMENTS(settings_fields);
 
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -108,6 +108,25 @@
 	return header->n_candidates - 1;
 }
 
+static void decided(const struct balancer *balancer, enum decision_kind kind,
+		    const struct inner_packet *packet, uint32_t member_id,
+		    int64_t now_ms, struct packet_sink *sink)
+{
+	const struct decision decision = {
+		.kind = kind,
+		.key = &packet->key,
+		.open_seq = inner_opens(packet) ? packet->seq : 0,
+		.member_id = member_id,
+		.load = peer_load_of(&balancer->loads, member_id, now_ms),
+		.load_age_ms = now_ms - peer_load_heard_ms(&balancer->loads,
+							   member_id, 0),
+		.config_revision = (uint64_t)balancer->view->config_revision,
+	};
+
+	if (sink->decided)
+		sink->decided(sink, &decision);
+}
+
 /* The candidate with the least load that was heard from lately. */
 static uint8_t least_loaded(struct balancer *balancer,
 			    const struct packet_header *header, int64_t now_ms)
@@ -148,8 +167,9 @@
 /* A copy of an opening packet goes where the first went while that is up. */
 static uint8_t place_open(struct balancer *balancer,
 			  const struct service_view *service,
-			  struct packet_header *header, uint32_t flow_hash,
-			  int64_t now_ms)
+			  struct packet_header *header,
+			  const struct inner_packet *packet, uint32_t flow_hash,
+			  int64_t now_ms, struct packet_sink *sink)
 {
 	uint32_t before = hinted_owner(balancer, flow_hash);
 	uint8_t best;
@@ -162,6 +182,8 @@
 	peer_load_add(&balancer->loads, header->candidates[best].member_id,
 		      PLACED_LOAD);
 	set_hint(balancer, flow_hash, header->candidates[best].member_id);
+	decided(balancer, DECISION_OPEN_PLACED, packet,
+		header->candidates[best].member_id, now_ms, sink);
 	return best;
 }
 
@@ -169,19 +191,22 @@
 			      const struct service_view *service,
 			      struct packet_header *header,
 			      const struct inner_packet *packet, uint64_t hash,
-			      int64_t now_ms)
+			      int64_t now_ms, struct packet_sink *sink)
 {
 	uint32_t flow_hash = (uint32_t)(hash >> HASH_HIGH_SHIFT);
 	uint32_t owner;
 
 	if (inner_opens(packet))
 		return balancer->places_by_load
-			       ? place_open(balancer, service, header,
-					    flow_hash, now_ms)
+			       ? place_open(balancer, service, header, packet,
+					    flow_hash, now_ms, sink)
 			       : opening_position(header);
 	owner = hinted_owner(balancer, flow_hash);
-	if (!owner || !view_member(service, owner))
+	if (!owner || !view_member(service, owner)) {
+		decided(balancer, DECISION_SEARCH_BEGUN, packet, owner, now_ms,
+			sink);
 		return first_heard(balancer, header, now_ms);
+	}
 	counter_inc(balancer->counters, COUNTER_HINT_USED);
 	return hinted_position(service, header, owner);
 }
@@ -215,7 +240,7 @@
 	header.bucket = (uint32_t)hash & (service->n_buckets - 1);
 	view_chain(service, header.bucket, &header);
 	header.position = first_position(balancer, service, &header, packet,
-					 hash, now_ms);
+					 hash, now_ms, sink);
 	counter_inc(balancer->counters, COUNTER_PACKET_FORWARDED);
 	sink->to_peer(sink, &header.candidates[header.position].data, &header,
 		      packet->data, packet->len);
