--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -21,9 +21,11 @@
 /* Balancers take a silent agent for unreachable after some of these. */
 #define NOTICE_ALIVE_MS 150
 /* Agents that miss some notices in a row are passed over. */
-#define SILENT_MS 600
-/* A process that stops is back, or told as left, well before this. */
-#define GONE_MS 3000
+#define SILENT_MS 450
+/* A process that was killed is back before this, or its machine is away. */
+#define GONE_MS 1300
+/* One that stops in order is back, or told as left, well before this. */
+#define STOPPED_MS 4000
 /* Most slots are free: an opening packet need not wait there. */
 #define RELIEF_LOAD (ADMIT_LOAD_BUSY * 7 / 10)
 /* What one that was handed over adds until its receiver tells. */
@@ -130,7 +132,12 @@
 		    !peer_load_deaf(&agent->peers, id, now_ms))
 			return i;
 		header->visited |= (uint8_t)(1U << i);
-		header->doubt |= silent_ms < GONE_MS;
+		/* Who stops in order tells before that it takes nothing new. */
+		header->doubt |=
+			silent_ms <
+			(header->candidates[i].flags & CANDIDATE_TAKES_NEW
+				 ? GONE_MS
+				 : STOPPED_MS);
 	}
 	return NO_CANDIDATE;
 }
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -6,7 +6,9 @@
 
 #define HASH_HIGH_SHIFT 32
 /* Three notices of an agent lost in a row: it may be out of reach. */
-#define LOAD_FRESH_MS 500
+#define LOAD_FRESH_MS 400
+/* A copy says that the first may be lost: one notice may be missing. */
+#define COPY_FRESH_MS 200
 /* What a connection that was placed adds until its server tells: a request
  * in one of a few slots. */
 #define PLACED_LOAD (PACKET_LOAD_SCALE / 32)
@@ -217,9 +219,10 @@
 			  int64_t now_ms, struct packet_sink *sink)
 {
 	uint32_t before = hinted_owner(balancer, flow_hash);
+	int64_t fresh_ms = packet->sent_ago_ms ? COPY_FRESH_MS : LOAD_FRESH_MS;
 	uint8_t best;
 
-	if (before && peer_load_fresh(&balancer->loads, before, LOAD_FRESH_MS,
+	if (before && peer_load_fresh(&balancer->loads, before, fresh_ms,
 				      now_ms) != PACKET_LOAD_FULL)
 		return hinted_position(service, header, before);
 	best = least_loaded(balancer, header, now_ms);
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -465,9 +465,10 @@
 
 /*
  * The agent of a connection is away: its packets reach other servers once at
- * most, and its caller hears nothing, for the server lives.
+ * most, and its caller hears nothing, for the server lives; until @away_ms,
+ * when the agent is taken for gone.
  */
-static void test_owner_away(void)
+static void check_owner_away(enum member_state told, int64_t away_ms)
 {
 	struct rig rig;
 	unsigned int owner;
@@ -480,19 +481,31 @@
 		agent_finish(&rig.hosts[i].agent);
 		start_agent(&rig, i);
 	}
+	pass_time(&rig, 200);
+	add_member(&rig, owner, told);
+	rig_view(&rig, true);
 	rig.hosts[owner].running = false;
 	forget_hints(&rig);
-	pass_time(&rig, 1500);
-	for (int i = 0; i < 10; i++) {
+	for (int64_t ms = 100; ms < away_ms; ms += 100) {
 		pass_time(&rig, 100);
 		caller_sends(&rig, 1, FLAG_ACK, 100);
+		g_assert_cmpuint(rig.resets, ==, 0);
 	}
 	for (unsigned int i = 1; i <= rig.n; i++)
 		g_assert_cmpuint(rig.hosts[i].strays, <=, 1);
-	g_assert_cmpuint(rig.resets, ==, 0);
+	pass_time(&rig, 300);
+	caller_sends(&rig, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(rig.resets, ==, 1);
 	rig_finish(&rig);
 }
 
+/* One that stops in order tells so, and has longer to come back. */
+static void test_owner_away(void)
+{
+	check_owner_away(MEMBER_ACTIVE, 1300);
+	check_owner_away(MEMBER_DRAINING, 4000);
+}
+
 /** Why a search may or may not end in a reset. */
 struct search_case {
 	const char *name;
