--- a/include/tarragonflow/commands/command.h
+++ b/include/tarragonflow/commands/command.h
@@ -23,6 +23,7 @@
 extern const struct command command_status;
 extern const struct command command_wait;
 extern const struct command command_dump;
+extern const struct command command_explain;
 
 /**
  * Parses options by GLib and checks that @min to @max other arguments are
--- a/tarragonflow/completion/tarragonflow.bash
+++ b/tarragonflow/completion/tarragonflow.bash
@@ -6,7 +6,7 @@
 	if test "$COMP_CWORD" = 1
 	then
 		COMPREPLY=($(compgen -W "balancer agent check apply status \
-			wait dump --help --version" -- "$word"))
+			wait dump explain --help --version" -- "$word"))
 		return
 	fi
 	case ${COMP_WORDS[1]} in
@@ -24,6 +24,8 @@
 		options="--help --admin --release --timeout" ;;
 	dump)
 		options="--help --platform" ;;
+	explain)
+		options="--help" ;;
 	esac
 	COMPREPLY=($(compgen -W "$options" -- "$word") \
 		$(compgen -f -- "$word"))
--- a/tarragonflow/main.c
+++ b/tarragonflow/main.c
@@ -10,7 +10,7 @@
 
 static const struct command *const commands[] = {
 	&command_balancer, &command_agent, &command_check, &command_apply,
-	&command_status,   &command_wait,  &command_dump,
+	&command_status,   &command_wait,  &command_dump,  &command_explain,
 };
 
 static void print_usage(FILE *out)
--- a/tests/unit/test_docs.c
+++ b/tests/unit/test_docs.c
@@ -5,6 +5,7 @@
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/common/status.h"
 #include "tarragonflow/manifest/manifest.h"
+#include "tarragonflow/net/decision.h"
 #include "tarragonflow/node/settings.h"
 
 /* The pages list what the code has; run from the source folder. */
@@ -78,6 +79,15 @@
 	g_free(page);
 }
 
+static void test_decisions(void)
+{
+	char *page = read_page("OPERATIONS.md");
+
+	for (int i = 0; i < DECISION_COUNT; i++)
+		assert_row(page, decision_name((enum decision_kind)i));
+	g_free(page);
+}
+
 static void test_fields(void)
 {
 	const struct {
@@ -107,6 +117,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/docs/counters", test_counters);
 	g_test_add_func("/docs/status-codes", test_status_codes);
+	g_test_add_func("/docs/decisions", test_decisions);
 	g_test_add_func("/docs/fields", test_fields);
 	return g_test_run();
 }
