Say not ready when most agents are out of reach; outlive a clock that was ahead

A process that restarts after its clock went back takes the later instance from what it hears of its former run.

--- a/control/inbound.c
+++ b/control/inbound.c
@@ -10,6 +10,8 @@
 #define PULL_INTERVAL_MS 100
 /* Peers that are told of an order on a zone at once. */
 #define ORDER_FANOUT 4
+/* Until then what is heard of a later run of ours is of a former one. */
+#define FORMER_RUN_MS 10000
 /* After news by anti-entropy there may be more, ms. */
 #define EXCHANGE_AGAIN_MS 400
 
@@ -31,6 +33,16 @@
 	struct control *control = context->control;
 	struct member *self = &control->options.self;
 
+	/* Our former run's clock was ahead of ours: this run is the later one.
+	 */
+	if (entry->instance > self->instance &&
+	    context->now_ms - control->started_ms < FORMER_RUN_MS) {
+		self->instance = entry->instance + 1;
+		self->sequence = 1;
+		roster_merge(&control->roster, self, context->now_ms);
+		queue_put(context, GOSSIP_JOIN, &self->name, true);
+		return;
+	}
 	if (entry->instance < self->instance)
 		config_store_note_former(&control->config,
 					 entry->config_revision);
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -62,6 +62,8 @@
 	struct server_check check;
 	/** Of the packet core, for the metrics; NULL where there is none. */
 	const struct histogram *answers, *waits;
+	/** Balancers: most agents can't be reached. */
+	_Atomic bool cut_off;
 	/** Set when the process itself is to end. */
 	_Atomic bool leaving;
 };
--- a/include/tarragonflow/node/packet_duty.h
+++ b/include/tarragonflow/node/packet_duty.h
@@ -35,6 +35,8 @@
 	struct agent agent;
 	/** Balancers only. */
 	struct balancer balancer;
+	/** Balancers: when the reach of agents is judged again, ms. */
+	int64_t next_reach_ms;
 	/** Lines on connections in this second, by enum decision_kind. */
 	uint32_t lines[DECISION_COUNT];
 	int64_t lines_until_ms;
--- a/include/tarragonflow/route/balancer.h
+++ b/include/tarragonflow/route/balancer.h
@@ -59,6 +59,12 @@
 void balancer_handle(struct balancer *balancer, const uint8_t *data, size_t len,
 		     int64_t now_ms, struct packet_sink *sink);
 
+/**
+ * Whether most agents of the view can't be reached, as their notices tell:
+ * the balancer is cut off, or has just started.
+ */
+bool balancer_cut_off(const struct balancer *balancer, int64_t now_ms);
+
 /** Handles an agent's hint or notice of its load. */
 void balancer_handle_agent(struct balancer *balancer, const uint8_t *data,
 			   size_t len, int64_t now_ms,
--- a/node/node.c
+++ b/node/node.c
@@ -446,6 +446,8 @@
 		reason = "was paused; waits for a peer";
 	else if (atomic_load(&node->wanted_state) != MEMBER_ACTIVE)
 		reason = "leaving";
+	else if (atomic_load(&node->cut_off))
+		reason = "most agents can't be reached";
 	pthread_mutex_unlock(&node->lock);
 	return reason;
 }
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -309,6 +309,23 @@
 	atomic_store(&duty->node->connection_limit, duty->agent.admit.limit);
 }
 
+/* Where agents tell that they run, silence of most means that we are cut. */
+static void judge_reach(struct packet_duty *duty)
+{
+	int64_t now_ms = clock_now(&duty->node->clock);
+	bool cut_off;
+
+	if (!duty->balancer.places_by_load || now_ms < duty->next_reach_ms)
+		return;
+	duty->next_reach_ms = now_ms + POLL_MAX_MS;
+	cut_off = balancer_cut_off(&duty->balancer, now_ms);
+	if (cut_off == atomic_load(&duty->node->cut_off))
+		return;
+	atomic_store(&duty->node->cut_off, cut_off);
+	log_event(LOG_LEVEL_WARN, cut_off ? "agents-lost" : "agents-regained",
+		  "name=%s", duty->node->settings->name.data);
+}
+
 static void *packet_thread(void *arg)
 {
 	struct packet_duty *duty = arg;
@@ -337,8 +354,10 @@
 		if (is_agent(duty)) {
 			receive_server(duty, buf);
 			agent_step(duty);
-		} else if (duty->fabric.fd >= 0) {
-			receive_fabric(duty, buf, stale);
+		} else {
+			if (duty->fabric.fd >= 0)
+				receive_fabric(duty, buf, stale);
+			judge_reach(duty);
 		}
 	}
 	g_free(buf);
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -168,18 +168,37 @@
 	return best;
 }
 
+/* Whether packets seem to pass both ways between @member_id and us. */
+static bool reaches(const struct balancer *balancer, uint32_t member_id,
+		    int64_t now_ms)
+{
+	int64_t heard_ms =
+		peer_load_heard_ms(&balancer->loads, member_id, INT64_MIN / 2);
+
+	return now_ms - heard_ms <= LOAD_FRESH_MS &&
+	       !peer_load_deaf(&balancer->loads, member_id, now_ms);
+}
+
+bool balancer_cut_off(const struct balancer *balancer, int64_t now_ms)
+{
+	const struct view *view = balancer->view;
+	size_t reached = 0, all = 0;
+
+	for (size_t i = 0; view && i < view->n_services; i++)
+		for (size_t j = 0; j < view->services[i].n_members; j++, all++)
+			reached += reaches(
+				balancer,
+				view->services[i].members[j].member_id, now_ms);
+	return reached * 2 < all;
+}
+
 /* Where a search begins: an agent that is silent would end it. */
 static uint8_t first_heard(const struct balancer *balancer,
 			   const struct packet_header *header, int64_t now_ms)
 {
 	for (uint8_t i = 0;
 	     balancer->places_by_load && i < header->n_candidates; i++)
-		if (now_ms - peer_load_heard_ms(&balancer->loads,
-						header->candidates[i].member_id,
-						INT64_MIN / 2) <=
-			    LOAD_FRESH_MS &&
-		    !peer_load_deaf(&balancer->loads,
-				    header->candidates[i].member_id, now_ms))
+		if (reaches(balancer, header->candidates[i].member_id, now_ms))
 			return i;
 	return 0;
 }
@@ -197,11 +216,7 @@
 		uint8_t at = (uint8_t)((balancer->next_relay + i) % n);
 		uint32_t id = header->candidates[at].member_id;
 
-		if (at == owner ||
-		    now_ms - peer_load_heard_ms(&balancer->loads, id,
-						INT64_MIN / 2) >
-			    LOAD_FRESH_MS ||
-		    peer_load_deaf(&balancer->loads, id, now_ms))
+		if (at == owner || !reaches(balancer, id, now_ms))
 			continue;
 		balancer->next_relay = (uint8_t)(at + 1);
 		header->visited = (uint8_t) ~(1U << owner);
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -386,6 +386,88 @@
 	run_offers(restarted, G_N_ELEMENTS(restarted));
 }
 
+static void tick(struct fixture *fixture, int64_t ms)
+{
+	const struct platform_view view = fixture_view(fixture);
+
+	fixture->now_ms += ms;
+	platform_sync_tick(&fixture->sync, &view, fixture->now_ms,
+			   &fixture->out);
+}
+
+static void zones_result(struct fixture *fixture, enum status_code code,
+			 int64_t version, const char *zone, bool deleted)
+{
+	const struct platform_view view = fixture_view(fixture);
+	struct store_result result;
+	struct store_object *object;
+	char key[STORE_KEY_MAX];
+
+	store_result_init(&result, &fixture->last_zones);
+	result.status.code = code;
+	result.version = version;
+	if (zone) {
+		g_snprintf(key, sizeof(key), "tarragonflow/d/zones/%s", zone);
+		object = store_result_add(&result, key, version - 1,
+					  str_from("{}"));
+		object->deleted = deleted;
+	}
+	platform_sync_handle_result(&fixture->sync, &result, &view,
+				    fixture->now_ms, &fixture->out);
+	store_result_finish(&result);
+}
+
+/* Orders on zones: listed, then watched from there, again after a gap. */
+static void test_zone_orders(void)
+{
+	struct fixture fixture;
+	struct name zone;
+
+	name_set(&zone, str_from("tas-a"));
+	fixture_init(&fixture, MEMBER_BALANCER);
+	tick(&fixture, 500);
+	g_assert_cmpuint(fixture.zone_calls, ==, 1);
+	g_assert_cmpint(fixture.last_zones.op, ==, STORE_OP_LIST);
+	zones_result(&fixture, STATUS_OK, 12, "tas-a", false);
+	g_assert_true(fixture.orders_whole);
+	g_assert_cmpuint(fixture.orders_version, ==, 12);
+	g_assert_true(zone_orders_out(&fixture.orders, &zone));
+	tick(&fixture, 10);
+	g_assert_cmpint(fixture.last_zones.op, ==, STORE_OP_WATCH);
+	g_assert_cmpint(fixture.last_zones.version, ==, 12);
+	zones_result(&fixture, STATUS_OK, 20, "tas-a", true);
+	g_assert_false(fixture.orders_whole);
+	g_assert_cmpuint(fixture.orders.n, ==, 1);
+	/* Taken back as of the store's version, whatever the object's is. */
+	g_assert_cmpuint(fixture.orders.entries[0].version, ==, 20);
+	g_assert_false(zone_orders_out(&fixture.orders, &zone));
+	tick(&fixture, 10);
+	zones_result(&fixture, STATUS_GONE, 0, NULL, false);
+	tick(&fixture, 1000);
+	g_assert_cmpint(fixture.last_zones.op, ==, STORE_OP_LIST);
+	fixture_finish(&fixture);
+}
+
+/* Where answers are current, a start asks within a moment, chosen or not. */
+static void test_asks_at_once(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture, MEMBER_AGENT);
+	fixture.sync.options.platform_is_current = true;
+	fixture.sync.next_choice_ms = fixture.now_ms + 40;
+	for (int i = 0; i < 8; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "m%d", i);
+		add_member(&fixture.roster, name, MEMBER_AGENT, MEMBER_ACTIVE);
+	}
+	tick(&fixture, 40);
+	g_assert_cmpuint(fixture.calls[STORE_OP_LIST], ==, 1);
+	g_assert_cmpuint(fixture.zone_calls, ==, 1);
+	fixture_finish(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -397,5 +479,7 @@
 	g_test_add_func("/platform-sync/tombstones-end", test_tombstones_end);
 	g_test_add_func("/platform-sync/choice", test_choice);
 	g_test_add_func("/config-store/never-reverts", test_never_reverts);
+	g_test_add_func("/platform-sync/zone-orders", test_zone_orders);
+	g_test_add_func("/platform-sync/asks-at-once", test_asks_at_once);
 	return g_test_run();
 }
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -871,6 +871,28 @@
 	rig_finish(&rig);
 }
 
+/* A balancer that reaches few agents says so, and when that is over. */
+static void test_cut_off(void)
+{
+	struct rig rig;
+
+	rig_init(&rig, 4, 5);
+	g_assert_true(balancer_cut_off(&rig.balancer, rig.now_ms));
+	pass_time(&rig, 200);
+	g_assert_false(balancer_cut_off(&rig.balancer, rig.now_ms));
+	rig.hosts[1].running = false;
+	rig.hosts[2].running = false;
+	pass_time(&rig, 600);
+	g_assert_false(balancer_cut_off(&rig.balancer, rig.now_ms));
+	rig.hosts[3].running = false;
+	pass_time(&rig, 600);
+	g_assert_true(balancer_cut_off(&rig.balancer, rig.now_ms));
+	rig.hosts[3].running = true;
+	pass_time(&rig, 200);
+	g_assert_false(balancer_cut_off(&rig.balancer, rig.now_ms));
+	rig_finish(&rig);
+}
+
 /* Doubt about a server: a bounded number of checks, none while it answers. */
 static void test_doubt(void)
 {
@@ -983,6 +1005,7 @@
 	g_test_add_func("/search/copies", test_copies);
 	g_test_add_func("/search/silent-agent", test_silent_agent);
 	g_test_add_func("/search/one-way", test_one_way);
+	g_test_add_func("/search/cut-off", test_cut_off);
 	g_test_add_func("/search/doubt", test_doubt);
 	g_test_add_func("/search/report-order", test_report_order);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
