--- a/common/json_reader.c
+++ b/common/json_reader.c
@@ -2,12 +2,16 @@
 
 #include <errno.h>
 #include <stdarg.h>
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "tarragonflow/net/endpoint.h"
 
 #define FILE_MAX_BYTES (1024 * 1024)
+#define MS_PER_S 1000
+/* Whole numbers up to this are exact as fractional ones. */
+#define WHOLE_MAX 9e15
 #define PATH_MAX_BYTES 256
 
 void json_errors_init(struct json_errors *errors, const char *file)
@@ -109,7 +113,11 @@
 		     const struct field *field, int64_t *out,
 		     struct json_errors *errors)
 {
-	if (!json_is_integer(value)) {
+	double number = json_number_value(value);
+	bool whole = json_is_real(value) && number == floor(number) &&
+		     fabs(number) < WHOLE_MAX;
+
+	if (!json_is_integer(value) && !whole) {
 		json_errors_add(errors, path,
 				"found %s, allowed is an integer from %lld "
 				"to %lld",
@@ -117,7 +125,7 @@
 				(long long)field->max);
 		return;
 	}
-	*out = json_integer_value(value);
+	*out = whole ? (int64_t)number : json_integer_value(value);
 	if (*out < field->min || *out > field->max)
 		json_errors_add(errors, path,
 				"found %lld, allowed is %lld to %lld",
@@ -125,6 +133,25 @@
 				(long long)field->max);
 }
 
+static void read_seconds(const json_t *value, const char *path,
+			 const struct field *field, int64_t *out,
+			 struct json_errors *errors)
+{
+	double ms = json_number_value(value) * MS_PER_S;
+
+	if (!json_is_number(value) || ms < (double)field->min ||
+	    ms > (double)field->max) {
+		json_errors_add(errors, path,
+				"found %s, allowed is %g to %g seconds",
+				json_is_number(value) ? "a number out of range"
+						      : json_type_name(value),
+				(double)field->min / MS_PER_S,
+				(double)field->max / MS_PER_S);
+		return;
+	}
+	*out = (int64_t)ms;
+}
+
 static void read_choice(const json_t *value, const char *path,
 			const struct field *field, int *out,
 			struct json_errors *errors)
@@ -204,6 +231,9 @@
 	case FIELD_INT:
 		read_int(value, path, field, out, errors);
 		break;
+	case FIELD_SECONDS:
+		read_seconds(value, path, field, out, errors);
+		break;
 	case FIELD_CHOICE:
 		read_choice(value, path, field, out, errors);
 		break;
@@ -225,7 +255,7 @@
 
 static void read_fallback(const struct field *field, void *out)
 {
-	if (field->type == FIELD_INT)
+	if (field->type == FIELD_INT || field->type == FIELD_SECONDS)
 		*(int64_t *)out = field->fallback;
 	else if (field->type == FIELD_CHOICE)
 		*(int *)out = (int)field->fallback;
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -31,9 +31,13 @@
 	/** Where the adapter's paths are served, besides `admin`. */
 	struct endpoint ready;
 	struct endpoint announce;
-	/** Time a leaving balancer goes on, ms. */
+	/** Time from the order to stop to the end by force, ms. */
+	int64_t stop_grace_ms;
+	/** Time a leaving balancer goes on, ms; derived. */
 	int64_t linger_ms;
-	/** Time that connections go on in a zone ordered out, ms. */
+	/** Time within which nothing more may reach a zone ordered out, ms. */
+	int64_t zone_bound_ms;
+	/** Time that connections go on in such a zone, ms; derived. */
 	int64_t zone_grace_ms;
 	struct keyring control_keys;
 	int64_t control_bytes_per_s;
@@ -53,7 +57,9 @@
 	struct endpoint fabric;
 	/** Answers go to the caller's own address, at the port of `fabric`. */
 	bool fabric_at_caller;
-	/** Time for which the server's word on itself holds, ms. */
+	/** Least time until an address is given to another server, ms. */
+	int64_t address_reuse_ms;
+	/** Time for which the server's word on itself holds, ms; derived. */
 	int64_t report_lease_ms;
 	/** Longest life of a connection, ms; 0: none outlives its agent. */
 	int64_t flow_lifetime_ms;
--- a/node/settings.c
+++ b/node/settings.c
@@ -11,7 +11,15 @@
 #define CONNECTIONS_MAX 1000000
 #define SLOTS_MAX 10000
 #define CONTROL_BYTES_MAX (1024 * 1024)
-#define LINGER_MAX_MS 60000
+#define BOUND_MAX_MS 600000
+/* The fabric asks twice a second and believes the second answer. */
+#define LINGER_MAX_MS 2500
+/* What a process needs to end after it lingered. */
+#define ENDING_MS 1000
+/* An order reaches everybody well within this time. */
+#define ORDER_SPREAD_MS 2000
+/* On the way from the server's word to the last packet that relies on it. */
+#define LEASE_MARGIN_MS 100
 #define FLOW_LIFETIME_MAX_MS (24 * 3600 * 1000)
 #define MTU_MIN 1280
 #define MTU_MAX 9000
@@ -98,23 +106,24 @@
 	 .type = FIELD_ENDPOINT,
 	 .offset = offsetof(struct settings, fabric_listen),
 	 .help = "UDP address for callers' packets alone; none: `data`"},
-	{.name = "zone_grace_ms",
+	{.name = "zone_bound_ms",
 	 .type = FIELD_INT,
-	 .offset = offsetof(struct settings, zone_grace_ms),
+	 .offset = offsetof(struct settings, zone_bound_ms),
 	 .min = 0,
-	 .max = LINGER_MAX_MS,
-	 .fallback = 3000,
+	 .max = BOUND_MAX_MS,
+	 .fallback = 5000,
 	 .unit = "ms",
-	 .help = "time that connections go on in a zone that an order takes "
-		 "out"},
-	{.name = "linger_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct settings, linger_ms),
+	 .help = "time within which nothing more may reach a zone that an "
+		 "order takes out; connections go on for all but the last 2 s"},
+	{.name = "stop_grace_s",
+	 .type = FIELD_SECONDS,
+	 .offset = offsetof(struct settings, stop_grace_ms),
 	 .min = 0,
-	 .max = LINGER_MAX_MS,
-	 .fallback = 1000,
-	 .unit = "ms",
-	 .help = "time a leaving balancer goes on, until the fabric knows"},
+	 .max = BOUND_MAX_MS,
+	 .fallback = 2000,
+	 .unit = "s",
+	 .help = "time from SIGTERM to the end by force; a balancer goes on "
+		 "for it less 1 s, at most 2.5 s, until the fabric knows"},
 	{.name = "control_keys",
 	 .type = FIELD_NESTED,
 	 .help = "keys of control messages; the first signs, all verify"},
@@ -187,22 +196,22 @@
 	 .offset = offsetof(struct settings, fabric_at_caller),
 	 .fallback = 0,
 	 .help = "answers go to each caller's address at the port of `fabric`"},
-	{.name = "report_lease_ms",
-	 .type = FIELD_INT,
-	 .offset = offsetof(struct settings, report_lease_ms),
-	 .min = 100,
-	 .max = LINGER_MAX_MS,
+	{.name = "address_reuse_s",
+	 .type = FIELD_SECONDS,
+	 .offset = offsetof(struct settings, address_reuse_ms),
+	 .min = 500,
+	 .max = BOUND_MAX_MS,
 	 .fallback = 2000,
-	 .unit = "ms",
-	 .help = "time for which a server's word on itself holds; less than "
-		 "the time after which its address may go to another"},
-	{.name = "flow_lifetime_ms",
-	 .type = FIELD_INT,
+	 .unit = "s",
+	 .help = "least time until an address goes to another server; a "
+		 "server's word on itself holds for it less 0.1 s"},
+	{.name = "flow_lifetime_s",
+	 .type = FIELD_SECONDS,
 	 .offset = offsetof(struct settings, flow_lifetime_ms),
 	 .min = 0,
 	 .max = FLOW_LIFETIME_MAX_MS,
 	 .fallback = 0,
-	 .unit = "ms",
+	 .unit = "s",
 	 .help = "longest life of a connection, where servers keep theirs "
 		 "when an agent restarts; 0: they do not"},
 	{.name = "connections",
@@ -341,6 +350,12 @@
 		return;
 	if (!json_object_get(root, "admin"))
 		settings->admin = admin_default;
+	settings->linger_ms =
+		CLAMP(settings->stop_grace_ms - ENDING_MS, 0, LINGER_MAX_MS);
+	settings->zone_grace_ms =
+		MAX(settings->zone_bound_ms - ORDER_SPREAD_MS, 0);
+	settings->report_lease_ms =
+		settings->address_reuse_ms - LEASE_MARGIN_MS;
 	read_seeds(settings, root, errors);
 	keyring_read(&settings->control_keys, root, "control_keys", errors);
 	keyring_read(&settings->data_keys, root, "data_keys", errors);
--- a/tests/unit/test_manifest.c
+++ b/tests/unit/test_manifest.c
@@ -268,12 +268,132 @@
 	}
 }
 
+#define SETTINGS_HEAD                                                   \
+	"{\"name\":\"n\",\"zone\":\"z\",\"deployment\":\"d\","          \
+	"\"data\":\"10.0.0.1:1\",\"control\":\"10.0.0.1:2\","           \
+	"\"platform\":\"http://10.0.0.9:3\",\"server\":\"10.0.0.1:4\"," \
+	"\"server_listen\":\"10.0.0.1:5\",\"fabric\":\"10.0.0.1:6\","   \
+	"\"service\":\"s\","
+
+/* What is derived from the surroundings' bounds, and their errors. */
+static void test_settings_bounds(void)
+{
+	static const struct {
+		const char *text;
+		/** NULL when good. */
+		const char *fault;
+		int64_t lease_ms, linger_ms, grace_ms, lifetime_ms;
+	} cases[] = {
+		{SETTINGS_HEAD "\"address_reuse_s\":2,\"stop_grace_s\":6,"
+			       "\"zone_bound_ms\":5000,"
+			       "\"flow_lifetime_s\":60}",
+		 NULL, 1900, 2500, 3000, 60000},
+		{SETTINGS_HEAD "\"address_reuse_s\":0.75,"
+			       "\"stop_grace_s\":2.5,"
+			       "\"zone_bound_ms\":1500.0}",
+		 NULL, 650, 1500, 0, 0},
+		{SETTINGS_HEAD "\"stop_grace_s\":0.5}", NULL, 1900, 0, 3000, 0},
+		{SETTINGS_HEAD "\"address_reuse_s\":0.1}",
+		 "address_reuse_s: found a number out of range"},
+		{SETTINGS_HEAD "\"flow_lifetime_s\":\"60\"}",
+		 "flow_lifetime_s: found a string, allowed is 0 to 86400"},
+		{SETTINGS_HEAD "\"zone_bound_ms\":1.5}",
+		 "zone_bound_ms: found a fractional number"},
+		{SETTINGS_HEAD "\"adapter\":\"other\"}",
+		 "adapter: found \"other\", allowed is \"native\", "
+		 "\"platform\""},
+		{SETTINGS_HEAD "\"seeds\":[\"10.0.0.2:9\",\"x\"]}",
+		 "seeds[1]: found x"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct json_errors errors;
+		struct settings settings;
+		json_t *root;
+
+		json_errors_init(&errors, "s.json");
+		root = json_reader_parse(str_from(cases[i].text), &errors);
+		g_assert_nonnull(root);
+		settings_read(&settings, MEMBER_AGENT, root, &errors);
+		if (cases[i].fault) {
+			g_assert_nonnull(errors.text.data);
+			if (!strstr(errors.text.data, cases[i].fault))
+				g_error("'%s' not in '%s'", cases[i].fault,
+					errors.text.data);
+		} else {
+			g_assert_cmpuint(errors.count, ==, 0);
+			g_assert_cmpint(settings.report_lease_ms, ==,
+					cases[i].lease_ms);
+			g_assert_cmpint(settings.linger_ms, ==,
+					cases[i].linger_ms);
+			g_assert_cmpint(settings.zone_grace_ms, ==,
+					cases[i].grace_ms);
+			g_assert_cmpint(settings.flow_lifetime_ms, ==,
+					cases[i].lifetime_ms);
+		}
+		json_decref(root);
+		json_errors_finish(&errors);
+	}
+}
+
+#define ROUTES_HEAD                                               \
+	"{\"deployment\":\"d\",\"release\":1,\"zones\":[],"       \
+	"\"services\":[{\"name\":\"a\",\"address\":\"10.0.0.1\"," \
+	"\"port\":80},{\"name\":\"b\"}],\"routes\":["
+
+/* Errors of routes name the field. */
+static void test_bad_routes(void)
+{
+	static const struct {
+		const char *text, *fault;
+	} cases[] = {
+		{ROUTES_HEAD "{}]}", "routes[0].name: missing"},
+		{ROUTES_HEAD "7]}", "routes[0]: found an integer"},
+		{ROUTES_HEAD "{\"name\":\"r\",\"address\":\"10.0.0.2\","
+			     "\"port\":80,\"backends\":[]}]}",
+		 "routes[0].backends: found none"},
+		{ROUTES_HEAD "{\"name\":\"r\",\"address\":\"10.0.0.2\","
+			     "\"port\":80,\"backends\":[{\"service\":"
+			     "\"c\"}]}]}",
+		 "routes[0].backends[0].service: found \"c\""},
+		{ROUTES_HEAD "{\"name\":\"r\",\"address\":\"10.0.0.2\","
+			     "\"port\":80,\"kind\":\"x\",\"backends\":"
+			     "[{\"service\":\"b\",\"weight\":-1}]}]}",
+		 "routes[0].backends[0].weight: found -1"},
+		{ROUTES_HEAD "{\"name\":\"r\",\"address\":\"10.0.0.1\","
+			     "\"port\":80,\"backends\":[{\"service\":"
+			     "\"b\"}]}]}",
+		 "routes[0].address: overlaps the address and port of "
+		 "services[0]"},
+		{"{\"deployment\":\"d\",\"release\":1,\"zones\":[],"
+		 "\"services\":[{\"name\":\"a\",\"port\":80}]}",
+		 "services[0].address: missing, needed with port"},
+	};
+	struct manifest manifest;
+	struct status status;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		status_init(&status);
+		manifest_init(&manifest);
+		g_assert_cmpint(manifest_parse(&manifest,
+					       str_from(cases[i].text), "m",
+					       &status),
+				==, STATUS_INVALID);
+		if (!strstr(status.message, cases[i].fault))
+			g_error("'%s' not in '%s'", cases[i].fault,
+				status.message);
+		manifest_finish(&manifest);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/manifest/bad", test_bad_manifests);
 	g_test_add_func("/manifest/round-trip", test_round_trip);
 	g_test_add_func("/manifest/apply", test_apply);
+	g_test_add_func("/manifest/bad-routes", test_bad_routes);
 	g_test_add_func("/settings/bad", test_bad_settings);
+	g_test_add_func("/settings/bounds", test_settings_bounds);
 	return g_test_run();
 }
