--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -18,10 +18,8 @@
 #define NOTICE_INTERVAL_MS 200
 #define NOTICE_INTERVAL_FEW_MS 10
 #define NOTICE_REPEAT_MS 500
-/* Balancers take a silent agent for unreachable after some of these. */
-#define NOTICE_ALIVE_MS 150
 /* Agents that miss some notices in a row are passed over. */
-#define SILENT_MS 450
+#define SILENT_NOTICES 3
 /* A process that was killed is back before this, or its machine is away. */
 #define GONE_MS 1300
 /* One that stops in order is back, or told as left, well before this. */
@@ -30,8 +28,6 @@
 #define RELIEF_LOAD (ADMIT_LOAD_BUSY * 7 / 10)
 /* What one that was handed over adds until its receiver tells. */
 #define PLACED_LOAD (ADMIT_LOAD_BUSY / 8)
-/* Between two notices to balancers, which place by them. */
-#define NOTICE_INTERVAL_ENTRY_MS 40
 #define NOTICE_PEERS 8
 /* Agents of one other service that are told that we run. */
 #define NOTICE_OTHERS_MAX 32
@@ -128,7 +124,7 @@
 			return i;
 		silent_ms = now_ms - peer_load_heard_ms(&agent->peers, id,
 							agent->started_ms);
-		if (silent_ms < SILENT_MS &&
+		if (silent_ms < SILENT_NOTICES * agent->view->alive_ms &&
 		    !peer_load_deaf(&agent->peers, id, now_ms))
 			return i;
 		header->visited |= (uint8_t)(1U << i);
@@ -521,6 +517,7 @@
 {
 	int best = NO_CANDIDATE;
 	uint16_t best_load = RELIEF_LOAD;
+	int64_t fresh_ms = SILENT_NOTICES * agent->view->alive_ms;
 
 	/* Once: agents that all wait must not send it round. */
 	if (header->hops_left < PACKET_HOP_BUDGET)
@@ -528,7 +525,7 @@
 	for (int i = 0; i < header->n_candidates; i++) {
 		const struct candidate *candidate = &header->candidates[i];
 		uint16_t load = peer_load_fresh(
-			&agent->peers, candidate->member_id, SILENT_MS, now_ms);
+			&agent->peers, candidate->member_id, fresh_ms, now_ms);
 
 		if (i == header->position || visited(header, i) ||
 		    candidate->flags != CANDIDATE_TAKES_NEW ||
@@ -594,7 +591,7 @@
 {
 	if (few(agent))
 		return NOTICE_INTERVAL_FEW_MS;
-	return agent->tells_balancers ? NOTICE_INTERVAL_ENTRY_MS
+	return agent->tells_balancers ? agent->view->notice_ms
 				      : NOTICE_INTERVAL_MS;
 }
 
@@ -602,7 +599,7 @@
 {
 	int change = ABS((int)load - (int)agent->told_load);
 	int worth = few(agent) ? 1 : MAX(load / NOTICE_CHANGE_SHARE, 1);
-	int64_t repeat_ms = agent->tells_balancers ? NOTICE_ALIVE_MS
+	int64_t repeat_ms = agent->tells_balancers ? agent->view->alive_ms
 						   : NOTICE_REPEAT_MS;
 
 	if (now_ms < agent->next_notice_ms)
@@ -685,7 +682,7 @@
 {
 	if (now_ms < agent->next_alive_ms)
 		return;
-	agent->next_alive_ms = now_ms + NOTICE_ALIVE_MS;
+	agent->next_alive_ms = now_ms + agent->view->alive_ms;
 	for (size_t i = 0; i < agent->view->n_services; i++) {
 		const struct service_view *service = &agent->view->services[i];
 		size_t n = MIN(service->n_members, NOTICE_OTHERS_MAX);
--- a/flow/peer_load.c
+++ b/flow/peer_load.c
@@ -2,14 +2,19 @@
 
 #include "tarragonflow/net/packet.h"
 
-/* Two notices of an agent, of which one may be lost. */
-#define DEAF_MS 350
+/* Two notices of an agent, of which one may be lost, and the way. */
+#define DEAF_PERCENT 233
 
 static struct peer_load *entry_of(struct peer_loads *loads, uint32_t member_id)
 {
 	return &loads->entries[member_id & (PEER_LOADS - 1)];
 }
 
+void peer_loads_pace(struct peer_loads *loads, int64_t alive_ms)
+{
+	loads->deaf_ms = alive_ms * DEAF_PERCENT / 100;
+}
+
 void peer_load_hear(struct peer_loads *loads, uint32_t member_id, uint16_t load,
 		    int64_t now_ms)
 {
@@ -53,7 +58,7 @@
 		&loads->entries[member_id & (PEER_LOADS - 1)];
 
 	return entry->member_id == member_id && entry->untold_ms &&
-	       now_ms - entry->untold_ms > DEAF_MS;
+	       now_ms - entry->untold_ms > loads->deaf_ms;
 }
 
 uint16_t peer_load_of(const struct peer_loads *loads, uint32_t member_id,
--- a/include/tarragonflow/flow/peer_load.h
+++ b/include/tarragonflow/flow/peer_load.h
@@ -29,9 +29,14 @@
 };
 
 struct peer_loads {
+	/** Time after which a packet should have been told of, ms. */
+	int64_t deaf_ms;
 	struct peer_load entries[PEER_LOADS];
 };
 
+/** Peers tell at least every @alive_ms. */
+void peer_loads_pace(struct peer_loads *loads, int64_t alive_ms);
+
 void peer_load_hear(struct peer_loads *loads, uint32_t member_id, uint16_t load,
 		    int64_t now_ms);
 
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -85,6 +85,10 @@
 	int64_t made_ms;
 	/** The roster holds all members but the newest. */
 	bool roster_known;
+	/** Time between two notices of an agent whose load changes, ms. */
+	int64_t notice_ms;
+	/** The same for an agent whose load does not: it tells that it runs. */
+	int64_t alive_ms;
 	/** Data addresses of the balancers that take part. */
 	struct endpoint *balancers;
 	size_t n_balancers;
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -5,10 +5,10 @@
 #include "tarragonflow/net/inner.h"
 
 #define HASH_HIGH_SHIFT 32
-/* Three notices of an agent lost in a row: it may be out of reach. */
-#define LOAD_FRESH_MS 400
+/* Three notices of an agent lost in a row, nearly: it may be out of reach. */
+#define FRESH_PERCENT 266
 /* A copy says that the first may be lost: one notice may be missing. */
-#define COPY_FRESH_MS 200
+#define COPY_FRESH_PERCENT 133
 /* Traffic between zones is worth this much more load: a third of a request in
  * one of five slots. */
 #define FAR_LOAD (PACKET_LOAD_SCALE / 60)
@@ -44,6 +44,7 @@
 void balancer_set_view(struct balancer *balancer, const struct view *view)
 {
 	balancer->view = view;
+	peer_loads_pace(&balancer->loads, view->alive_ms);
 }
 
 static struct owner_hint *hint_slot(struct balancer *balancer,
@@ -130,6 +131,18 @@
 	return header->n_candidates - 1;
 }
 
+/* Age up to which a notice tells that its agent is in reach, ms. */
+static int64_t fresh_ms(const struct balancer *balancer)
+{
+	return balancer->view->alive_ms * FRESH_PERCENT / 100;
+}
+
+/* The same when a repeated packet gives reason for doubt, ms. */
+static int64_t copy_fresh_ms(const struct balancer *balancer)
+{
+	return balancer->view->alive_ms * COPY_FRESH_PERCENT / 100;
+}
+
 static void decided(const struct balancer *balancer, enum decision_kind kind,
 		    const struct inner_packet *packet, uint32_t member_id,
 		    int64_t now_ms, struct packet_sink *sink)
@@ -173,7 +186,7 @@
 		if (!(candidate->flags & CANDIDATE_TAKES_NEW))
 			continue;
 		load = peer_load_fresh(&balancer->loads, candidate->member_id,
-				       LOAD_FRESH_MS, now_ms);
+				       fresh_ms(balancer), now_ms);
 		if (load < PACKET_LOAD_SCALE &&
 		    !is_near(balancer, service, candidate->member_id))
 			load += FAR_LOAD;
@@ -192,7 +205,7 @@
 	int64_t heard_ms =
 		peer_load_heard_ms(&balancer->loads, member_id, INT64_MIN / 2);
 
-	return now_ms - heard_ms <= LOAD_FRESH_MS &&
+	return now_ms - heard_ms <= fresh_ms(balancer) &&
 	       !peer_load_deaf(&balancer->loads, member_id, now_ms);
 }
 
@@ -251,10 +264,11 @@
 			  int64_t now_ms, struct packet_sink *sink)
 {
 	uint32_t before = hinted_owner(balancer, flow_hash);
-	int64_t fresh_ms = packet->sent_ago_ms ? COPY_FRESH_MS : LOAD_FRESH_MS;
+	int64_t known_ms = packet->sent_ago_ms ? copy_fresh_ms(balancer)
+					       : fresh_ms(balancer);
 	uint8_t best;
 
-	if (before && peer_load_fresh(&balancer->loads, before, fresh_ms,
+	if (before && peer_load_fresh(&balancer->loads, before, known_ms,
 				      now_ms) != PACKET_LOAD_FULL)
 		return hinted_position(service, header, before);
 	best = least_loaded(balancer, service, header, now_ms);
--- a/route/view.c
+++ b/route/view.c
@@ -13,6 +13,13 @@
 /* Picks a service of a route; independent of the bucket. */
 #define SPLIT_SEED 0x73706c6974ULL
 #define INDEX_EMPTY UINT32_MAX
+#define MS_PER_S 1000
+/* What an agent may send in a second: some 1% of a small VM's core. */
+#define NOTICES_PER_S 500
+/* About the time of one request: newer loads would not be placed by. */
+#define NOTICE_MIN_MS 40
+/* Who is silent for three of these is passed over. */
+#define ALIVE_MIN_MS 150
 
 /** One member's claim on a bucket while its chain is sorted. */
 struct rank {
@@ -274,6 +281,18 @@
 				roster->members[i].data;
 }
 
+/* Notices of one agent stay within a rate, however many processes listen. */
+static void view_pace_notices(struct view *view)
+{
+	size_t listeners = view->n_balancers;
+
+	for (size_t i = 0; i < view->n_services; i++)
+		listeners += view->services[i].n_members;
+	view->notice_ms = MAX(NOTICE_MIN_MS,
+			      (int64_t)listeners * MS_PER_S / NOTICES_PER_S);
+	view->alive_ms = MAX(ALIVE_MIN_MS, view->notice_ms);
+}
+
 static void route_view_add(struct route_view *route, const struct view *view,
 			   const struct route_backend *backend)
 {
@@ -358,6 +377,7 @@
 	view_build_index(view);
 	view_copy_zones(view, manifest);
 	view_copy_balancers(view, roster);
+	view_pace_notices(view);
 }
 
 void view_finish(struct view *view)
