Never conclude from a mixed search: peers that collide, other orders, other releases

Read for ways to that reset, the search had four: two members whose ids share a place in the table of peers pushed one another out and counted as gone; a member never heard of counted as gone; the candidates asked, kept in the mark, were read against a chain in another order; a search that began under another release could skip a service.

Tests nobody-has (a new member, another release), other-order and peers-remembered failed before and pass now.

Which of the four it was isn't proven.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -124,7 +124,7 @@
 		return;
 	}
 	memcpy(marked, packet->data, packet->len);
-	agent->format->set_mark(marked, agent_make_mark(header));
+	agent->format->set_mark(marked, agent_make_mark(agent, header, packet));
 	sink->to_server(sink, marked, packet->len);
 }
 
@@ -633,6 +633,9 @@
 		agent_count(agent, COUNTER_DROP_HEADER);
 		return;
 	}
+	/* Another release may lead the search to other services. */
+	header.doubt |= header.config_revision !=
+			(uint64_t)agent->view->config_revision;
 	if (!meant_for_us(agent, &header)) {
 		handle_stray(agent, &header, data + header_len,
 			     len - header_len, now_ms, sink);
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -109,10 +109,11 @@
 /*
  * The next candidate that had no copy. Where agents tell one another that they
  * run, a silent one is passed over, for a packet would end there; unless it
- * has been silent for long enough to be gone, it may have the connection.
+ * was heard once and then silent for long enough to be gone, it may have the
+ * connection.
  */
-static int next_unvisited(const struct agent *agent,
-			  struct packet_header *header, int64_t now_ms)
+static int next_unvisited(struct agent *agent, struct packet_header *header,
+			  int64_t now_ms)
 {
 	for (int i = 0; i < header->n_candidates; i++) {
 		uint32_t id = header->candidates[i].member_id;
@@ -122,26 +123,25 @@
 			continue;
 		if (!agent->tells_balancers || id == agent->member_id)
 			return i;
-		silent_ms = now_ms - peer_load_heard_ms(&agent->peers, id,
-							agent->started_ms);
+		silent_ms = peer_load_silent_ms(&agent->peers, id, now_ms);
 		if (silent_ms < SILENT_NOTICES * agent->view->alive_ms &&
 		    !peer_load_deaf(&agent->peers, id, now_ms))
 			return i;
 		header->visited |= (uint8_t)(1U << i);
 		/* Who stops in order tells before that it takes nothing new. */
-		header->doubt |=
-			silent_ms <
-			(header->candidates[i].flags & CANDIDATE_TAKES_NEW
-				 ? GONE_MS
-				 : STOPPED_MS);
+		header->doubt |= !peer_load_met(&agent->peers, id) ||
+				 silent_ms <
+					 (header->candidates[i].flags &
+							  CANDIDATE_TAKES_NEW
+						  ? GONE_MS
+						  : STOPPED_MS);
 	}
 	return NO_CANDIDATE;
 }
 
 /* Draining candidates come last: they may hold the first copy of a SYN. */
-static int next_candidate(const struct agent *agent,
-			  struct packet_header *header, bool opens,
-			  int64_t now_ms)
+static int next_candidate(struct agent *agent, struct packet_header *header,
+			  bool opens, int64_t now_ms)
 {
 	int next = opens ? next_taker(agent, header, now_ms) : NO_CANDIDATE;
 
@@ -160,8 +160,9 @@
 /*
  * Whether no server that lives has the connection of @packet, whose search
  * has ended: every agent was asked, each knew all connections of its server
- * or had the server itself say so, and none is hidden from the search. Only
- * what a caller waits for is worth a reset.
+ * or had the server itself say so, none is hidden from the search, and all
+ * that passed it on had the same services. Only what a caller waits for is
+ * worth a reset.
  */
 static bool nobody_has(const struct agent *agent,
 		       const struct packet_header *header,
@@ -172,7 +173,6 @@
 	return agent->server.required && packet->payload_len &&
 	       !header->doubt && view->n_services <= SERVICES_SEARCHED_MAX &&
 	       header->services_tried >= view->n_services &&
-	       (uint64_t)view->config_revision >= header->config_revision &&
 	       !view_hides_members(view);
 }
 
@@ -299,25 +299,60 @@
 }
 
 /*
- * The mark: whether the chain is not the first of its service, services
- * tried, doubt, whether the servers of unsure candidates are asked, position,
- * hops, candidates visited and unsure. Behind the first chain a search starts
- * anew from the agent whose server returned the packet.
+ * The mark: whether the chain is not the one of our own view, services tried,
+ * doubt, whether the servers of unsure candidates are asked, a check on the
+ * chain, hops, candidates visited and unsure. The latter mean nothing in
+ * another chain, so there the search of the service starts anew from the
+ * agent whose server returned the packet.
  */
-#define MARK_POSITION_BITS 3
+#define MARK_CHECK_BITS 3
 #define MARK_HOPS_BITS 6
 #define MARK_CHAIN_BITS 8
 #define MARK_SERVICES_BITS 4
 
-uint32_t agent_make_mark(const struct packet_header *header)
+/* Tells most chains from one another. */
+static uint32_t chain_check(const struct packet_header *header)
+{
+	uint32_t sum = header->n_candidates;
+
+	for (int i = 0; i < header->n_candidates; i++)
+		sum = sum * 31 + header->candidates[i].member_id;
+	return sum >> (32 - MARK_CHECK_BITS);
+}
+
+/* Whether the candidates are, in order, those of our own view. */
+static bool is_own_chain(const struct agent *agent,
+			 const struct packet_header *header,
+			 const struct inner_packet *packet)
+{
+	const struct service_view *service = agent->service;
+	struct packet_header own;
+
+	if (!service || header->service_id != agent->service_id)
+		return false;
+	view_chain(service, view_bucket(agent->view, service, &packet->key),
+		   &own);
+	if (own.n_candidates != header->n_candidates ||
+	    own.candidates[header->position].member_id != agent->member_id)
+		return false;
+	for (int i = 0; i < own.n_candidates; i++)
+		if (own.candidates[i].member_id !=
+		    header->candidates[i].member_id)
+			return false;
+	return true;
+}
+
+uint32_t agent_make_mark(const struct agent *agent,
+			 const struct packet_header *header,
+			 const struct inner_packet *packet)
 {
 	uint32_t hops = MIN(header->hops_left, (1U << MARK_HOPS_BITS) - 1);
-	uint32_t mark = header->resolves > 0;
+	uint32_t mark = !is_own_chain(agent, header, packet);
 
 	mark = mark << MARK_SERVICES_BITS | header->services_tried;
 	mark = mark << 1 | header->doubt;
 	mark = mark << 1 | header->asking;
-	mark = mark << MARK_POSITION_BITS | header->position;
+	mark = mark << MARK_CHECK_BITS | chain_check(header);
 	mark = mark << MARK_HOPS_BITS | hops;
 	mark = mark << MARK_CHAIN_BITS | header->visited;
 	mark = mark << MARK_CHAIN_BITS | header->unsure;
@@ -374,7 +409,7 @@
 		     struct packet_header *header)
 {
 	uint32_t mark = packet->mark;
-	uint32_t unsure, visited_before, position;
+	uint32_t unsure, visited_before, check;
 	bool asking;
 
 	if (!agent_own_header(agent, packet, header))
@@ -382,16 +417,15 @@
 	unsure = mark_take(&mark, MARK_CHAIN_BITS);
 	visited_before = mark_take(&mark, MARK_CHAIN_BITS);
 	header->hops_left = (uint8_t)mark_take(&mark, MARK_HOPS_BITS);
-	position = mark_take(&mark, MARK_POSITION_BITS);
+	check = mark_take(&mark, MARK_CHECK_BITS);
 	asking = mark_take(&mark, 1);
 	header->doubt = mark_take(&mark, 1);
 	header->services_tried = (uint8_t)mark_take(&mark, MARK_SERVICES_BITS);
-	/* Behind the first chain, or when ours is shorter now: begins anew. */
-	if (mark || position >= header->n_candidates)
+	if (mark || check != chain_check(header) ||
+	    header->candidates[header->position].member_id != agent->member_id)
 		return true;
 	header->unsure = (uint8_t)unsure;
 	header->visited = (uint8_t)visited_before;
-	header->position = (uint8_t)position;
 	header->asking = asking;
 	return true;
 }
--- a/flow/peer_load.c
+++ b/flow/peer_load.c
@@ -5,9 +5,51 @@
 /* Two notices of an agent, of which one may be lost, and the way. */
 #define DEAF_PERCENT 233
 
-static struct peer_load *entry_of(struct peer_loads *loads, uint32_t member_id)
+static uint32_t place_of(uint32_t member_id, uint32_t i)
 {
-	return &loads->entries[member_id & (PEER_LOADS - 1)];
+	return (member_id + i) & (PEER_LOADS - 1);
+}
+
+static const struct peer_load *find(const struct peer_loads *loads,
+				    uint32_t member_id)
+{
+	for (uint32_t i = 0; i < PEER_LOAD_PLACES; i++) {
+		const struct peer_load *entry =
+			&loads->entries[place_of(member_id, i)];
+
+		if (entry->member_id == member_id)
+			return entry;
+	}
+	return NULL;
+}
+
+static struct peer_load *find_mutable(struct peer_loads *loads,
+				      uint32_t member_id)
+{
+	return (struct peer_load *)find(loads, member_id);
+}
+
+/* Takes a free place, or that of the peer that was heard least recently. */
+static struct peer_load *insert(struct peer_loads *loads, uint32_t member_id,
+				int64_t now_ms)
+{
+	struct peer_load *oldest = NULL;
+
+	for (uint32_t i = 0; i < PEER_LOAD_PLACES; i++) {
+		struct peer_load *entry =
+			&loads->entries[place_of(member_id, i)];
+
+		if (!oldest ||
+		    (oldest->member_id &&
+		     (!entry->member_id || entry->heard_ms < oldest->heard_ms)))
+			oldest = entry;
+	}
+	*oldest = (struct peer_load){
+		.member_id = member_id,
+		.load = PACKET_LOAD_FULL,
+		.heard_ms = now_ms,
+	};
+	return oldest;
 }
 
 void peer_loads_pace(struct peer_loads *loads, int64_t alive_ms)
@@ -18,13 +60,11 @@
 void peer_load_hear(struct peer_loads *loads, uint32_t member_id, uint16_t load,
 		    int64_t now_ms)
 {
-	struct peer_load *entry = entry_of(loads, member_id);
+	struct peer_load *entry = find_mutable(loads, member_id);
 
-	if (entry->member_id != member_id) {
-		entry->received = 0;
-		entry->untold_ms = 0;
-	}
-	entry->member_id = member_id;
+	if (!entry)
+		entry = insert(loads, member_id, now_ms);
+	entry->met = true;
 	entry->load = load;
 	entry->heard_ms = now_ms;
 }
@@ -32,9 +72,9 @@
 void peer_load_sent(struct peer_loads *loads, uint32_t member_id,
 		    int64_t now_ms)
 {
-	struct peer_load *entry = entry_of(loads, member_id);
+	struct peer_load *entry = find_mutable(loads, member_id);
 
-	if (entry->member_id != member_id)
+	if (!entry)
 		return;
 	if (!entry->untold_ms)
 		entry->untold_ms = now_ms;
@@ -43,9 +83,9 @@
 void peer_load_told(struct peer_loads *loads, uint32_t member_id,
 		    uint32_t received)
 {
-	struct peer_load *entry = entry_of(loads, member_id);
+	struct peer_load *entry = find_mutable(loads, member_id);
 
-	if (entry->member_id != member_id || entry->received == received)
+	if (!entry || entry->received == received)
 		return;
 	entry->received = received;
 	entry->untold_ms = 0;
@@ -54,10 +94,9 @@
 bool peer_load_deaf(const struct peer_loads *loads, uint32_t member_id,
 		    int64_t now_ms)
 {
-	const struct peer_load *entry =
-		&loads->entries[member_id & (PEER_LOADS - 1)];
+	const struct peer_load *entry = find(loads, member_id);
 
-	return entry->member_id == member_id && entry->untold_ms &&
+	return entry && entry->untold_ms &&
 	       now_ms - entry->untold_ms > loads->deaf_ms;
 }
 
@@ -70,11 +109,9 @@
 uint16_t peer_load_fresh(const struct peer_loads *loads, uint32_t member_id,
 			 int64_t fresh_ms, int64_t now_ms)
 {
-	const struct peer_load *entry =
-		&loads->entries[member_id & (PEER_LOADS - 1)];
+	const struct peer_load *entry = find(loads, member_id);
 
-	if (entry->member_id != member_id ||
-	    now_ms - entry->heard_ms > fresh_ms ||
+	if (!entry || now_ms - entry->heard_ms > fresh_ms ||
 	    peer_load_deaf(loads, member_id, now_ms))
 		return PACKET_LOAD_FULL;
 	return entry->load;
@@ -83,18 +120,34 @@
 int64_t peer_load_heard_ms(const struct peer_loads *loads, uint32_t member_id,
 			   int64_t since)
 {
-	const struct peer_load *entry =
-		&loads->entries[member_id & (PEER_LOADS - 1)];
+	const struct peer_load *entry = find(loads, member_id);
 
-	if (entry->member_id != member_id || entry->heard_ms < since)
+	if (!entry || !entry->met || entry->heard_ms < since)
 		return since;
 	return entry->heard_ms;
 }
 
+bool peer_load_met(const struct peer_loads *loads, uint32_t member_id)
+{
+	const struct peer_load *entry = find(loads, member_id);
+
+	return entry && entry->met;
+}
+
+int64_t peer_load_silent_ms(struct peer_loads *loads, uint32_t member_id,
+			    int64_t now_ms)
+{
+	const struct peer_load *entry = find(loads, member_id);
+
+	if (!entry)
+		entry = insert(loads, member_id, now_ms);
+	return now_ms - entry->heard_ms;
+}
+
 void peer_load_add(struct peer_loads *loads, uint32_t member_id, uint16_t load)
 {
-	struct peer_load *entry = entry_of(loads, member_id);
+	struct peer_load *entry = find_mutable(loads, member_id);
 
-	if (entry->member_id == member_id && entry->load < PACKET_LOAD_SCALE)
+	if (entry && entry->load < PACKET_LOAD_SCALE)
 		entry->load += load;
 }
--- a/include/tarragonflow/flow/agent_route.h
+++ b/include/tarragonflow/flow/agent_route.h
@@ -29,7 +29,9 @@
 		     struct packet_header *header);
 
 /** What the server is to give back with @header's packet. */
-uint32_t agent_make_mark(const struct packet_header *header);
+uint32_t agent_make_mark(const struct agent *agent,
+			 const struct packet_header *header,
+			 const struct inner_packet *packet);
 
 /**
  * Hands an opening packet to a candidate with clearly less load, or to the
--- a/include/tarragonflow/flow/peer_load.h
+++ b/include/tarragonflow/flow/peer_load.h
@@ -7,11 +7,14 @@
 /**
  * What the agents of the other backend servers last said about their load.
  * It rides on the packets between agents. A fixed table: a peer that falls
- * out of it is only not chosen by load.
+ * out of it is only not chosen by load, and not held for gone.
  */
 
-/** Peers that are remembered, a power of two. */
-#define PEER_LOADS 256
+/** Peers that are remembered, a power of two; about those of one service. */
+#define PEER_LOADS 1024
+
+/** Places that a peer may have in the table, from the one of its id on. */
+#define PEER_LOAD_PLACES 8
 
 /** Age at which a load is no longer used, ms. */
 #define PEER_LOAD_FRESH_MS 2000
@@ -19,6 +22,8 @@
 struct peer_load {
 	/** 0 when the entry is free. */
 	uint32_t member_id;
+	/** It has told something; else @heard_ms is when we first asked. */
+	bool met;
 	uint16_t load;
 	int64_t heard_ms;
 	/** Packets of ours that it has had, by its last word. */
@@ -52,6 +57,16 @@
 int64_t peer_load_heard_ms(const struct peer_loads *loads, uint32_t member_id,
 			   int64_t since);
 
+/**
+ * How long @member_id has been silent, ms. Of one that is not known, silence
+ * counts from the first such question: it may have been started just now.
+ */
+int64_t peer_load_silent_ms(struct peer_loads *loads, uint32_t member_id,
+			    int64_t now_ms);
+
+/** Whether @member_id ever told us anything that we remember. */
+bool peer_load_met(const struct peer_loads *loads, uint32_t member_id);
+
 /** We sent a packet to @member_id. */
 void peer_load_sent(struct peer_loads *loads, uint32_t member_id,
 		    int64_t now_ms);
--- a/route/view.c
+++ b/route/view.c
@@ -528,6 +528,19 @@
 	return NULL;
 }
 
+/*
+ * The order of chains that are resolved during a search. Unlike a first chain
+ * it does not depend on whom this process suspects: others go on with it.
+ */
+static struct rank search_rank(const struct service_view *service, size_t i,
+			       uint32_t bucket)
+{
+	struct rank rank = member_rank(service, i, bucket);
+
+	rank.suspect = false;
+	return rank;
+}
+
 /* The rank behind which a chain that was resolved before goes on. */
 static bool last_rank(const struct service_view *service,
 		      const struct packet_header *header, struct rank *rank)
@@ -538,7 +551,7 @@
 
 	if (!header->resolves || !member)
 		return false;
-	*rank = member_rank(service, (size_t)(member - service->members),
+	*rank = search_rank(service, (size_t)(member - service->members),
 			    header->bucket);
 	return true;
 }
@@ -551,7 +564,7 @@
 	size_t n = 0;
 
 	for (size_t i = 0; i < service->n_members; i++) {
-		struct rank rank = member_rank(service, i, header->bucket);
+		struct rank rank = search_rank(service, i, header->bucket);
 
 		if (in_chain(header, service->members[i].member_id) ||
 		    (goes_on && !rank_before(&after, &rank)))
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -555,6 +555,32 @@
 	rig_view(rig, true);
 }
 
+/* Nothing was ever heard of it, so it may have begun just now. */
+static void change_member_new(struct rig *rig)
+{
+	pass_time(rig, 2000);
+	rig->n = 9;
+	rig->hosts[9].rig = rig;
+	rig->hosts[9].sink = rig->hosts[1].sink;
+	add_member(rig, 9, MEMBER_ACTIVE);
+	start_agent(rig, 9);
+	rig->hosts[9].running = false;
+	rig_view(rig, true);
+	pass_time(rig, 500);
+	caller_sends(rig, 76, FLAG_ACK, 100);
+	pass_time(rig, 4000);
+}
+
+/* The search may begin or go on where another release leads it. */
+static void change_balancer_older(struct rig *rig)
+{
+	static struct view older;
+
+	older = rig->view;
+	older.config_revision--;
+	balancer_set_view(&rig->balancer, &older);
+}
+
 /* An agent of the other service restarted; its server can't be asked. */
 static void change_other_service_unsure(struct rig *rig)
 {
@@ -572,6 +598,9 @@
 		{"a member is silent", false, change_member_silent},
 		{"a silent member is gone", true, change_member_gone},
 		{"a member has left", true, change_member_left},
+		{"a member is new", false, change_member_new},
+		{"the balancer has another release", false,
+		 change_balancer_older},
 		{"another service is unsure", false,
 		 change_other_service_unsure},
 	};
@@ -625,6 +654,71 @@
 	rig_finish(&rig);
 }
 
+/*
+ * The balancer suspects a member and so puts it last, the agents do not: what
+ * was asked in the one order says nothing about the other.
+ */
+static void test_other_order(void)
+{
+	struct roster suspecting;
+	struct view other;
+	struct rig rig;
+
+	rig_init(&rig, 5, 6);
+	pass_time(&rig, 700);
+	for (uint16_t port = 1; port <= 25; port++)
+		open_flow(&rig, port);
+	for (unsigned int i = 1; i <= rig.n; i++) {
+		agent_finish(&rig.hosts[i].agent);
+		start_agent(&rig, i);
+	}
+	pass_time(&rig, 200);
+	forget_hints(&rig);
+	suspecting = rig.roster;
+	roster_init(&rig.roster);
+	add_balancer(&rig);
+	for (unsigned int i = 1; i <= rig.n; i++)
+		add_member(&rig, i, i < 3 ? MEMBER_SUSPECT : MEMBER_ACTIVE);
+	view_init_ordered(&other, &rig.manifest, &rig.roster, &rig.orders,
+			  rig.now_ms);
+	roster_finish(&rig.roster);
+	rig.roster = suspecting;
+	balancer_set_view(&rig.balancer, &other);
+	for (uint16_t port = 1; port <= 25; port++) {
+		struct host *owner = &rig.hosts[owner_of(&rig, port)];
+		unsigned int hits = owner->hits;
+
+		caller_sends(&rig, port, FLAG_ACK, 100);
+		g_assert_cmpuint(owner->hits, ==, hits + 1);
+	}
+	g_assert_cmpuint(rig.resets, ==, 0);
+	view_finish(&other);
+	rig_finish(&rig);
+}
+
+/* Members whose ids share a place in the table do not push one another out. */
+static void test_peers_remembered(void)
+{
+	struct peer_loads loads = {0};
+
+	for (uint32_t i = 1; i <= 4; i++)
+		peer_load_hear(&loads, i << 20 | 7, 100, 1000 * i);
+	for (uint32_t i = 1; i <= 4; i++) {
+		g_assert_true(peer_load_met(&loads, i << 20 | 7));
+		g_assert_cmpint(peer_load_silent_ms(&loads, i << 20 | 7, 9000),
+				==, 9000 - 1000 * i);
+	}
+	g_assert_false(peer_load_met(&loads, 8));
+	g_assert_cmpint(peer_load_silent_ms(&loads, 8, 9000), ==, 0);
+	g_assert_cmpint(peer_load_silent_ms(&loads, 8, 9500), ==, 500);
+	g_assert_false(peer_load_met(&loads, 8));
+	/* A full neighbourhood gives up who was heard least recently. */
+	for (uint32_t i = 5; i <= PEER_LOAD_PLACES; i++)
+		peer_load_hear(&loads, i << 20 | 7, 100, 1000 * i);
+	g_assert_false(peer_load_met(&loads, 1 << 20 | 7));
+	g_assert_true(peer_load_met(&loads, 2 << 20 | 7));
+}
+
 /* A server that started anew has lost its connections: callers hear of it. */
 static void test_server_restarted(void)
 {
@@ -996,6 +1090,8 @@
 	g_test_add_func("/search/owner-away", test_owner_away);
 	g_test_add_func("/search/nobody-has", test_nobody_has);
 	g_test_add_func("/search/many-members", test_many_members);
+	g_test_add_func("/search/other-order", test_other_order);
+	g_test_add_func("/search/peers-remembered", test_peers_remembered);
 	g_test_add_func("/search/server-restarted", test_server_restarted);
 	g_test_add_func("/search/returned-open", test_returned_open);
 	g_test_add_func("/search/returned-opening", test_returned_opening);
