--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -62,6 +62,12 @@
 	uint32_t weights;
 };
 
+/** What an agent may send in a second: some 1% of a small VM's core. */
+#define VIEW_NOTICES_PER_S 500
+
+/** About the time of one request, ms: newer loads would not be placed by. */
+#define VIEW_NOTICE_MIN_MS 40
+
 struct view {
 	int64_t config_revision;
 	uint64_t roster_version;
--- a/route/view.c
+++ b/route/view.c
@@ -14,10 +14,6 @@
 #define SPLIT_SEED 0x73706c6974ULL
 #define INDEX_EMPTY UINT32_MAX
 #define MS_PER_S 1000
-/* What an agent may send in a second: some 1% of a small VM's core. */
-#define NOTICES_PER_S 500
-/* About the time of one request: newer loads would not be placed by. */
-#define NOTICE_MIN_MS 40
 /* Who is silent for three of these is passed over. */
 #define ALIVE_MIN_MS 150
 
@@ -288,8 +284,9 @@
 
 	for (size_t i = 0; i < view->n_services; i++)
 		listeners += view->services[i].n_members;
-	view->notice_ms = MAX(NOTICE_MIN_MS,
-			      (int64_t)listeners * MS_PER_S / NOTICES_PER_S);
+	view->notice_ms =
+		MAX(VIEW_NOTICE_MIN_MS,
+		    (int64_t)listeners * MS_PER_S / VIEW_NOTICES_PER_S);
 	view->alive_ms = MAX(ALIVE_MIN_MS, view->notice_ms);
 }
 
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -198,6 +198,13 @@
 		rig->answers++;
 }
 
+static void rig_set_view(struct rig *rig)
+{
+	for (unsigned int i = 1; i <= rig->n; i++)
+		agent_set_view(&rig->hosts[i].agent, &rig->view);
+	balancer_set_view(&rig->balancer, &rig->view);
+}
+
 static void rig_view(struct rig *rig, bool roster_known)
 {
 	if (rig->has_view)
@@ -206,9 +213,7 @@
 			  &rig->orders, rig->now_ms);
 	rig->view.roster_known = roster_known;
 	rig->has_view = true;
-	for (unsigned int i = 1; i <= rig->n; i++)
-		agent_set_view(&rig->hosts[i].agent, &rig->view);
-	balancer_set_view(&rig->balancer, &rig->view);
+	rig_set_view(rig);
 }
 
 static void start_agent(struct rig *rig, unsigned int i)
@@ -542,6 +547,17 @@
 	pass_time(rig, 1000);
 }
 
+/* Among many processes notices are rare, and some are lost. */
+static void change_member_silent_rare(struct rig *rig)
+{
+	rig->view.notice_ms = 800;
+	rig->view.alive_ms = 800;
+	rig_set_view(rig);
+	pass_time(rig, 2000);
+	rig->hosts[2].running = false;
+	pass_time(rig, 3000);
+}
+
 static void change_member_gone(struct rig *rig)
 {
 	rig->hosts[2].running = false;
@@ -596,6 +612,8 @@
 		{"roster not known", false, change_roster_unknown},
 		{"a zone is hidden", false, change_zone_hidden},
 		{"a member is silent", false, change_member_silent},
+		{"a member is silent, notices are rare", false,
+		 change_member_silent_rare},
 		{"a silent member is gone", true, change_member_gone},
 		{"a member has left", true, change_member_left},
 		{"a member is new", false, change_member_new},
@@ -696,6 +714,53 @@
 	rig_finish(&rig);
 }
 
+/* A near server is preferred, until a far one has clearly less to do. */
+static void test_near_server(void)
+{
+	unsigned int near = 0, far = 0;
+	struct rig rig;
+
+	rig_init(&rig, 4, 5);
+	pass_time(&rig, 700);
+	open_flow(&rig, 1);
+	g_assert_cmpuint(owner_of(&rig, 1) % 2, ==, 1);
+	for (uint16_t port = 2; port <= 17; port++)
+		open_flow(&rig, port);
+	for (uint16_t port = 1; port <= 17; port++)
+		*(owner_of(&rig, port) % 2 ? &near : &far) += 1;
+	g_assert_cmpuint(near, >=, far);
+	g_assert_cmpuint(far, >=, 4);
+	rig_finish(&rig);
+}
+
+/* However many processes listen, an agent's notices stay within the rate. */
+static void test_notice_pace(void)
+{
+	static const unsigned int sizes[] = {2, 60, 400};
+	struct roster roster;
+	struct view view;
+	struct rig rig;
+
+	rig_init(&rig, 2, 3);
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		roster = rig.roster;
+		roster_init(&rig.roster);
+		add_balancer(&rig);
+		for (unsigned int n = 1; n <= sizes[i]; n++)
+			add_member(&rig, n, MEMBER_ACTIVE);
+		view_init_ordered(&view, &rig.manifest, &rig.roster,
+				  &rig.orders, rig.now_ms);
+		g_assert_cmpint((sizes[i] + 1) * 1000 / view.notice_ms, <=,
+				VIEW_NOTICES_PER_S);
+		g_assert_cmpint(view.alive_ms, >=, view.notice_ms);
+		g_assert_cmpint(view.notice_ms, >=, VIEW_NOTICE_MIN_MS);
+		view_finish(&view);
+		roster_finish(&rig.roster);
+		rig.roster = roster;
+	}
+	rig_finish(&rig);
+}
+
 /* Members whose ids share a place in the table do not push one another out. */
 static void test_peers_remembered(void)
 {
@@ -1090,6 +1155,8 @@
 	g_test_add_func("/search/owner-away", test_owner_away);
 	g_test_add_func("/search/nobody-has", test_nobody_has);
 	g_test_add_func("/search/many-members", test_many_members);
+	g_test_add_func("/search/near-server", test_near_server);
+	g_test_add_func("/search/notice-pace", test_notice_pace);
 	g_test_add_func("/search/other-order", test_other_order);
 	g_test_add_func("/search/peers-remembered", test_peers_remembered);
 	g_test_add_func("/search/server-restarted", test_server_restarted);
