--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -20,12 +20,6 @@
 #define NOTICE_REPEAT_MS 500
 /* Agents that miss some notices in a row are passed over. */
 #define SILENT_NOTICES 3
-/* A process that was killed is back before this, or its machine is away. */
-#define GONE_MS 1300
-/* Where notices are rare, so many in a row are lost to no usual loss. */
-#define GONE_NOTICES 8
-/* One that stops in order is back, or told as left, well before this. */
-#define STOPPED_MS 4000
 /* Most slots are free: an opening packet need not wait there. */
 #define RELIEF_LOAD (ADMIT_LOAD_BUSY * 7 / 10)
 /* What one that was handed over adds until its receiver tells. */
@@ -108,25 +102,11 @@
 	return best;
 }
 
-/*
- * How long a process must be silent to be gone, ms. One that stops in order
- * tells before that it takes nothing new.
- */
-static int64_t gone_ms(const struct agent *agent,
-		       const struct candidate *candidate)
-{
-	int64_t rare_ms = GONE_NOTICES * agent->view->alive_ms;
-
-	return MAX(rare_ms, candidate->flags & CANDIDATE_TAKES_NEW
-				    ? GONE_MS
-				    : STOPPED_MS);
-}
-
 /*
  * The next candidate that had no copy. Where agents tell one another that they
- * run, a silent one is passed over, for a packet would end there; unless it
- * was heard once and then silent for long enough to be gone, it may have the
- * connection.
+ * run, a silent one is passed over, for a packet would end there. However long
+ * it is silent, it may be cut off and have the connection; only the roster
+ * tells that it has left.
  */
 static int next_unvisited(struct agent *agent, struct packet_header *header,
 			  int64_t now_ms)
@@ -144,9 +124,7 @@
 		    !peer_load_deaf(&agent->peers, id, now_ms))
 			return i;
 		header->visited |= (uint8_t)(1U << i);
-		header->doubt |= !peer_load_met(&agent->peers, id) ||
-				 silent_ms <
-					 gone_ms(agent, &header->candidates[i]);
+		header->doubt = true;
 	}
 	return NO_CANDIDATE;
 }
--- a/flow/peer_load.c
+++ b/flow/peer_load.c
@@ -127,13 +127,6 @@
 	return entry->heard_ms;
 }
 
-bool peer_load_met(const struct peer_loads *loads, uint32_t member_id)
-{
-	const struct peer_load *entry = find(loads, member_id);
-
-	return entry && entry->met;
-}
-
 int64_t peer_load_silent_ms(struct peer_loads *loads, uint32_t member_id,
 			    int64_t now_ms)
 {
--- a/include/tarragonflow/flow/peer_load.h
+++ b/include/tarragonflow/flow/peer_load.h
@@ -64,9 +64,6 @@
 int64_t peer_load_silent_ms(struct peer_loads *loads, uint32_t member_id,
 			    int64_t now_ms);
 
-/** Whether @member_id ever told us anything that we remember. */
-bool peer_load_met(const struct peer_loads *loads, uint32_t member_id);
-
 /** We sent a packet to @member_id. */
 void peer_load_sent(struct peer_loads *loads, uint32_t member_id,
 		    int64_t now_ms);
