--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -198,6 +198,7 @@
 	int64_t *took = g_new(int64_t, REQUESTS_MAX);
 	double due = 0, share;
 	int in_time = 0, served = 0;
+	size_t p99;
 
 	replay->pattern = pattern;
 	replay->ours = ours;
@@ -208,7 +209,7 @@
 		if (now_ms < END_MS - ATTEMPT_MS)
 			due += (then ? pattern->rate_then : pattern->rate) /
 			       1000;
-		for (; due >= 1; due--)
+		for (int n = (int)due; n; n--, due--)
 			arrive(replay, now_ms);
 		for (int i = 0; i < SERVERS; i++)
 			serve(replay, i, now_ms);
@@ -222,7 +223,8 @@
 		in_time += took[served++] <= OBJECTIVE_MS;
 	}
 	qsort(took, (size_t)served, sizeof(*took), compare_ms);
-	*p99_ms = (double)took[served * 99 / 100];
+	p99 = (size_t)served * 99 / 100;
+	*p99_ms = (double)took[p99];
 	share = 100.0 * in_time / replay->n;
 	g_rand_free(replay->rand);
 	g_free(took);
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -41,7 +41,6 @@
 	agent->tells_balancers = identity->tells_balancers;
 	agent->unsure_until_ms = now_ms + identity->flow_lifetime_ms;
 	agent->owed_since_ms = CLOCK_NEVER;
-	agent->started_ms = now_ms;
 	server_watch_init(&agent->server, identity->server_reports,
 			  identity->report_lease_ms);
 	agent->zone = identity->zone;
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -72,8 +72,6 @@
 	int64_t next_refill_ms;
 	/** Times from a caller's request to the answer, and of waits. */
 	struct histogram answers, waits;
-	/** When this agent started, ms. */
-	int64_t started_ms;
 	/** Next notice to the agents of other services, ms. */
 	int64_t next_alive_ms;
 	/** Load notices: when, to whom next, and what was told last. */
