Compare a chain in place instead of copying it for each delivered packet

Marking a packet copied up to eight candidates of our own chain to compare them; view_chain_is() compares the row itself. The flag of peers that were heard is dropped: nothing reads it since silence never means gone. Behaviour stays.

--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -316,20 +316,13 @@
 			 const struct inner_packet *packet)
 {
 	const struct service_view *service = agent->service;
-	struct packet_header own;
 
-	if (!service || header->service_id != agent->service_id)
-		return false;
-	view_chain(service, view_bucket(agent->view, service, &packet->key),
-		   &own);
-	if (own.n_candidates != header->n_candidates ||
-	    own.candidates[header->position].member_id != agent->member_id)
-		return false;
-	for (int i = 0; i < own.n_candidates; i++)
-		if (own.candidates[i].member_id !=
-		    header->candidates[i].member_id)
-			return false;
-	return true;
+	return service && header->service_id == agent->service_id &&
+	       view_chain_is(service,
+			     view_bucket(agent->view, service, &packet->key),
+			     header) &&
+	       header->candidates[header->position].member_id ==
+		       agent->member_id;
 }
 
 uint32_t agent_make_mark(const struct agent *agent,
--- a/flow/peer_load.c
+++ b/flow/peer_load.c
@@ -64,7 +64,6 @@
 
 	if (!entry)
 		entry = insert(loads, member_id, now_ms);
-	entry->met = true;
 	entry->load = load;
 	entry->heard_ms = now_ms;
 }
@@ -122,7 +121,7 @@
 {
 	const struct peer_load *entry = find(loads, member_id);
 
-	if (!entry || !entry->met || entry->heard_ms < since)
+	if (!entry || entry->heard_ms < since)
 		return since;
 	return entry->heard_ms;
 }
--- a/include/tarragonflow/flow/peer_load.h
+++ b/include/tarragonflow/flow/peer_load.h
@@ -22,9 +22,10 @@
 struct peer_load {
 	/** 0 when the entry is free. */
 	uint32_t member_id;
-	/** It has told something; else @heard_ms is when we first asked. */
-	bool met;
 	uint16_t load;
+	/** When it told last; before that, when its silence was first asked
+	 * for, ms.
+	 */
 	int64_t heard_ms;
 	/** Packets of ours that it has had, by its last word. */
 	uint32_t received;
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -145,6 +145,10 @@
 void view_chain(const struct service_view *service, uint32_t bucket,
 		struct packet_header *header);
 
+/** Whether @header's candidates are, in order, those of @bucket's chain. */
+bool view_chain_is(const struct service_view *service, uint32_t bucket,
+		   const struct packet_header *header);
+
 /**
  * Replaces the chain of @header by members of this view that the packet has
  * not met: first all that are not in the chain, later those that come behind
--- a/route/view.c
+++ b/route/view.c
@@ -508,6 +508,20 @@
 		header->candidates[i] = service->members[row[i]];
 }
 
+bool view_chain_is(const struct service_view *service, uint32_t bucket,
+		   const struct packet_header *header)
+{
+	const uint16_t *row = &service->chains[bucket * service->chain_len];
+
+	if (header->n_candidates != service->chain_len)
+		return false;
+	for (int i = 0; i < service->chain_len; i++)
+		if (header->candidates[i].member_id !=
+		    service->members[row[i]].member_id)
+			return false;
+	return true;
+}
+
 static bool in_chain(const struct packet_header *header, uint32_t id)
 {
 	for (int i = 0; i < header->n_candidates; i++)
