A search whose members were hidden or that was cut short ends in doubt

Only the last agent's view was asked. The same hole: a service whose search was cut short by the limit of searches, or by an agent of another service. Change: whoever ends the search of one service leaves doubt for these reasons; an agent of a zone that is out leaves doubt when it passes packets on. Tests: /search/nobody-has, two cases, both failed before.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -610,6 +610,8 @@
 	}
 	if (!agent->zone_in) {
 		agent_count(agent, COUNTER_ZONE_OUT_PASSED);
+		/* Our server may have it, and may get nothing. */
+		header->doubt = true;
 		agent_pass_on(agent, header, &packet, now_ms, sink);
 		return;
 	}
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -162,8 +162,7 @@
 
 	return agent->server.required && packet->payload_len &&
 	       !header->doubt && view->n_services <= SERVICES_SEARCHED_MAX &&
-	       header->services_tried >= view->n_services &&
-	       !view_hides_members(view);
+	       header->services_tried >= view->n_services;
 }
 
 /*
@@ -237,23 +236,30 @@
 	return false;
 }
 
-/* Whether a chain of our own view replaced the used one. */
+/*
+ * Whether a chain of our own view replaced the used one. When not, the service
+ * is searched to its end, and doubt stays where that end says little: the
+ * search was cut short, or our view may lack members.
+ */
 static bool resolve_again(struct agent *agent, struct packet_header *header,
 			  bool *asked_all)
 {
 	*asked_all = false;
 	if (!agent->service || header->service_id != agent->service_id ||
-	    header->resolves >= PACKET_RESOLVES_MAX)
+	    header->resolves >= PACKET_RESOLVES_MAX) {
+		header->doubt = true;
 		return false;
+	}
 	if (!agent->searches_left) {
 		count(agent, COUNTER_DROP_SEARCH_LIMIT);
+		header->doubt = true;
 		return false;
 	}
 	agent->searches_left--;
 	if (!view_resolve(agent->service, header)) {
 		*asked_all = true;
-		/* There may be members that we have not heard of yet. */
-		header->doubt |= !agent->view->roster_known;
+		header->doubt |= !agent->view->roster_known ||
+				 view_hides_members(agent->view);
 		return false;
 	}
 	count(agent, COUNTER_CHAIN_RESOLVED);
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -596,6 +596,33 @@
 	pass_time(rig, 200);
 }
 
+/*
+ * A zone has just come back: the balancer and the agents of the first service
+ * have yet to hear of it, those of the other service know.
+ */
+static void change_zone_hidden_before(struct rig *rig)
+{
+	struct zone_order order = {.version = 5, .out = true};
+	static struct view hiding;
+
+	name_set(&order.zone, str_from("odd"));
+	order.cut_ms = rig->now_ms;
+	zone_orders_take(&rig->orders, &order);
+	view_init_ordered(&hiding, &rig->manifest, &rig->roster, &rig->orders,
+			  rig->now_ms);
+	hiding.roster_known = true;
+	for (unsigned int i = 1; i < rig->first_b; i++)
+		agent_set_view(&rig->hosts[i].agent, &hiding);
+	balancer_set_view(&rig->balancer, &hiding);
+}
+
+/* Agents of the first service do no more searches in this second. */
+static void change_searches_spent(struct rig *rig)
+{
+	for (unsigned int i = 1; i < rig->first_b; i++)
+		rig->hosts[i].agent.searches_left = 0;
+}
+
 static void test_nobody_has(void)
 {
 	static const struct search_case cases[] = {
@@ -610,6 +637,8 @@
 		 change_balancer_older},
 		{"another service is unsure", false,
 		 change_other_service_unsure},
+		{"some still hide a zone", false, change_zone_hidden_before},
+		{"a search was cut short", false, change_searches_spent},
 	};
 	struct rig rig;
 
