Give most reads of the store up early; tell when the store is lost and regained

Every process asked within 40 ms of its start, at 36.5 s, and waited the whole 3 s of its call, to 39.5 s, though the store answered again long before: nobody had a configuration until then. Change: three of four reads wait 0.5 to 1 s, spread; one waits 3 s, for a slow store. Watchers repeat after at most 0.5 s where the store allows it. The trail was found with new lines platform-lost and platform-regained. Test: /platform-sync/silent-at-start, failed before with 2,539 ms where 1,000 are allowed.

--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "tarragonflow/common/clock.h"
+#include "tarragonflow/common/log.h"
 #include "tarragonflow/manifest/manifest_object.h"
 
 /* What the platform core does with the results of its calls. */
@@ -267,6 +268,28 @@
 	       code != STATUS_TIMEOUT;
 }
 
+/* One line when the platform is lost and one when it is regained. */
+static void note_outcome(struct platform_sync *sync,
+			 const struct status *status, int64_t now_ms)
+{
+	if (!was_reached(status->code)) {
+		if (sync->calls_lost++)
+			return;
+		sync->lost_ms = now_ms;
+		log_event(LOG_LEVEL_WARN, "platform-lost",
+			  "status=%s reason=\"%s\"", status_name(status->code),
+			  status->message);
+		return;
+	}
+	note_contact(sync, now_ms);
+	if (!sync->calls_lost)
+		return;
+	log_event(LOG_LEVEL_INFO, "platform-regained",
+		  "lost_for_ms=%lld calls_lost=%u",
+		  (long long)(now_ms - sync->lost_ms), sync->calls_lost);
+	sync->calls_lost = 0;
+}
+
 void platform_finish_task(struct platform_sync *sync,
 			  struct platform_lane *lane,
 			  const struct store_result *result,
@@ -276,8 +299,7 @@
 	enum platform_task task = lane->task;
 
 	lane->task = TASK_NONE;
-	if (was_reached(result->status.code))
-		note_contact(sync, now_ms);
+	note_outcome(sync, &result->status, now_ms);
 	switch (task) {
 	case TASK_WATCH:
 		take_watch(sync, result, now_ms, out);
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -9,7 +9,6 @@
 /* Calls of one process; the fleet's rates are bounded by who calls at all. */
 #define BUDGET_PER_S 4
 #define BUDGET_BURST 8
-#define CALL_TIMEOUT_MS 3000
 /* How long a result may come after its call's own timeout. */
 #define RESULT_GRACE_MS 4000
 #define WATCH_WAIT_MS 10000
@@ -17,6 +16,9 @@
 #define CURRENT_WAIT_MS 3000
 #define BACKOFF_BASE_MS 250
 #define BACKOFF_MAX_MS 2000
+/* Where the platform allows thousands of reads a second: of these two watchers
+ * a zone take a few, and nobody serves after a common start without them. */
+#define BACKOFF_MAX_CURRENT_MS 500
 #define PAGES_BACKOFF_MAX_MS 15000
 /* A starting process hears its peers first. */
 #define START_GRACE_MS 500
@@ -54,14 +56,18 @@
 			const struct platform_sync_options *options,
 			struct counters *counters, int64_t now_ms)
 {
+	int64_t backoff_ms = options->platform_is_current
+				     ? BACKOFF_MAX_CURRENT_MS
+				     : BACKOFF_MAX_MS;
+
 	memset(sync, 0, sizeof(*sync));
 	sync->options = *options;
 	sync->counters = counters;
 	random_init(&sync->random, options->random_seed);
 	call_budget_init(&sync->budget, BUDGET_PER_S, BUDGET_BURST, now_ms);
-	lane_init(&sync->watch, BACKOFF_MAX_MS, now_ms);
-	lane_init(&sync->config, BACKOFF_MAX_MS, now_ms);
-	lane_init(&sync->zones, BACKOFF_MAX_MS, now_ms);
+	lane_init(&sync->watch, backoff_ms, now_ms);
+	lane_init(&sync->config, backoff_ms, now_ms);
+	lane_init(&sync->zones, backoff_ms, now_ms);
 	lane_init(&sync->pages, PAGES_BACKOFF_MAX_MS, now_ms);
 	lane_init(&sync->shards, PAGES_BACKOFF_MAX_MS, now_ms);
 	sync->start_ms = now_ms;
@@ -125,16 +131,26 @@
 	return false;
 }
 
+static int64_t timeout_of(struct platform_sync *sync, enum store_op op)
+{
+	switch (op) {
+	case STORE_OP_WATCH:
+		return sync->options.platform_is_current ? CURRENT_WAIT_MS
+							 : WATCH_WAIT_MS;
+	case STORE_OP_GET:
+	case STORE_OP_LIST:
+		return read_timeout_ms(random_next(&sync->random));
+	default:
+		return CALL_TIMEOUT_MS;
+	}
+}
+
 void platform_start_call(struct platform_sync *sync, struct platform_lane *lane,
 			 enum platform_task task, struct store_request *request,
 			 int64_t now_ms, struct platform_sync_out *out)
 {
 	request->id = ++sync->next_id;
-	request->timeout_ms = CALL_TIMEOUT_MS;
-	if (task == TASK_WATCH || task == TASK_WATCH_ZONES)
-		request->timeout_ms = sync->options.platform_is_current
-					      ? CURRENT_WAIT_MS
-					      : WATCH_WAIT_MS;
+	request->timeout_ms = timeout_of(sync, request->op);
 	if (lane == &sync->zones)
 		request->lane = STORE_LANE_ZONES;
 	else if (lane == &sync->watch)
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -103,6 +103,10 @@
 	int64_t start_ms;
 	/** Last contacts with the platform that are known of, ms. */
 	int64_t any_ms, watcher_ms;
+	/** Calls that failed since the platform was reached last, and when the
+	 * first of them ended, ms. */
+	uint32_t calls_lost;
+	int64_t lost_ms;
 	/** Last message of a peer, ms. */
 	int64_t heard_ms;
 	/** We are one of the watchers of our zone. */
--- a/include/tarragonflow/store/call_policy.h
+++ b/include/tarragonflow/store/call_policy.h
@@ -23,6 +23,18 @@
 /** Takes the right to one call; false when the budget is spent. */
 bool call_budget_take(struct call_budget *budget, int64_t now_ms);
 
+/** Longest time to wait for the answer to a call, ms: ten times what the
+ * slowest platform of the users' pages takes. */
+#define CALL_TIMEOUT_MS 3000
+
+/**
+ * Time to wait for the answer to a read, ms. A platform that takes calls and
+ * does not answer them gives no answer after it has returned either, so most
+ * reads are given up early and asked anew; some wait long, as an answer may
+ * be slow. Spread by @random, since all processes may ask at the same moment.
+ */
+int64_t read_timeout_ms(uint64_t random);
+
 struct backoff {
 	int64_t base_ms;
 	int64_t max_ms;
--- a/store/call_policy.c
+++ b/store/call_policy.c
@@ -2,6 +2,10 @@
 
 #include <glib.h>
 
+/* Shortest wait for an answer: a hundred times what one usually takes. */
+#define SHORT_READ_MS 500
+/* One read in so many waits for a slow platform. */
+#define LONG_READ_TURNS 4
 #define MILLI 1000
 #define DOUBLINGS_MAX 16
 
@@ -58,3 +62,11 @@
 	backoff->failures++;
 	return wait_ms / 2 + (int64_t)(random % (uint64_t)(wait_ms / 2 + 1));
 }
+
+int64_t read_timeout_ms(uint64_t random)
+{
+	if (random % LONG_READ_TURNS == 0)
+		return CALL_TIMEOUT_MS;
+	return SHORT_READ_MS +
+	       (int64_t)(random / LONG_READ_TURNS % SHORT_READ_MS);
+}
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -86,9 +86,14 @@
 	roster_merge(roster, &member, 0);
 }
 
-static void fixture_init(struct fixture *fixture, enum member_role role)
+static void fixture_init_with(struct fixture *fixture, enum member_role role,
+			      bool platform_is_current, uint64_t seed)
 {
-	struct platform_sync_options options = {.role = role, .random_seed = 7};
+	struct platform_sync_options options = {
+		.role = role,
+		.random_seed = seed,
+		.platform_is_current = platform_is_current,
+	};
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->out.call = record_call;
@@ -107,6 +112,11 @@
 			   fixture->now_ms);
 }
 
+static void fixture_init(struct fixture *fixture, enum member_role role)
+{
+	fixture_init_with(fixture, role, false, 7);
+}
+
 static void fixture_finish(struct fixture *fixture)
 {
 	platform_sync_finish(&fixture->sync);
@@ -453,9 +463,7 @@
 {
 	struct fixture fixture;
 
-	fixture_init(&fixture, MEMBER_AGENT);
-	fixture.sync.options.platform_is_current = true;
-	fixture.sync.next_choice_ms = fixture.now_ms + 40;
+	fixture_init_with(&fixture, MEMBER_AGENT, true, 7);
 	for (int i = 0; i < 8; i++) {
 		char name[16];
 
@@ -468,6 +476,109 @@
 	fixture_finish(&fixture);
 }
 
+/** A store as processes that start find it. */
+struct start_case {
+	const char *name;
+	/** Calls are not answered before this time after the start, ms. */
+	int64_t silent_ms;
+	/** What an answer takes, ms. */
+	int64_t answer_ms;
+	/** Some process has the configuration within, from then, ms. */
+	int64_t bound_ms;
+};
+
+#define STARTERS 8
+/* Two of the fabric's questions whether a process is ready. */
+#define START_BOUND_MS 1000
+
+/** A call under way: when it began, and when it is given up. */
+struct pending {
+	uint64_t id;
+	int64_t sent_ms;
+};
+
+/* Answers or gives up the last call; true when an answer came. */
+static bool settle(struct fixture *fixture, struct pending *pending,
+		   const struct start_case *start, int64_t from_ms)
+{
+	int64_t waited_ms = fixture->now_ms - pending->sent_ms;
+	bool heard = pending->sent_ms - from_ms >= start->silent_ms;
+
+	bool about_config = fixture->sync.config.task != TASK_NONE;
+
+	if (!about_config && fixture->sync.pages.task == TASK_NONE)
+		return false;
+	if (pending->id != fixture->last.id) {
+		pending->id = fixture->last.id;
+		pending->sent_ms = fixture->now_ms;
+		return false;
+	}
+	if (heard && waited_ms >= start->answer_ms &&
+	    start->answer_ms < fixture->last.timeout_ms) {
+		answer_last(fixture);
+		return about_config;
+	}
+	if (waited_ms >= fixture->last.timeout_ms) {
+		fixture->down = true;
+		answer_last(fixture);
+		fixture->down = false;
+	}
+	return false;
+}
+
+/* When the first of a few processes that start at once has an answer, ms. */
+static int64_t first_answer_ms(const struct start_case *start, uint64_t seed)
+{
+	struct fixture *fixtures = g_new0(struct fixture, STARTERS);
+	struct pending pending[STARTERS] = {0};
+	int64_t found_ms = -1, ms;
+
+	for (int i = 0; i < STARTERS; i++) {
+		fixture_init_with(&fixtures[i], MEMBER_AGENT, true,
+				  seed * 100 + (uint64_t)i);
+	}
+	for (ms = 0; ms < 30000 && found_ms < 0; ms++)
+		for (int i = 0; i < STARTERS; i++) {
+			fixtures[i].now_ms = 1000 + ms;
+			tick(&fixtures[i], 0);
+			if (settle(&fixtures[i], &pending[i], start, 1000))
+				found_ms = ms;
+		}
+	for (int i = 0; i < STARTERS; i++)
+		fixture_finish(&fixtures[i]);
+	g_free(fixtures);
+	return found_ms;
+}
+
+/*
+ * All start at once while the store takes calls and does not answer: its
+ * return is noticed by one of them soon, and a slow store is waited for.
+ */
+static void test_silent_at_start(void)
+{
+	static const struct start_case cases[] = {
+		{"answers at once", 0, 4, START_BOUND_MS},
+		{"silent for 0.6 s", 600, 4, START_BOUND_MS},
+		{"silent for 1.5 s", 1500, 4, START_BOUND_MS},
+		{"silent for 2.4 s", 2400, 4, START_BOUND_MS},
+		{"silent for 3.3 s", 3300, 4, START_BOUND_MS},
+		{"silent for 7 s", 7000, 4, START_BOUND_MS},
+		{"slow", 0, 340, START_BOUND_MS},
+		{"very slow", 0, 1500, 10000},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		for (uint64_t seed = 1; seed <= 20; seed++) {
+			int64_t ms = first_answer_ms(&cases[i], seed);
+
+			g_test_message("%s, seed %d: %d ms", cases[i].name,
+				       (int)seed, (int)ms);
+			g_assert_cmpint(ms, >=, 0);
+			g_assert_cmpint(ms - cases[i].silent_ms, <=,
+					cases[i].bound_ms);
+		}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -481,5 +592,6 @@
 	g_test_add_func("/config-store/never-reverts", test_never_reverts);
 	g_test_add_func("/platform-sync/zone-orders", test_zone_orders);
 	g_test_add_func("/platform-sync/asks-at-once", test_asks_at_once);
+	g_test_add_func("/platform-sync/silent-at-start", test_silent_at_start);
 	return g_test_run();
 }
