Only the chosen processes watch the store from the start on

Cause: at its first choice each process acted as a watcher for 500 ms, and the very next lines took that short time, with no news of any watcher yet, for the end of a longer one and prolonged it to 30 s. Change: the first choice is made after that check. Test: /platform-sync/few-watch, failed before.

--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -201,14 +201,14 @@
 						  : MEMBER_BALANCER);
 	sync->chosen =
 		watch_choice(roster, &sync->options.name, &sync->options.zone);
-	/* Whoever asks at once does so as a watcher, chosen or not. */
-	if (sync->options.platform_is_current && !sync->asked_at_start)
-		sync->acting_until_ms = now_ms + START_ACTING_MS;
-	sync->asked_at_start = true;
 	if (sync->acting_until_ms > now_ms &&
 	    sync->acting_until_ms - now_ms <= CHOICE_INTERVAL_MS &&
 	    platform_watchers_fail(sync, roster, now_ms))
 		sync->acting_until_ms = now_ms + ACTING_MS;
+	/* Whoever asks at once does so as a watcher, chosen or not. */
+	if (sync->options.platform_is_current && !sync->asked_at_start)
+		sync->acting_until_ms = now_ms + START_ACTING_MS;
+	sync->asked_at_start = true;
 	if (!was && platform_sync_watches(sync, now_ms))
 		sync->config.next_ms = now_ms;
 }
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -476,6 +476,38 @@
 	fixture_finish(&fixture);
 }
 
+/*
+ * All ask at their start, and only the chosen ones of a zone go on watching
+ * when others tell that they reach the platform.
+ */
+static void test_few_watch(void)
+{
+	const struct store_ages ages = {100, 100};
+	struct fixture fixture;
+	unsigned int watches;
+
+	fixture_init_with(&fixture, MEMBER_AGENT, true, 7);
+	for (int i = 0; i < 8; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "m%d", i);
+		add_member(&fixture.roster, name, MEMBER_AGENT, MEMBER_ACTIVE);
+	}
+	fixture_run(&fixture, 1500);
+	g_assert_false(fixture.sync.chosen);
+	g_assert_cmpuint(fixture.calls[STORE_OP_LIST], >=, 1);
+	watches = fixture.calls[STORE_OP_WATCH] + fixture.zone_calls;
+	for (int i = 0; i < 40; i++) {
+		platform_sync_heard(&fixture.sync, &ages, fixture.now_ms);
+		fixture_run(&fixture, 500);
+		g_assert_false(platform_sync_watches(&fixture.sync,
+						     fixture.now_ms));
+	}
+	g_assert_cmpuint(fixture.calls[STORE_OP_WATCH] + fixture.zone_calls, ==,
+			 watches);
+	fixture_finish(&fixture);
+}
+
 /** A store as processes that start find it. */
 struct start_case {
 	const char *name;
@@ -592,6 +624,7 @@
 	g_test_add_func("/config-store/never-reverts", test_never_reverts);
 	g_test_add_func("/platform-sync/zone-orders", test_zone_orders);
 	g_test_add_func("/platform-sync/asks-at-once", test_asks_at_once);
+	g_test_add_func("/platform-sync/few-watch", test_few_watch);
 	g_test_add_func("/platform-sync/silent-at-start", test_silent_at_start);
 	return g_test_run();
 }
