A starting process lists members less often and leaves watches to the chosen

Each start also began two watches, which end unused where others are chosen. Change: the question is asked anew before each list; only the end of isolation resets the pause; watches begin with the second choice. Test: /platform-sync/few-watch, stricter.

--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -131,7 +131,7 @@
 	sync->config.next_ms = next_read_ms(sync, now_ms);
 	if (task == TASK_LIST_CONFIG) {
 		sync->watch_version = MAX(result->version, 1);
-		sync->watch.next_ms = now_ms;
+		sync->watch.next_ms = MAX(now_ms, sync->watch_from_ms);
 	}
 	/* Nobody else reaches the platform: stay with it for a while. */
 	if (!sync->chosen && now_ms >= sync->acting_until_ms &&
@@ -177,7 +177,7 @@
 		return;
 	}
 	backoff_reset(&sync->zones.backoff);
-	sync->zones.next_ms = now_ms;
+	sync->zones.next_ms = MAX(now_ms, sync->watch_from_ms);
 	sync->zones_version = MAX(sync->zones_version, result->version);
 	read_zone_orders(result, &orders);
 	out->zones(out, &orders, task == TASK_LIST_ZONES,
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -79,6 +79,7 @@
 		sync->next_choice_ms = now_ms + (int64_t)platform_random_below(
 							sync, START_SPREAD_MS);
 	sync->acting_until_ms = now_ms;
+	sync->watch_from_ms = now_ms;
 	sync->probe_ms = CLOCK_NEVER;
 	sync->behind_ms = CLOCK_NEVER;
 	strbuf_init(&sync->shard_value);
@@ -196,18 +197,18 @@
 	if (now_ms < sync->next_choice_ms)
 		return;
 	sync->next_choice_ms = now_ms + CHOICE_INTERVAL_MS;
-	sync->alone = !knows_role(roster, sync->options.role == MEMBER_BALANCER
-						  ? MEMBER_AGENT
-						  : MEMBER_BALANCER);
 	sync->chosen =
 		watch_choice(roster, &sync->options.name, &sync->options.zone);
 	if (sync->acting_until_ms > now_ms &&
 	    sync->acting_until_ms - now_ms <= CHOICE_INTERVAL_MS &&
 	    platform_watchers_fail(sync, roster, now_ms))
 		sync->acting_until_ms = now_ms + ACTING_MS;
-	/* Whoever asks at once does so as a watcher, chosen or not. */
-	if (sync->options.platform_is_current && !sync->asked_at_start)
+	/* Whoever asks at once does so as a watcher, chosen or not; whether it
+	 * is, it knows at the next choice. */
+	if (sync->options.platform_is_current && !sync->asked_at_start) {
 		sync->acting_until_ms = now_ms + START_ACTING_MS;
+		sync->watch_from_ms = sync->next_choice_ms;
+	}
 	sync->asked_at_start = true;
 	if (!was && platform_sync_watches(sync, now_ms))
 		sync->config.next_ms = now_ms;
@@ -304,19 +305,27 @@
 	return page;
 }
 
+static bool isolated(const struct platform_sync *sync, int64_t now_ms)
+{
+	return sync->heard_ms == INT64_MIN ||
+	       now_ms - sync->heard_ms >= ISOLATED_MS;
+}
+
 /*
  * A process that no peer answers, or that knows only its own kind, such as
  * balancers that were all replaced at once, looks for peers at the platform.
  * It reads all pages: whoever answers first may be as new as itself.
  */
-static bool must_list(const struct platform_sync *sync, int64_t now_ms)
+static bool must_list(const struct platform_sync *sync,
+		      const struct roster *roster, int64_t now_ms)
 {
-	bool isolated = sync->heard_ms == INT64_MIN ||
-			now_ms - sync->heard_ms >= ISOLATED_MS;
+	enum member_role other = sync->options.role == MEMBER_BALANCER
+					 ? MEMBER_AGENT
+					 : MEMBER_BALANCER;
 	bool begun = sync->pages_read && sync->pages_read != PAGES_ALL;
 
 	return now_ms - sync->start_ms >= START_GRACE_MS &&
-	       (isolated || begun || sync->alone);
+	       (isolated(sync, now_ms) || begun || !knows_role(roster, other));
 }
 
 /*
@@ -344,14 +353,14 @@
 	       sync->watch_version > 0;
 }
 
-static void pages_step(struct platform_sync *sync, int64_t now_ms,
-		       struct platform_sync_out *out)
+static void pages_step(struct platform_sync *sync, const struct roster *roster,
+		       int64_t now_ms, struct platform_sync_out *out)
 {
 	struct store_request request;
 	char prefix[STORE_KEY_MAX];
 
-	if ((!must_list_at_start(sync) && !must_list(sync, now_ms)) ||
-	    now_ms < sync->pages.next_ms || !calls_idle(sync) ||
+	if (now_ms < sync->pages.next_ms || !calls_idle(sync) ||
+	    (!must_list_at_start(sync) && !must_list(sync, roster, now_ms)) ||
 	    !take_budget(sync, &sync->pages, now_ms))
 		return;
 	if (must_list_at_start(sync) || sync->roster_fits) {
@@ -452,7 +461,7 @@
 	} else {
 		probe_step(sync, view, now_ms, out);
 	}
-	pages_step(sync, now_ms, out);
+	pages_step(sync, view->roster, now_ms, out);
 	shards_step(sync, view, now_ms, out);
 }
 
@@ -466,8 +475,9 @@
 void platform_sync_heard(struct platform_sync *sync,
 			 const struct store_ages *ages, int64_t now_ms)
 {
+	if (isolated(sync, now_ms))
+		backoff_reset(&sync->pages.backoff);
 	sync->heard_ms = now_ms;
-	backoff_reset(&sync->pages.backoff);
 	sync->any_ms = MAX(sync->any_ms, time_of_age(ages->any_ms, now_ms));
 	sync->watcher_ms =
 		MAX(sync->watcher_ms, time_of_age(ages->watcher_ms, now_ms));
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -111,11 +111,11 @@
 	int64_t heard_ms;
 	/** We are one of the watchers of our zone. */
 	bool chosen;
-	/** No live member of the other role is known. */
-	bool alone;
 	int64_t next_choice_ms;
 	/** We watch until then although not chosen, ms. */
 	int64_t acting_until_ms;
+	/** No watch begins before this time, ms. */
+	int64_t watch_from_ms;
 	/** When we ask the platform ourselves, ms; CLOCK_NEVER for not now. */
 	int64_t probe_ms;
 	/** Since when a newer release is known of than is in force, ms. */
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -491,11 +491,18 @@
 		char name[16];
 
 		g_snprintf(name, sizeof(name), "m%d", i);
-		add_member(&fixture.roster, name, MEMBER_AGENT, MEMBER_ACTIVE);
+		add_member(&fixture.roster, name,
+			   i % 2 ? MEMBER_AGENT : MEMBER_BALANCER,
+			   MEMBER_ACTIVE);
 	}
+	platform_sync_heard(&fixture.sync, &ages, fixture.now_ms);
 	fixture_run(&fixture, 1500);
 	g_assert_false(fixture.sync.chosen);
 	g_assert_cmpuint(fixture.calls[STORE_OP_LIST], >=, 1);
+	/* A start costs three lists, and no watch where others do that. */
+	g_assert_cmpuint(fixture.calls[STORE_OP_LIST], <=, 2);
+	g_assert_cmpuint(fixture.calls[STORE_OP_WATCH], ==, 0);
+	g_assert_cmpuint(fixture.zone_calls, ==, 1);
 	watches = fixture.calls[STORE_OP_WATCH] + fixture.zone_calls;
 	for (int i = 0; i < 40; i++) {
 		platform_sync_heard(&fixture.sync, &ages, fixture.now_ms);
