--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -507,8 +507,8 @@
 	for (int i = 0; i < 40; i++) {
 		platform_sync_heard(&fixture.sync, &ages, fixture.now_ms);
 		fixture_run(&fixture, 500);
-		g_assert_false(platform_sync_watches(&fixture.sync,
-						     fixture.now_ms));
+		g_assert_false(
+			platform_sync_watches(&fixture.sync, fixture.now_ms));
 	}
 	g_assert_cmpuint(fixture.calls[STORE_OP_WATCH] + fixture.zone_calls, ==,
 			 watches);
