Agents of a large service hear one another often enough; senders are counted apart

With 46 servers an agent told eight of its service at each notice, so each peer heard it about once a second, and a search passes over who was silent for 0.5 s. Agents of another service told 32 of them at all. Beside it: packets of two processes whose addresses end alike were counted in one place, so either could seem deaf. Change: every agent is told at a pace of its own, with at most half of the notices allowed; balancers hear loads at the same pace as before or faster. Senders are found by a hash of the whole address.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -90,7 +90,7 @@
 	agent->zone_in = zone_in;
 	agent->zone_order = view_zone_order(view, &agent->zone);
 	agent->view = view;
-	peer_loads_pace(&agent->peers, view->alive_ms);
+	peer_loads_pace(&agent->peers, view->peers_alive_ms);
 	agent->service = view_service(view, agent->service_id);
 	if (!agent->service)
 		return;
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define NO_CANDIDATE (-1)
 /* Services whose servers carry this few compare all candidates. */
@@ -24,9 +25,8 @@
 #define RELIEF_LOAD (ADMIT_LOAD_BUSY * 7 / 10)
 /* What one that was handed over adds until its receiver tells. */
 #define PLACED_LOAD (ADMIT_LOAD_BUSY / 8)
-#define NOTICE_PEERS 8
-/* Agents of one other service that are told that we run. */
-#define NOTICE_OTHERS_MAX 32
+/* Places that a sender may have in the table, from the one of its hash on. */
+#define SENDER_PLACES 8
 #define NOTICE_CHANGE_SHARE 100
 
 static void count(struct agent *agent, enum counter_id id)
@@ -120,7 +120,7 @@
 		if (!agent->tells_balancers || id == agent->member_id)
 			return i;
 		silent_ms = peer_load_silent_ms(&agent->peers, id, now_ms);
-		if (silent_ms < SILENT_NOTICES * agent->view->alive_ms &&
+		if (silent_ms < SILENT_NOTICES * agent->view->peers_alive_ms &&
 		    !peer_load_deaf(&agent->peers, id, now_ms))
 			return i;
 		header->visited |= (uint8_t)(1U << i);
@@ -540,7 +540,7 @@
 {
 	int best = NO_CANDIDATE;
 	uint16_t best_load = RELIEF_LOAD;
-	int64_t fresh_ms = SILENT_NOTICES * agent->view->alive_ms;
+	int64_t fresh_ms = SILENT_NOTICES * agent->view->peers_alive_ms;
 
 	/* Once: agents that all wait must not send it round. */
 	if (header->hops_left < PACKET_HOP_BUDGET)
@@ -648,12 +648,30 @@
 	sink->to_peer(sink, &header->candidates[0].data, &probe, NULL, 0);
 }
 
-static struct sender_count *sender_of(struct agent *agent,
-				      const struct endpoint *sender)
+static uint32_t sender_home(const struct endpoint *sender)
 {
-	uint32_t slot = (sender->ip * 31 + sender->port) & (AGENT_SENDERS - 1);
+	uint64_t key = (uint64_t)sender->ip << 16 | sender->port;
 
-	return &agent->senders[slot];
+	return (uint32_t)XXH3_64bits(&key, sizeof(key)) & (AGENT_SENDERS - 1);
+}
+
+/* The count of @sender, or the place for it when it has none. */
+static struct sender_count *sender_place(struct agent *agent,
+					 const struct endpoint *sender)
+{
+	uint32_t home = sender_home(sender);
+	struct sender_count *place = &agent->senders[home];
+
+	for (uint32_t i = 0; i < SENDER_PLACES; i++) {
+		struct sender_count *next =
+			&agent->senders[(home + i) & (AGENT_SENDERS - 1)];
+
+		if (endpoint_equal(&next->sender, sender))
+			return next;
+		if (!next->sender.port && place->sender.port)
+			place = next;
+	}
+	return place;
 }
 
 void agent_count_sender(struct agent *agent, const struct packet_header *header)
@@ -663,7 +681,7 @@
 
 	if (header->from < header->n_candidates)
 		sender = &header->candidates[header->from].data;
-	count_of = sender_of(agent, sender);
+	count_of = sender_place(agent, sender);
 	if (!endpoint_equal(&count_of->sender, sender)) {
 		count_of->sender = *sender;
 		count_of->packets = 0;
@@ -671,6 +689,14 @@
 	count_of->packets++;
 }
 
+uint32_t agent_packets_from(struct agent *agent, const struct endpoint *sender)
+{
+	const struct sender_count *count_of = sender_place(agent, sender);
+
+	return endpoint_equal(&count_of->sender, sender) ? count_of->packets
+							 : 0;
+}
+
 static void tell_process(struct agent *agent, const struct candidate *self,
 			 const struct endpoint *process, int64_t now_ms,
 			 struct packet_sink *sink)
@@ -684,8 +710,7 @@
 		.candidates = {*self},
 	};
 
-	if (endpoint_equal(&sender_of(agent, process)->sender, process))
-		notice.received = sender_of(agent, process)->packets;
+	notice.received = agent_packets_from(agent, process);
 	stamp_load(agent, &notice, now_ms);
 	count(agent, COUNTER_LOAD_SENT);
 	sink->to_peer(sink, process, &notice, NULL, 0);
@@ -699,22 +724,47 @@
 			     sink);
 }
 
-/* The agents of other services need only know that we run. */
-static void tell_others(struct agent *agent, const struct candidate *self,
-			int64_t now_ms, struct packet_sink *sink)
+/*
+ * A few members of our service, in turn: they compare their load with ours.
+ * Where silence does not mean that an agent is gone, they are all that hear.
+ */
+static void tell_some(struct agent *agent, const struct candidate *self,
+		      int64_t now_ms, struct packet_sink *sink)
 {
-	if (now_ms < agent->next_alive_ms)
-		return;
-	agent->next_alive_ms = now_ms + agent->view->alive_ms;
+	const struct service_view *service = agent->service;
+	size_t n = VIEW_NOTICE_PEERS;
+
+	if (!agent->tells_balancers)
+		n = MAX(n, service->n_members / VIEW_NOTICE_PEERS);
+	n = MIN(n, service->n_members);
+	while (n--) {
+		const struct candidate *member;
+
+		agent->notice_cursor =
+			(agent->notice_cursor + 1) % service->n_members;
+		member = &service->members[agent->notice_cursor];
+		if (member != self)
+			tell_process(agent, self, &member->data, now_ms, sink);
+	}
+}
+
+/* All agents, of whatever service, need to know that we run. */
+static void tell_all(struct agent *agent, const struct candidate *self,
+		     int64_t now_ms, struct packet_sink *sink)
+{
+	agent->next_alive_ms = now_ms + agent->view->peers_alive_ms;
 	for (size_t i = 0; i < agent->view->n_services; i++) {
 		const struct service_view *service = &agent->view->services[i];
-		size_t n = MIN(service->n_members, NOTICE_OTHERS_MAX);
 
-		if (service == agent->service)
+		/* Told of each change anyway. */
+		if (service == agent->service &&
+		    service->n_members <= VIEW_NOTICE_PEERS)
 			continue;
-		for (size_t j = 0; j < n; j++)
-			tell_process(agent, self, &service->members[j].data,
-				     now_ms, sink);
+		for (size_t j = 0; j < service->n_members; j++)
+			if (&service->members[j] != self)
+				tell_process(agent, self,
+					     &service->members[j].data, now_ms,
+					     sink);
 	}
 }
 
@@ -724,31 +774,21 @@
 	const struct service_view *service = agent->service;
 	uint16_t load = own_load(agent, now_ms);
 	const struct candidate *self;
-	size_t n;
 
 	/* Where silence means that an agent is gone, it tells on to the cut. */
-	if (!service || (!agent->zone_in && !agent->tells_balancers) ||
-	    !load_due(agent, load, now_ms))
+	if (!service || (!agent->zone_in && !agent->tells_balancers))
 		return;
 	self = view_member(service, agent->member_id);
 	if (!self)
 		return;
+	if (agent->tells_balancers && now_ms >= agent->next_alive_ms)
+		tell_all(agent, self, now_ms, sink);
+	if (!load_due(agent, load, now_ms))
+		return;
 	agent->next_notice_ms = now_ms + notice_interval_ms(agent);
 	agent->told_load = load;
 	agent->told_ms = now_ms;
-	if (agent->tells_balancers) {
+	if (agent->tells_balancers)
 		tell_balancers(agent, self, now_ms, sink);
-		tell_others(agent, self, now_ms, sink);
-	}
-	n = MIN(service->n_members,
-		MAX(NOTICE_PEERS, service->n_members / NOTICE_PEERS));
-	while (n--) {
-		agent->notice_cursor =
-			(agent->notice_cursor + 1) % service->n_members;
-		if (&service->members[agent->notice_cursor] != self)
-			tell_process(
-				agent, self,
-				&service->members[agent->notice_cursor].data,
-				now_ms, sink);
-	}
+	tell_some(agent, self, now_ms, sink);
 }
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -15,7 +15,7 @@
 #include "tarragonflow/route/view.h"
 
 /** Processes whose packets an agent counts, a power of two. */
-#define AGENT_SENDERS 256
+#define AGENT_SENDERS 1024
 
 /** Packets that came straight from one process. */
 struct sender_count {
@@ -72,7 +72,7 @@
 	int64_t next_refill_ms;
 	/** Times from a caller's request to the answer, and of waits. */
 	struct histogram answers, waits;
-	/** Next notice to the agents of other services, ms. */
+	/** Next notice to all other agents, ms. */
 	int64_t next_alive_ms;
 	/** Load notices: when, to whom next, and what was told last. */
 	int64_t next_notice_ms;
--- a/include/tarragonflow/flow/agent_route.h
+++ b/include/tarragonflow/flow/agent_route.h
@@ -62,6 +62,9 @@
 void agent_count_sender(struct agent *agent,
 			const struct packet_header *header);
 
+/** Packets of @sender that were counted. */
+uint32_t agent_packets_from(struct agent *agent, const struct endpoint *sender);
+
 /** Takes the load that the sender of @header told. */
 void agent_hear_load(struct agent *agent, const struct packet_header *header,
 		     int64_t now_ms);
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -65,6 +65,9 @@
 /** What an agent may send in a second: some 1% of a small VM's core. */
 #define VIEW_NOTICES_PER_S 500
 
+/** Agents of its service that an agent tells each change of its load. */
+#define VIEW_NOTICE_PEERS 8
+
 /** About the time of one request, ms: newer loads would not be placed by. */
 #define VIEW_NOTICE_MIN_MS 40
 
@@ -91,10 +94,13 @@
 	int64_t made_ms;
 	/** The roster holds all members but the newest. */
 	bool roster_known;
-	/** Time between two notices of an agent whose load changes, ms. */
+	/** Time between two notices of an agent whose load changes, to the
+	 * balancers and a few peers, ms. */
 	int64_t notice_ms;
 	/** The same for an agent whose load does not: it tells that it runs. */
 	int64_t alive_ms;
+	/** Time between two notices of an agent to each other agent, ms. */
+	int64_t peers_alive_ms;
 	/** Data addresses of the balancers that take part. */
 	struct endpoint *balancers;
 	size_t n_balancers;
--- a/route/view.c
+++ b/route/view.c
@@ -277,17 +277,24 @@
 				roster->members[i].data;
 }
 
-/* Notices of one agent stay within a rate, however many processes listen. */
+/*
+ * Notices of one agent stay within a rate, however many processes listen. Half
+ * of it at most goes to all other agents, which need to know that it runs; the
+ * rest tells its load to who places by it.
+ */
 static void view_pace_notices(struct view *view)
 {
-	size_t listeners = view->n_balancers;
+	int64_t agents = 0, told, rate;
 
 	for (size_t i = 0; i < view->n_services; i++)
-		listeners += view->services[i].n_members;
-	view->notice_ms =
-		MAX(VIEW_NOTICE_MIN_MS,
-		    (int64_t)listeners * MS_PER_S / VIEW_NOTICES_PER_S);
+		agents += (int64_t)view->services[i].n_members;
+	view->peers_alive_ms =
+		MAX(ALIVE_MIN_MS, 2 * agents * MS_PER_S / VIEW_NOTICES_PER_S);
+	rate = VIEW_NOTICES_PER_S - agents * MS_PER_S / view->peers_alive_ms;
+	told = (int64_t)view->n_balancers + MIN(agents, VIEW_NOTICE_PEERS);
+	view->notice_ms = MAX(VIEW_NOTICE_MIN_MS, told * MS_PER_S / rate + 1);
 	view->alive_ms = MAX(ALIVE_MIN_MS, view->notice_ms);
+	view->peers_alive_ms = MAX(view->peers_alive_ms, view->alive_ms);
 }
 
 static void route_view_add(struct route_view *route, const struct view *view,
