--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -805,11 +805,10 @@
 		view_init_ordered(&view, &rig.manifest, &rig.roster,
 				  &rig.orders, rig.now_ms);
 		/* The balancer and a few peers, and all others more rarely. */
-		g_assert_cmpint(
-			(1 + MIN(sizes[i], VIEW_NOTICE_PEERS)) * 1000 /
-					view.notice_ms +
-				sizes[i] * 1000 / view.peers_alive_ms,
-			<=, VIEW_NOTICES_PER_S);
+		g_assert_cmpint((1 + MIN(sizes[i], VIEW_NOTICE_PEERS)) * 1000 /
+						view.notice_ms +
+					sizes[i] * 1000 / view.peers_alive_ms,
+				<=, VIEW_NOTICES_PER_S);
 		g_assert_cmpint(view.alive_ms, >=, view.notice_ms);
 		g_assert_cmpint(view.peers_alive_ms, >=, view.alive_ms);
 		g_assert_cmpint(view.notice_ms, >=, VIEW_NOTICE_MIN_MS);
