Find a server that has become slow from its own answers

Cause: a server that takes five times as long and says nothing was known by its running requests alone, so with few of them it looked as good as the others. Change: agents tell one another the mean time of their server's answers; one well over the median of the others counts as busier by as much, and forgets some of it each second without answers, so that it gets a trickle.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "tarragonflow/admit/slowness.h"
 #include "tarragonflow/net/packet.h"
 
 /* An answer is slow at this many times the usual time, and some slack. */
@@ -36,6 +37,12 @@
 /* A cold server counts as this much slower, and as this busy beforehand. */
 #define COLD_FACTOR 1.6
 #define COLD_EXTRA 0.1
+/* So much busier a server counts beforehand for each time that it takes
+ * longer than its peers. */
+#define SLOW_EXTRA 0.15
+/* Share of its distance to its peers that the mean time of a slow server
+ * loses each second in which it answered nothing: some 5 s to the next try. */
+#define SLOW_FORGET 0.15
 /* A limit counts as used from this share of it on, 1/4. */
 #define USED_SHARE 4
 
@@ -55,6 +62,7 @@
 	admit->next_step_ms = now_ms + ADMIT_STEP_MS;
 	admit->last_good_ms = now_ms;
 	admit->back_off_ms = BACK_OFF_MIN_MS;
+	admit->slow_factor = 1;
 }
 
 void admit_report(struct admit *admit, uint32_t slots, int64_t warm_in_ms,
@@ -235,6 +243,7 @@
 	bool slow = is_slow(admit, took_ms);
 	double ms = MAX((double)took_ms, USUAL_MIN_MS);
 
+	admit->answered = true;
 	if (admit->mean_answer_ms <= 0)
 		admit->mean_answer_ms = ms;
 	admit->mean_answer_ms += (ms - admit->mean_answer_ms) / ANSWER_SHARE;
@@ -300,9 +309,22 @@
 
 	if (now_ms < admit->cold_until_ms)
 		busy = (busy + COLD_EXTRA) * COLD_FACTOR;
+	if (admit->slow_factor > 1)
+		busy = (busy + (admit->slow_factor - 1) * SLOW_EXTRA) *
+		       admit->slow_factor;
 	return (uint64_t)(busy * ADMIT_LOAD_BUSY);
 }
 
+void admit_compare(struct admit *admit, uint16_t *peers_ms, size_t n)
+{
+	double factor = slowness_factor(admit->mean_answer_ms, peers_ms, n);
+
+	if (factor > 1 && !admit->answered)
+		admit->mean_answer_ms *= 1 - SLOW_FORGET * (1 - 1 / factor);
+	admit->answered = false;
+	admit->slow_factor = factor;
+}
+
 uint16_t admit_load(const struct admit *admit, int64_t now_ms)
 {
 	uint64_t load = (uint64_t)admit->open * PACKET_LOAD_SCALE;
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -681,6 +681,8 @@
 	agent->next_refill_ms = now_ms + REFILL_MS;
 	agent->searches_left = SEARCHES_PER_REFILL;
 	agent->hints_left = HINTS_PER_REFILL;
+	if (agent->service && agent->admit.reported)
+		agent_compare_server(agent, now_ms);
 }
 
 void agent_tick(struct agent *agent, int64_t now_ms, struct packet_sink *sink)
@@ -742,6 +744,8 @@
 		agent_flow_close(agent, flow);
 	}
 	agent->admit.running = 0;
+	agent->admit.mean_answer_ms = 0;
+	agent->admit.slow_factor = 1;
 	agent->owed_since_ms = CLOCK_NEVER;
 	agent->unsure_until_ms = INT64_MIN;
 }
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -1,5 +1,7 @@
 #include "tarragonflow/flow/agent_route.h"
 
+#include "tarragonflow/admit/slowness.h"
+#include "tarragonflow/common/log.h"
 #include "tarragonflow/flow/agent_flow.h"
 
 #include <glib.h>
@@ -51,7 +53,9 @@
 		       int64_t now_ms)
 {
 	header->load = own_load(agent, now_ms);
-	header->usual_ms = (uint16_t)agent->admit.usual_ms;
+	header->usual_ms = (uint16_t)(agent->admit.reported
+					      ? agent->admit.mean_answer_ms
+					      : agent->admit.usual_ms);
 }
 
 static void send_to(struct agent *agent, struct packet_header *header, int i,
@@ -583,7 +587,34 @@
 	peer_load_hear(&agent->peers, member_id, header->load, now_ms);
 	if (header->kind == PACKET_LOAD)
 		peer_load_told(&agent->peers, member_id, header->received);
-	admit_hear_usual(&agent->admit, header->usual_ms);
+	if (agent->admit.reported)
+		peer_load_answers(&agent->peers, member_id, header->usual_ms);
+	else
+		admit_hear_usual(&agent->admit, header->usual_ms);
+}
+
+void agent_compare_server(struct agent *agent, int64_t now_ms)
+{
+	int64_t fresh_ms = SILENT_NOTICES * agent->view->peers_alive_ms;
+	uint16_t peers_ms[SLOWNESS_PEERS_MAX];
+	double before = agent->admit.slow_factor;
+	size_t n = 0;
+
+	for (size_t i = 0; i < agent->service->n_members; i++) {
+		uint16_t ms = peer_load_answer_ms(
+			&agent->peers, agent->service->members[i].member_id,
+			fresh_ms, now_ms);
+
+		if (ms && n < SLOWNESS_PEERS_MAX)
+			peers_ms[n++] = ms;
+	}
+	admit_compare(&agent->admit, peers_ms, n);
+	if ((before > 1) != (agent->admit.slow_factor > 1))
+		log_event(LOG_LEVEL_WARN,
+			  before > 1 ? "server-quick" : "server-slow",
+			  "answer_ms=%.0f peers=%zu factor=%.1f",
+			  agent->admit.mean_answer_ms, n,
+			  agent->admit.slow_factor);
 }
 
 void agent_hint(struct agent *agent, const struct packet_header *header,
--- a/flow/peer_load.c
+++ b/flow/peer_load.c
@@ -68,6 +68,24 @@
 	entry->heard_ms = now_ms;
 }
 
+void peer_load_answers(struct peer_loads *loads, uint32_t member_id,
+		       uint16_t answer_ms)
+{
+	struct peer_load *entry = find_mutable(loads, member_id);
+
+	if (entry)
+		entry->answer_ms = answer_ms;
+}
+
+uint16_t peer_load_answer_ms(const struct peer_loads *loads, uint32_t member_id,
+			     int64_t fresh_ms, int64_t now_ms)
+{
+	const struct peer_load *entry = find(loads, member_id);
+
+	return entry && now_ms - entry->heard_ms <= fresh_ms ? entry->answer_ms
+							     : 0;
+}
+
 void peer_load_sent(struct peer_loads *loads, uint32_t member_id,
 		    int64_t now_ms)
 {
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -79,6 +79,10 @@
 	int64_t mean_ms;
 	/** Mean time of the latest answers, ms. */
 	double mean_answer_ms;
+	/** The server has answered since the last comparison. */
+	bool answered;
+	/** How many times slower the server is than its peers, or 1. */
+	double slow_factor;
 	/** When the latest connections were opened, ms; a ring. */
 	int64_t opened_ms[ADMIT_OPENED];
 	size_t next_opened;
@@ -174,6 +178,14 @@
 /** The agent of another server of the service told its usual time, ms. */
 void admit_hear_usual(struct admit *admit, uint16_t usual_ms);
 
+/**
+ * Compares the server with its peers, whose mean times of answers are
+ * @peers_ms: a slower one counts as busier. To be called once a second: a
+ * server that has no answers is taken for a little less slow each time, so
+ * that it gets some connections to show that it has recovered.
+ */
+void admit_compare(struct admit *admit, uint16_t *peers_ms, size_t n);
+
 /** Load to compare with others: 0 to PACKET_LOAD_SCALE, or _FULL. */
 uint16_t admit_load(const struct admit *admit, int64_t now_ms);
 
--- a/include/tarragonflow/flow/agent_route.h
+++ b/include/tarragonflow/flow/agent_route.h
@@ -69,6 +69,9 @@
 void agent_hear_load(struct agent *agent, const struct packet_header *header,
 		     int64_t now_ms);
 
+/** Compares our server's answers with those of the others of its service. */
+void agent_compare_server(struct agent *agent, int64_t now_ms);
+
 /** Tells the balancer of a packet that took detours that we own it. */
 void agent_hint(struct agent *agent, const struct packet_header *header,
 		const struct inner_packet *packet, struct packet_sink *sink);
--- a/include/tarragonflow/flow/peer_load.h
+++ b/include/tarragonflow/flow/peer_load.h
@@ -23,6 +23,8 @@
 	/** 0 when the entry is free. */
 	uint32_t member_id;
 	uint16_t load;
+	/** Mean time of its server's answers as last told, ms; 0: none. */
+	uint16_t answer_ms;
 	/** When it told last; before that, when its silence was first asked
 	 * for, ms.
 	 */
@@ -46,6 +48,14 @@
 void peer_load_hear(struct peer_loads *loads, uint32_t member_id, uint16_t load,
 		    int64_t now_ms);
 
+/** @member_id told that its server's answers take @answer_ms. */
+void peer_load_answers(struct peer_loads *loads, uint32_t member_id,
+		       uint16_t answer_ms);
+
+/** The same as last told, ms; 0 when not told in the last @fresh_ms. */
+uint16_t peer_load_answer_ms(const struct peer_loads *loads, uint32_t member_id,
+			     int64_t fresh_ms, int64_t now_ms);
+
 /** The load last heard from @member_id, PACKET_LOAD_FULL when not known. */
 uint16_t peer_load_of(const struct peer_loads *loads, uint32_t member_id,
 		      int64_t now_ms);
