Take new settings on a silent change of the file, and more than keys

Cause: only SIGHUP was heeded and only keys were taken; the platform may change the file without a signal. Change: the file is looked at every 2 s; log_level, log_connections, stop_grace_s and zone_bound_ms are taken while the role runs; one line names what changed and what needs a restart; an error names the field and changes nothing.

--- /dev/null
+++ b/common/file_watch.c
@@ -0,0 +1,28 @@
+#include "tarragonflow/common/file_watch.h"
+
+#include <string.h>
+
+static bool same_file(const struct stat *a, const struct stat *b)
+{
+	return a->st_dev == b->st_dev && a->st_ino == b->st_ino &&
+	       a->st_size == b->st_size &&
+	       a->st_mtim.tv_sec == b->st_mtim.tv_sec &&
+	       a->st_mtim.tv_nsec == b->st_mtim.tv_nsec;
+}
+
+void file_watch_init(struct file_watch *watch, const char *path)
+{
+	memset(watch, 0, sizeof(*watch));
+	watch->path = path;
+	file_watch_changed(watch);
+}
+
+bool file_watch_changed(struct file_watch *watch)
+{
+	struct stat now;
+
+	if (stat(watch->path, &now) || same_file(&now, &watch->seen))
+		return false;
+	watch->seen = now;
+	return true;
+}
--- a/common/json_reader.c
+++ b/common/json_reader.c
@@ -337,3 +337,34 @@
 	}
 	return array;
 }
+
+bool field_equal(const struct field *field, const void *a, const void *b)
+{
+	const char *x = (const char *)a + field->offset;
+	const char *y = (const char *)b + field->offset;
+
+	switch (field->type) {
+	case FIELD_NAME:
+		return name_equal((const struct name *)x,
+				  (const struct name *)y);
+	case FIELD_INT:
+	case FIELD_SECONDS:
+		return *(const int64_t *)x == *(const int64_t *)y;
+	case FIELD_ENDPOINT:
+		return endpoint_equal((const struct endpoint *)x,
+				      (const struct endpoint *)y);
+	case FIELD_ADDRESS:
+		return ip_addr_equal((const struct ip_addr *)x,
+				     (const struct ip_addr *)y);
+	case FIELD_TEXT:
+		return !strcmp(((const struct json_text *)x)->data,
+			       ((const struct json_text *)y)->data);
+	case FIELD_CHOICE:
+		return *(const int *)x == *(const int *)y;
+	case FIELD_BOOL:
+		return *(const bool *)x == *(const bool *)y;
+	case FIELD_NESTED:
+		return true;
+	}
+	return true;
+}
--- a/common/log.c
+++ b/common/log.c
@@ -108,6 +108,14 @@
 	}
 }
 
+void log_set_threshold(enum log_level threshold)
+{
+	pthread_mutex_lock(&logger.lock);
+	logger.threshold = log_priority(threshold);
+	log4c_category_set_priority(logger.category, logger.threshold);
+	pthread_mutex_unlock(&logger.lock);
+}
+
 void log_finish(void)
 {
 	if (!logger.running)
--- a/include/tarragonflow/common/json_reader.h
+++ b/include/tarragonflow/common/json_reader.h
@@ -61,6 +61,10 @@
 	const char *unit, *help;
 };
 
+/** Whether the value of @field is the same in the structures @a and @b; true
+ * for FIELD_NESTED, which the caller compares. */
+bool field_equal(const struct field *field, const void *a, const void *b);
+
 /** The errors of one document. */
 struct json_errors {
 	const char *file;
--- a/include/tarragonflow/common/log.h
+++ b/include/tarragonflow/common/log.h
@@ -15,6 +15,9 @@
 
 /** Starts logging from @threshold up. */
 void log_init(enum log_level threshold);
+
+/** Writes lines from @threshold up from now on. */
+void log_set_threshold(enum log_level threshold);
 void log_finish(void);
 
 /** Writes one line: @event, then the formatted `key=value` pairs. */
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -110,11 +110,20 @@
 /** Gives a replaced view back to be freed. */
 void node_retire_view(struct node *node, struct view *view);
 
+/** What a role waits for beside its duties. */
+enum node_signal {
+	NODE_SIGNAL_NONE,
+	/** SIGHUP asks for a reload. */
+	NODE_SIGNAL_RELOAD,
+	/** SIGTERM and SIGINT. */
+	NODE_SIGNAL_STOP,
+};
+
 /**
- * Blocks until a signal: true for SIGHUP, which asks for a reload, false for
- * SIGTERM and SIGINT. They must be blocked already.
+ * Waits for a signal for at most @timeout_ms. The signals must be blocked
+ * already.
  */
-bool node_wait_signal(void);
+enum node_signal node_wait_signal(int64_t timeout_ms);
 
 /** True when a SIGHUP waits, which this takes; for roles that are leaving. */
 bool node_reload_pending(void);
--- a/include/tarragonflow/node/packet_duty.h
+++ b/include/tarragonflow/node/packet_duty.h
@@ -40,6 +40,8 @@
 	/** Lines on connections in this second, by enum decision_kind. */
 	uint32_t lines[DECISION_COUNT];
 	int64_t lines_until_ms;
+	/** Whether decisions on connections are logged; changed by a reload. */
+	_Atomic bool log_connections;
 	/** Set to make the agent take nothing new. */
 	_Atomic bool drain;
 };
--- a/node/node.c
+++ b/node/node.c
@@ -482,14 +482,20 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
-bool node_wait_signal(void)
+enum node_signal node_wait_signal(int64_t timeout_ms)
 {
+	const struct timespec timeout = {
+		.tv_sec = timeout_ms / 1000,
+		.tv_nsec = timeout_ms % 1000 * 1000000,
+	};
 	sigset_t set;
 	int signo;
 
 	role_signals(&set);
-	sigwait(&set, &signo);
-	return signo == SIGHUP;
+	signo = sigtimedwait(&set, NULL, &timeout);
+	if (signo < 0)
+		return NODE_SIGNAL_NONE;
+	return signo == SIGHUP ? NODE_SIGNAL_RELOAD : NODE_SIGNAL_STOP;
 }
 
 bool node_reload_pending(void)
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -137,6 +137,8 @@
 	struct packet_duty *duty = duty_of(sink);
 	char src[IP_ADDR_TEXT_MAX], dst[IP_ADDR_TEXT_MAX];
 
+	if (!atomic_load(&duty->log_connections))
+		return;
 	renew_lines(duty, clock_now(&duty->node->clock));
 	if (duty->lines[decision->kind]++ >= LINES_PER_S)
 		return;
@@ -434,8 +436,8 @@
 	duty->sink.to_peer = send_to_peer;
 	duty->sink.to_server = send_to_server;
 	duty->sink.to_fabric = send_to_fabric;
-	if (node->settings->log_connections)
-		duty->sink.decided = log_decision;
+	duty->sink.decided = log_decision;
+	atomic_init(&duty->log_connections, node->settings->log_connections);
 	duty->server.fd = -1;
 	duty->fabric.fd = -1;
 	if (udp_open(&node->settings->data, &duty->data_fd, status) !=
--- a/tarragonflow/commands/agent.c
+++ b/tarragonflow/commands/agent.c
@@ -59,7 +59,7 @@
 	       clock_now(&role->node.clock) < deadline) {
 		hand_over_if_asked(role);
 		if (node_reload_pending())
-			role_reload_keys(role);
+			role_reload(role);
 		clock_sleep(STEP_MS);
 	}
 	log_event(LOG_LEVEL_INFO, "drained", "connections_left=%u",
--- a/tarragonflow/commands/run_role.c
+++ b/tarragonflow/commands/run_role.c
@@ -3,36 +3,31 @@
 #include <unistd.h>
 
 #include "tarragonflow/admin/admin.h"
+#include "tarragonflow/common/file_watch.h"
 #include "tarragonflow/common/log.h"
 #include "tarragonflow/platform/platform.h"
 
+/* How often the file of the settings is looked at, since it may change without
+ * a signal: often enough for an operator who waits. */
+#define SETTINGS_CHECK_MS 2000
+
 /* In the order of settings_adapters. */
 static const struct adapter *const adapters[] = {
 	&adapter_native,
 	&adapter_platform,
 };
 
-void role_reload_keys(struct role *role)
+/* Goes on until it is told to stop; takes new settings meanwhile. */
+static void serve(struct role *role)
 {
-	struct settings fresh;
-	struct status status;
+	struct file_watch file;
+	enum node_signal signal;
 
-	status_init(&status);
-	if (settings_load(&fresh, role->settings.role, role->path, &status) !=
-	    STATUS_OK) {
-		log_event(LOG_LEVEL_ERROR, "reload-refused", "reason=\"%s\"",
-			  status.message);
-		return;
-	}
-	packet_duty_set_keys(&role->duty, &fresh.data_keys);
-	pthread_mutex_lock(&role->node.lock);
-	control_set_keys(&role->node.control, &fresh.control_keys);
-	pthread_mutex_unlock(&role->node.lock);
-	log_event(LOG_LEVEL_INFO, "keys-reloaded",
-		  "data_keys=%zu control_keys=%zu", fresh.data_keys.n,
-		  fresh.control_keys.n);
-	keyring_finish(&fresh.data_keys);
-	keyring_finish(&fresh.control_keys);
+	file_watch_init(&file, role->path);
+	while ((signal = node_wait_signal(SETTINGS_CHECK_MS)) !=
+	       NODE_SIGNAL_STOP)
+		if (file_watch_changed(&file) || signal == NODE_SIGNAL_RELOAD)
+			role_reload(role);
 }
 
 static enum status_code run_duties(struct role *role,
@@ -57,8 +52,7 @@
 		  role->settings.name.data,
 		  member_role_name(role->settings.role),
 		  role->settings.zone.data);
-	while (node_wait_signal())
-		role_reload_keys(role);
+	serve(role);
 	log_event(LOG_LEVEL_INFO, "leaving", "name=%s",
 		  role->settings.name.data);
 	leave(role);
--- a/tarragonflow/commands/run_role.h
+++ b/tarragonflow/commands/run_role.h
@@ -7,7 +7,8 @@
 
 /** A running balancer or agent. */
 struct role {
-	/** File of the settings, read again for new keys on SIGHUP. */
+	/** File of the settings, read again when it changes and on
+	 * SIGHUP. */
 	const char *path;
 	struct settings settings;
 	struct node node;
@@ -27,7 +28,11 @@
 			  void (*leave)(struct role *role), int argc,
 			  char **argv, struct status *status);
 
-/** Takes the keys from the settings file; all else keeps its value. */
-void role_reload_keys(struct role *role);
+/**
+ * Reads the settings again and takes those that can change while the role
+ * runs; the line that it logs names them, and those that need a restart. A
+ * file with an error changes nothing.
+ */
+void role_reload(struct role *role);
 
 #endif
--- a/tests/unit/test_handover.c
+++ b/tests/unit/test_handover.c
@@ -69,7 +69,7 @@
 	g_assert_cmpint(handover_duty_start(&duty, &successor.local, &status),
 			==, STATUS_OK);
 	pthread_create(&thread, NULL, fetch, &successor);
-	node_wait_signal();
+	g_assert_cmpint(node_wait_signal(10000), ==, NODE_SIGNAL_STOP);
 	g_assert_true(atomic_load(&duty.requested));
 	if (c->send)
 		g_assert_true(handover_duty_send(
