Ask the agents of a zone that an order has taken out

Change: members whose zone an order took out are in no chain, and a search asks their agents behind all others: an agent drops what its server has, passes on what it certainly has not, and leaves doubt otherwise; its server gets nothing.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -536,6 +536,29 @@
 	handle_foreign(agent, header, packet, now_ms, sink);
 }
 
+/*
+ * An order has taken our zone out: nothing reaches our server. What it has is
+ * dropped, for its connections may live on after the order; what it has not
+ * is searched for elsewhere.
+ */
+static void handle_cut(struct agent *agent, struct packet_header *header,
+		       const struct inner_packet *packet, int64_t now_ms,
+		       struct packet_sink *sink)
+{
+	const struct flow *flow = flow_table_find(&agent->flows, &packet->key);
+
+	if (flow && (flow->bits & FLOW_LOST)) {
+		handle_flow(agent, header, packet, now_ms, sink);
+		return;
+	}
+	if (flow && claim(flow, packet) != CLAIM_FOREIGN) {
+		agent_count(agent, COUNTER_DROP_ZONE_CUT);
+		return;
+	}
+	header->doubt |= header->asking || may_have(agent, packet, now_ms);
+	agent_pass_on(agent, header, packet, now_ms, sink);
+}
+
 static bool to_our_service(const struct agent *agent,
 			   const struct inner_packet *packet)
 {
@@ -600,12 +623,12 @@
 		agent_count(agent, COUNTER_DROP_WRONG_SERVICE);
 		return;
 	}
-	if (agent->zone_order != ZONE_ORDER_NONE && !inner_opens(&packet)) {
-		/* Passed on, others would hold the connection for lost. */
-		if (agent->zone_order == ZONE_ORDER_CUT)
-			agent_count(agent, COUNTER_DROP_ZONE_CUT);
-		else
-			handle_flow(agent, header, &packet, now_ms, sink);
+	if (agent->zone_order == ZONE_ORDER_CUT && !inner_opens(&packet)) {
+		handle_cut(agent, header, &packet, now_ms, sink);
+		return;
+	}
+	if (agent->zone_order == ZONE_ORDER_LEAVING && !inner_opens(&packet)) {
+		handle_flow(agent, header, &packet, now_ms, sink);
 		return;
 	}
 	if (!agent->zone_in) {
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -767,12 +767,12 @@
 
 	if (!agent->tells_balancers)
 		n = MAX(n, service->n_members / VIEW_NOTICE_PEERS);
-	n = MIN(n, service->n_members);
+	n = MIN(n, view_searched(service));
 	while (n--) {
 		const struct candidate *member;
 
 		agent->notice_cursor =
-			(agent->notice_cursor + 1) % service->n_members;
+			(agent->notice_cursor + 1) % view_searched(service);
 		member = &service->members[agent->notice_cursor];
 		if (member != self)
 			tell_process(agent, self, &member->data, now_ms, sink);
@@ -789,9 +789,9 @@
 
 		/* Told of each change anyway. */
 		if (service == agent->service &&
-		    service->n_members <= VIEW_NOTICE_PEERS)
+		    view_searched(service) <= VIEW_NOTICE_PEERS)
 			continue;
-		for (size_t j = 0; j < service->n_members; j++)
+		for (size_t j = 0; j < view_searched(service); j++)
 			if (&service->members[j] != self)
 				tell_process(agent, self,
 					     &service->members[j].data, now_ms,
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -20,14 +20,19 @@
  */
 struct service_view {
 	struct service service;
-	/** Members of the service that are not out of service. */
+	/**
+	 * Members of the service that are not out of service; behind them the
+	 * n_ordered_out whose zone an order has taken out: they are in no
+	 * chain, but their agents are asked in a search.
+	 */
 	struct candidate *members;
 	/** Zone of each member. */
 	struct name *zones;
 	/** Weight of each member in the rendezvous order. */
 	uint32_t *weights;
-	size_t n_members;
-	/** Living members that are left out because their zone is out. */
+	size_t n_members, n_ordered_out;
+	/** Living members that are left out, as their zone is out by the
+	 * manifest. */
 	size_t n_hidden;
 	/**
 	 * A power of two. It comes from the manifest and not from the number
@@ -175,6 +180,9 @@
 enum zone_order_state view_zone_order(const struct view *view,
 				      const struct name *zone);
 
+/** All members that a search may ask, those ordered out included. */
+size_t view_searched(const struct service_view *service);
+
 /** Whether members of any service are left out because of their zone. */
 bool view_hides_members(const struct view *view);
 
--- a/route/view.c
+++ b/route/view.c
@@ -138,14 +138,6 @@
 	return member->role == MEMBER_AGENT && member->state != MEMBER_LEFT;
 }
 
-/* A zone that is out, by the manifest or by an order, hides its members. */
-static bool member_hidden(const struct member *member, const struct view *view,
-			  const struct manifest *manifest)
-{
-	return !manifest_zone_in(manifest, &member->zone) ||
-	       view_zone_order(view, &member->zone) == ZONE_ORDER_CUT;
-}
-
 static void servers_init(struct servers *servers, const struct roster *roster)
 {
 	servers->n = 0;
@@ -187,7 +179,7 @@
 }
 
 static void candidate_from_member(struct candidate *candidate,
-				  const struct member *member, bool leaving)
+				  const struct member *member, bool takes_new)
 {
 	candidate->data = member->data;
 	candidate->member_id = member_id(&member->name);
@@ -195,10 +187,22 @@
 	candidate->flags = 0;
 	if (member->state == MEMBER_SUSPECT)
 		candidate->flags |= CANDIDATE_SUSPECT;
-	if (member->state != MEMBER_DRAINING && !leaving)
+	if (member->state != MEMBER_DRAINING && takes_new)
 		candidate->flags |= CANDIDATE_TAKES_NEW;
 }
 
+static void service_view_add(struct service_view *view, size_t i,
+			     const struct member *member, bool takes_new)
+{
+	view->weights[i] = MAX(member->connections, 1);
+	view->zones[i] = member->zone;
+	candidate_from_member(&view->members[i], member, takes_new);
+}
+
+/*
+ * A zone that is out by the manifest hides its members. One that an order has
+ * taken out keeps its agents in reach of searches, for its connections live.
+ */
 static void service_view_init(struct service_view *view,
 			      const struct service *service,
 			      const struct view *whole,
@@ -207,6 +211,7 @@
 {
 	size_t first = servers_first(servers, &service->name);
 	size_t n = servers_count(servers, first, &service->name);
+	size_t out_at = n;
 
 	memset(view, 0, sizeof(*view));
 	view->service = *service;
@@ -215,18 +220,24 @@
 	view->zones = g_new0(struct name, n);
 	for (size_t i = 0; i < n; i++) {
 		const struct member *member = servers->members[first + i];
-		bool leaving = view_zone_order(whole, &member->zone) ==
-			       ZONE_ORDER_LEAVING;
+		enum zone_order_state order =
+			view_zone_order(whole, &member->zone);
 
-		if (member_hidden(member, whole, manifest)) {
+		if (!manifest_zone_in(manifest, &member->zone))
 			view->n_hidden++;
-			continue;
-		}
-		view->weights[view->n_members] = MAX(member->connections, 1);
-		view->zones[view->n_members] = member->zone;
-		candidate_from_member(&view->members[view->n_members++], member,
-				      leaving);
+		else if (order == ZONE_ORDER_CUT)
+			service_view_add(view, --out_at, member, false);
+		else
+			service_view_add(view, view->n_members++, member,
+					 order == ZONE_ORDER_NONE);
 	}
+	view->n_ordered_out = n - out_at;
+	memmove(view->members + view->n_members, view->members + out_at,
+		view->n_ordered_out * sizeof(*view->members));
+	memmove(view->weights + view->n_members, view->weights + out_at,
+		view->n_ordered_out * sizeof(*view->weights));
+	memmove(view->zones + view->n_members, view->zones + out_at,
+		view->n_ordered_out * sizeof(*view->zones));
 	service_view_build_chains(view);
 }
 
@@ -287,7 +298,7 @@
 	int64_t agents = 0, told, rate;
 
 	for (size_t i = 0; i < view->n_services; i++)
-		agents += (int64_t)view->services[i].n_members;
+		agents += (int64_t)view_searched(&view->services[i]);
 	view->peers_alive_ms =
 		MAX(ALIVE_MIN_MS, 2 * agents * MS_PER_S / VIEW_NOTICES_PER_S);
 	rate = VIEW_NOTICES_PER_S - agents * MS_PER_S / view->peers_alive_ms;
@@ -489,6 +500,11 @@
 	return zone_orders_state(&view->orders, zone, view->made_ms);
 }
 
+size_t view_searched(const struct service_view *service)
+{
+	return service->n_members + service->n_ordered_out;
+}
+
 bool view_hides_members(const struct view *view)
 {
 	for (size_t i = 0; i < view->n_services; i++)
@@ -540,7 +556,7 @@
 const struct candidate *view_member(const struct service_view *service,
 				    uint32_t id)
 {
-	for (size_t i = 0; i < service->n_members; i++)
+	for (size_t i = 0; i < view_searched(service); i++)
 		if (service->members[i].member_id == id)
 			return &service->members[i];
 	return NULL;
@@ -581,7 +597,7 @@
 	bool goes_on = last_rank(service, header, &after);
 	size_t n = 0;
 
-	for (size_t i = 0; i < service->n_members; i++) {
+	for (size_t i = 0; i < view_searched(service); i++) {
 		struct rank rank = search_rank(service, i, header->bucket);
 
 		if (in_chain(header, service->members[i].member_id) ||
