Read each configuration once; fewer lines while a fleet starts

Change: a version of the object that was taken is not read again; where the store holds the manifest itself, it is not unwrapped once more; a peer's copy of a release that is in force is dropped unread; lines on members have a budget of 24 a second, the rest is counted. Test: /log/budget.

--- a/common/log.c
+++ b/common/log.c
@@ -13,6 +13,9 @@
 /* Lines that may wait for the writer; more are counted and left out. */
 #define LOG_LINES 256
 
+/* Lines are counted for so long. */
+#define BUDGET_MS 1000
+
 struct line {
 	int priority;
 	char text[LOG_LINE_MAX];
@@ -38,6 +41,19 @@
 	.wake = PTHREAD_COND_INITIALIZER,
 };
 
+bool log_budget_take(struct log_budget *budget, uint32_t per_s, int64_t now_ms,
+		     uint32_t *left_out)
+{
+	*left_out = 0;
+	if (now_ms >= budget->until_ms) {
+		if (budget->wanted > per_s)
+			*left_out = budget->wanted - per_s;
+		budget->wanted = 0;
+		budget->until_ms = now_ms + BUDGET_MS;
+	}
+	return budget->wanted++ < per_s;
+}
+
 static int log_priority(enum log_level level)
 {
 	switch (level) {
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -8,6 +8,8 @@
 /* Beyond this, releases at members are heard from them and not gossiped. */
 #define REVISION_GOSSIP_MEMBERS_MAX 256
 #define PULL_INTERVAL_MS 100
+/* Lines on members in a second: those of a small deployment at once. */
+#define MEMBER_LINES_PER_S 24
 /* Peers that are told of an order on a zone at once. */
 #define ORDER_FANOUT 4
 /* Until then what is heard of a later run of ours is of a former one. */
@@ -64,16 +66,32 @@
 		queue_put(context, GOSSIP_STATE, &member->name, false);
 }
 
+/* A fleet that starts at once is told of in fewer lines than members. */
+static void log_member(struct control_context *context,
+		       const struct member *member)
+{
+	uint32_t left_out;
+	bool may = log_budget_take(&context->control->member_lines,
+				   MEMBER_LINES_PER_S, context->now_ms,
+				   &left_out);
+
+	if (left_out)
+		log_event(LOG_LEVEL_INFO, "member-suppressed", "lines=%u",
+			  left_out);
+	if (may)
+		log_event(LOG_LEVEL_INFO, "member",
+			  "name=%s id=%08x role=%s service=%s zone=%s state=%s",
+			  member->name.data, member_id(&member->name),
+			  member_role_name(member->role), member->service.data,
+			  member->zone.data, member_state_name(member->state));
+}
+
 static void member_changed(struct control_context *context,
 			   const struct member *member)
 {
 	struct control *control = context->control;
 
-	log_event(LOG_LEVEL_INFO, "member",
-		  "name=%s id=%08x role=%s service=%s zone=%s state=%s",
-		  member->name.data, member_id(&member->name),
-		  member_role_name(member->role), member->service.data,
-		  member->zone.data, member_state_name(member->state));
+	log_member(context, member);
 	if (member->state == MEMBER_SUSPECT)
 		control->suspicions_changed = true;
 	failure_detector_note(&control->detector, member, context->now_ms);
@@ -223,6 +241,16 @@
 static void take_config(struct control_context *context,
 			const struct message *message)
 {
+	struct config_store *store = &context->control->config;
+	int64_t ours = config_store_release(store);
+
+	/* Several peers may have answered: reading it again costs much. */
+	if (ours && message->from.member.config_revision <= (uint64_t)ours) {
+		config_store_end_pull(store);
+		counter_inc(context->control->counters,
+			    COUNTER_CONFIG_OLDER_IGNORED);
+		return;
+	}
 	if (message->manifest.len)
 		inbound_config(context, message->manifest, CONFIG_FROM_PEER);
 	else if (config_store_start_pull(&context->control->config,
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -75,13 +75,26 @@
 	manifest_object_finish(&object);
 }
 
-static void offer_objects(const struct store_result *result,
+/* Where answers are current, each change of the object is read once. */
+static void offer_objects(struct platform_sync *sync,
+			  const struct store_result *result,
 			  struct platform_sync_out *out)
 {
-	for (size_t i = 0; i < result->n_objects; i++)
-		if (!result->objects[i].deleted)
-			offer_manifest(strbuf_str(&result->objects[i].value),
-				       out);
+	for (size_t i = 0; i < result->n_objects; i++) {
+		const struct store_object *object = &result->objects[i];
+		struct str value = strbuf_str(&object->value);
+
+		if (object->deleted)
+			continue;
+		if (!sync->options.platform_is_current) {
+			offer_manifest(value, out);
+			continue;
+		}
+		if (object->version <= sync->config_version)
+			continue;
+		sync->config_version = object->version;
+		out->config(out, value);
+	}
 }
 
 static void take_watch(struct platform_sync *sync,
@@ -103,7 +116,7 @@
 	if (result->n_objects && sync->options.platform_is_current)
 		sync->watch.next_ms += WATCH_GAP_MS;
 	sync->watch_version = MAX(sync->watch_version, result->version);
-	offer_objects(result, out);
+	offer_objects(sync, result, out);
 }
 
 /* Where answers are current, a watch that goes well needs no reads beside. */
@@ -139,7 +152,7 @@
 		sync->acting_until_ms = now_ms + ACTING_MS;
 		sync->config.next_ms = now_ms;
 	}
-	offer_objects(result, out);
+	offer_objects(sync, result, out);
 }
 
 /* An object that is there takes its zone out, whatever it holds. */
--- a/include/tarragonflow/common/log.h
+++ b/include/tarragonflow/common/log.h
@@ -1,6 +1,9 @@
 #ifndef TARRAGONFLOW_COMMON_LOG_H
 #define TARRAGONFLOW_COMMON_LOG_H
 
+#include <stdbool.h>
+#include <stdint.h>
+
 /**
  * Structured lines for changes of state, `event=NAME at_ms=MS key=value ...`,
  * over log4c, on standard output. Never blocks the caller.
@@ -13,6 +16,20 @@
 	LOG_LEVEL_ERROR,
 };
 
+/** How many lines of one kind were wanted in this second; begins as zero. */
+struct log_budget {
+	uint32_t wanted;
+	int64_t until_ms;
+};
+
+/**
+ * Whether one more line of a kind may be written, at most @per_s a second.
+ * With the first one of a new second @left_out is the number that the last one
+ * left out, else 0.
+ */
+bool log_budget_take(struct log_budget *budget, uint32_t per_s, int64_t now_ms,
+		     uint32_t *left_out);
+
 /** Starts logging from @threshold up. */
 void log_init(enum log_level threshold);
 
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_CONTROL_CONTROL_H
 
 #include "tarragonflow/common/counter.h"
+#include "tarragonflow/common/log.h"
 #include "tarragonflow/common/random.h"
 #include "tarragonflow/control/auth.h"
 #include "tarragonflow/control/byte_budget.h"
@@ -85,6 +86,8 @@
 	struct counters *counters;
 	struct roster roster;
 	struct zone_orders orders;
+	/** Lines on members. */
+	struct log_budget member_lines;
 	struct config_store config;
 	struct platform_sync platform;
 	struct random random;
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -122,7 +122,9 @@
 	int64_t behind_ms;
 	/** Version of the platform's store that the watch has reached. */
 	int64_t watch_version;
-	/** The same for orders on zones; 0: to be listed. */
+	/** Version of the configuration's object that was taken last. */
+	int64_t config_version;
+	/** The same as watch_version for orders on zones; 0: to be listed. */
 	int64_t zones_version;
 	/** The first page of the whole roster was asked for at the start. */
 	bool listed_at_start;
--- a/include/tarragonflow/node/packet_duty.h
+++ b/include/tarragonflow/node/packet_duty.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGONFLOW_NODE_PACKET_DUTY_H
 #define TARRAGONFLOW_NODE_PACKET_DUTY_H
 
+#include "tarragonflow/common/log.h"
 #include "tarragonflow/flow/agent.h"
 #include "tarragonflow/net/packet_auth.h"
 #include "tarragonflow/net/packet_edge.h"
@@ -37,9 +38,8 @@
 	struct balancer balancer;
 	/** Balancers: when the reach of agents is judged again, ms. */
 	int64_t next_reach_ms;
-	/** Lines on connections in this second, by enum decision_kind. */
-	uint32_t lines[DECISION_COUNT];
-	int64_t lines_until_ms;
+	/** Lines on connections, by enum decision_kind. */
+	struct log_budget lines[DECISION_COUNT];
 	/** Whether decisions on connections are logged; changed by a reload. */
 	_Atomic bool log_connections;
 	/** Set to make the agent take nothing new. */
--- a/node/packet_duty.c
+++ b/node/packet_duty.c
@@ -13,7 +13,6 @@
 
 #define POLL_MAX_MS 100
 #define BATCH_MAX 64
-#define MS_PER_S 1000
 /* Lines on connections of one kind that a process logs in a second. */
 #define LINES_PER_S 20
 #define BUFFER_BYTES (INNER_MAX + PACKET_HEADER_MAX + PACKET_AUTH_BYTES)
@@ -116,19 +115,17 @@
 	count_send(duty, udp_send(duty->data_fd, &to, inner, len));
 }
 
-/* Begins another second of lines; tells how many the last one left out. */
-static void renew_lines(struct packet_duty *duty, int64_t now_ms)
+/* Whether there may be a line on @kind; tells how many were left out. */
+static bool may_log(struct packet_duty *duty, enum decision_kind kind)
 {
-	if (now_ms < duty->lines_until_ms)
-		return;
-	for (int i = 0; i < DECISION_COUNT; i++) {
-		if (duty->lines[i] > LINES_PER_S)
-			log_event(LOG_LEVEL_INFO, "conn-suppressed",
-				  "did=%s lines=%u", decision_name(i),
-				  duty->lines[i] - LINES_PER_S);
-		duty->lines[i] = 0;
-	}
-	duty->lines_until_ms = now_ms + MS_PER_S;
+	uint32_t left_out;
+	bool may = log_budget_take(&duty->lines[kind], LINES_PER_S,
+				   clock_now(&duty->node->clock), &left_out);
+
+	if (left_out)
+		log_event(LOG_LEVEL_INFO, "conn-suppressed", "did=%s lines=%u",
+			  decision_name(kind), left_out);
+	return may;
 }
 
 static void log_decision(struct packet_sink *sink,
@@ -137,10 +134,8 @@
 	struct packet_duty *duty = duty_of(sink);
 	char src[IP_ADDR_TEXT_MAX], dst[IP_ADDR_TEXT_MAX];
 
-	if (!atomic_load(&duty->log_connections))
-		return;
-	renew_lines(duty, clock_now(&duty->node->clock));
-	if (duty->lines[decision->kind]++ >= LINES_PER_S)
+	if (!atomic_load(&duty->log_connections) ||
+	    !may_log(duty, decision->kind))
 		return;
 	log_event(LOG_LEVEL_INFO, "conn",
 		  "id=%s:%u>%s:%u/%u did=%s reason=%s member=%08x load=%u "
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -81,10 +81,28 @@
 	strbuf_finish(&text);
 }
 
+/* Lines beyond the budget of a second are left out, and counted once. */
+static void test_budget(void)
+{
+	struct log_budget budget = {0};
+	uint32_t left_out, allowed = 0;
+
+	for (int i = 0; i < 30; i++) {
+		allowed += log_budget_take(&budget, 20, 5000 + i, &left_out);
+		g_assert_cmpuint(left_out, ==, 0);
+	}
+	g_assert_cmpuint(allowed, ==, 20);
+	g_assert_true(log_budget_take(&budget, 20, 6000, &left_out));
+	g_assert_cmpuint(left_out, ==, 10);
+	g_assert_true(log_budget_take(&budget, 20, 9000, &left_out));
+	g_assert_cmpuint(left_out, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/log/blocked-reader", test_blocked_reader);
 	g_test_add_func("/log/histogram", test_histogram);
+	g_test_add_func("/log/budget", test_budget);
 	return g_test_run();
 }
