Find a server that breaks off what it gets

Cause: on grown sites servers go down and up by turns: they take a connection and break it off at the request. Its own resets were counted only for servers that do not report. Change: the agent keeps the share of the latest requests whose connections its server broke off; over a half, the server gets one connection each 500 ms until one is answered; the others go elsewhere. Test: /admit/failing-server.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -43,6 +43,12 @@
 /* Share of its distance to its peers that the mean time of a slow server
  * loses each second in which it answered nothing: some 5 s to the next try. */
 #define SLOW_FORGET 0.15
+/* Share of the newest outcome in the share of requests that break off, 1/4. */
+#define BROKEN_SHARE 4
+/* Two or three in a row, or most of many: the server fails. */
+#define BROKEN_LIMIT 0.5
+/* A failing server gets one connection in this time, to show its recovery. */
+#define BROKEN_GAP_MS 500
 /* A limit counts as used from this share of it on, 1/4. */
 #define USED_SHARE 4
 
@@ -118,6 +124,23 @@
 	return true;
 }
 
+bool admit_fails(const struct admit *admit)
+{
+	return admit->broken_share > BROKEN_LIMIT;
+}
+
+bool admit_broke_off(struct admit *admit, int64_t now_ms)
+{
+	bool before = admit_fails(admit);
+
+	admit->broken_share += (1 - admit->broken_share) / BROKEN_SHARE;
+	if (admit_fails(admit))
+		admit->down_until_ms =
+			MAX(admit->down_until_ms, now_ms + BROKEN_GAP_MS);
+	admit->trial |= admit_fails(admit);
+	return !before && admit_fails(admit);
+}
+
 enum admit_verdict admit_open(struct admit *admit, int64_t now_ms)
 {
 	if (admit->draining)
@@ -128,6 +151,10 @@
 		return ADMIT_FULL;
 	if (admit->open >= admit->limit || !cold_gate(admit, now_ms))
 		return ADMIT_COLD;
+	if (admit_fails(admit)) {
+		admit->trial = true;
+		admit->down_until_ms = now_ms + BROKEN_GAP_MS;
+	}
 	admit_take_over(admit);
 	return ADMIT_YES;
 }
@@ -244,6 +271,11 @@
 	double ms = MAX((double)took_ms, USUAL_MIN_MS);
 
 	admit->answered = true;
+	admit->broken_share -= admit->broken_share / BROKEN_SHARE;
+	if (!admit_fails(admit) && admit->trial) {
+		admit->trial = false;
+		admit->down_until_ms = now_ms;
+	}
 	if (admit->mean_answer_ms <= 0)
 		admit->mean_answer_ms = ms;
 	admit->mean_answer_ms += (ms - admit->mean_answer_ms) / ANSWER_SHARE;
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -769,6 +769,7 @@
 	agent->admit.running = 0;
 	agent->admit.mean_answer_ms = 0;
 	agent->admit.slow_factor = 1;
+	agent->admit.broken_share = 0;
 	agent->owed_since_ms = CLOCK_NEVER;
 	agent->unsure_until_ms = INT64_MIN;
 }
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "tarragonflow/common/clock.h"
+#include "tarragonflow/common/log.h"
 #include "tarragonflow/flow/agent_route.h"
 
 /* True when the server refused; its RST is not the caller's business. */
@@ -31,6 +32,18 @@
 			flows->slots[i].bits |= FLOW_UNPROVEN;
 }
 
+static void note_broken(struct agent *agent, const struct flow *flow,
+			int64_t now_ms)
+{
+	if (!(flow->bits & FLOW_ASKED) ||
+	    !admit_broke_off(&agent->admit, now_ms))
+		return;
+	agent_count(agent, COUNTER_SERVER_FAILING);
+	log_event(LOG_LEVEL_WARN, "server-failing",
+		  "broken_share=%.2f running=%u", agent->admit.broken_share,
+		  agent->admit.running);
+}
+
 /* A reset without a FIN before: the server forgot the connection. */
 static void note_restart(struct agent *agent, struct flow *flow,
 			 const struct inner_packet *packet, int64_t now_ms)
@@ -45,8 +58,11 @@
 		flow->bits &= (uint8_t)~FLOW_UNPROVEN;
 		return;
 	}
-	if (!(flow->bits & (fins | FLOW_UNPROVEN)) &&
-	    admit_reset(&agent->admit, now_ms))
+	if (flow->bits & (fins | FLOW_UNPROVEN))
+		return;
+	if (agent->admit.reported)
+		note_broken(agent, flow, now_ms);
+	else if (admit_reset(&agent->admit, now_ms))
 		doubt_flows(agent);
 }
 
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -79,6 +79,11 @@
 	int64_t mean_ms;
 	/** Mean time of the latest answers, ms. */
 	double mean_answer_ms;
+	/** Share of the latest requests whose connections the server broke off.
+	 */
+	double broken_share;
+	/** down_until_ms is due to such requests. */
+	bool trial;
 	/** The server has answered since the last comparison. */
 	bool answered;
 	/** How many times slower the server is than its peers, or 1. */
@@ -169,6 +174,19 @@
 /** The server reset a connection; returns true when it turned cold. */
 bool admit_reset(struct admit *admit, int64_t now_ms);
 
+/**
+ * The server broke a connection off that waited for an answer.
+ *
+ * Load pattern: a server is up and fails what it gets at once, so it has
+ * nothing running and draws more than its share. One that broke off most of
+ * the latest gets a connection now and then, until it answers again. True when
+ * that begins.
+ */
+bool admit_broke_off(struct admit *admit, int64_t now_ms);
+
+/** Whether the server breaks off most of what it gets. */
+bool admit_fails(const struct admit *admit);
+
 /** The server gave an opening packet back: it has no room just now. */
 void admit_returned(struct admit *admit, int64_t now_ms);
 
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -132,6 +132,7 @@
 	X(SERVER_ASKED, "servers_asked")                           \
 	X(SERVER_RETURNED, "servers_returned")                     \
 	X(SERVER_RESTARTED, "servers_restarted")                   \
+	X(SERVER_FAILING, "servers_failing")                       \
 	X(RESET_LOST, "resets_lost_connection")                    \
 	X(FLOW_ADOPTED, "flows_adopted")                           \
 	X(LOAD_HEARD, "loads_heard")                               \
--- a/tests/unit/test_admit.c
+++ b/tests/unit/test_admit.c
@@ -3,6 +3,7 @@
 
 #include "tarragonflow/admit/admit.h"
 #include "tarragonflow/admit/slowness.h"
+#include "tarragonflow/net/packet.h"
 
 #define CONNECTIONS 640
 #define COLD (CONNECTIONS / ADMIT_COLD_SHARE)
@@ -223,6 +224,43 @@
 	g_free(servers);
 }
 
+/*
+ * A server that breaks off what it gets from 1 to 3 s, asked for a connection
+ * every 5 ms: it gets few, and all soon after it answers again.
+ */
+static void test_failing_server(void)
+{
+	unsigned int failed = 0, after = 0;
+	struct admit admit;
+
+	admit_init(&admit, CONNECTIONS, 5, 0);
+	admit_report(&admit, 5, 0, 0, 0);
+	for (int64_t now_ms = 0; now_ms < 5000; now_ms += 5) {
+		bool fails = now_ms >= 1000 && now_ms < 3000;
+
+		if (admit_open(&admit, now_ms) != ADMIT_YES) {
+			g_assert_cmpuint(admit_load(&admit, now_ms), ==,
+					 PACKET_LOAD_FULL);
+			continue;
+		}
+		admit_close(&admit);
+		if (fails) {
+			failed++;
+			admit_broke_off(&admit, now_ms);
+		} else {
+			admit_answered(&admit, 40, now_ms);
+			after += now_ms >= 4000;
+		}
+	}
+	/* Three to notice, then one each 500 ms. */
+	g_assert_cmpuint(failed, <=, 3 + 4);
+	g_assert_cmpuint(failed, >=, 3);
+	g_assert_cmpuint(after, ==, 200);
+	/* One among many answers is no sign. */
+	admit_broke_off(&admit, 5000);
+	g_assert_cmpint(admit_open(&admit, 5000), ==, ADMIT_YES);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -230,5 +268,6 @@
 	g_test_add_func("/admit/verdicts", test_verdicts);
 	g_test_add_func("/admit/slowness", test_slowness);
 	g_test_add_func("/admit/slow-server", test_slow_server);
+	g_test_add_func("/admit/failing-server", test_failing_server);
 	return g_test_run();
 }
