--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -3,26 +3,34 @@
 #include <string.h>
 
 #include "bench.h"
+#include "tarragonflow/admit/admit.h"
 #include "tarragonflow/admit/waiting_room.h"
 
 /*
- * Load patterns at their worst, replayed over a few servers: opening packets
- * go to a server by hash and wait there by arrival (the baseline), or to the
- * least loaded one and wait in its agent's waiting room. Requests take 45 ms
- * on average, are in time within 250 ms and given up after 1400 ms.
+ * Load patterns at their worst, replayed: opening packets go to a server by
+ * hash and wait there by arrival (the baseline), or to the least loaded one by
+ * what admission tells of it and wait in its agent's waiting room. Requests
+ * take 45 ms on average, are in time within 250 ms and given up after 1400 ms.
  */
-#define SERVERS 7
-#define SLOTS 6
+#define SERVERS_MAX 49
+#define SLOTS_MAX 6
+#define CONNECTIONS 2000
+#define SLOW_X 5
+/* A cold server, as its own word has it, and for how long. */
+#define COLD_X 1.6
+#define COLD_MS 2000
+#define COMPARE_MS 1000
 #define MEAN_MS 45
 #define OBJECTIVE_MS 250
 #define ATTEMPT_MS 1400
 #define LOAD_AGE_MS 40
 #define END_MS 12000
-#define REQUESTS_MAX 20000
+#define REQUESTS_MAX 30000
 #define QUEUE_MAX 4096
 
 struct pattern {
 	const char *name;
+	int servers, slots;
 	/** Requests a second, and from 2 s to 5 s. */
 	double rate, rate_then;
 	/** From 2 s for so long no server runs; callers keep coming, ms. */
@@ -31,23 +39,33 @@
 	int slow;
 	/** Servers, from the last, that are away from 2 s on. */
 	int away;
+	/** When these are back, and cold; 0 is never, ms. */
+	int64_t back_ms;
+	/** Servers, from the first, that are replaced in turn, one a second. */
+	int replaced;
 };
 
 static const struct pattern patterns[] = {
-	{"burst", 350, 1000, 0, 0, 0},
-	{"outage", 350, 350, 1500, 0, 0},
-	{"slow_third", 250, 250, 0, 2, 0},
-	{"zone_out", 600, 600, 0, 0, 2},
+	{"burst", 7, 6, 350, 1000, 0, 0, 0, 0, 0},
+	{"outage", 7, 6, 350, 350, 1500, 0, 0, 0, 0},
+	{"slow_third", 7, 6, 250, 250, 0, 2, 0, 0, 0},
+	{"zone_out", 7, 6, 600, 600, 0, 0, 2, 0, 0},
+	{"zone_back", 7, 6, 600, 600, 0, 0, 2, 6000, 0},
+	{"release", 7, 6, 600, 600, 0, 0, 0, 0, 7},
+	{"nearly_full", 7, 6, 840, 840, 0, 0, 0, 0, 0},
+	{"nearly_full_two_slots", 49, 2, 1950, 1950, 0, 0, 0, 0, 0},
 };
 
 struct request {
-	int64_t sent_ms, done_ms;
+	int64_t sent_ms, begun_ms, done_ms;
 	int64_t takes_ms;
 };
 
 struct server {
-	/** When each slot is free again, ms. */
-	int64_t free_ms[SLOTS];
+	struct admit admit;
+	/** What each slot runs, and when it is free again, ms. */
+	int running[SLOTS_MAX];
+	int64_t free_ms[SLOTS_MAX];
 	/** Baseline: indices of requests by arrival. */
 	int queue[QUEUE_MAX];
 	size_t first, n;
@@ -63,54 +81,109 @@
 	GRand *rand;
 	struct request requests[REQUESTS_MAX];
 	int n;
-	struct server servers[SERVERS];
+	struct server servers[SERVERS_MAX];
 };
 
+/* Whether @server is one of those that are away just now. */
+static bool is_away(const struct pattern *pattern, int server, int64_t now_ms)
+{
+	return server >= pattern->servers - pattern->away && now_ms >= 2000 &&
+	       (!pattern->back_ms || now_ms < pattern->back_ms);
+}
+
+/* When @server started last after the beginning, ms; -1: it did not. */
+static int64_t started_ms(const struct pattern *pattern, int server,
+			  int64_t now_ms)
+{
+	int64_t replaced_ms = 2000 + 1000 * (int64_t)server;
+
+	if (server < pattern->replaced && now_ms >= replaced_ms)
+		return replaced_ms;
+	if (pattern->outage_ms && now_ms >= 2000 + pattern->outage_ms)
+		return 2000 + pattern->outage_ms;
+	if (pattern->back_ms && now_ms >= pattern->back_ms &&
+	    server >= pattern->servers - pattern->away)
+		return pattern->back_ms;
+	return -1;
+}
+
+/* How many times longer than usual requests take at @server. */
+static double slowness(const struct pattern *pattern, int server,
+		       int64_t now_ms)
+{
+	int64_t start_ms = started_ms(pattern, server, now_ms);
+
+	if (server < pattern->slow)
+		return SLOW_X;
+	return start_ms >= 0 && now_ms < start_ms + COLD_MS ? COLD_X : 1;
+}
+
 static bool runs(const struct replay *replay, int server, int64_t now_ms)
 {
 	const struct pattern *pattern = replay->pattern;
 
-	if (now_ms < 2000)
-		return true;
-	return now_ms >= 2000 + pattern->outage_ms &&
-	       server < SERVERS - pattern->away;
+	if (now_ms >= 2000 && now_ms < 2000 + pattern->outage_ms)
+		return false;
+	return !is_away(pattern, server, now_ms);
+}
+
+/* Agents tell the loads that they know, of servers that say they are cold. */
+static void tell_loads(struct replay *replay, int64_t now_ms)
+{
+	const struct pattern *pattern = replay->pattern;
+
+	for (int i = 0; i < pattern->servers; i++) {
+		struct server *server = &replay->servers[i];
+		int64_t start_ms = started_ms(pattern, i, now_ms);
+
+		if (start_ms == now_ms)
+			admit_report(&server->admit, (uint32_t)pattern->slots,
+				     COLD_MS, 0, now_ms);
+		if (now_ms - server->told_ms < LOAD_AGE_MS)
+			continue;
+		server->admit.waiting = (uint32_t)server->room.n;
+		server->told = admit_load(&server->admit, now_ms);
+		server->told_ms = now_ms;
+	}
 }
 
-static double load_of(const struct replay *replay, int i, int64_t now_ms)
+static void compare_servers(struct replay *replay)
 {
-	const struct server *server = &replay->servers[i];
-	double load = (double)(replay->ours ? server->room.n : server->n);
+	const struct pattern *pattern = replay->pattern;
+
+	for (int i = 0; i < pattern->servers; i++) {
+		uint16_t peers_ms[SERVERS_MAX];
+		size_t n = 0;
 
-	for (int slot = 0; slot < SLOTS; slot++)
-		load += server->free_ms[slot] > now_ms;
-	return load;
+		for (int j = 0; j < pattern->servers; j++) {
+			double ms = replay->servers[j].admit.mean_answer_ms;
+
+			if (j != i && ms >= 1)
+				peers_ms[n++] = (uint16_t)ms;
+		}
+		admit_compare(&replay->servers[i].admit, peers_ms, n);
+	}
 }
 
 static int choose(struct replay *replay, int64_t now_ms)
 {
+	const struct pattern *pattern = replay->pattern;
 	int best = -1;
 
 	if (!replay->ours) {
 		do
-			best = g_rand_int_range(replay->rand, 0, SERVERS);
-		while (replay->pattern->away && now_ms >= 2000 &&
-		       best >= SERVERS - replay->pattern->away);
+			best = g_rand_int_range(replay->rand, 0,
+						pattern->servers);
+		while (is_away(pattern, best, now_ms));
 		return best;
 	}
-	for (int i = 0; i < SERVERS; i++) {
-		struct server *server = &replay->servers[i];
-
-		if (now_ms - server->told_ms >= LOAD_AGE_MS) {
-			server->told = load_of(replay, i, now_ms);
-			server->told_ms = now_ms;
-		}
-		if (replay->pattern->away && now_ms >= 2000 &&
-		    i >= SERVERS - replay->pattern->away)
-			continue;
-		if (best < 0 || server->told < replay->servers[best].told)
+	for (int i = 0; i < pattern->servers; i++)
+		if (!is_away(pattern, i, now_ms) &&
+		    (best < 0 ||
+		     replay->servers[i].told < replay->servers[best].told))
 			best = i;
-	}
-	replay->servers[best].told += 0.5;
+	replay->servers[best].told +=
+		(double)ADMIT_LOAD_BUSY / pattern->slots / 2;
 	return best;
 }
 
@@ -162,24 +235,47 @@
 	return -1;
 }
 
+static void end_requests(struct replay *replay, struct server *server,
+			 int64_t now_ms)
+{
+	for (int slot = 0; slot < replay->pattern->slots; slot++) {
+		const struct request *request;
+
+		if (!server->free_ms[slot] || server->free_ms[slot] > now_ms)
+			continue;
+		request = &replay->requests[server->running[slot]];
+		server->free_ms[slot] = 0;
+		admit_running(&server->admit, -1, now_ms);
+		admit_answered(&server->admit,
+			       request->done_ms - request->begun_ms, now_ms);
+	}
+}
+
 static void serve(struct replay *replay, int i, int64_t now_ms)
 {
 	struct server *server = &replay->servers[i];
-	int slower = i < replay->pattern->slow ? 5 : 1;
+	double slower = slowness(replay->pattern, i, now_ms);
 
+	end_requests(replay, server, now_ms);
 	if (!runs(replay, i, now_ms))
 		return;
-	for (int slot = 0; slot < SLOTS; slot++) {
+	for (int slot = 0; slot < replay->pattern->slots; slot++) {
+		struct request *request;
 		int id;
 
-		if (server->free_ms[slot] > now_ms)
+		if (server->free_ms[slot])
 			continue;
 		id = next_request(replay, server, now_ms);
 		if (id < 0)
 			return;
-		server->free_ms[slot] =
-			now_ms + replay->requests[id].takes_ms * slower;
-		replay->requests[id].done_ms = server->free_ms[slot];
+		request = &replay->requests[id];
+		request->begun_ms = now_ms;
+		request->done_ms =
+			now_ms +
+			MAX((int64_t)((double)request->takes_ms * slower), 1);
+		server->running[slot] = id;
+		server->free_ms[slot] = request->done_ms;
+		admit_running(&server->admit, 1, now_ms);
 	}
 }
 
@@ -203,15 +299,24 @@
 	replay->pattern = pattern;
 	replay->ours = ours;
 	replay->rand = g_rand_new_with_seed((guint32)seed);
+	for (int i = 0; i < pattern->servers; i++) {
+		admit_init(&replay->servers[i].admit, CONNECTIONS,
+			   (uint32_t)pattern->slots, 0);
+		admit_report(&replay->servers[i].admit,
+			     (uint32_t)pattern->slots, 0, 0, 0);
+	}
 	for (int64_t now_ms = 0; now_ms < END_MS; now_ms++) {
 		bool then = now_ms >= 2000 && now_ms < 5000;
 
 		if (now_ms < END_MS - ATTEMPT_MS)
 			due += (then ? pattern->rate_then : pattern->rate) /
 			       1000;
+		tell_loads(replay, now_ms);
+		if (now_ms % COMPARE_MS == 0)
+			compare_servers(replay);
 		for (int n = (int)due; n; n--, due--)
 			arrive(replay, now_ms);
-		for (int i = 0; i < SERVERS; i++)
+		for (int i = 0; i < pattern->servers; i++)
 			serve(replay, i, now_ms);
 	}
 	for (int i = 0; i < replay->n; i++) {
