--- a/net/udp.c
+++ b/net/udp.c
@@ -6,8 +6,26 @@
 #include <sys/uio.h>
 #include <unistd.h>
 
+#include "tarragonflow/common/clock.h"
+
 #define SOCKET_BUFFER_BYTES (4 * 1024 * 1024)
 
+/* A predecessor frees its addresses within moments of its last word. */
+#define ADDRESS_WAIT_MS 1000
+#define ADDRESS_STEP_MS 10
+
+/* Binds, and waits for an address that another process is about to free. */
+static bool bind_patiently(int fd, const struct sockaddr_in *addr)
+{
+	for (int waited_ms = 0;; waited_ms += ADDRESS_STEP_MS) {
+		if (bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) == 0)
+			return true;
+		if (errno != EADDRINUSE || waited_ms >= ADDRESS_WAIT_MS)
+			return false;
+		clock_sleep(ADDRESS_STEP_MS);
+	}
+}
+
 enum status_code udp_open(const struct endpoint *local, int *fd,
 			  struct status *status)
 {
@@ -22,7 +40,7 @@
 	setsockopt(*fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
 	setsockopt(*fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
 	endpoint_to_sockaddr(local, &addr);
-	if (bind(*fd, (struct sockaddr *)&addr, sizeof(addr)) == 0)
+	if (bind_patiently(*fd, &addr))
 		return STATUS_OK;
 	status_set(status, STATUS_IO, "cannot bind UDP %s: %s",
 		   endpoint_format(local, text), strerror(errno));
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -1,6 +1,10 @@
 #include <glib.h>
+#include <unistd.h>
+#include <pthread.h>
 #include <string.h>
 
+#include "tarragonflow/net/udp.h"
+#include "tarragonflow/common/clock.h"
 #include "tarragonflow/net/endpoint.h"
 #include "tarragonflow/net/inner.h"
 #include "tarragonflow/net/packet.h"
@@ -157,6 +161,41 @@
 	}
 }
 
+/** Holds an address for a while, as a process does that is ending. */
+struct holder {
+	int fd;
+	int64_t hold_ms;
+};
+
+static void *release_later(void *arg)
+{
+	const struct holder *holder = arg;
+
+	clock_sleep(holder->hold_ms);
+	close(holder->fd);
+	return NULL;
+}
+
+/* A successor starts while its predecessor still has the address. */
+static void test_udp_address_freed(void)
+{
+	const struct endpoint local = {0x7f4d0701, 4702};
+	struct holder holder = {.hold_ms = 200};
+	struct status status;
+	pthread_t thread;
+	int fd;
+
+	status_init(&status);
+	g_assert_cmpint(udp_open(&local, &holder.fd, &status), ==, STATUS_OK);
+	pthread_create(&thread, NULL, release_later, &holder);
+	g_assert_cmpint(udp_open(&local, &fd, &status), ==, STATUS_OK);
+	pthread_join(thread, NULL);
+	/* Whoever keeps it is named in the end. */
+	g_assert_cmpint(udp_open(&local, &holder.fd, &status), ==, STATUS_IO);
+	g_assert_nonnull(strstr(status.message, "127.77.7.1:4702"));
+	close(fd);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -165,5 +204,6 @@
 	g_test_add_func("/net/inner-truncated", test_inner_truncated);
 	g_test_add_func("/net/header-round-trip", test_header_round_trip);
 	g_test_add_func("/net/header-malformed", test_header_malformed);
+	g_test_add_func("/net/udp-address-freed", test_udp_address_freed);
 	return g_test_run();
 }
