--- a/flow/agent.c
+++ b/flow/agent.c
@@ -5,6 +5,8 @@
 
 #include "tarragonflow/common/clock.h"
 #include "tarragonflow/flow/agent_flow.h"
+#include "tarragonflow/flow/agent_mark.h"
+#include "tarragonflow/flow/agent_notice.h"
 #include "tarragonflow/flow/agent_route.h"
 
 /* Open, half-open and lately closed connections, over the admission limit. */
