--- /dev/null
+++ b/flow/agent_open.c
@@ -0,0 +1,269 @@
+#include "tarragonflow/flow/agent_open.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "tarragonflow/flow/agent_flow.h"
+#include "tarragonflow/flow/agent_mark.h"
+#include "tarragonflow/flow/agent_route.h"
+
+/* Under pressure a handshake that takes longer gives way. */
+#define HALF_OPEN_GRACE_MS 5000
+#define ROOM_SCAN_SLOTS 64
+#define RESET_BYTES 64
+/* Until answers have been timed. */
+#define DEFAULT_ANSWER_MS 50
+
+/* Marked, so that the search can go on when the server returns it. */
+void agent_deliver(struct agent *agent, const struct packet_header *header,
+		   const struct inner_packet *packet, int64_t now_ms,
+		   struct packet_sink *sink)
+{
+	uint8_t marked[INNER_MAX];
+
+	agent_count(agent, COUNTER_PACKET_DELIVERED);
+	if (inner_opens(packet) || packet->payload_len)
+		agent->owed_since_ms = MIN(agent->owed_since_ms, now_ms);
+	if (!agent->format->set_mark) {
+		sink->to_server(sink, packet->data, packet->len);
+		return;
+	}
+	memcpy(marked, packet->data, packet->len);
+	agent->format->set_mark(marked, agent_make_mark(agent, header, packet));
+	sink->to_server(sink, marked, packet->len);
+}
+
+void agent_ask_server(struct agent *agent, struct packet_header *header,
+		      const struct inner_packet *packet, int position,
+		      int64_t now_ms, struct packet_sink *sink)
+{
+	header->position = (uint8_t)position;
+	header->asking = true;
+	agent_count(agent, COUNTER_SERVER_ASKED);
+	agent_deliver(agent, header, packet, now_ms, sink);
+}
+
+/* Makes the local server give up a handshake that the caller gave up. */
+void agent_reset_server(struct agent *agent, const struct flow *flow,
+			struct packet_sink *sink)
+{
+	struct inner_spec spec = {
+		.seq = flow->caller_seq,
+		.flags = TCP_RST,
+	};
+	uint8_t out[RESET_BYTES];
+
+	if (!agent->service || !agent->format->resets_servers)
+		return;
+	flow_key_of(&spec.key, flow);
+	sink->to_server(sink, out,
+			agent->format->build(&spec, out, sizeof(out)));
+}
+
+/* Half-open connections give way first, then the longest closed one. */
+static bool make_room(struct agent *agent, bool half_open_only, int64_t now_ms,
+		      struct packet_sink *sink)
+{
+	struct flow_table *flows = &agent->flows;
+	struct flow *victim = NULL;
+
+	for (uint32_t i = 0; i < ROOM_SCAN_SLOTS && i <= flows->mask; i++) {
+		struct flow *flow =
+			&flows->slots[(flows->cursor + i) & flows->mask];
+
+		if (flow->state == FLOW_HALF_OPEN &&
+		    (uint32_t)now_ms - flow->mark_ms > HALF_OPEN_GRACE_MS) {
+			victim = flow;
+			break;
+		}
+		if (flow->state == FLOW_CLOSING && !half_open_only &&
+		    (!victim || agent_flow_age(flow, now_ms) >
+					agent_flow_age(victim, now_ms)))
+			victim = flow;
+	}
+	flows->cursor = (flows->cursor + ROOM_SCAN_SLOTS) & flows->mask;
+	if (!victim)
+		return false;
+	if (victim->state == FLOW_HALF_OPEN)
+		agent_reset_server(agent, victim, sink);
+	agent_count(agent, COUNTER_FLOW_EVICTED);
+	agent_flow_forget(agent, victim);
+	return true;
+}
+
+static void note_refusal(struct agent *agent, enum admit_verdict verdict,
+			 const struct inner_packet *packet,
+			 struct packet_sink *sink)
+{
+	static const char *const words[] = {
+		[ADMIT_FULL] = "full",	       [ADMIT_COLD] = "cold",
+		[ADMIT_DRAINING] = "draining", [ADMIT_DOWN] = "down",
+		[ADMIT_UNHEARD] = "unheard",
+	};
+	static const enum counter_id reasons[] = {
+		[ADMIT_FULL] = COUNTER_REFUSE_CONNECTIONS,
+		[ADMIT_COLD] = COUNTER_REFUSE_COLD,
+		[ADMIT_DRAINING] = COUNTER_REFUSE_DRAINING,
+		[ADMIT_DOWN] = COUNTER_REFUSE_SERVER_DOWN,
+		[ADMIT_UNHEARD] = COUNTER_REFUSE_UNHEARD,
+	};
+
+	agent_count(agent, reasons[verdict]);
+	agent_decided(agent, DECISION_OPEN_PASSED, packet, 0, words[verdict],
+		      sink);
+}
+
+static enum admit_verdict ask_admission(struct agent *agent, int64_t now_ms,
+					struct packet_sink *sink)
+{
+	enum admit_verdict verdict;
+
+	if (!server_watch_opens(&agent->server, now_ms))
+		return ADMIT_UNHEARD;
+	verdict = admit_open(&agent->admit, now_ms);
+	if (verdict != ADMIT_FULL && verdict != ADMIT_COLD)
+		return verdict;
+	if (!make_room(agent, true, now_ms, sink))
+		return verdict;
+	return admit_open(&agent->admit, now_ms);
+}
+
+static void open_here(struct agent *agent, struct packet_header *header,
+		      const struct inner_packet *packet, int64_t now_ms,
+		      struct packet_sink *sink)
+{
+	enum admit_verdict verdict;
+	struct flow *flow;
+
+	verdict = ask_admission(agent, now_ms, sink);
+	if (verdict != ADMIT_YES) {
+		note_refusal(agent, verdict, packet, sink);
+		if (verdict == ADMIT_COLD || verdict == ADMIT_DOWN ||
+		    verdict == ADMIT_UNHEARD)
+			header->warming = true;
+		agent_pass_on(agent, header, packet, now_ms, sink);
+		return;
+	}
+	flow = flow_table_insert(&agent->flows, &packet->key);
+	if (!flow && make_room(agent, false, now_ms, sink))
+		flow = flow_table_insert(&agent->flows, &packet->key);
+	if (!flow) {
+		admit_close(&agent->admit);
+		agent_count(agent, COUNTER_REFUSE_TABLE_FULL);
+		agent_pass_on(agent, header, packet, now_ms, sink);
+		return;
+	}
+	flow->mark_ms = (uint32_t)now_ms;
+	flow->last_ms = (uint32_t)now_ms;
+	flow->syn_seq = packet->seq;
+	flow->caller_seq = agent_seq_after(packet);
+	agent_count(agent, COUNTER_FLOW_OPENED);
+	agent_decided(agent, DECISION_OPEN_DELIVERED, packet, 0, NULL, sink);
+	admit_opened(&agent->admit, now_ms);
+	/* The balancer sends what follows straight here. */
+	if (agent->tells_balancers)
+		agent_hint(agent, header, packet, sink);
+	agent_deliver(agent, header, packet, now_ms, sink);
+}
+
+static int64_t answer_ms(const struct agent *agent)
+{
+	double mean = agent->admit.mean_answer_ms;
+
+	return mean > 0 ? (int64_t)mean : DEFAULT_ANSWER_MS;
+}
+
+/* Keeps the packet until the server has a free slot; false when it can't. */
+static bool let_wait(struct agent *agent, const struct inner_packet *packet,
+		     int64_t now_ms)
+{
+	const struct route_view *route = view_route(agent->view, &packet->key);
+	struct waiting entry = {
+		.id = flow_key_hash(&packet->key, packet->seq),
+		.sent_ms = now_ms - packet->sent_ago_ms,
+		.len = (uint16_t)packet->len,
+	};
+
+	if (!route || packet->len > WAITING_BYTES)
+		return false;
+	if (waiting_room_has(&agent->waiting, entry.id))
+		return true;
+	if (waiting_room_hopeless(&agent->waiting, entry.sent_ms, now_ms,
+				  answer_ms(agent), agent->admit.slots_max))
+		return false;
+	entry.objective_ms = route->objective_ms;
+	entry.priority = route->priority;
+	memcpy(entry.data, packet->data, packet->len);
+	if (!waiting_room_put(&agent->waiting, &entry))
+		return false;
+	agent->admit.waiting++;
+	agent_count(agent, COUNTER_OPEN_WAITED);
+	return true;
+}
+
+static bool must_wait(struct agent *agent, int64_t now_ms)
+{
+	return server_watch_opens(&agent->server, now_ms) &&
+	       !agent->admit.draining && agent->server.required &&
+	       (agent->waiting.n || admit_busy(&agent->admit, now_ms));
+}
+
+void agent_handle_open(struct agent *agent, struct packet_header *header,
+		       const struct inner_packet *packet, int64_t now_ms,
+		       struct packet_sink *sink)
+{
+	if (agent_place(agent, header, packet, now_ms, sink))
+		return;
+	if (must_wait(agent, now_ms)) {
+		if (agent_relieve(agent, header, packet, now_ms, sink))
+			return;
+		if (let_wait(agent, packet, now_ms)) {
+			agent_decided(agent, DECISION_OPEN_WAITS, packet, 0,
+				      NULL, sink);
+			return;
+		}
+		agent_count(agent, COUNTER_REFUSE_WAIT);
+		agent_decided(agent, DECISION_OPEN_PASSED, packet, 0,
+			      "wait-hopeless", sink);
+		agent_pass_on(agent, header, packet, now_ms, sink);
+		return;
+	}
+	open_here(agent, header, packet, now_ms, sink);
+}
+
+/* Parses what waited and takes it up again. */
+static void resume(struct agent *agent, const struct waiting *entry,
+		   bool expired, int64_t now_ms, struct packet_sink *sink)
+{
+	struct packet_header header;
+	struct inner_packet packet;
+
+	agent->admit.waiting--;
+	histogram_record(&agent->waits, now_ms - entry->sent_ms);
+	if (!agent->format->parse(&packet, entry->data, entry->len))
+		return;
+	if (expired) {
+		agent_count(agent, COUNTER_REFUSE_WAITED);
+		agent_decided(agent, DECISION_OPEN_REFUSED, &packet, 0,
+			      "waited-too-long", sink);
+		agent_reset_caller(agent, &packet, sink);
+	} else if (agent_own_header(agent, &packet, &header)) {
+		open_here(agent, &header, &packet, now_ms, sink);
+	}
+}
+
+void agent_serve_waiting(struct agent *agent, int64_t now_ms,
+			 struct packet_sink *sink)
+{
+	struct waiting entry;
+
+	while (waiting_room_expire(&agent->waiting, now_ms, &entry))
+		resume(agent, &entry, true, now_ms, sink);
+	/* A server that takes nothing more leaves them to the others. */
+	while (agent->waiting.n &&
+	       (!must_wait(agent, now_ms) ||
+		!admit_busy(&agent->admit, now_ms)) &&
+	       waiting_room_take(&agent->waiting, now_ms, answer_ms(agent),
+				 &entry))
+		resume(agent, &entry, false, now_ms, sink);
+}
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -3,6 +3,7 @@
 #include "tarragonflow/flow/agent_flow.h"
 #include "tarragonflow/flow/agent_mark.h"
 #include "tarragonflow/flow/agent_notice.h"
+#include "tarragonflow/flow/agent_open.h"
 
 #include <glib.h>
 #include <string.h>
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -6,6 +6,7 @@
 #include "tarragonflow/common/log.h"
 #include "tarragonflow/flow/agent_mark.h"
 #include "tarragonflow/flow/agent_notice.h"
+#include "tarragonflow/flow/agent_open.h"
 #include "tarragonflow/flow/agent_route.h"
 
 /* True when the server refused; its RST is not the caller's business. */
--- a/include/tarragonflow/flow/agent_flow.h
+++ b/include/tarragonflow/flow/agent_flow.h
@@ -24,10 +24,6 @@
 void agent_flow_ask(struct agent *agent, struct flow *flow, bool asked,
 		    int64_t now_ms);
 
-/** Opens connections for those that wait, as far as slots are free. */
-void agent_serve_waiting(struct agent *agent, int64_t now_ms,
-			 struct packet_sink *sink);
-
 /** Tells what was decided about the connection of @packet. */
 void agent_decided(const struct agent *agent, enum decision_kind kind,
 		   const struct inner_packet *packet, uint32_t member_id,
--- a/include/tarragonflow/flow/agent_route.h
+++ b/include/tarragonflow/flow/agent_route.h
@@ -17,12 +17,6 @@
 		   const struct inner_packet *packet, int64_t now_ms,
 		   struct packet_sink *sink);
 
-/** Gives @packet to our server, which may have the connection, as candidate
- * @position of @header. The server returns it when it has not. */
-void agent_ask_server(struct agent *agent, struct packet_header *header,
-		      const struct inner_packet *packet, int position,
-		      int64_t now_ms, struct packet_sink *sink);
-
 /**
  * Hands an opening packet to a candidate with clearly less load, or to the
  * one that got its first copy. Returns false when it is ours to admit.
