A search passes over only whom nobody on its way reaches

An agent that meets a candidate out of its reach marked it as asked, so nobody else tried; 175 searches ended in doubt and their callers waited out their deadlines. Change: an agent passes on to candidates in its reach first; when only others are left it gives the packet back once to who sent it; who has it again passes over the rest, with doubt. Also where the chain of a service is all out of reach. Tests: /search/bridge, failed before; /search/nobody-has, one more case.

--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -78,32 +78,64 @@
 	return best;
 }
 
+/* Where agents tell one another that they run, packets to a silent one end. */
+static bool reaches(struct agent *agent, const struct packet_header *header,
+		    int i, int64_t now_ms)
+{
+	uint32_t id = header->candidates[i].member_id;
+
+	if (!agent->tells_balancers || id == agent->member_id)
+		return true;
+	return peer_load_silent_ms(&agent->peers, id, now_ms) <
+		       AGENT_SILENT_NOTICES * agent->view->peers_alive_ms &&
+	       !peer_load_deaf(&agent->peers, id, now_ms);
+}
+
+/* The next candidate that had no copy and is in reach. */
+static int next_unvisited(struct agent *agent,
+			  const struct packet_header *header, int64_t now_ms)
+{
+	for (int i = 0; i < header->n_candidates; i++)
+		if (!visited(header, i) && reaches(agent, header, i, now_ms))
+			return i;
+	return NO_CANDIDATE;
+}
+
+static uint8_t all_candidates(const struct packet_header *header)
+{
+	return (uint8_t)((1U << header->n_candidates) - 1);
+}
+
+static bool all_visited(const struct packet_header *header)
+{
+	return !((uint8_t)~header->visited & all_candidates(header));
+}
+
 /*
- * The next candidate that had no copy. Where agents tell one another that they
- * run, a silent one is passed over, for a packet would end there. However long
- * it is silent, it may be cut off and have the connection; only the roster
- * tells that it has left.
+ * Candidates are left that are out of our reach only, perhaps: whoever sent us
+ * the packet may reach them. It comes back once, as we have a mark by then.
  */
-static int next_unvisited(struct agent *agent, struct packet_header *header,
+static int back_to_sender(struct agent *agent,
+			  const struct packet_header *header, uint8_t sender,
 			  int64_t now_ms)
 {
-	for (int i = 0; i < header->n_candidates; i++) {
-		uint32_t id = header->candidates[i].member_id;
-		int64_t silent_ms;
+	if (all_visited(header) || sender >= header->n_candidates ||
+	    sender == header->position ||
+	    !reaches(agent, header, sender, now_ms))
+		return NO_CANDIDATE;
+	return sender;
+}
 
-		if (visited(header, i))
-			continue;
-		if (!agent->tells_balancers || id == agent->member_id)
-			return i;
-		silent_ms = peer_load_silent_ms(&agent->peers, id, now_ms);
-		if (silent_ms < AGENT_SILENT_NOTICES *
-					agent->view->peers_alive_ms &&
-		    !peer_load_deaf(&agent->peers, id, now_ms))
-			return i;
-		header->visited |= (uint8_t)(1U << i);
-		header->doubt = true;
-	}
-	return NO_CANDIDATE;
+/*
+ * Nobody reaches those that are left. However long they are silent, they may
+ * be cut off and have the connection; only the roster tells that one has left.
+ */
+static void pass_over(struct packet_header *header)
+{
+	if (all_visited(header))
+		return;
+	header->visited = all_candidates(header);
+	header->doubt = true;
 }
 
 /* Draining candidates come last: they may hold the first copy of a SYN. */
@@ -269,6 +301,8 @@
 {
 	const struct candidate *self = &header->candidates[header->position];
 	bool opens = inner_opens(packet), asked_all;
+	bool again = visited(header, header->position);
+	uint8_t sender = header->from;
 	int next;
 
 	header->visited |= (uint8_t)(1U << header->position);
@@ -276,11 +310,18 @@
 			       ? header->position
 			       : PACKET_FROM_OUTSIDE;
 	next = next_candidate(agent, header, opens, now_ms);
+	if (next == NO_CANDIDATE && !opens && !again)
+		next = back_to_sender(agent, header, sender, now_ms);
+	if (next == NO_CANDIDATE)
+		pass_over(header);
 	if (next == NO_CANDIDATE && !opens)
 		next = next_unsure(header);
 	if (next == NO_CANDIDATE && (resolve_again(agent, header, &asked_all) ||
-				     next_service(agent, header, packet)))
+				     next_service(agent, header, packet))) {
 		next = next_candidate(agent, header, opens, now_ms);
+		if (next == NO_CANDIDATE)
+			pass_over(header);
+	}
 	if (next == NO_CANDIDATE)
 		give_up(agent, header, packet, asked_all, sink);
 	else if (is_self(agent, header, next))
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -50,11 +50,14 @@
 	bool running;
 	/** Nothing gets here from the balancer; the other way is open. */
 	bool cut_from_balancer;
+	/** Agent that nothing gets here from; 0: none. */
+	unsigned int cut_from;
 };
 
 struct datagram {
 	unsigned int to;
-	bool from_balancer;
+	/** The agent that sent it; 0: the balancer. */
+	unsigned int from;
 	size_t len;
 	uint8_t data[PACKET_HEADER_MAX + PACKET_MAX];
 };
@@ -104,9 +107,9 @@
 	return HEAD_BYTES + payload;
 }
 
-static void queue(struct rig *rig, bool from_balancer,
-		  const struct endpoint *to, const struct packet_header *header,
-		  const uint8_t *inner, size_t len)
+static void queue(struct rig *rig, unsigned int from, const struct endpoint *to,
+		  const struct packet_header *header, const uint8_t *inner,
+		  size_t len)
 {
 	struct datagram *datagram = g_new(struct datagram, 1);
 	size_t head = packet_header_encode(header, datagram->data);
@@ -115,7 +118,7 @@
 		memcpy(datagram->data + head, inner, len);
 	datagram->len = head + len;
 	datagram->to = to->ip;
-	datagram->from_balancer = from_balancer;
+	datagram->from = from;
 	g_queue_push_tail(&rig->datagrams, datagram);
 }
 
@@ -123,7 +126,10 @@
 			  const struct packet_header *header,
 			  const uint8_t *inner, size_t len)
 {
-	queue(((struct host *)sink)->rig, false, to, header, inner, len);
+	struct host *host = (struct host *)sink;
+
+	queue(host->rig, (unsigned int)(host - host->rig->hosts), to, header,
+	      inner, len);
 }
 
 static void balancer_to_peer(struct packet_sink *sink,
@@ -134,7 +140,7 @@
 	struct rig *rig = (struct rig *)((char *)sink -
 					 offsetof(struct rig, balancer_sink));
 
-	queue(rig, true, to, header, inner, len);
+	queue(rig, 0, to, header, inner, len);
 }
 
 static bool holds(const struct host *host, uint16_t port)
@@ -361,7 +367,8 @@
 					      datagram->len, rig->now_ms,
 					      &rig->balancer_sink);
 		else if (datagram->to <= rig->n && host->running &&
-			 !(datagram->from_balancer && host->cut_from_balancer))
+			 (datagram->from ? datagram->from != host->cut_from
+					 : !host->cut_from_balancer))
 			agent_handle_peer(&host->agent, datagram->data,
 					  datagram->len, rig->now_ms,
 					  &host->sink);
@@ -596,6 +603,14 @@
 	pass_time(rig, 8000);
 }
 
+/* All of the other service: its search begins at nobody. */
+static void change_service_cut_off(struct rig *rig)
+{
+	for (unsigned int i = rig->first_b; i <= rig->n; i++)
+		rig->hosts[i].running = false;
+	pass_time(rig, 2000);
+}
+
 static void change_member_left(struct rig *rig)
 {
 	rig->hosts[2].running = false;
@@ -655,6 +670,7 @@
 		{"a zone is out by the manifest", false, change_zone_hidden},
 		{"a member is silent", false, change_member_silent},
 		{"a member is silent for long", false, change_member_cut_off},
+		{"another service is silent", false, change_service_cut_off},
 		{"a member has left", true, change_member_left},
 		{"a member is new", false, change_member_new},
 		{"the balancer has another release", false,
@@ -1156,6 +1172,43 @@
 	rig_finish(&rig);
 }
 
+/*
+ * Two agents do not reach each other, a third reaches both: a search that
+ * begins at the one finds the connection at the other.
+ */
+static void test_bridge(void)
+{
+	unsigned int found = 0;
+	struct rig rig;
+
+	rig_init(&rig, 3, 4);
+	pass_time(&rig, 700);
+	for (uint16_t port = 1; port <= 40; port++) {
+		pass_time(&rig, 10);
+		open_flow(&rig, port);
+	}
+	rig.hosts[1].cut_from = 3;
+	rig.hosts[3].cut_from = 1;
+	pass_time(&rig, 1000);
+	forget_hints(&rig);
+	for (uint16_t port = 1; port <= 40; port++) {
+		struct host *owner = &rig.hosts[owner_of(&rig, port)];
+		unsigned int hits = owner->hits;
+
+		/* Whoever is passed over must come behind who reaches it. */
+		if (owner != &rig.hosts[3])
+			continue;
+		caller_sends(&rig, port, FLAG_ACK, 100);
+		g_assert_cmpuint(owner->hits, ==, hits + 1);
+		found++;
+	}
+	g_assert_cmpuint(found, >=, 5);
+	g_assert_cmpuint(rig.resets, ==, 0);
+	caller_sends(&rig, 99, FLAG_ACK, 100);
+	g_assert_cmpuint(rig.resets, <=, 1);
+	rig_finish(&rig);
+}
+
 /* A balancer that reaches few agents says so, and when that is over. */
 static void test_cut_off(void)
 {
@@ -1318,6 +1371,7 @@
 	g_test_add_func("/search/copies", test_copies);
 	g_test_add_func("/search/silent-agent", test_silent_agent);
 	g_test_add_func("/search/one-way", test_one_way);
+	g_test_add_func("/search/bridge", test_bridge);
 	g_test_add_func("/search/cut-off", test_cut_off);
 	g_test_add_func("/search/senders-apart", test_senders_apart);
 	g_test_add_func("/search/doubt", test_doubt);
