A roster is not whole while peers still tell of unknown members

A search through some 230 members can't end within its 64 hops, so the view of whoever ended it lacked most of them. Whether a roster is whole went by the age of the process alone, or by a list of the store, which is partial when all start at once. That this is the cause follows from the code and is not proven by a trace. Change: a member that peers tell of and that was not known keeps the roster from counting as whole for 5 s, one comparison of rosters; what was heard before the store's list does not count. Test: /control/roster-growing, failed before.

--- a/control/control.c
+++ b/control/control.c
@@ -32,6 +32,8 @@
 #define ASK_AGAIN_MS 150
 /* By then anti-entropy has compared the roster with several peers. */
 #define ROSTER_KNOWN_MS 5000
+/* No member was learnt from peers yet. */
+#define NOTHING_LEARNED (INT64_MIN / 2)
 /* By then peers have told whom the platform did not hold yet. */
 #define ROSTER_JOIN_MS 200
 #define WAKE_ASK_INTERVAL_MS 300
@@ -78,6 +80,7 @@
 	zone_monitor_init(&control->zones);
 	replay_guard_init(&control->replays);
 	control->started_ms = now_ms;
+	control->learned_ms = NOTHING_LEARNED;
 	control->now_ms = now_ms;
 	control->next_cut_ms = CLOCK_NEVER;
 	control->next_gossip_ms = now_ms;
@@ -182,6 +185,9 @@
 {
 	int64_t age_ms = now_ms - control->started_ms;
 
+	/* Where members are still being heard of there may be more. */
+	if (now_ms - control->learned_ms < ROSTER_KNOWN_MS)
+		return false;
 	return age_ms >= ROSTER_KNOWN_MS ||
 	       (control->platform.roster_listed && age_ms >= ROSTER_JOIN_MS);
 }
@@ -335,7 +341,11 @@
 static void sync_member(struct platform_sync_out *out,
 			const struct member *entry)
 {
-	inbound_entry(((struct sync_out *)out)->context, entry, false);
+	struct control_context *context = ((struct sync_out *)out)->context;
+	int64_t learned_ms = context->control->learned_ms;
+
+	inbound_entry(context, entry, false);
+	context->control->learned_ms = learned_ms;
 }
 
 static void sync_out_init(struct sync_out *self,
@@ -366,11 +376,16 @@
 	const struct platform_view view = platform_view(control);
 	struct control_context context;
 	struct sync_out self;
+	bool listed;
 
 	context_init(&context, control, sink, now_ms);
 	sync_out_init(&self, &context);
+	listed = control->platform.roster_listed;
 	platform_sync_handle_result(&control->platform, result, &view, now_ms,
 				    &self.out);
+	/* What was heard before is in the list, or will be heard of again. */
+	if (!listed && control->platform.roster_listed)
+		control->learned_ms = NOTHING_LEARNED;
 }
 
 /* A seed, or a member held for gone: heals what was split. */
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -127,6 +127,8 @@
 		return;
 	}
 	config_store_note_release(&control->config, entry->config_revision);
+	if (!known && entry->state != MEMBER_LEFT)
+		control->learned_ms = context->now_ms;
 	change = roster_merge(&control->roster, entry, context->now_ms);
 	if (change == ROSTER_UNCHANGED) {
 		if (tell)
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -86,6 +86,8 @@
 	struct counters *counters;
 	struct roster roster;
 	struct zone_orders orders;
+	/** When peers told of a member that was not known, ms. */
+	int64_t learned_ms;
 	/** Lines on members. */
 	struct log_budget member_lines;
 	struct config_store config;
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -175,6 +175,48 @@
 	control_finish(&fixture.control);
 }
 
+static void learn(struct fixture *fixture, const char *name, uint64_t instance,
+		  int64_t now_ms)
+{
+	struct control_context context = context_at(fixture, now_ms);
+	struct member member = {
+		.role = MEMBER_AGENT,
+		.state = MEMBER_ACTIVE,
+		.instance = instance,
+		.sequence = 1,
+	};
+
+	name_set(&member.name, str_from(name));
+	name_set(&member.zone, str_from("z"));
+	inbound_entry(&context, &member, true);
+}
+
+/*
+ * Members that are still being heard of, as in a large fleet that starts at
+ * once, show that there may be more; restarts of known ones do not.
+ */
+static void test_roster_growing(void)
+{
+	struct fixture fixture;
+
+	fixture_init(&fixture, 7);
+	learn(&fixture, "m1", 1, 4000);
+	g_assert_false(control_roster_known(&fixture.control, 6500));
+	learn(&fixture, "m2", 1, 9000);
+	g_assert_false(control_roster_known(&fixture.control, 13900));
+	learn(&fixture, "m2", 2, 14500);
+	g_assert_true(control_roster_known(&fixture.control, 15500));
+	control_finish(&fixture.control);
+	/* A list of the platform that lacked some is no whole roster. */
+	fixture_init(&fixture, 7);
+	fixture.control.platform.roster_listed = true;
+	g_assert_true(control_roster_known(&fixture.control, 1500));
+	learn(&fixture, "m1", 1, 1600);
+	g_assert_false(control_roster_known(&fixture.control, 1700));
+	g_assert_true(control_roster_known(&fixture.control, 8000));
+	control_finish(&fixture.control);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -182,5 +224,6 @@
 	g_test_add_func("/control/orders", test_orders);
 	g_test_add_func("/control/orders-on-the-wire", test_orders_on_the_wire);
 	g_test_add_func("/control/roster-known", test_roster_known);
+	g_test_add_func("/control/roster-growing", test_roster_growing);
 	return g_test_run();
 }
