--- a/flow/agent_notice.c
+++ b/flow/agent_notice.c
@@ -30,10 +30,11 @@
 void agent_stamp_load(struct agent *agent, struct packet_header *header,
 		      int64_t now_ms)
 {
+	double answer_ms = agent->admit.reported ? agent->admit.mean_answer_ms
+						 : agent->admit.usual_ms;
+
 	header->load = agent_own_load(agent, now_ms);
-	header->usual_ms = (uint16_t)(agent->admit.reported
-					      ? agent->admit.mean_answer_ms
-					      : agent->admit.usual_ms);
+	header->usual_ms = (uint16_t)MIN(answer_ms, UINT16_MAX);
 }
 
 bool agent_has_few(const struct agent *agent)
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -78,7 +78,7 @@
 	return best;
 }
 
-/* Where agents tell one another that they run, packets to a silent one end. */
+/* Where agents tell one another that they run, a silent one is out of reach. */
 static bool reaches(struct agent *agent, const struct packet_header *header,
 		    int i, int64_t now_ms)
 {
@@ -112,8 +112,9 @@
 }
 
 /*
- * Candidates are left that are out of our reach only, perhaps: whoever sent us
- * the packet may reach them. It comes back once, as we have a mark by then.
+ * The candidates that are left are out of our reach: whoever sent us the packet
+ * may reach them. That happens once to each agent, which is marked as visited
+ * when the packet comes again.
  */
 static int back_to_sender(struct agent *agent,
 			  const struct packet_header *header, uint8_t sender,
