A service all of whose members are ordered out leaves doubt in a search

Found by rereading: such a service has no chain, so a search went past it without asking anybody and without doubt; a connection that lives there could be told to be gone. Test: /search/service-out, failed before.

--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -231,6 +231,9 @@
 	while (header->services_tried <
 	       MIN(agent->view->n_services, SERVICES_SEARCHED_MAX)) {
 		next = &agent->view->services[header->services_tried++];
+		/* Without a chain nobody is asked, though some may have it. */
+		if (next != first && !next->n_members && view_searched(next))
+			header->doubt = true;
 		if (next == first || !next->n_members)
 			continue;
 		header->service_id = next->service.id;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -744,6 +744,21 @@
 	}
 }
 
+/* All members of the other service are in a zone that an order took out. */
+static void test_service_out(void)
+{
+	struct rig rig;
+
+	rig_init(&rig, 7, 7);
+	pass_time(&rig, 700);
+	change_zone_ordered_out(&rig);
+	rig.hosts[7].running = false;
+	pass_time(&rig, 1000);
+	caller_sends(&rig, 77, FLAG_ACK, 100);
+	g_assert_cmpuint(rig.resets, ==, 0);
+	rig_finish(&rig);
+}
+
 /* More members than a chain has room for are searched as well. */
 static void test_many_members(void)
 {
@@ -1354,6 +1369,7 @@
 	g_test_add_func("/search/owner-away", test_owner_away);
 	g_test_add_func("/search/nobody-has", test_nobody_has);
 	g_test_add_func("/search/zone-out", test_zone_out);
+	g_test_add_func("/search/service-out", test_service_out);
 	g_test_add_func("/search/many-members", test_many_members);
 	g_test_add_func("/search/large-service", test_large_service);
 	g_test_add_func("/search/near-server", test_near_server);
