--- a/tests/unit/test_docs.c
+++ b/tests/unit/test_docs.c
@@ -43,6 +43,83 @@
 	g_free(row);
 }
 
+/* Puts the names of all events that the source text logs into @events. */
+static void find_events(const char *text, GHashTable *events)
+{
+	GRegex *call = g_regex_new("log_event\\([^;]*;", 0, 0, NULL);
+	GRegex *name = g_regex_new("\"([a-z]+(-[a-z]+)*)\"", 0, 0, NULL);
+	GMatchInfo *calls, *names;
+
+	g_regex_match(call, text, 0, &calls);
+	for (; g_match_info_matches(calls); g_match_info_next(calls, NULL)) {
+		char *words = g_match_info_fetch(calls, 0);
+
+		g_regex_match(name, words, 0, &names);
+		for (; g_match_info_matches(names);
+		     g_match_info_next(names, NULL))
+			g_hash_table_add(events, g_match_info_fetch(names, 1));
+		g_match_info_free(names);
+		g_free(words);
+	}
+	g_match_info_free(calls);
+	g_regex_unref(name);
+	g_regex_unref(call);
+}
+
+static void find_in_folder(const char *folder, GHashTable *events)
+{
+	char *path = g_build_filename(g_getenv("SOURCE_ROOT"), folder, NULL);
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *file;
+
+	g_assert_nonnull(dir);
+	while ((file = g_dir_read_name(dir))) {
+		char *source = g_build_filename(path, file, NULL);
+		char *text = NULL;
+
+		if (g_str_has_suffix(file, ".c") &&
+		    g_file_get_contents(source, &text, NULL, NULL))
+			find_events(text, events);
+		g_free(text);
+		g_free(source);
+	}
+	g_dir_close(dir);
+	g_free(path);
+}
+
+static void test_logs(void)
+{
+	static const char *const folders[] = {
+		"admin",
+		"admit",
+		"control",
+		"flow",
+		"manifest",
+		"net",
+		"node",
+		"order",
+		"platform",
+		"roster",
+		"route",
+		"store",
+		"tarragonflow/commands",
+	};
+	GHashTable *events =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	char *page = read_page("LOGS.md");
+	GHashTableIter iter;
+	gpointer event;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(folders); i++)
+		find_in_folder(folders[i], events);
+	g_hash_table_iter_init(&iter, events);
+	while (g_hash_table_iter_next(&iter, &event, NULL))
+		assert_row(page, event);
+	g_assert_cmpuint(count_rows(page), ==, g_hash_table_size(events));
+	g_hash_table_unref(events);
+	g_free(page);
+}
+
 static void test_counters(void)
 {
 	char *page = read_page("COUNTERS.md");
@@ -119,5 +196,6 @@
 	g_test_add_func("/docs/status-codes", test_status_codes);
 	g_test_add_func("/docs/decisions", test_decisions);
 	g_test_add_func("/docs/fields", test_fields);
+	g_test_add_func("/docs/logs", test_logs);
 	return g_test_run();
 }
