--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1,6 +1,11 @@
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+
+#include "tarragonflow/common/clock.h"
+#include "tarragonflow/common/log.h"
 
 #include "tarragonflow/flow/agent.h"
 #include "tarragonflow/flow/agent_mark.h"
@@ -20,6 +25,8 @@
 #define LIFETIME_MS 60000
 #define LEASE_MS 1900
 #define HELD_MAX 64
+/* Far more than 300 connections take, far less than a blocked pipe. */
+#define BLOCKED_BOUND_MS 5000
 #define ROUTE_IP 0xc6120001u
 #define CALLER_IP 0x64400007u
 #define FLAG_FIN 1
@@ -1224,6 +1231,59 @@
 	rig_finish(&rig);
 }
 
+static void log_decided(struct packet_sink *sink,
+			const struct decision *decision)
+{
+	(void)sink;
+	log_event(LOG_LEVEL_INFO, "conn", "did=%s text=%0200d",
+		  decision_name(decision->kind), 0);
+}
+
+/* Nobody reads standard output: packets go on as if somebody did. */
+static void test_blocked_log(void)
+{
+	int saved = dup(STDOUT_FILENO);
+	struct clock clock;
+	int64_t start_ms;
+	int ends[2];
+	struct rig rig;
+
+	g_assert_cmpint(pipe(ends), ==, 0);
+	fflush(stdout);
+	dup2(ends[1], STDOUT_FILENO);
+	log_init(LOG_LEVEL_INFO);
+	rig_init(&rig, 7, 8);
+	for (unsigned int i = 1; i <= rig.n; i++)
+		rig.hosts[i].sink.decided = log_decided;
+	rig.balancer_sink.decided = log_decided;
+	pass_time(&rig, 200);
+	clock_init_monotonic(&clock);
+	start_ms = clock_now(&clock);
+	for (uint16_t port = 1; port <= 300; port++) {
+		struct host *owner;
+		unsigned int hits;
+
+		pass_time(&rig, 5);
+		open_flow(&rig, port);
+		owner = &rig.hosts[owner_of(&rig, port)];
+		hits = owner->hits;
+		forget_hints(&rig);
+		caller_sends(&rig, port, FLAG_ACK, 100);
+		g_assert_true(owner != rig.hosts);
+		g_assert_cmpuint(owner->hits, ==, hits + 1);
+	}
+	g_assert_cmpint(clock_now(&clock) - start_ms, <, BLOCKED_BOUND_MS);
+	rig_finish(&rig);
+	/* What still waits goes nowhere. */
+	signal(SIGPIPE, SIG_IGN);
+	close(ends[0]);
+	log_finish();
+	fflush(stdout);
+	dup2(saved, STDOUT_FILENO);
+	close(saved);
+	close(ends[1]);
+}
+
 /* A balancer that reaches few agents says so, and when that is over. */
 static void test_cut_off(void)
 {
@@ -1388,6 +1448,7 @@
 	g_test_add_func("/search/silent-agent", test_silent_agent);
 	g_test_add_func("/search/one-way", test_one_way);
 	g_test_add_func("/search/bridge", test_bridge);
+	g_test_add_func("/search/blocked-log", test_blocked_log);
 	g_test_add_func("/search/cut-off", test_cut_off);
 	g_test_add_func("/search/senders-apart", test_senders_apart);
 	g_test_add_func("/search/doubt", test_doubt);
