--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -79,6 +79,19 @@
 	manifest_object_finish(&object);
 }
 
+/* Logs a manifest whose version is older than that of the last one. */
+static void log_older_manifest(const struct platform_sync *sync,
+			       const struct store_result *result,
+			       const struct store_object *object)
+{
+	if (object->version < sync->config_version)
+		log_event(LOG_LEVEL_WARN, "manifest-skipped",
+			  "version=%lld last_version=%lld epoch=%llu",
+			  (long long)object->version,
+			  (long long)sync->config_version,
+			  (unsigned long long)result->epoch);
+}
+
 /* With strong_reads, each version of the manifest is delivered once. */
 static void deliver_manifests(struct platform_sync *sync,
 			      const struct store_result *result,
@@ -94,8 +107,10 @@
 			deliver_manifest_object(value, callbacks);
 			continue;
 		}
-		if (object->version <= sync->config_version)
+		if (object->version <= sync->config_version) {
+			log_older_manifest(sync, result, object);
 			continue;
+		}
 		sync->config_version = object->version;
 		callbacks->deliver_config(callbacks, value);
 	}
@@ -115,6 +130,12 @@
 		schedule_retry(sync, &sync->watch_call, code, now_ms);
 		return;
 	}
+	if (result->version < sync->watch_version)
+		log_event(LOG_LEVEL_WARN, "store-version-older",
+			  "watched_from=%lld version=%lld epoch=%llu",
+			  (long long)sync->watch_version,
+			  (long long)result->version,
+			  (unsigned long long)result->epoch);
 	backoff_reset(&sync->watch_call.backoff);
 	/* The delay lets one watch return changes in quick succession. */
 	sync->watch_call.not_before_ms = now_ms;
@@ -301,8 +322,10 @@
 
 /* Logs when the platform becomes unreachable and when it is reached again. */
 static void record_outcome(struct platform_sync *sync,
-			   const struct status *status, int64_t now_ms)
+			   const struct store_result *result, int64_t now_ms)
 {
+	const struct status *status = &result->status;
+
 	if (!platform_responded(status->code)) {
 		if (sync->failed_calls++)
 			return;
@@ -316,9 +339,13 @@
 	if (!sync->failed_calls)
 		return;
 	log_event(LOG_LEVEL_INFO, "platform-regained",
-		  "lost_for_ms=%lld calls_lost=%u",
+		  "lost_for_ms=%lld calls_lost=%u call=%s status=%s "
+		  "version=%lld watched_from=%lld epoch=%llu",
 		  (long long)(now_ms - sync->first_failure_ms),
-		  sync->failed_calls);
+		  sync->failed_calls, store_op_name(result->op),
+		  status_name(status->code), (long long)result->version,
+		  (long long)sync->watch_version,
+		  (unsigned long long)result->epoch);
 	sync->failed_calls = 0;
 }
 
@@ -331,7 +358,7 @@
 	enum platform_task task = call->task;
 
 	call->task = TASK_NONE;
-	record_outcome(sync, &result->status, now_ms);
+	record_outcome(sync, result, now_ms);
 	switch (task) {
 	case TASK_WATCH:
 		handle_watch(sync, result, now_ms, callbacks);
--- a/include/tarragonflow/store/http_dialect.h
+++ b/include/tarragonflow/store/http_dialect.h
@@ -21,6 +21,8 @@
  * to struct http_store.
  */
 struct http_dialect {
+	/** Header of every response that holds the store's epoch. */
+	const char *epoch_header;
 	/**
 	 * Fills @call for @request; false if the API has no such call. A LIST
 	 * continues after the name @after, which is empty for its first page.
--- a/include/tarragonflow/store/object_store.h
+++ b/include/tarragonflow/store/object_store.h
@@ -11,6 +11,11 @@
  * The object store of the platform, the environment that hosts the processes:
  * values under keys, each with a version that grows with every write;
  * conditional updates; watches by key prefix.
+ *
+ * A store that was restored from an older copy starts a new epoch: a greater
+ * number. Changes made after the copy are lost, and their versions are
+ * assigned again, so versions of different epochs can't be compared.
+ *
  * docs/PLATFORM-API.md describes its HTTP API.
  *
  * The cores, which do no I/O themselves, issue requests and receive results as
@@ -98,6 +103,8 @@
 	struct status status;
 	/** Version of the store (LIST, WATCH) or of the object (others). */
 	int64_t version;
+	/** Epoch of the store when it responded; 0 if it is not known. */
+	uint64_t epoch;
 	/** LIST with `one_page`: the store holds more objects. */
 	bool has_more;
 	struct store_object *objects;
--- a/store/http_dialect.c
+++ b/store/http_dialect.c
@@ -148,6 +148,7 @@
 }
 
 const struct http_dialect http_dialect_native = {
+	.epoch_header = "Store-Epoch",
 	.write_call = native_write_call,
 	.parse_response = native_parse_response,
 };
--- a/store/http_store.c
+++ b/store/http_store.c
@@ -116,6 +116,17 @@
 	return code;
 }
 
+/* The epoch in the response's header; 0 if it has none. */
+static uint64_t response_epoch(struct http_store *http)
+{
+	struct curl_header *header;
+
+	if (curl_easy_header(http->curl, http->dialect->epoch_header, 0,
+			     CURLH_HEADER, -1, &header) != CURLHE_OK)
+		return 0;
+	return g_ascii_strtoull(header->value, NULL, 10);
+}
+
 /*
  * Makes one HTTP call. For a LIST, it returns the page that follows the name
  * @after; @after is then set for the next page, or emptied if there is none.
@@ -149,6 +160,7 @@
 	} else {
 		curl_easy_getinfo(http->curl, CURLINFO_RESPONSE_CODE,
 				  &http_code);
+		result->epoch = response_epoch(http);
 		http->dialect->parse_response(request, http_code,
 					      strbuf_str(&body), result, after);
 	}
