Known red: a release is ignored after the store was restored

The stand-in store has an epoch, copies and restores; watches from a version that it does not have get GONE. Scenarios have orders on zones, and the way in which processes use a platform whose reads are never stale.

--- a/tests/scenarios/runner.c
+++ b/tests/scenarios/runner.c
@@ -84,7 +84,8 @@
 	return (size_t)subfield_int(lua, "servers", 1);
 }
 
-/* deploy{zones={...}, balancers=N, services={{name=, servers=, ...}}} */
+/* deploy{zones={...}, balancers=N, strong_reads=0|1,
+ *        services={{name=, servers=, ...}}} */
 static int verb_deploy(lua_State *lua)
 {
 	size_t servers[MAX_SERVICES] = {0};
@@ -108,6 +109,7 @@
 		lua_pop(lua, 1);
 	}
 	lua_pop(lua, 1);
+	world.strong_reads = field_number(lua, "strong_reads", 0) != 0;
 	if (world_apply(&world, &status) != STATUS_OK)
 		return luaL_error(lua, "apply: %s", status.message);
 	for (int i = (int)field_number(lua, "balancers", 3); i > 0; i--)
@@ -320,7 +322,8 @@
 	return 0;
 }
 
-/* platform{down=0|1, latency_ms=, lose_answers=, races=, stale=, forget=1} */
+/* platform{down=0|1, latency_ms=, lose_answers=, races=, stale=, forget=1,
+ *          backup=1, restore=1, other_writes=} */
 static int verb_platform(lua_State *lua)
 {
 	struct world_platform *platform = &world.platform;
@@ -336,6 +339,23 @@
 		field_number(lua, "stale", platform->serve_snapshot) != 0);
 	if (field_number(lua, "forget", 0) != 0)
 		memory_store_drop_history(&platform->store);
+	if (field_number(lua, "backup", 0) != 0)
+		memory_store_copy(&platform->store, &platform->backup);
+	if (field_number(lua, "restore", 0) != 0)
+		world_restore_store(&world);
+	world_write_other_objects(&world,
+				  (int)field_number(lua, "other_writes", 0));
+	return 0;
+}
+
+/* order(zone, "in"|"out"): an order on one zone; ends all others */
+static int verb_order(lua_State *lua)
+{
+	struct name name;
+
+	set_name(lua, &name, luaL_checkstring(lua, 1));
+	world_order_zone(&world, &name,
+			 !strcmp(luaL_checkstring(lua, 2), "out"));
 	return 0;
 }
 
@@ -467,6 +487,7 @@
 	{"zone", verb_zone},
 	{"keys", verb_keys},
 	{"meter", verb_meter},
+	{"order", verb_order},
 	{"apply", verb_apply},
 	{"apply_race", verb_apply_race},
 	{"figure", verb_figure},
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -209,6 +209,7 @@
 	node->world = world;
 	node->options.self = *self;
 	node->options.deployment = world->manifest.deployment;
+	node->options.strong_reads = world->strong_reads;
 	node->control_sink.send = sink_send;
 	node->control_sink.call_platform = sink_call_platform;
 	node->control_sink.pull_config = sink_pull_config;
--- a/tests/scenarios/world.h
+++ b/tests/scenarios/world.h
@@ -44,6 +44,10 @@
 	/** Reads and watches use the older snapshot instead of the store. */
 	bool serve_snapshot;
 	struct memory_store snapshot;
+	/** Copy to which the store can be restored. */
+	struct memory_store backup;
+	/** Zones that operators have put out of service by an order. */
+	struct zone_orders orders;
 	/** Requests so far, by enum store_op. */
 	uint64_t calls[5];
 };
@@ -137,6 +141,8 @@
 	int64_t convergence_ms;
 	/** Only the control cores run: no views, no packets. */
 	bool control_only;
+	/** Reads from the platform are strongly consistent. */
+	bool strong_reads;
 	/** Processes added so far. */
 	uint32_t n_balancers, n_agents;
 	/**
@@ -209,6 +215,16 @@
 enum status_code world_apply_concurrently(struct world *world,
 					  struct status *second_status);
 
+/** Puts @zone out of service, or back in service, by an order on the platform
+ * beside the manifest. */
+void world_order_zone(struct world *world, const struct name *zone, bool out);
+
+/** Restores the platform's store from its backup; its watches fail. */
+void world_restore_store(struct world *world);
+
+/** Changes an object of another user of the platform's store @n times. */
+void world_write_other_objects(struct world *world, int n);
+
 /** Advances the virtual clock by @ms. */
 void world_run(struct world *world, int64_t ms);
 
--- a/tests/scenarios/world_figures.c
+++ b/tests/scenarios/world_figures.c
@@ -98,6 +98,8 @@
 		{"manifest_lost", (double)world->unreported_manifests},
 		{"everywhere_ms", (double)world->convergence_ms},
 		{"watches_waiting", world->watches->len},
+		{"unstored_members", world_count_unstored_members(world)},
+		{"wrong_zones", world_count_wrong_zones(world)},
 		{"dead_work_ms", (double)world->dead_node_last_open_ms},
 		{"control_bytes", (double)world->control_bytes},
 		{"control_messages", (double)world->control_messages},
--- a/tests/scenarios/world_internal.h
+++ b/tests/scenarios/world_internal.h
@@ -47,6 +47,12 @@
 /** Responds to watches that have a change to report or timed out. */
 void world_platform_serve_watches(struct world *world);
 
+/** Members that run but that the platform's copy of the roster lacks. */
+unsigned int world_count_unstored_members(struct world *world);
+
+/** Pairs of a running process and a zone whose order it has wrong. */
+unsigned int world_count_wrong_zones(struct world *world);
+
 /** Compares the manifest in force at @node with the accepted ones. */
 void world_check_manifest(struct world *world, struct world_node *node);
 
--- a/tests/scenarios/world_platform.c
+++ b/tests/scenarios/world_platform.c
@@ -2,7 +2,9 @@
 
 #include <string.h>
 
+#include "tarragonflow/control/roster_shard.h"
 #include "tarragonflow/manifest/apply.h"
+#include "tarragonflow/manifest/manifest_object.h"
 
 /* The simulated platform and its faults. */
 #define PLATFORM_LATENCY_MS 5
@@ -54,12 +56,33 @@
 			   request, result);
 }
 
+/* A platform with strong reads holds the bare manifest, without records. */
+static void unwrap_manifests(struct store_result *result)
+{
+	for (size_t i = 0; i < result->n_objects; i++) {
+		struct store_object *stored = &result->objects[i];
+		struct manifest_object object;
+
+		manifest_object_init(&object);
+		if (g_str_has_suffix(stored->key, "/manifest") &&
+		    manifest_object_read(&object, strbuf_str(&stored->value))) {
+			strbuf_reset(&stored->value);
+			strbuf_add(&stored->value, object.manifest.data,
+				   object.manifest.len);
+		}
+		manifest_object_finish(&object);
+	}
+}
+
 static void schedule_result(struct world_node *node, uint64_t instance,
-			    const struct store_result *result, int64_t delay_ms)
+			    struct store_result *result, int64_t delay_ms)
 {
 	struct event *event =
 		world_event_add(node->world, EVENT_STORE_RESULT, delay_ms);
 
+	if (node->world->strong_reads)
+		unwrap_manifests(result);
+
 	event->node = node;
 	event->instance = instance;
 	event->result = *result;
@@ -102,7 +125,8 @@
 		return;
 	}
 	if (request->op == STORE_OP_WATCH &&
-	    request->version >= platform->store.history_from) {
+	    request->version >= platform->store.history_from &&
+	    request->version <= platform->store.version) {
 		watch_add(node, request);
 		return;
 	}
@@ -274,6 +298,106 @@
 	return operator_apply(world, &session, "operator", &status);
 }
 
+/* Writes or deletes the object @key, whatever its version. */
+static void write_object(struct world *world, const char *key, bool deleted)
+{
+	struct store_request request;
+	struct store_result result;
+
+	store_request_init(&request, STORE_OP_GET, key);
+	memory_store_apply(&world->platform.store, &request, &result);
+	request.op = deleted ? STORE_OP_DELETE : STORE_OP_PUT;
+	request.version = result.version;
+	store_result_finish(&result);
+	memory_store_apply(&world->platform.store, &request, &result);
+	store_result_finish(&result);
+	store_request_finish(&request);
+}
+
+void world_order_zone(struct world *world, const struct name *zone, bool out)
+{
+	struct zone_orders *orders = &world->platform.orders;
+	const struct zone_order order = {
+		.zone = *zone,
+		.version = (uint64_t)world->platform.store.version + 1,
+		.out = out,
+	};
+	char key[STORE_KEY_MAX];
+
+	store_zones_prefix(key, &world->manifest.deployment);
+	g_strlcat(key, zone->data, sizeof(key));
+	write_object(world, key, !out);
+	orders->n = 0;
+	if (out)
+		zone_orders_merge(orders, &order);
+}
+
+void world_write_other_objects(struct world *world, int n)
+{
+	while (n-- > 0)
+		write_object(world, "other", false);
+}
+
+void world_restore_store(struct world *world)
+{
+	struct world_platform *platform = &world->platform;
+	bool was_down = platform->down;
+
+	platform->down = true;
+	world_platform_serve_watches(world);
+	platform->down = was_down;
+	memory_store_restore(&platform->store, &platform->backup);
+}
+
+static gboolean merge_shard(gpointer key, gpointer value, gpointer user)
+{
+	const struct store_object *object = value;
+
+	if (strstr(key, "/roster/"))
+		roster_shard_parse(strbuf_str(&object->value), user);
+	return FALSE;
+}
+
+unsigned int world_count_unstored_members(struct world *world)
+{
+	struct roster stored;
+	unsigned int n = 0;
+
+	roster_init(&stored);
+	g_tree_foreach(world->platform.store.objects, merge_shard, &stored);
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct world_node *node =
+			g_ptr_array_index(world->nodes, i);
+		const struct member *entry =
+			roster_find(&stored, &node->options.self.name);
+
+		n += node->up &&
+		     (!entry || entry->instance < node->options.self.instance);
+	}
+	roster_finish(&stored);
+	return n;
+}
+
+unsigned int world_count_wrong_zones(struct world *world)
+{
+	const struct manifest *manifest = &world->manifest;
+	unsigned int n = 0;
+
+	for (guint i = 0; i < world->nodes->len; i++) {
+		const struct world_node *node =
+			g_ptr_array_index(world->nodes, i);
+
+		for (size_t j = 0; node->up && j < manifest->n_zones; j++)
+			n += zone_orders_is_out_of_service(
+				     &node->control.zone_orders,
+				     &manifest->zones[j].name) !=
+			     zone_orders_is_out_of_service(
+				     &world->platform.orders,
+				     &manifest->zones[j].name);
+	}
+	return n;
+}
+
 /* Counts a revert to an older release, and a manifest that was not accepted. */
 void world_check_manifest(struct world *world, struct world_node *node)
 {
@@ -298,6 +422,7 @@
 	world->platform.latency_ms = PLATFORM_LATENCY_MS;
 	memory_store_init(&world->platform.store);
 	memory_store_init(&world->platform.snapshot);
+	memory_store_init(&world->platform.backup);
 	world->accepted_texts = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	world->watches = g_ptr_array_new_with_free_func(watch_free);
 }
@@ -307,5 +432,6 @@
 	g_ptr_array_free(world->watches, TRUE);
 	memory_store_finish(&world->platform.store);
 	memory_store_finish(&world->platform.snapshot);
+	memory_store_finish(&world->platform.backup);
 	g_hash_table_destroy(world->accepted_texts);
 }
--- a/tests/standin/memory_store.c
+++ b/tests/standin/memory_store.c
@@ -22,6 +22,7 @@
 		g_tree_new_full(key_compare, NULL, g_free, object_free);
 	store->version = 1;
 	store->history_from = 0;
+	store->epoch = 1;
 }
 
 void memory_store_finish(struct memory_store *store)
@@ -49,9 +50,19 @@
 	memory_store_init(copy);
 	copy->version = store->version;
 	copy->history_from = store->history_from;
+	copy->epoch = store->epoch;
 	g_tree_foreach(store->objects, copy_object, copy);
 }
 
+void memory_store_restore(struct memory_store *store,
+			  const struct memory_store *backup)
+{
+	uint64_t epoch = store->epoch + 1;
+
+	memory_store_copy(backup, store);
+	store->epoch = epoch;
+}
+
 void memory_store_drop_history(struct memory_store *store)
 {
 	store->history_from = store->version;
@@ -142,6 +153,7 @@
 	struct prefix_scan scan = {request, result};
 
 	store_result_init(result, request);
+	result->epoch = store->epoch;
 	switch (request->op) {
 	case STORE_OP_GET:
 		get_object(store, request->key, result);
@@ -151,9 +163,10 @@
 		write_object(store, request, result);
 		break;
 	case STORE_OP_WATCH:
-		if (request->version < store->history_from) {
+		if (request->version < store->history_from ||
+		    request->version > store->version) {
 			status_set(&result->status, STATUS_GONE,
-				   "history was dropped");
+				   "version is not in the history");
 			break;
 		}
 		/* fall through */
--- a/tests/standin/memory_store.h
+++ b/tests/standin/memory_store.h
@@ -16,6 +16,8 @@
 	int64_t version;
 	/** Watches of changes since an older version get STATUS_GONE. */
 	int64_t history_from;
+	/** Greater by one after each restore. */
+	uint64_t epoch;
 };
 
 void memory_store_init(struct memory_store *store);
@@ -30,6 +32,10 @@
 void memory_store_copy(const struct memory_store *store,
 		       struct memory_store *copy);
 
+/** Goes back to the contents and the version of @backup, in a new epoch. */
+void memory_store_restore(struct memory_store *store,
+			  const struct memory_store *backup);
+
 /** Drops the history: watches from an older version get STATUS_GONE. */
 void memory_store_drop_history(struct memory_store *store);
 
