Watch of the manifest resumed when GONE meets a read in progress

A failed watch starts a read of the manifest. When the repeated watch got GONE before that read was answered, the read ended with 'no further reads, the watch works', though there was no version to watch from: the process neither listed nor watched again, and still counted as a watcher.

The next read is due at once while there is no version.

--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -145,9 +145,14 @@
 	deliver_manifests(sync, result, callbacks);
 }
 
-/* With strong_reads, a working watch needs no additional reads. */
+/*
+ * With strong_reads, a working watch needs no additional reads; one that has no
+ * version to start from needs a list.
+ */
 static int64_t next_config_read_ms(struct platform_sync *sync, int64_t now_ms)
 {
+	if (!sync->watch_version)
+		return now_ms;
 	if (sync->options.strong_reads)
 		return CLOCK_NEVER;
 	return now_ms + CONFIG_READ_INTERVAL_MS / 2 +
@@ -167,12 +172,12 @@
 		return;
 	}
 	backoff_reset(&sync->config_call.backoff);
-	sync->config_call.not_before_ms = next_config_read_ms(sync, now_ms);
 	if (task == TASK_LIST_CONFIG) {
 		sync->watch_version = MAX(result->version, 1);
 		sync->watch_call.not_before_ms =
 			MAX(now_ms, sync->watch_not_before_ms);
 	}
+	sync->config_call.not_before_ms = next_config_read_ms(sync, now_ms);
 	/* No selected watcher seems to reach the platform: substitute them. */
 	if (!sync->selected && now_ms >= sync->substitute_until_ms &&
 	    platform_watchers_lack_contact(sync, view->roster, now_ms)) {
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -625,6 +625,65 @@
 	fixture_finish(&fixture);
 }
 
+static void respond_with_status(struct fixture *fixture, uint64_t id,
+				enum store_op op, enum status_code code)
+{
+	const struct platform_view view = fixture_view(fixture);
+	struct store_result result = {.id = id, .op = op};
+
+	status_init(&result.status);
+	result.status.code = code;
+	platform_sync_handle_result(&fixture->sync, &result, &view,
+				    fixture->now_ms, &fixture->callbacks);
+}
+
+/* Runs until the watch of the manifest waits, for 6 s at most. */
+static void run_until_watch(struct fixture *fixture)
+{
+	for (int i = 0; i < 600; i++) {
+		if (fixture->sync.watch_call.task == TASK_WATCH)
+			return;
+		fixture_run(fixture, 10);
+	}
+	g_assert_not_reached();
+}
+
+/*
+ * A watch fails; while the manifest is read, the repeated watch gets GONE. The
+ * manifest must then be listed, whichever response is the first.
+ */
+static void test_watch_not_resumed(void)
+{
+	static const bool gone_first[] = {false, true};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(gone_first); i++) {
+		struct platform_sync *sync;
+		struct fixture fixture;
+		uint64_t watch_id, read_id;
+
+		fixture_init_with(&fixture, MEMBER_AGENT, true, 7);
+		put_object(&fixture, "tarragonflow/d/manifest", 0, "{}");
+		sync = &fixture.sync;
+		run_until_watch(&fixture);
+		respond_with_status(&fixture, sync->watch_call.id,
+				    STORE_OP_WATCH, STATUS_UNAVAILABLE);
+		while (sync->watch_call.task == TASK_NONE)
+			advance_and_tick(&fixture, 10);
+		watch_id = sync->watch_call.id;
+		read_id = sync->config_call.id;
+		g_assert_cmpint(sync->config_call.task, ==, TASK_READ_CONFIG);
+		if (gone_first[i])
+			respond_with_status(&fixture, watch_id, STORE_OP_WATCH,
+					    STATUS_GONE);
+		respond_with_status(&fixture, read_id, STORE_OP_GET, STATUS_OK);
+		if (!gone_first[i])
+			respond_with_status(&fixture, watch_id, STORE_OP_WATCH,
+					    STATUS_GONE);
+		run_until_watch(&fixture);
+		fixture_finish(&fixture);
+	}
+}
+
 /** Behaviour of the store while processes start. */
 struct start_case {
 	const char *name;
@@ -920,6 +979,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform-sync/watch-and-gone", test_watch_and_gone);
+	g_test_add_func("/platform-sync/watch-not-resumed",
+			test_watch_not_resumed);
 	g_test_add_func("/platform-sync/backoff-while-unreachable",
 			test_backoff_while_unreachable);
 	g_test_add_func("/platform-sync/shard-written-once",
