Store versions of an earlier epoch are forgotten

Callers saw an acknowledged release not in force for five seconds or for good after the platform's store had returned from an older copy (CONFIG).

Cause: a process compared versions of the store across the restore. A manifest was delivered only with a greater version than the last one; the next release got the same version, and every process that had read the store dropped it. The watch of the manifest and that of zone orders continued from the greatest version ever seen in the same way.

Versions are now of one epoch, which each response names. With a newer one the versions are forgotten, waiting watches from them are cancelled and both are listed again; a response of an earlier epoch counts as none, a watch or write at a version of an earlier epoch as GONE or CONFLICT.

--- a/bench/member_net.c
+++ b/bench/member_net.c
@@ -48,6 +48,14 @@
 	(void)request;
 }
 
+static void net_cancel(struct control_sink *sink, enum store_queue queue,
+		       uint64_t id)
+{
+	(void)sink;
+	(void)queue;
+	(void)id;
+}
+
 static void net_pull(struct control_sink *sink, const struct endpoint *peer,
 		     struct str request)
 {
@@ -102,6 +110,7 @@
 	node->sink = (struct control_sink){
 		.send = net_send,
 		.call_platform = net_call,
+		.cancel_platform_call = net_cancel,
 		.pull_config = net_pull,
 		.routing_changed = net_changed,
 	};
--- a/control/control.c
+++ b/control/control.c
@@ -327,6 +327,15 @@
 	sink->call_platform(sink, request);
 }
 
+static void cancel_platform_call(struct platform_sync_callbacks *callbacks,
+				 enum store_queue queue, uint64_t id)
+{
+	struct control_sink *sink =
+		((struct platform_adapter *)callbacks)->context->sink;
+
+	sink->cancel_platform_call(sink, queue, id);
+}
+
 static void offer_platform_config(struct platform_sync_callbacks *callbacks,
 				  struct str text)
 {
@@ -373,6 +382,7 @@
 				  struct control_context *context)
 {
 	adapter->callbacks.start_call = start_platform_call;
+	adapter->callbacks.cancel_call = cancel_platform_call;
 	adapter->callbacks.deliver_config = offer_platform_config;
 	adapter->callbacks.deliver_zone_orders = merge_platform_zone_orders;
 	adapter->callbacks.deliver_member = merge_platform_member;
--- /dev/null
+++ b/control/platform_epoch.c
@@ -0,0 +1,70 @@
+#include "platform_sync_internal.h"
+
+#include "tarragonflow/common/log.h"
+
+/* Restores of the platform's store from an older copy, for platform_sync.c. */
+
+static void cancel_watch(struct platform_call *call,
+			 struct platform_sync_callbacks *callbacks)
+{
+	if (call->task != TASK_WATCH && call->task != TASK_WATCH_ZONES)
+		return;
+	call->task = TASK_NONE;
+	callbacks->cancel_call(callbacks, call->queue, call->id);
+}
+
+static void forget_versions(struct platform_sync *sync, int64_t now_ms,
+			    struct platform_sync_callbacks *callbacks)
+{
+	sync->watch_version = 0;
+	sync->zones_version = 0;
+	sync->config_version = 0;
+	sync->config_call.not_before_ms = now_ms;
+	sync->zones_call.not_before_ms = now_ms;
+	/* Such a watch could wait although the store has newer changes. */
+	cancel_watch(&sync->watch_call, callbacks);
+	cancel_watch(&sync->zones_call, callbacks);
+}
+
+void platform_update_epoch(struct platform_sync *sync,
+			   const struct store_result *result, int64_t now_ms,
+			   struct platform_sync_callbacks *callbacks)
+{
+	if (result->epoch <= sync->epoch)
+		return;
+	if (sync->epoch) {
+		counter_inc(sync->counters, COUNTER_PLATFORM_RESTORED);
+		log_event(LOG_LEVEL_WARN, "platform-restored",
+			  "epoch=%llu previous_epoch=%llu watched_from=%lld",
+			  (unsigned long long)result->epoch,
+			  (unsigned long long)sync->epoch,
+			  (long long)sync->watch_version);
+		forget_versions(sync, now_ms, callbacks);
+	}
+	sync->epoch = result->epoch;
+}
+
+enum status_code platform_epoch_status(const struct platform_sync *sync,
+				       enum platform_task task,
+				       uint64_t call_epoch,
+				       const struct store_result *result)
+{
+	enum status_code code = result->status.code;
+
+	if (!result->epoch)
+		return code;
+	if (result->epoch < sync->epoch)
+		return task == TASK_WRITE_SHARD ? STATUS_UNKNOWN
+						: STATUS_UNAVAILABLE;
+	if (code != STATUS_OK || result->epoch == call_epoch)
+		return code;
+	switch (task) {
+	case TASK_WATCH:
+	case TASK_WATCH_ZONES:
+		return STATUS_GONE;
+	case TASK_WRITE_SHARD:
+		return STATUS_CONFLICT;
+	default:
+		return code;
+	}
+}
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -79,19 +79,6 @@
 	manifest_object_finish(&object);
 }
 
-/* Logs a manifest whose version is older than that of the last one. */
-static void log_older_manifest(const struct platform_sync *sync,
-			       const struct store_result *result,
-			       const struct store_object *object)
-{
-	if (object->version < sync->config_version)
-		log_event(LOG_LEVEL_WARN, "manifest-skipped",
-			  "version=%lld last_version=%lld epoch=%llu",
-			  (long long)object->version,
-			  (long long)sync->config_version,
-			  (unsigned long long)result->epoch);
-}
-
 /* With strong_reads, each version of the manifest is delivered once. */
 static void deliver_manifests(struct platform_sync *sync,
 			      const struct store_result *result,
@@ -107,10 +94,8 @@
 			deliver_manifest_object(value, callbacks);
 			continue;
 		}
-		if (object->version <= sync->config_version) {
-			log_older_manifest(sync, result, object);
+		if (object->version <= sync->config_version)
 			continue;
-		}
 		sync->config_version = object->version;
 		callbacks->deliver_config(callbacks, value);
 	}
@@ -130,12 +115,6 @@
 		schedule_retry(sync, &sync->watch_call, code, now_ms);
 		return;
 	}
-	if (result->version < sync->watch_version)
-		log_event(LOG_LEVEL_WARN, "store-version-older",
-			  "watched_from=%lld version=%lld epoch=%llu",
-			  (long long)sync->watch_version,
-			  (long long)result->version,
-			  (unsigned long long)result->epoch);
 	backoff_reset(&sync->watch_call.backoff);
 	/* The delay lets one watch return changes in quick succession. */
 	sync->watch_call.not_before_ms = now_ms;
@@ -354,16 +333,11 @@
 	sync->failed_calls = 0;
 }
 
-void platform_finish_call(struct platform_sync *sync,
-			  struct platform_call *call,
+static void handle_result(struct platform_sync *sync, enum platform_task task,
 			  const struct store_result *result,
 			  const struct platform_view *view, int64_t now_ms,
 			  struct platform_sync_callbacks *callbacks)
 {
-	enum platform_task task = call->task;
-
-	call->task = TASK_NONE;
-	record_outcome(sync, result, now_ms);
 	switch (task) {
 	case TASK_WATCH:
 		handle_watch(sync, result, now_ms, callbacks);
@@ -389,3 +363,20 @@
 		break;
 	}
 }
+
+void platform_finish_call(struct platform_sync *sync,
+			  struct platform_call *call,
+			  const struct store_result *result,
+			  const struct platform_view *view, int64_t now_ms,
+			  struct platform_sync_callbacks *callbacks)
+{
+	struct store_result checked = *result;
+	enum platform_task task = call->task;
+
+	call->task = TASK_NONE;
+	record_outcome(sync, result, now_ms);
+	platform_update_epoch(sync, result, now_ms, callbacks);
+	checked.status.code =
+		platform_epoch_status(sync, task, call->epoch, result);
+	handle_result(sync, task, &checked, view, now_ms, callbacks);
+}
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -185,6 +185,8 @@
 		request->queue = STORE_QUEUE_WATCH;
 	call->task = task;
 	call->id = request->id;
+	call->queue = request->queue;
+	call->epoch = sync->epoch;
 	call->deadline_ms = now_ms + request->timeout_ms + RESULT_GRACE_MS;
 	callbacks->start_call(callbacks, request);
 	store_request_finish(request);
--- a/control/platform_sync_internal.h
+++ b/control/platform_sync_internal.h
@@ -3,7 +3,7 @@
 
 #include "tarragonflow/control/platform_sync.h"
 
-/** Shared by platform_sync.c and platform_results.c. */
+/** Shared by platform_sync.c, platform_results.c and platform_epoch.c. */
 
 /** A substitute for the selected watchers watches for this long, ms. */
 #define SUBSTITUTE_WATCH_MS 30000
@@ -36,6 +36,25 @@
 			 int64_t now_ms,
 			 struct platform_sync_callbacks *callbacks);
 
+/**
+ * Starts the epoch of @result if it is newer than the one known: the versions
+ * of the earlier epoch are forgotten, and watches from them are cancelled.
+ */
+void platform_update_epoch(struct platform_sync *sync,
+			   const struct store_result *result, int64_t now_ms,
+			   struct platform_sync_callbacks *callbacks);
+
+/**
+ * The status code of the @result of a call for @task that started when
+ * @call_epoch was the newest known epoch. A response of an earlier epoch counts
+ * as none; a watch or write at a version of an earlier epoch counts as GONE or
+ * CONFLICT.
+ */
+enum status_code platform_epoch_status(const struct platform_sync *sync,
+				       enum platform_task task,
+				       uint64_t call_epoch,
+				       const struct store_result *result);
+
 /** Ends @call and processes its result. */
 void platform_finish_call(struct platform_sync *sync,
 			  struct platform_call *call,
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -90,6 +90,7 @@
 	X(FLOW_TAKEN_OVER, "flows_taken_over")                                \
 	X(FLOW_EVICTED, "flows_evicted")                                      \
 	X(PLATFORM_CONFLICT, "platform_conflicts")                            \
+	X(PLATFORM_RESTORED, "platform_restored")                             \
 	X(PLATFORM_RETRY_NO_RESPONSE, "platform_retry_no_answer")             \
 	X(PLATFORM_RETRY_CONFLICT, "platform_retry_conflict")                 \
 	X(PLATFORM_RETRY_UNKNOWN, "platform_retry_unknown")                   \
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -23,6 +23,9 @@
 	/** Starts a platform call; control_handle_result() takes its result. */
 	void (*call_platform)(struct control_sink *sink,
 			      const struct store_request *request);
+	/** Cancels the platform call with @id in @queue, if in progress. */
+	void (*cancel_platform_call)(struct control_sink *sink,
+				     enum store_queue queue, uint64_t id);
 	/**
 	 * Sends the frame @request over TCP to the control address @peer. The
 	 * response is passed to control_handle_message(), a failure to
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -15,6 +15,9 @@
 	 * to platform_sync_handle_result(). */
 	void (*start_call)(struct platform_sync_callbacks *callbacks,
 			   const struct store_request *request);
+	/** Cancels the call with @id in @queue; its result is ignored. */
+	void (*cancel_call)(struct platform_sync_callbacks *callbacks,
+			    enum store_queue queue, uint64_t id);
 	/** Delivers a manifest that the platform holds or held. */
 	void (*deliver_config)(struct platform_sync_callbacks *callbacks,
 			       struct str text);
@@ -71,6 +74,9 @@
 	enum platform_task task;
 	/** Request id of the call in progress. */
 	uint64_t id;
+	enum store_queue queue;
+	/** Newest epoch of the store that was known when the call started. */
+	uint64_t epoch;
 	/** When the call in progress fails if it has no result by then, ms. */
 	int64_t deadline_ms;
 	/** The next call does not start before this time, ms. */
@@ -147,6 +153,9 @@
 	/** Since when a newer release than the one in force is known, ms;
 	 * CLOCK_NEVER while there is none. */
 	int64_t outdated_since_ms;
+	/** Newest epoch of the store that a response had; 0 until the first.
+	 * All versions below are of this epoch. */
+	uint64_t epoch;
 	/** Store version that the manifest watch has reached, 0 for none. */
 	int64_t watch_version;
 	/** Version of the last manifest object that was delivered. */
--- a/include/tarragonflow/store/http_store.h
+++ b/include/tarragonflow/store/http_store.h
@@ -8,14 +8,17 @@
 #include "tarragonflow/store/http_dialect.h"
 
 /** Client of an object store over HTTP and JSON. Used by one thread, except
- * for http_store_cancel(). */
+ * for http_store_cancel() and http_store_cancel_call(). */
 struct http_store {
 	struct object_store store;
 	const struct http_dialect *dialect;
 	CURL *curl;
 	/** Runs `curl`, so that another thread can cancel a call. */
 	CURLM *multi;
+	/** All calls are cancelled. */
 	_Atomic bool cancelled;
+	/** Calls with smaller request ids are cancelled. */
+	_Atomic uint64_t first_valid_id;
 	struct counters *counters;
 	/** Headers of calls with a body. */
 	struct curl_slist *headers;
@@ -36,4 +39,8 @@
  */
 void http_store_cancel(struct http_store *http);
 
+/** Like http_store_cancel(), but only for calls with request ids up to @id,
+ * which increase from call to call. */
+void http_store_cancel_call(struct http_store *http, uint64_t id);
+
 #endif
--- a/node/node.c
+++ b/node/node.c
@@ -56,6 +56,14 @@
 		counter_inc(&node->counters, COUNTER_DROP_RING_FULL);
 }
 
+static void sink_cancel_store_call(struct control_sink *sink,
+				   enum store_queue queue, uint64_t id)
+{
+	struct node *node = ((struct node_sink *)sink)->node;
+
+	http_store_cancel_call(&node->store_workers[queue].http, id);
+}
+
 static void sink_pull_config(struct control_sink *sink,
 			     const struct endpoint *peer, struct str request)
 {
@@ -166,8 +174,8 @@
 {
 	struct node *node = arg;
 	struct node_sink sink = {
-		.sink = {sink_send, sink_call_store, sink_pull_config,
-			 sink_routing_changed},
+		.sink = {sink_send, sink_call_store, sink_cancel_store_call,
+			 sink_pull_config, sink_routing_changed},
 		.node = node,
 	};
 	struct pollfd fds[2] = {
--- a/store/http_store.c
+++ b/store/http_store.c
@@ -96,14 +96,20 @@
 	return CURLE_ABORTED_BY_CALLBACK;
 }
 
-/* Runs the call until it ends or http_store_cancel() is called. */
-static CURLcode perform_transfer(struct http_store *http)
+static bool is_cancelled(struct http_store *http, uint64_t id)
+{
+	return atomic_load(&http->cancelled) ||
+	       id < atomic_load(&http->first_valid_id);
+}
+
+/* Runs the call with the request id @id until it ends or is cancelled. */
+static CURLcode perform_transfer(struct http_store *http, uint64_t id)
 {
 	CURLcode code = CURLE_ABORTED_BY_CALLBACK;
 	int running = 1;
 
 	curl_multi_add_handle(http->multi, http->curl);
-	while (running && !atomic_load(&http->cancelled)) {
+	while (running && !is_cancelled(http, id)) {
 		if (curl_multi_perform(http->multi, &running) != CURLM_OK)
 			break;
 		if (running)
@@ -152,7 +158,7 @@
 	*after = '\0';
 	count_call(http->counters, request->op);
 	set_call_options(http, request, &call, &body);
-	code = perform_transfer(http);
+	code = perform_transfer(http, request->id);
 	if (code != CURLE_OK) {
 		status_set(&result->status, code_from_curl(code, is_write),
 			   "platform %s: %s", store_op_name(request->op),
@@ -208,6 +214,7 @@
 	http->headers =
 		curl_slist_append(NULL, "Content-Type: application/json");
 	atomic_init(&http->cancelled, false);
+	atomic_init(&http->first_valid_id, 0);
 	g_strlcpy(http->url, url, sizeof(http->url));
 }
 
@@ -224,3 +231,9 @@
 	atomic_store(&http->cancelled, true);
 	curl_multi_wakeup(http->multi);
 }
+
+void http_store_cancel_call(struct http_store *http, uint64_t id)
+{
+	atomic_store(&http->first_valid_id, id + 1);
+	curl_multi_wakeup(http->multi);
+}
--- a/tests/scenarios/world.c
+++ b/tests/scenarios/world.c
@@ -64,6 +64,13 @@
 	world_platform_call(node_from_control_sink(sink), request);
 }
 
+static void sink_cancel_platform(struct control_sink *sink,
+				 enum store_queue queue, uint64_t id)
+{
+	(void)queue;
+	world_platform_cancel(node_from_control_sink(sink), id);
+}
+
 /* TCP turns losses into delays: each one costs a retransmission timeout. */
 static int64_t stream_delay_ms(struct world *world)
 {
@@ -212,6 +219,7 @@
 	node->options.strong_reads = world->strong_reads;
 	node->control_sink.send = sink_send;
 	node->control_sink.call_platform = sink_call_platform;
+	node->control_sink.cancel_platform_call = sink_cancel_platform;
 	node->control_sink.pull_config = sink_pull_config;
 	node->control_sink.routing_changed = sink_routing_changed;
 	world_network_attach(node);
--- a/tests/scenarios/world_internal.h
+++ b/tests/scenarios/world_internal.h
@@ -44,6 +44,9 @@
 void world_platform_call(struct world_node *node,
 			 const struct store_request *request);
 
+/** Ends the watch of @node whose request has @id without a result. */
+void world_platform_cancel(struct world_node *node, uint64_t id);
+
 /** Responds to watches that have a change to report or timed out. */
 void world_platform_serve_watches(struct world *world);
 
--- a/tests/scenarios/world_platform.c
+++ b/tests/scenarios/world_platform.c
@@ -140,6 +140,18 @@
 	schedule_result(node, instance, &result, platform->latency_ms);
 }
 
+void world_platform_cancel(struct world_node *node, uint64_t id)
+{
+	GPtrArray *watches = node->world->watches;
+
+	for (guint i = watches->len; i-- > 0;) {
+		const struct watch *watch = g_ptr_array_index(watches, i);
+
+		if (watch->node == node && watch->request.id == id)
+			g_ptr_array_remove_index_fast(watches, i);
+	}
+}
+
 void world_platform_serve_watches(struct world *world)
 {
 	struct world_platform *platform = &world->platform;
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -31,6 +31,14 @@
 		((struct fixture *)sink)->last_zones_call = *request;
 }
 
+static void ignore_cancel(struct control_sink *sink, enum store_queue queue,
+			  uint64_t id)
+{
+	(void)sink;
+	(void)queue;
+	(void)id;
+}
+
 static void ignore_pull(struct control_sink *sink, const struct endpoint *peer,
 			struct str request)
 {
@@ -55,6 +63,7 @@
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->sink.send = count_send;
 	fixture->sink.call_platform = record_call;
+	fixture->sink.cancel_platform_call = ignore_cancel;
 	fixture->sink.pull_config = ignore_pull;
 	fixture->sink.routing_changed = count_routing_change;
 	name_set(&options.deployment, str_from("d"));
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -20,6 +20,9 @@
 	/** The last call for zone orders, which has its own queue. */
 	struct store_request last_zones_call;
 	unsigned int n_zone_calls;
+	unsigned int n_cancelled;
+	/** Version and start of the last watch of the manifest, ms. */
+	int64_t watch_version, watch_started_ms;
 	struct zone_orders orders;
 	bool orders_are_full_list;
 	uint64_t orders_version;
@@ -41,6 +44,10 @@
 		return;
 	}
 	fixture->n_calls[request->op]++;
+	if (request->op == STORE_OP_WATCH) {
+		fixture->watch_version = request->version;
+		fixture->watch_started_ms = fixture->now_ms;
+	}
 	store_request_finish(&fixture->last_call);
 	fixture->last_call = *request;
 	strbuf_init(&fixture->last_call.value);
@@ -48,6 +55,14 @@
 		   request->value.len);
 }
 
+static void count_cancelled(struct platform_sync_callbacks *callbacks,
+			    enum store_queue queue, uint64_t id)
+{
+	(void)queue;
+	(void)id;
+	((struct fixture *)callbacks)->n_cancelled++;
+}
+
 static void record_config(struct platform_sync_callbacks *callbacks,
 			  struct str text)
 {
@@ -100,6 +115,7 @@
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->callbacks.start_call = record_call;
+	fixture->callbacks.cancel_call = count_cancelled;
 	fixture->callbacks.deliver_config = record_config;
 	fixture->callbacks.deliver_zone_orders = record_zones;
 	fixture->callbacks.deliver_member = record_member;
@@ -684,6 +700,133 @@
 	}
 }
 
+/* Serves the manifest's call that is in progress, if any: a watch when the
+ * store has changes for it, rejects its version, or the wait has ended. */
+static void serve_manifest_call(struct fixture *fixture,
+				const struct platform_call *call)
+{
+	static const enum store_op ops[] = {
+		[TASK_WATCH] = STORE_OP_WATCH,
+		[TASK_LIST_CONFIG] = STORE_OP_LIST,
+		[TASK_READ_CONFIG] = STORE_OP_GET,
+	};
+	const struct platform_view view = fixture_view(fixture);
+	struct store_request request;
+	struct store_result result;
+
+	if (call->task == TASK_NONE || fixture->unreachable)
+		return;
+	store_request_init(&request, ops[call->task],
+			   "tarragonflow/d/manifest");
+	request.id = call->id;
+	request.version = fixture->watch_version;
+	memory_store_apply(&fixture->store, &request, &result);
+	if (call->task != TASK_WATCH || result.n_objects ||
+	    result.status.code != STATUS_OK ||
+	    fixture->now_ms - fixture->watch_started_ms >= 3000)
+		platform_sync_handle_result(&fixture->sync, &result, &view,
+					    fixture->now_ms,
+					    &fixture->callbacks);
+	store_result_finish(&result);
+}
+
+static void run_with_watches(struct fixture *fixture, int64_t ms)
+{
+	for (int64_t end_ms = fixture->now_ms + ms; fixture->now_ms < end_ms;) {
+		fixture_run(fixture, 10);
+		serve_manifest_call(fixture, &fixture->sync.config_call);
+		serve_manifest_call(fixture, &fixture->sync.watch_call);
+	}
+}
+
+static int64_t manifest_version(struct fixture *fixture)
+{
+	struct store_request request;
+	struct store_result result;
+	int64_t version;
+
+	store_request_init(&request, STORE_OP_GET, "tarragonflow/d/manifest");
+	memory_store_apply(&fixture->store, &request, &result);
+	version = result.version;
+	store_result_finish(&result);
+	return version;
+}
+
+static void put_manifests(struct fixture *fixture, int n, int64_t gap_ms)
+{
+	for (int i = 0; i < n; i++) {
+		put_object(fixture, "tarragonflow/d/manifest",
+			   manifest_version(fixture), "{}");
+		run_with_watches(fixture, gap_ms);
+	}
+}
+
+/*
+ * The store is restored from an older copy. The manifest written before and
+ * after must be delivered within the time in which a release comes into force,
+ * whatever the store's versions are then.
+ */
+static void test_release_ignored_after_restore(void)
+{
+	static const struct {
+		const char *name;
+		/** Manifests written after the copy was taken. */
+		int lost;
+		/** How long the store is down; 0: the watch just goes on. */
+		int64_t down_ms;
+		/** Manifests written again before the process is served. */
+		int rewritten;
+		/** Other objects written before the process is served. */
+		int other_writes;
+	} cases[] = {
+		{"versions below", 3, 500, 1, 0},
+		{"version equal", 1, 500, 0, 0},
+		{"version equal, rewritten", 1, 500, 1, 0},
+		{"versions above", 1, 500, 1, 20},
+		{"versions above, nothing rewritten", 1, 500, 0, 20},
+		{"watch not cut, versions below", 2, 0, 1, 0},
+		{"watch not cut, versions above", 1, 0, 1, 20},
+		{"nothing lost", 0, 500, 0, 0},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct memory_store backup;
+		struct fixture fixture;
+		unsigned int n_delivered;
+
+		fixture_init_with(&fixture, MEMBER_AGENT, true, 7 + i);
+		memory_store_init(&backup);
+		put_object(&fixture, "tarragonflow/d/manifest", 0, "{}");
+		run_until_watch(&fixture);
+		memory_store_copy(&fixture.store, &backup);
+		put_manifests(&fixture, cases[i].lost, 500);
+		run_until_watch(&fixture);
+		if (cases[i].down_ms) {
+			fixture.unreachable = true;
+			respond_with_status(&fixture,
+					    fixture.sync.watch_call.id,
+					    STORE_OP_WATCH, STATUS_UNAVAILABLE);
+			fixture_run(&fixture, cases[i].down_ms);
+			fixture.unreachable = false;
+		}
+		memory_store_restore(&fixture.store, &backup);
+		for (int j = 0; j < cases[i].other_writes; j++)
+			put_object(&fixture, "other",
+				   j ? fixture.store.version : 0, "x");
+		n_delivered = fixture.manifests_delivered;
+		put_manifests(&fixture, cases[i].rewritten, 0);
+		run_with_watches(&fixture, 3000);
+		g_test_message("%s", cases[i].name);
+		g_assert_cmpuint(fixture.manifests_delivered, >, n_delivered);
+		n_delivered = fixture.manifests_delivered;
+		put_manifests(&fixture, 1, 1000);
+		g_assert_cmpuint(fixture.manifests_delivered, ==,
+				 n_delivered + 1);
+		memory_store_finish(&backup);
+		fixture_finish(&fixture);
+	}
+}
+
 /** Behaviour of the store while processes start. */
 struct start_case {
 	const char *name;
@@ -981,6 +1124,8 @@
 	g_test_add_func("/platform-sync/watch-and-gone", test_watch_and_gone);
 	g_test_add_func("/platform-sync/watch-not-resumed",
 			test_watch_not_resumed);
+	g_test_add_func("/platform-sync/release-ignored-after-restore",
+			test_release_ignored_after_restore);
 	g_test_add_func("/platform-sync/backoff-while-unreachable",
 			test_backoff_while_unreachable);
 	g_test_add_func("/platform-sync/shard-written-once",
