Roster's copy written again after the store was restored

Processes that start later list a roster without members that joined in the lost time, count it as complete, and search for connections without these agents.

Cause: balancers remember what they have written to each shard and write only changes; the restored store lacks them for good. With a new epoch the memory is dropped, so each shard with members is read and, where it lacks one, written. These reads are not stale for 10 s, as a copy could be of the time before.

--- a/control/platform_epoch.c
+++ b/control/platform_epoch.c
@@ -4,6 +4,9 @@
 
 /* Restores of the platform's store from an older copy, for platform_sync.c. */
 
+/* Reads that may be stale may return what the store held this long before. */
+#define STALE_READ_MAX_MS 10000
+
 static void cancel_watch(struct platform_call *call,
 			 struct platform_sync_callbacks *callbacks)
 {
@@ -19,6 +22,8 @@
 	sync->watch_version = 0;
 	sync->zones_version = 0;
 	sync->config_version = 0;
+	sync->stale_reads_from_ms = now_ms + STALE_READ_MAX_MS;
+	roster_sync_forget_copy(&sync->roster_sync);
 	sync->config_call.not_before_ms = now_ms;
 	sync->zones_call.not_before_ms = now_ms;
 	/* Such a watch could wait although the store has newer changes. */
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -98,6 +98,7 @@
 		now_ms + SELECTION_HOLD_MS +
 		(int64_t)platform_random_below(sync, SELECTION_HOLD_MS);
 	sync->substitute_until_ms = now_ms;
+	sync->stale_reads_from_ms = now_ms;
 	sync->watch_not_before_ms = now_ms;
 	sync->next_probe_ms = CLOCK_NEVER;
 	sync->outdated_since_ms = CLOCK_NEVER;
@@ -478,7 +479,8 @@
 	/* A write based on a stale copy fails with a conflict; the next read
 	 * is then strongly consistent. */
 	request.may_be_stale = sync->options.strong_reads &&
-			       !sync->shard_write_conflicted;
+			       !sync->shard_write_conflicted &&
+			       now_ms >= sync->stale_reads_from_ms;
 	platform_start_call(sync, &sync->shard_call, TASK_READ_SHARD, &request,
 			    now_ms, callbacks);
 }
--- a/control/roster_sync.c
+++ b/control/roster_sync.c
@@ -100,6 +100,13 @@
 	}
 }
 
+void roster_sync_forget_copy(struct roster_sync *sync)
+{
+	for (int i = 0; i < ROSTER_SHARDS; i++)
+		sync->shards[i].digest = 0;
+	sync->last_scan_version = 0;
+}
+
 void roster_sync_scan(struct roster_sync *sync, const struct roster *roster,
 		      int64_t now_ms, struct random *random)
 {
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -176,6 +176,9 @@
 	bool list_may_be_stale;
 	/** The whole roster does not fit into one response of the store. */
 	bool roster_exceeds_one_response;
+	/** Before this time, shards are not read stale: the copies could be of
+	 * the time before a restore, ms. */
+	int64_t stale_reads_from_ms;
 	/** The last shard write failed: the copy read before it was stale. */
 	bool shard_write_conflicted;
 	/** Pages of the roster that were requested, one bit each. */
--- a/include/tarragonflow/control/roster_sync.h
+++ b/include/tarragonflow/control/roster_sync.h
@@ -59,6 +59,10 @@
 void roster_sync_init(struct roster_sync *sync, const struct name *name,
 		      struct counters *counters, int64_t now_ms);
 
+/** Forgets what the platform's copy holds: the next scan marks all shards with
+ * members as dirty. */
+void roster_sync_forget_copy(struct roster_sync *sync);
+
 /** Marks shards as dirty whose members in @roster changed; cheap if none did.
  */
 void roster_sync_scan(struct roster_sync *sync, const struct roster *roster,
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -827,6 +827,58 @@
 	}
 }
 
+static bool store_has_member(struct fixture *fixture, const char *text)
+{
+	struct store_request request;
+	struct store_result result;
+	struct roster stored;
+	struct name name, deployment;
+	bool found;
+
+	name_set(&name, str_from(text));
+	name_set(&deployment, str_from("d"));
+	store_request_init(&request, STORE_OP_GET, "");
+	roster_shard_key(request.key, &deployment, roster_shard_of(&name));
+	memory_store_apply(&fixture->store, &request, &result);
+	roster_init(&stored);
+	if (result.n_objects)
+		roster_shard_parse(strbuf_str(&result.objects[0].value),
+				   &stored);
+	found = roster_find(&stored, &name) != NULL;
+	roster_finish(&stored);
+	store_result_finish(&result);
+	return found;
+}
+
+/* The store is restored from a copy that lacks some of the members that this
+ * process has written: it writes them again. */
+static void test_members_unstored_after_restore(void)
+{
+	static const char *const members[] = {"self", "orders-3", "orders-7"};
+
+	for (size_t n_stored = 0; n_stored < 3; n_stored++) {
+		struct memory_store backup;
+		struct fixture fixture;
+
+		fixture_init_with(&fixture, MEMBER_BALANCER, true, 7);
+		memory_store_init(&backup);
+		for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+			if (i == n_stored)
+				memory_store_copy(&fixture.store, &backup);
+			if (i)
+				add_member(&fixture.roster, members[i],
+					   MEMBER_AGENT, MEMBER_ACTIVE);
+			run_with_watches(&fixture, 20000);
+		}
+		memory_store_restore(&fixture.store, &backup);
+		run_with_watches(&fixture, 20000);
+		for (size_t i = 0; i < G_N_ELEMENTS(members); i++)
+			g_assert_true(store_has_member(&fixture, members[i]));
+		memory_store_finish(&backup);
+		fixture_finish(&fixture);
+	}
+}
+
 /** Behaviour of the store while processes start. */
 struct start_case {
 	const char *name;
@@ -1126,6 +1178,8 @@
 			test_watch_not_resumed);
 	g_test_add_func("/platform-sync/release-ignored-after-restore",
 			test_release_ignored_after_restore);
+	g_test_add_func("/platform-sync/members-unstored-after-restore",
+			test_members_unstored_after_restore);
 	g_test_add_func("/platform-sync/backoff-while-unreachable",
 			test_backoff_while_unreachable);
 	g_test_add_func("/platform-sync/shard-written-once",
