Zone orders carry the epoch of the store

A zone that an operator evacuated after the store was restored kept getting new connections until the order ended (EVAC): its order had the version at which an earlier order of the zone had ended, so every process ignored it.

Cause: orders merge by the store's version alone, in a process and by gossip. They now merge by epoch, then version. A list of the new epoch may lack an order that the operator has not yet written again, so orders of an earlier epoch end only with a list read 2 s after the epoch began; until then the zone stays out of service, for which no rule gives a bound.

--- a/control/control.c
+++ b/control/control.c
@@ -343,24 +343,33 @@
 			     text, CONFIG_FROM_PLATFORM);
 }
 
+/* Whether @order, which the platform's list lacks, has ended. */
+static bool has_order_ended(const struct zone_order *order,
+			    const struct zone_orders_update *update)
+{
+	if (zone_orders_is_out_of_service(&update->orders, &order->zone))
+		return false;
+	return order->epoch >= update->epoch || update->ends_earlier_epochs;
+}
+
 /* A full list of zone orders puts zones that it lacks back in service, with the
  * list's version. */
 static void
 merge_platform_zone_orders(struct platform_sync_callbacks *callbacks,
-			   const struct zone_orders *orders, bool is_full_list,
-			   uint64_t version)
+			   const struct zone_orders_update *update)
 {
 	struct control_context *context =
 		((struct platform_adapter *)callbacks)->context;
 	const struct zone_orders *existing = &context->control->zone_orders;
-	struct zone_orders merged = *orders;
+	struct zone_orders merged = update->orders;
 
-	for (size_t i = 0; is_full_list && i < existing->n; i++) {
+	for (size_t i = 0; update->is_full_list && i < existing->n; i++) {
 		struct zone_order ended = existing->entries[i];
 
-		if (zone_orders_is_out_of_service(orders, &ended.zone))
+		if (!has_order_ended(&ended, update))
 			continue;
-		ended.version = version;
+		ended.epoch = update->epoch;
+		ended.version = update->version;
 		ended.out = false;
 		zone_orders_merge(&merged, &ended);
 	}
@@ -397,6 +406,8 @@
 		.release = config_store_release(&control->config),
 		.newest_release = control->config.newest_release,
 		.roster_complete = control_roster_is_complete(control, now_ms),
+		.oldest_order_epoch =
+			zone_orders_oldest_epoch(&control->zone_orders),
 	};
 
 	return view;
--- a/control/message.c
+++ b/control/message.c
@@ -169,6 +169,7 @@
 
 		control__zone_order__init(order);
 		order->zone = (char *)orders->entries[i].zone.data;
+		order->epoch = orders->entries[i].epoch;
 		order->version = orders->entries[i].version;
 		order->out = orders->entries[i].out;
 		parts->order_pointers[i] = order;
@@ -305,6 +306,7 @@
 	for (size_t i = 0; i < wire->n_zone_orders; i++) {
 		const Control__ZoneOrder *wire_order = wire->zone_orders[i];
 		struct zone_order order = {
+			.epoch = wire_order->epoch,
 			.version = wire_order->version,
 			.out = wire_order->out,
 		};
--- a/control/platform_epoch.c
+++ b/control/platform_epoch.c
@@ -1,5 +1,7 @@
 #include "platform_sync_internal.h"
 
+#include <glib.h>
+
 #include "tarragonflow/common/log.h"
 
 /* Restores of the platform's store from an older copy, for platform_sync.c. */
@@ -7,6 +9,9 @@
 /* Reads that may be stale may return what the store held this long before. */
 #define STALE_READ_MAX_MS 10000
 
+/* Operators write again what was lost within this time after a restore. */
+#define EPOCH_SETTLE_MS 2000
+
 static void cancel_watch(struct platform_call *call,
 			 struct platform_sync_callbacks *callbacks)
 {
@@ -47,6 +52,24 @@
 		forget_versions(sync, now_ms, callbacks);
 	}
 	sync->epoch = result->epoch;
+	sync->epoch_start_ms = now_ms;
+}
+
+bool platform_epoch_settled(const struct platform_sync *sync, int64_t now_ms)
+{
+	return now_ms - sync->epoch_start_ms >= EPOCH_SETTLE_MS;
+}
+
+void platform_epoch_step(struct platform_sync *sync,
+			 const struct platform_view *view, int64_t now_ms,
+			 struct platform_sync_callbacks *callbacks)
+{
+	if (view->oldest_order_epoch < sync->epoch && sync->zones_version &&
+	    platform_epoch_settled(sync, now_ms)) {
+		sync->zones_version = 0;
+		sync->zones_call.not_before_ms = now_ms;
+		cancel_watch(&sync->zones_call, callbacks);
+	}
 }
 
 enum status_code platform_epoch_status(const struct platform_sync *sync,
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -179,6 +179,7 @@
 		const struct store_object *object = &result->objects[i];
 		const char *slash = strrchr(object->key, '/');
 		struct zone_order order = {
+			.epoch = result->epoch,
 			.version = (uint64_t)MAX(object->version, 1),
 			.out = !object->deleted,
 		};
@@ -194,7 +195,12 @@
 			 struct platform_sync_callbacks *callbacks)
 {
 	enum status_code code = result->status.code;
-	struct zone_orders orders = {0};
+	struct zone_orders_update update = {
+		.epoch = result->epoch,
+		.version = (uint64_t)result->version,
+		.is_full_list = task == TASK_LIST_ZONES,
+		.ends_earlier_epochs = platform_epoch_settled(sync, now_ms),
+	};
 
 	if (code == STATUS_GONE)
 		sync->zones_version = 0;
@@ -205,10 +211,8 @@
 	backoff_reset(&sync->zones_call.backoff);
 	sync->zones_call.not_before_ms = MAX(now_ms, sync->watch_not_before_ms);
 	sync->zones_version = MAX(sync->zones_version, result->version);
-	parse_zone_orders(result, &orders);
-	callbacks->deliver_zone_orders(callbacks, &orders,
-				       task == TASK_LIST_ZONES,
-				       (uint64_t)result->version);
+	parse_zone_orders(result, &update.orders);
+	callbacks->deliver_zone_orders(callbacks, &update);
 }
 
 /* Tombstones are delivered only for members that the local roster has. */
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -552,6 +552,7 @@
 	expire_call(sync, &sync->list_call, view, now_ms, callbacks);
 	expire_call(sync, &sync->shard_call, view, now_ms, callbacks);
 	update_selection(sync, view, now_ms);
+	platform_epoch_step(sync, view, now_ms, callbacks);
 	if (platform_sync_watches(sync, now_ms)) {
 		watch_step(sync, now_ms, callbacks);
 		zones_step(sync, now_ms, callbacks);
--- a/control/platform_sync_internal.h
+++ b/control/platform_sync_internal.h
@@ -55,6 +55,16 @@
 				       uint64_t call_epoch,
 				       const struct store_result *result);
 
+/** Whether operators have had the time to write again what the restore at the
+ * start of the epoch lost. */
+bool platform_epoch_settled(const struct platform_sync *sync, int64_t now_ms);
+
+/** Reads again what may have changed with an epoch that peers reported, and
+ * zone orders that were not confirmed in the current one. */
+void platform_epoch_step(struct platform_sync *sync,
+			 const struct platform_view *view, int64_t now_ms,
+			 struct platform_sync_callbacks *callbacks);
+
 /** Ends @call and processes its result. */
 void platform_finish_call(struct platform_sync *sync,
 			  struct platform_call *call,
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -9,6 +9,18 @@
 #include "tarragonflow/roster/roster.h"
 #include "tarragonflow/roster/zone_orders.h"
 
+/** Zone orders that the platform holds. */
+struct zone_orders_update {
+	struct zone_orders orders;
+	/** Epoch and version of the platform's store. */
+	uint64_t epoch, version;
+	/** All zones without an order are in service. */
+	bool is_full_list;
+	/** The orders of earlier epochs that are missing here have ended, too.
+	 */
+	bool ends_earlier_epochs;
+};
+
 /** Callbacks that start calls to the platform and deliver what was read. */
 struct platform_sync_callbacks {
 	/** Starts a call to the platform's object store; its result is passed
@@ -21,13 +33,9 @@
 	/** Delivers a manifest that the platform holds or held. */
 	void (*deliver_config)(struct platform_sync_callbacks *callbacks,
 			       struct str text);
-	/**
-	 * Delivers the zone orders that the platform holds at @version: all
-	 * of them when @is_full_list, otherwise only those that changed.
-	 */
+	/** Delivers zone orders that the platform holds. */
 	void (*deliver_zone_orders)(struct platform_sync_callbacks *callbacks,
-				    const struct zone_orders *orders,
-				    bool is_full_list, uint64_t version);
+				    const struct zone_orders_update *update);
 	/** Delivers a roster entry that the platform holds. */
 	void (*deliver_member)(struct platform_sync_callbacks *callbacks,
 			       const struct member *entry);
@@ -93,6 +101,9 @@
 	int64_t newest_release;
 	/** The roster should contain all members. */
 	bool roster_complete;
+	/** Epoch of the oldest order that has a zone out of service;
+	 * UINT64_MAX if there is none. */
+	uint64_t oldest_order_epoch;
 };
 
 /**
@@ -156,6 +167,8 @@
 	/** Newest epoch of the store that a response had; 0 until the first.
 	 * All versions below are of this epoch. */
 	uint64_t epoch;
+	/** When the first response of that epoch arrived, ms. */
+	int64_t epoch_start_ms;
 	/** Store version that the manifest watch has reached, 0 for none. */
 	int64_t watch_version;
 	/** Version of the last manifest object that was delivered. */
--- a/include/tarragonflow/roster/zone_orders.h
+++ b/include/tarragonflow/roster/zone_orders.h
@@ -10,8 +10,9 @@
 /**
  * Operators' orders that put availability zones out of service or back in
  * service. They are independent of the manifest and have versions of their own.
- * Orders for the same zone merge: the one with the greater version wins, and of
- * two with the same version the one that puts the zone back in service.
+ * Orders for the same zone merge: the one of the newer epoch of the object
+ * store wins, then the one with the greater version, and of two with the same
+ * version the one that puts the zone back in service.
  */
 
 /** Maximum number of zones with an order. */
@@ -19,6 +20,8 @@
 
 struct zone_order {
 	struct name zone;
+	/** Epoch of the object store that assigned the version. */
+	uint64_t epoch;
 	/** The order's version at the object store. For a return to service,
 	 * the version of the order that is ended, or of the list of all orders
 	 * in which the zone was missing. */
@@ -61,6 +64,10 @@
 					const struct name *zone,
 					int64_t now_ms);
 
+/** The oldest epoch of an order that has its zone out of service; UINT64_MAX if
+ * there is none. */
+uint64_t zone_orders_oldest_epoch(const struct zone_orders *orders);
+
 /** When the open connections of an out-of-service zone are dropped next, ms;
  * CLOCK_NEVER if there is no such zone. */
 int64_t zone_orders_next_cut(const struct zone_orders *orders, int64_t now_ms);
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -702,7 +702,7 @@
   (ProtobufCMessageInit) control__digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__zone_order__field_descriptors[3] =
+static const ProtobufCFieldDescriptor control__zone_order__field_descriptors[4] =
 {
   {
     "zone",
@@ -740,8 +740,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__ZoneOrder, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__zone_order__field_indices_by_name[] = {
+  3,   /* field[3] = epoch */
   2,   /* field[2] = out */
   1,   /* field[1] = version */
   0,   /* field[0] = zone */
@@ -749,7 +762,7 @@
 static const ProtobufCIntRange control__zone_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor control__zone_order__descriptor =
 {
@@ -759,7 +772,7 @@
   "Control__ZoneOrder",
   "control",
   sizeof(Control__ZoneOrder),
-  3,
+  4,
   control__zone_order__field_descriptors,
   control__zone_order__field_indices_by_name,
   1,  control__zone_order__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -155,10 +155,14 @@
   char *zone;
   uint64_t version;
   protobuf_c_boolean out;
+  /*
+   * Epoch of the platform's store that assigned the version.
+   */
+  uint64_t epoch;
 };
 #define CONTROL__ZONE_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__zone_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Control__Message
--- a/roster/zone_orders.c
+++ b/roster/zone_orders.c
@@ -18,6 +18,8 @@
 static bool is_newer(const struct zone_order *order,
 		     const struct zone_order *existing)
 {
+	if (order->epoch != existing->epoch)
+		return order->epoch > existing->epoch;
 	if (order->version != existing->version)
 		return order->version > existing->version;
 	return existing->out && !order->out;
@@ -38,6 +40,7 @@
 	}
 	/* A renewed order does not postpone the drop of connections. */
 	if (was_out && order->out) {
+		existing->epoch = order->epoch;
 		existing->version = order->version;
 		return false;
 	}
@@ -69,6 +72,16 @@
 	return existing ? order_state(existing, now_ms) : ZONE_ORDER_NONE;
 }
 
+uint64_t zone_orders_oldest_epoch(const struct zone_orders *orders)
+{
+	uint64_t oldest = UINT64_MAX;
+
+	for (size_t i = 0; i < orders->n; i++)
+		if (orders->entries[i].out)
+			oldest = MIN(oldest, orders->entries[i].epoch);
+	return oldest;
+}
+
 int64_t zone_orders_next_cut(const struct zone_orders *orders, int64_t now_ms)
 {
 	int64_t next = CLOCK_NEVER;
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -196,11 +196,93 @@
 	}
 }
 
+/* Responds to the last call for zone orders with a list that has the order of
+ * zone z if @listed_version is not 0. */
+static void respond_with_list(struct fixture *fixture, uint64_t epoch,
+			      int64_t listed_version, int64_t now_ms)
+{
+	struct store_result result;
+
+	store_result_init(&result, &fixture->last_zones_call);
+	result.epoch = epoch;
+	result.version = 20;
+	if (listed_version)
+		store_result_add(&result, "tarragonflow/d/zones/z",
+				 listed_version, str_from("{}"));
+	control_handle_result(&fixture->control, &result, now_ms,
+			      &fixture->sink);
+	store_result_finish(&result);
+}
+
+/*
+ * The store was restored, and its list may lack an order that the operator has
+ * not yet written again: the zone stays out of service until a later list lacks
+ * it, too. An order of the same epoch that the list lacks has ended at once.
+ */
+static void test_order_lost_by_restore(void)
+{
+	static const struct {
+		uint64_t order_epoch, order_version, list_epoch;
+		/** Version of the order in the first list and in those after
+		 * the operators' time to write; 0: it is missing. */
+		int64_t listed_version, later_version;
+		bool out_at_once, out_later;
+	} cases[] = {
+		{1, 15, 1, 0, 0, false, false}, {1, 25, 1, 0, 0, true, true},
+		{1, 15, 2, 0, 0, true, false},	{1, 25, 2, 0, 0, true, false},
+		{1, 25, 2, 0, 18, true, true},	{1, 25, 2, 18, 18, true, true},
+		{1, 15, 2, 15, 15, true, true}, {2, 15, 2, 0, 0, false, false},
+		{2, 25, 2, 0, 0, true, true},	{3, 1, 2, 0, 0, true, true},
+	};
+	struct zone_order order = {.out = true};
+
+	name_set(&order.zone, str_from("z"));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct zone_orders received = {0};
+		struct control_context context;
+		struct fixture fixture;
+		uint64_t responded_id;
+		const struct zone_orders *orders = &fixture.control.zone_orders;
+
+		fixture_init(&fixture, 100);
+		control_tick(&fixture.control, 1100, &fixture.sink);
+		context = context_at(&fixture, 1110);
+		order.epoch = cases[i].order_epoch;
+		order.version = cases[i].order_version;
+		zone_orders_merge(&received, &order);
+		inbound_merge_zone_orders(&context, &received);
+		respond_with_list(&fixture, cases[i].list_epoch,
+				  cases[i].listed_version, 1120);
+		g_test_message("case %zu", i);
+		g_assert_cmpint(
+			zone_orders_is_out_of_service(orders, &order.zone), ==,
+			cases[i].out_at_once);
+		responded_id = fixture.last_zones_call.id;
+		for (int64_t ms = 1130; ms < 12000; ms += 10) {
+			control_tick(&fixture.control, ms, &fixture.sink);
+			if (fixture.last_zones_call.id == responded_id ||
+			    fixture.last_zones_call.op != STORE_OP_LIST)
+				continue;
+			responded_id = fixture.last_zones_call.id;
+			respond_with_list(&fixture, cases[i].list_epoch,
+					  cases[i].later_version, ms);
+		}
+		g_assert_cmpint(
+			zone_orders_is_out_of_service(orders, &order.zone), ==,
+			cases[i].out_later);
+		control_finish(&fixture.control);
+	}
+}
+
 /* Zone orders and the previous release survive encoding and decoding. */
 static void test_zone_orders_encoding(void)
 {
 	struct message original = {.kind = MESSAGE_GOSSIP}, decoded;
-	struct zone_order order = {.version = 1ULL << 40, .out = true};
+	struct zone_order order = {
+		.epoch = 3,
+		.version = 1ULL << 40,
+		.out = true,
+	};
 	struct strbuf wire, storage;
 
 	strbuf_init(&wire);
@@ -224,6 +306,7 @@
 						     &order.zone));
 	g_assert_cmpuint(decoded.zone_orders.entries[0].version, ==,
 			 1ULL << 40);
+	g_assert_cmpuint(decoded.zone_orders.entries[0].epoch, ==, 3);
 	g_assert_cmpuint(decoded.previous_release, ==, 9);
 	strbuf_finish(&wire);
 	strbuf_finish(&storage);
@@ -313,6 +396,8 @@
 	g_test_add_func("/control/zone-orders", test_zone_orders);
 	g_test_add_func("/control/zone-orders-and-list",
 			test_zone_orders_and_list);
+	g_test_add_func("/control/zone-order-lost-by-restore",
+			test_order_lost_by_restore);
 	g_test_add_func("/control/zone-orders-encoding",
 			test_zone_orders_encoding);
 	g_test_add_func("/control/roster-complete", test_roster_complete);
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -71,14 +71,13 @@
 }
 
 static void record_zones(struct platform_sync_callbacks *callbacks,
-			 const struct zone_orders *orders, bool is_full_list,
-			 uint64_t version)
+			 const struct zone_orders_update *update)
 {
 	struct fixture *fixture = (struct fixture *)callbacks;
 
-	fixture->orders = *orders;
-	fixture->orders_are_full_list = is_full_list;
-	fixture->orders_version = version;
+	fixture->orders = update->orders;
+	fixture->orders_are_full_list = update->is_full_list;
+	fixture->orders_version = update->version;
 }
 
 static void record_member(struct platform_sync_callbacks *callbacks,
@@ -161,7 +160,12 @@
 
 static struct platform_view fixture_view(const struct fixture *fixture)
 {
-	const struct platform_view view = {&fixture->roster, 1, 1, false};
+	const struct platform_view view = {
+		.roster = &fixture->roster,
+		.release = 1,
+		.newest_release = 1,
+		.oldest_order_epoch = UINT64_MAX,
+	};
 
 	return view;
 }
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1542,14 +1542,23 @@
 	 * service, is a change, and whether the zone is out of service after.
 	 */
 	static const struct {
-		uint64_t version;
+		uint64_t epoch, version;
 		bool out, is_change, is_out_after;
 	} steps[] = {
-		{5, true, true, true},	 {5, true, false, true},
-		{4, false, false, true}, {5, false, true, false},
-		{5, true, false, false}, {6, true, true, true},
-		{8, false, true, false}, {7, true, false, false},
-		{9, true, true, true},
+		{1, 5, true, true, true},
+		{1, 5, true, false, true},
+		{1, 4, false, false, true},
+		{1, 5, false, true, false},
+		{1, 5, true, false, false},
+		{1, 6, true, true, true},
+		{1, 8, false, true, false},
+		{1, 7, true, false, false},
+		/* The store was restored: its versions begin again. */
+		{2, 3, true, true, true},
+		{1, 9, false, false, true},
+		{2, 3, false, true, false},
+		{1, 20, true, false, false},
+		{2, 9, true, true, true},
 	};
 	struct zone_orders orders = {0};
 	struct zone_order order = {0};
@@ -1557,6 +1566,7 @@
 	name_set(&order.zone, str_from("z"));
 	g_assert_false(zone_orders_is_out_of_service(&orders, &order.zone));
 	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		order.epoch = steps[i].epoch;
 		order.version = steps[i].version;
 		order.out = steps[i].out;
 		order.cut_ms = 100 * (int64_t)(i + 1);
@@ -1567,10 +1577,10 @@
 			steps[i].is_out_after);
 	}
 	g_assert_cmpuint(orders.n, ==, 1);
-	g_assert_cmpint(zone_orders_next_cut(&orders, 0), ==, 900);
-	g_assert_cmpint(zone_orders_state(&orders, &order.zone, 899), ==,
+	g_assert_cmpint(zone_orders_next_cut(&orders, 0), ==, 1300);
+	g_assert_cmpint(zone_orders_state(&orders, &order.zone, 1299), ==,
 			ZONE_ORDER_DRAINING);
-	g_assert_cmpint(zone_orders_state(&orders, &order.zone, 900), ==,
+	g_assert_cmpint(zone_orders_state(&orders, &order.zone, 1300), ==,
 			ZONE_ORDER_CUT);
 }
 
