Processes learn of a restored store from their peers

A watch from a version of the earlier epoch can wait although the store holds newer changes with lower versions: when no call of the process meets the store in between, a release is late by the rest of the wait (3 s).

Every control message now carries the newest epoch known. A greater one than the store has shown makes a process forget its versions and list again, once for each reported epoch; only the store's own response changes the epoch, so a wrong report costs one list.

Found by reading; /platform-sync/restore-unnoticed fails without it.

--- a/control/control.c
+++ b/control/control.c
@@ -260,6 +260,8 @@
 	if (accept_message(control, data, len, &message, &storage)) {
 		platform_sync_merge_ages(&control->platform,
 					 &message.contact_ages, now_ms);
+		platform_sync_merge_epoch(&control->platform,
+					  message.store_epoch);
 		inbound_handle_message(&context, &message);
 		resync_step(&context);
 	}
--- a/control/message.c
+++ b/control/message.c
@@ -185,6 +185,7 @@
 	wire->number = message->number;
 	wire->nonce = message->nonce;
 	wire->former_release = message->previous_release;
+	wire->store_epoch = message->store_epoch;
 	wire->platform_any_age =
 		age_to_wire(message->contact_ages.any_process_ms);
 	wire->platform_watcher_age =
@@ -329,6 +330,7 @@
 	message->number = wire->number;
 	message->nonce = wire->nonce;
 	message->previous_release = wire->former_release;
+	message->store_epoch = wire->store_epoch;
 	message->contact_ages.any_process_ms =
 		age_from_wire(wire->platform_any_age);
 	message->contact_ages.watcher_ms =
--- a/control/outbound.c
+++ b/control/outbound.c
@@ -30,6 +30,8 @@
 	message->kind = kind;
 	message->from.member = context->control->options.self;
 	message->from.brief = !full_entry;
+	message->store_epoch =
+		platform_sync_newest_epoch(&context->control->platform);
 	message->zone_orders = context->control->zone_orders;
 }
 
--- a/control/platform_epoch.c
+++ b/control/platform_epoch.c
@@ -60,10 +60,25 @@
 	return now_ms - sync->epoch_start_ms >= EPOCH_SETTLE_MS;
 }
 
+void platform_sync_merge_epoch(struct platform_sync *sync, uint64_t epoch)
+{
+	sync->reported_epoch = MAX(sync->reported_epoch, epoch);
+}
+
+uint64_t platform_sync_newest_epoch(const struct platform_sync *sync)
+{
+	return MAX(sync->epoch, sync->reported_epoch);
+}
+
 void platform_epoch_step(struct platform_sync *sync,
 			 const struct platform_view *view, int64_t now_ms,
 			 struct platform_sync_callbacks *callbacks)
 {
+	/* Only the store's own response proves its epoch. */
+	if (sync->reported_epoch > MAX(sync->epoch, sync->checked_epoch)) {
+		sync->checked_epoch = sync->reported_epoch;
+		forget_versions(sync, now_ms, callbacks);
+	}
 	if (view->oldest_order_epoch < sync->epoch && sync->zones_version &&
 	    platform_epoch_settled(sync, now_ms)) {
 		sync->zones_version = 0;
--- a/include/tarragonflow/control/message.h
+++ b/include/tarragonflow/control/message.h
@@ -100,6 +100,9 @@
 	/** Release that the receiver had in force before its restart, as known
 	 * to the sender; 0 for none. */
 	uint64_t previous_release;
+	/** Newest epoch of the platform's store that the sender knows;
+	 * 0 for none. */
+	uint64_t store_epoch;
 	/** All zone orders that the sender has. */
 	struct zone_orders zone_orders;
 	/** Matches a response with its request. */
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -169,6 +169,9 @@
 	uint64_t epoch;
 	/** When the first response of that epoch arrived, ms. */
 	int64_t epoch_start_ms;
+	/** Newest epoch that peers have reported, and the last one of them for
+	 * which the versions were forgotten. */
+	uint64_t reported_epoch, checked_epoch;
 	/** Store version that the manifest watch has reached, 0 for none. */
 	int64_t watch_version;
 	/** Version of the last manifest object that was delivered. */
@@ -228,6 +231,12 @@
 			      const struct store_contact_ages *ages,
 			      int64_t now_ms);
 
+/** Records the newest epoch of the store that a peer knows. */
+void platform_sync_merge_epoch(struct platform_sync *sync, uint64_t epoch);
+
+/** The newest epoch of the store that is known, to send to peers. */
+uint64_t platform_sync_newest_epoch(const struct platform_sync *sync);
+
 /** The contact ages to send to peers. */
 struct store_contact_ages
 platform_sync_contact_ages(const struct platform_sync *sync, int64_t now_ms);
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -779,7 +779,7 @@
   (ProtobufCMessageInit) control__zone_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__message__field_descriptors[13] =
+static const ProtobufCFieldDescriptor control__message__field_descriptors[14] =
 {
   {
     "kind",
@@ -937,6 +937,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_epoch",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Control__Message, store_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__message__field_indices_by_name[] = {
   3,   /* field[3] = config */
@@ -949,6 +961,7 @@
   6,   /* field[6] = number */
   9,   /* field[9] = platform_any_age */
   10,   /* field[10] = platform_watcher_age */
+  13,   /* field[13] = store_epoch */
   5,   /* field[5] = target */
   12,   /* field[12] = zone_orders */
   7,   /* field[7] = zones */
@@ -956,7 +969,7 @@
 static const ProtobufCIntRange control__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor control__message__descriptor =
 {
@@ -966,7 +979,7 @@
   "Control__Message",
   "control",
   sizeof(Control__Message),
-  13,
+  14,
   control__message__field_descriptors,
   control__message__field_indices_by_name,
   1,  control__message__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -207,10 +207,14 @@
    */
   size_t n_zone_orders;
   Control__ZoneOrder **zone_orders;
+  /*
+   * Newest epoch of the platform's store that the sender knows; 0: none.
+   */
+  uint64_t store_epoch;
 };
 #define CONTROL__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__message__descriptor) \
-    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL }
+    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /* Control__Member methods */
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -296,6 +296,7 @@
 	order.out = false;
 	zone_orders_merge(&original.zone_orders, &order);
 	original.previous_release = 9;
+	original.store_epoch = 4;
 	message_encode(&original, &wire);
 	g_assert_true(message_decode(&decoded, (const uint8_t *)wire.data,
 				     wire.len, &storage));
@@ -308,6 +309,7 @@
 			 1ULL << 40);
 	g_assert_cmpuint(decoded.zone_orders.entries[0].epoch, ==, 3);
 	g_assert_cmpuint(decoded.previous_release, ==, 9);
+	g_assert_cmpuint(decoded.store_epoch, ==, 4);
 	strbuf_finish(&wire);
 	strbuf_finish(&storage);
 }
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -831,6 +831,50 @@
 	}
 }
 
+/*
+ * The store is restored while a watch from a greater version waits, and no call
+ * notices it. A peer's report of the new epoch must start a list at once;
+ * repeated or wrong reports must not start more.
+ */
+static void test_restore_unnoticed(void)
+{
+	struct memory_store backup;
+	struct fixture fixture;
+	unsigned int n_delivered, n_lists;
+
+	fixture_init_with(&fixture, MEMBER_AGENT, true, 7);
+	memory_store_init(&backup);
+	put_object(&fixture, "tarragonflow/d/manifest", 0, "{}");
+	run_until_watch(&fixture);
+	memory_store_copy(&fixture.store, &backup);
+	for (int i = 0; i < 20; i++)
+		put_object(&fixture, "other", i ? fixture.store.version : 0,
+			   "x");
+	put_manifests(&fixture, 1, 500);
+	run_until_watch(&fixture);
+	memory_store_restore(&fixture.store, &backup);
+	put_manifests(&fixture, 1, 0);
+	for (int i = 0; i < 25; i++)
+		put_object(&fixture, "other", i ? fixture.store.version : 0,
+			   "x");
+	n_delivered = fixture.manifests_delivered;
+	platform_sync_merge_epoch(&fixture.sync, fixture.store.epoch);
+	run_with_watches(&fixture, 100);
+	g_assert_cmpuint(fixture.manifests_delivered, ==, n_delivered + 1);
+	g_assert_cmpuint(fixture.n_cancelled, >, 0);
+	n_lists = fixture.n_calls[STORE_OP_LIST];
+	for (int i = 0; i < 20; i++) {
+		platform_sync_merge_epoch(&fixture.sync, i < 10 ? 2 : 9);
+		run_with_watches(&fixture, 100);
+	}
+	g_assert_cmpuint(fixture.n_calls[STORE_OP_LIST], <=, n_lists + 2);
+	n_delivered = fixture.manifests_delivered;
+	put_manifests(&fixture, 1, 1000);
+	g_assert_cmpuint(fixture.manifests_delivered, ==, n_delivered + 1);
+	memory_store_finish(&backup);
+	fixture_finish(&fixture);
+}
+
 static bool store_has_member(struct fixture *fixture, const char *text)
 {
 	struct store_request request;
@@ -1182,6 +1226,8 @@
 			test_watch_not_resumed);
 	g_test_add_func("/platform-sync/release-ignored-after-restore",
 			test_release_ignored_after_restore);
+	g_test_add_func("/platform-sync/restore-unnoticed",
+			test_restore_unnoticed);
 	g_test_add_func("/platform-sync/members-unstored-after-restore",
 			test_members_unstored_after_restore);
 	g_test_add_func("/platform-sync/backoff-while-unreachable",
