A list whose pages are of two epochs of the store is not one list

A list of several pages that spans a restore mixed what the store held before and after, under the newer epoch: members or zone orders of the first page could be missing in the store, or the reverse. Found by reading.

Such a list fails as unavailable and is repeated.

--- a/store/http_store.c
+++ b/store/http_store.c
@@ -181,10 +181,19 @@
 {
 	struct http_store *http = (struct http_store *)store;
 	char after[STORE_KEY_MAX] = "";
+	uint64_t first_epoch = 0;
 
 	store_result_init(result, request);
 	for (int i = 0; i < PAGES_MAX; i++) {
 		call_once(http, request, after, result);
+		if (!i)
+			first_epoch = result->epoch;
+		if (result->status.code == STATUS_OK &&
+		    result->epoch != first_epoch)
+			status_set(&result->status, STATUS_UNAVAILABLE,
+				   "platform list %s: the store was restored "
+				   "between two pages",
+				   request->key);
 		result->has_more = *after != '\0';
 		if (!result->has_more || request->one_page ||
 		    result->status.code != STATUS_OK)
