apply: a release written around a restore is written again, or its doubt is told

An operator who applied a release while the store was restored got 'not applied; a applied release 1 first' (CONFLICT), though no one had been first; or success, though the write had replaced another operator's newer release, whose object had by chance the version that the write expected.

apply compared versions of two epochs. It now remembers the epoch of the version to replace: when the store was restored and holds an older release, it writes again on the new base; a write that was accepted in another epoch ends as unknown and says what to check. Five new cases of /manifest/apply, the first fails before.

--- a/manifest/apply.c
+++ b/manifest/apply.c
@@ -22,8 +22,11 @@
 	/** The platform's object and its version when it was last read. */
 	struct manifest_object current;
 	int64_t current_version;
-	/** Version that the write replaces. */
+	/** The store's epoch at the last read or accepted write. */
+	uint64_t epoch;
+	/** Version that the write replaces, and the epoch that assigned it. */
 	int64_t base_version;
+	uint64_t base_epoch;
 	/** The object to write, as JSON. */
 	struct strbuf value;
 };
@@ -47,6 +50,7 @@
 	store_request_init(&request, STORE_OP_GET, apply->key);
 	request.timeout_ms = CALL_TIMEOUT_MS;
 	apply->platform->call(apply->platform, &request, &result);
+	apply->epoch = result.epoch;
 	if (result.status.code == STATUS_OK && result.n_objects) {
 		apply->current_version = result.objects[0].version;
 		manifest_object_read(&apply->current,
@@ -71,6 +75,8 @@
 	strbuf_add(&request.value, apply->value.data, apply->value.len);
 	apply->platform->call(apply->platform, &request, &result);
 	*status = result.status;
+	if (status->code == STATUS_OK)
+		apply->epoch = result.epoch;
 	store_result_finish(&result);
 	store_request_finish(&request);
 	return status->code;
@@ -103,7 +109,8 @@
 /*
  * Looks for the write by its token after a lost response or a conflict. Sets
  * @outcome_known to false when the object can't be read or is still the one to
- * be replaced: the write may be in flight or lost.
+ * be replaced: the write may be in flight or lost. The same holds when the
+ * store was restored and has an older release.
  */
 static enum status_code find_write(struct apply *apply, bool *outcome_known,
 				   struct status *status)
@@ -119,17 +126,52 @@
 		status_init(status);
 		return STATUS_OK;
 	}
-	if (apply->current_version == apply->base_version)
+	if (apply->epoch != apply->base_epoch &&
+	    apply->current.release < apply->record.release)
+		return STATUS_UNKNOWN;
+	if (apply->epoch == apply->base_epoch &&
+	    apply->current_version == apply->base_version)
 		return STATUS_UNKNOWN;
 	*outcome_known = true;
 	return set_conflict_status(apply, status);
 }
 
+/* The write was accepted at a version of another epoch, by chance: it may have
+ * replaced any release. */
+static enum status_code set_restored_status(const struct apply *apply,
+					    struct status *status)
+{
+	return status_set(
+		status, STATUS_UNKNOWN,
+		"the platform's store was restored from an older copy while "
+		"release %lld was written, which may have replaced a newer "
+		"one; check which release should be in force and apply it "
+		"under a greater number",
+		(long long)apply->record.release);
+}
+
+/* Builds the object that replaces the current one. */
+static void build_value(struct apply *apply, const struct manifest *manifest)
+{
+	struct manifest_object next_object = apply->current;
+
+	strbuf_init(&next_object.manifest);
+	strbuf_reset(&apply->value);
+	manifest_write(manifest, &next_object.manifest);
+	manifest_object_add_record(&next_object, &apply->record);
+	manifest_object_write(&next_object, &apply->value);
+	strbuf_finish(&next_object.manifest);
+	apply->base_version = apply->current_version;
+	apply->base_epoch = apply->epoch;
+}
+
 /*
- * Repeats the write, always with the same token and base version, until its
- * outcome is known.
+ * Repeats the write, always with the same token, until its outcome is known.
+ * The base version changes only when the store was restored and lacks the
+ * write.
  */
 static enum status_code write_until_known(struct apply *apply,
+					  const struct manifest *manifest,
 					  struct status *status)
 {
 	bool maybe_sent = false, outcome_known;
@@ -137,6 +179,8 @@
 	for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
 		enum status_code code = write_once(apply, status);
 
+		if (code == STATUS_OK && apply->epoch != apply->base_epoch)
+			return set_restored_status(apply, status);
 		if (code == STATUS_OK || code == STATUS_INVALID)
 			return code;
 		/* This and all earlier attempts sent nothing. */
@@ -146,6 +190,8 @@
 		code = find_write(apply, &outcome_known, status);
 		if (outcome_known)
 			return code;
+		if (apply->epoch && apply->epoch != apply->base_epoch)
+			build_value(apply, manifest);
 		pause_before_retry(apply, attempt);
 	}
 	return status_set(
@@ -155,19 +201,6 @@
 		(long long)apply->record.release);
 }
 
-/* Builds the object that replaces the current one. */
-static void build_value(struct apply *apply, const struct manifest *manifest)
-{
-	struct manifest_object next_object = apply->current;
-
-	strbuf_init(&next_object.manifest);
-	manifest_write(manifest, &next_object.manifest);
-	manifest_object_add_record(&next_object, &apply->record);
-	manifest_object_write(&next_object, &apply->value);
-	strbuf_finish(&next_object.manifest);
-	apply->base_version = apply->current_version;
-}
-
 static enum status_code read_and_write(struct apply *apply,
 				       const struct manifest *manifest,
 				       struct status *status)
@@ -190,7 +223,7 @@
 			status, STATUS_INVALID,
 			"the manifest has %zu bytes, allowed are at most %d",
 			apply->value.len, STORE_VALUE_MAX);
-	return write_until_known(apply, status);
+	return write_until_known(apply, manifest, status);
 }
 
 enum status_code manifest_apply(struct object_store *platform,
--- a/tests/unit/test_manifest.c
+++ b/tests/unit/test_manifest.c
@@ -113,6 +113,9 @@
 	int lose_requests;
 	/** Another operator's manifest that is written before the next PUT. */
 	const char *competing_value;
+	/** The store is restored from `backup` before the next PUT. */
+	bool restore_pending;
+	struct memory_store backup;
 };
 
 static void write_competing_value(struct fake_platform *fake, const char *key)
@@ -140,6 +143,10 @@
 	struct fake_platform *fake = (struct fake_platform *)platform;
 	bool put = request->op == STORE_OP_PUT;
 
+	if (put && fake->restore_pending) {
+		fake->restore_pending = false;
+		memory_store_restore(&fake->store, &fake->backup);
+	}
 	if (put && fake->competing_value)
 		write_competing_value(fake, request->key);
 	if (put && fake->lose_requests) {
@@ -162,6 +169,8 @@
 	const char *competing_value;
 	enum status_code code;
 	int64_t final_release;
+	/** The store loses the current release before the write. */
+	bool restored;
 } apply_cases[] = {
 	{"first", 0, 1, 0, 0, NULL, STATUS_OK, 1},
 	{"newer", 1, 2, 0, 0, NULL, STATUS_OK, 2},
@@ -178,6 +187,16 @@
 	{"competing release", 1, 2, 0, 0,
 	 "{\"deployment\":\"huon\",\"release\":7,\"zones\":[],\"services\":[]}",
 	 STATUS_CONFLICT, 7},
+	{"restored", 1, 2, 0, 0, NULL, STATUS_OK, 2, true},
+	{"restored, request lost", 1, 2, 0, 1, NULL, STATUS_OK, 2, true},
+	{"restored, response lost", 1, 2, 1, 0, NULL, STATUS_OK, 2, true},
+	/* The competing release has the version that the write replaces. */
+	{"restored, version assigned again", 1, 2, 0, 0,
+	 "{\"deployment\":\"huon\",\"release\":7,\"zones\":[],\"services\":[]}",
+	 STATUS_UNKNOWN, 2, true},
+	{"restored, request lost, version assigned again", 1, 2, 0, 1,
+	 "{\"deployment\":\"huon\",\"release\":7,\"zones\":[],\"services\":[]}",
+	 STATUS_CONFLICT, 7, true},
 };
 
 static void init_manifest(struct manifest *manifest, int64_t release)
@@ -214,6 +233,7 @@
 
 		status_init(&status);
 		memory_store_init(&fake.store);
+		memory_store_init(&fake.backup);
 		if (apply_cases[i].current_release) {
 			init_manifest(&manifest,
 				      apply_cases[i].current_release);
@@ -224,6 +244,7 @@
 		fake.lose_responses = apply_cases[i].lose_responses;
 		fake.lose_requests = apply_cases[i].lose_requests;
 		fake.competing_value = apply_cases[i].competing_value;
+		fake.restore_pending = apply_cases[i].restored;
 		init_manifest(&manifest, apply_cases[i].release);
 		g_test_message("%s", apply_cases[i].name);
 		g_assert_cmpint(
@@ -232,6 +253,7 @@
 		g_assert_cmpint(stored_release(&fake), ==,
 				apply_cases[i].final_release);
 		memory_store_finish(&fake.store);
+		memory_store_finish(&fake.backup);
 	}
 }
 
