Platform stand-in: epoch in every response, backup and restore

The stand-in of the HTTP API gives Store-Epoch as docs/PLATFORM-API.md says; the faults backup=1 and restore=1 make it return to an older copy.

--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -15,6 +15,7 @@
  * A stand-in for the platform: its object store over HTTP and JSON. PUT
  * /fault?down=1, ?slow_ms=N, ?lose_answers=N and ?forget=1 inject faults:
  * requests fail, responses are delayed or lost, the watch history is dropped.
+ * ?backup=1 copies the store, ?restore=1 makes it return to that copy.
  */
 #define BODY_MAX (2 * STORE_VALUE_MAX)
 #define WATCH_POLL_MS 20
@@ -22,7 +23,7 @@
 
 struct platform_server {
 	pthread_mutex_t lock;
-	struct memory_store store;
+	struct memory_store store, backup;
 	bool down;
 	int64_t response_delay_ms;
 	int responses_to_lose;
@@ -39,13 +40,15 @@
 	return g_ascii_strtoll(text, NULL, 10);
 }
 
-static int send_response(struct mg_connection *conn, int code, const char *body)
+/* @epoch is that of the store; 0 for responses that are not the store's. */
+static int send_response(struct mg_connection *conn, int code, uint64_t epoch,
+			 const char *body)
 {
 	mg_printf(conn,
 		  "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-		  "Content-Length: %zu\r\n\r\n%s",
-		  code, mg_get_response_code_text(conn, code), strlen(body),
-		  body);
+		  "Store-Epoch: %llu\r\nContent-Length: %zu\r\n\r\n%s",
+		  code, mg_get_response_code_text(conn, code),
+		  (unsigned long long)epoch, strlen(body), body);
 	return code;
 }
 
@@ -95,7 +98,7 @@
 				 objects, "error", result->status.message);
 	}
 	text = json_dumps(root, JSON_COMPACT);
-	send_response(conn, code, text);
+	send_response(conn, code, result->epoch, text);
 	free(text);
 	json_decref(root);
 	return code;
@@ -184,7 +187,7 @@
 	store_request_init(&request, op, info->local_uri + strlen(OBJECTS_URI));
 	request.version = query_int(info, "version");
 	if (op == STORE_OP_PUT && !read_body(conn, &request))
-		code = send_response(conn, 400,
+		code = send_response(conn, 400, 0,
 				     "{\"error\":\"token is missing\"}");
 	else
 		code = serve_request(user, conn, &request);
@@ -219,8 +222,12 @@
 	server->responses_to_lose = (int)query_int(info, "lose_answers");
 	if (query_int(info, "forget"))
 		memory_store_drop_history(&server->store);
+	if (query_int(info, "backup"))
+		memory_store_copy(&server->store, &server->backup);
+	if (query_int(info, "restore"))
+		memory_store_restore(&server->store, &server->backup);
 	pthread_mutex_unlock(&server->lock);
-	return send_response(conn, 200, "{}");
+	return send_response(conn, 200, 0, "{}");
 }
 
 int standin_platform(int argc, char **argv)
@@ -242,6 +249,7 @@
 	sigaddset(&set, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	memory_store_init(&server.store);
+	memory_store_init(&server.backup);
 	context = mg_start(NULL, &server, options);
 	if (!context) {
 		fprintf(stderr, "cannot listen on %s\n", argv[1]);
@@ -255,5 +263,6 @@
 	sigwait(&set, &signo);
 	mg_stop(context);
 	memory_store_finish(&server.store);
+	memory_store_finish(&server.backup);
 	return 0;
 }
