A slow list does not end orders that operators have yet to write again

A zone whose order was lost by a restore came back into service when the list that lacks it took over 2 s to arrive: the time for operators to write again was counted to the response. The store may have read the list right after the restore. It is counted to the start of the call now. Found by reading; /control/zone-order-ended-by-slow-list fails without it.

--- a/control/platform_epoch.c
+++ b/control/platform_epoch.c
@@ -55,9 +55,9 @@
 	sync->epoch_start_ms = now_ms;
 }
 
-bool platform_epoch_settled(const struct platform_sync *sync, int64_t now_ms)
+bool platform_epoch_settled(const struct platform_sync *sync, int64_t time_ms)
 {
-	return now_ms - sync->epoch_start_ms >= EPOCH_SETTLE_MS;
+	return time_ms - sync->epoch_start_ms >= EPOCH_SETTLE_MS;
 }
 
 void platform_sync_merge_epoch(struct platform_sync *sync, uint64_t epoch)
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -188,6 +188,7 @@
 	call->id = request->id;
 	call->queue = request->queue;
 	call->epoch = sync->epoch;
+	call->started_ms = now_ms;
 	call->deadline_ms = now_ms + request->timeout_ms + RESULT_GRACE_MS;
 	callbacks->start_call(callbacks, request);
 	store_request_finish(request);
--- a/control/platform_sync_internal.h
+++ b/control/platform_sync_internal.h
@@ -55,9 +55,9 @@
 				       uint64_t call_epoch,
 				       const struct store_result *result);
 
-/** Whether operators have had the time to write again what the restore at the
- * start of the epoch lost. */
-bool platform_epoch_settled(const struct platform_sync *sync, int64_t now_ms);
+/** Whether operators have had the time before @time_ms to write again what the
+ * restore at the start of the epoch lost. */
+bool platform_epoch_settled(const struct platform_sync *sync, int64_t time_ms);
 
 /** Reads again what may have changed with an epoch that peers reported, and
  * zone orders that were not confirmed in the current one. */
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -85,6 +85,7 @@
 	enum store_queue queue;
 	/** Newest epoch of the store that was known when the call started. */
 	uint64_t epoch;
+	int64_t started_ms;
 	/** When the call in progress fails if it has no result by then, ms. */
 	int64_t deadline_ms;
 	/** The next call does not start before this time, ms. */
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -274,6 +274,33 @@
 	}
 }
 
+/* A list that the store read before operators had the time to write again, but
+ * responded to later, ends no order of an earlier epoch. */
+static void test_order_ended_by_slow_list(void)
+{
+	struct zone_order order = {.epoch = 1, .version = 15, .out = true};
+	struct zone_orders received = {0};
+	struct store_result other_result = {.epoch = 2};
+	struct control_context context;
+	struct fixture fixture;
+
+	fixture_init(&fixture, 100);
+	control_tick(&fixture.control, 1100, &fixture.sink);
+	context = context_at(&fixture, 1110);
+	name_set(&order.zone, str_from("z"));
+	zone_orders_merge(&received, &order);
+	inbound_merge_zone_orders(&context, &received);
+	/* The list of the manifest shows the epoch, that of orders is slow. */
+	other_result.id = fixture.control.platform.config_call.id;
+	other_result.op = STORE_OP_LIST;
+	control_handle_result(&fixture.control, &other_result, 1120,
+			      &fixture.sink);
+	respond_with_list(&fixture, 2, 0, 3900);
+	g_assert_true(zone_orders_is_out_of_service(
+		&fixture.control.zone_orders, &order.zone));
+	control_finish(&fixture.control);
+}
+
 /* Zone orders and the previous release survive encoding and decoding. */
 static void test_zone_orders_encoding(void)
 {
@@ -398,6 +425,8 @@
 	g_test_add_func("/control/zone-orders", test_zone_orders);
 	g_test_add_func("/control/zone-orders-and-list",
 			test_zone_orders_and_list);
+	g_test_add_func("/control/zone-order-ended-by-slow-list",
+			test_order_ended_by_slow_list);
 	g_test_add_func("/control/zone-order-lost-by-restore",
 			test_order_lost_by_restore);
 	g_test_add_func("/control/zone-orders-encoding",
