A roster listed right after a restore of the store is not complete

An agent that starts while the store lacks members of the lost time counted its list as the whole roster after 200 ms: a search then ends without agents that it does not know, and open connections of their servers can be reset.

Messages carry how long ago any process found the store restored. For 5 s after that, the time in which balancers check and write the copy, a starting process relies on its peers alone. The same age decides whether shards may be read stale. /control/roster-incomplete-after-restore fails without it.

--- a/control/control.c
+++ b/control/control.c
@@ -197,8 +197,11 @@
 	/* While unknown members are still being reported, more may follow. */
 	if (now_ms - control->last_discovery_ms < ROSTER_COMPLETE_AFTER_MS)
 		return false;
+	/* A restored copy may lack members until balancers write it again. */
 	return age_ms >= ROSTER_COMPLETE_AFTER_MS ||
 	       (control->platform.full_roster_received &&
+		!platform_sync_restored_within(
+			&control->platform, ROSTER_COMPLETE_AFTER_MS, now_ms) &&
 		age_ms >= LISTED_ROSTER_COMPLETE_AFTER_MS);
 }
 
--- a/control/message.c
+++ b/control/message.c
@@ -190,6 +190,8 @@
 		age_to_wire(message->contact_ages.any_process_ms);
 	wire->platform_watcher_age =
 		age_to_wire(message->contact_ages.watcher_ms);
+	wire->platform_restore_age =
+		age_to_wire(message->contact_ages.restore_ms);
 	sender_to_wire(&message->from, &parts->from);
 	wire->from = &parts->from;
 	for (size_t i = 0; i < message->n_members; i++) {
@@ -335,6 +337,8 @@
 		age_from_wire(wire->platform_any_age);
 	message->contact_ages.watcher_ms =
 		age_from_wire(wire->platform_watcher_age);
+	message->contact_ages.restore_ms =
+		age_from_wire(wire->platform_restore_age);
 	return member_from_wire(&message->from.member, &message->from.brief,
 				wire->from) &&
 	       entries_from_wire(message, wire) &&
--- a/control/platform_epoch.c
+++ b/control/platform_epoch.c
@@ -6,9 +6,6 @@
 
 /* Restores of the platform's store from an older copy, for platform_sync.c. */
 
-/* Reads that may be stale may return what the store held this long before. */
-#define STALE_READ_MAX_MS 10000
-
 /* Operators write again what was lost within this time after a restore. */
 #define EPOCH_SETTLE_MS 2000
 
@@ -27,7 +24,6 @@
 	sync->watch_version = 0;
 	sync->zones_version = 0;
 	sync->config_version = 0;
-	sync->stale_reads_from_ms = now_ms + STALE_READ_MAX_MS;
 	roster_sync_forget_copy(&sync->roster_sync);
 	sync->config_call.not_before_ms = now_ms;
 	sync->zones_call.not_before_ms = now_ms;
@@ -50,6 +46,7 @@
 			  (unsigned long long)sync->epoch,
 			  (long long)sync->watch_version);
 		forget_versions(sync, now_ms, callbacks);
+		sync->last_restore_ms = now_ms;
 	}
 	sync->epoch = result->epoch;
 	sync->epoch_start_ms = now_ms;
@@ -65,6 +62,13 @@
 	sync->reported_epoch = MAX(sync->reported_epoch, epoch);
 }
 
+bool platform_sync_restored_within(const struct platform_sync *sync, int64_t ms,
+				   int64_t now_ms)
+{
+	return sync->last_restore_ms != INT64_MIN &&
+	       now_ms - sync->last_restore_ms < ms;
+}
+
 uint64_t platform_sync_newest_epoch(const struct platform_sync *sync)
 {
 	return MAX(sync->epoch, sync->reported_epoch);
--- a/control/platform_sync.c
+++ b/control/platform_sync.c
@@ -51,6 +51,8 @@
  * selected. It watches only if no watcher has reported a contact, this long
  * after its start plus a random time of up to as much. */
 #define SELECTION_HOLD_MS 2000
+/* Reads that may be stale may return what the store held this long before. */
+#define STALE_READ_MAX_MS 10000
 /* Probes per second of all processes together whose contact is stale. */
 #define PROBES_PER_S 20
 #define PROBE_SPREAD_MIN_MS 1000
@@ -88,6 +90,7 @@
 	sync->start_ms = now_ms;
 	sync->last_contact_ms = INT64_MIN;
 	sync->last_watcher_contact_ms = INT64_MIN;
+	sync->last_restore_ms = INT64_MIN;
 	sync->last_message_ms = INT64_MIN;
 	sync->next_selection_ms = now_ms + START_GRACE_MS;
 	if (options->strong_reads)
@@ -98,7 +101,6 @@
 		now_ms + SELECTION_HOLD_MS +
 		(int64_t)platform_random_below(sync, SELECTION_HOLD_MS);
 	sync->substitute_until_ms = now_ms;
-	sync->stale_reads_from_ms = now_ms;
 	sync->watch_not_before_ms = now_ms;
 	sync->next_probe_ms = CLOCK_NEVER;
 	sync->outdated_since_ms = CLOCK_NEVER;
@@ -479,9 +481,9 @@
 	store_request_init(&request, STORE_OP_GET, key);
 	/* A write based on a stale copy fails with a conflict; the next read
 	 * is then strongly consistent. */
-	request.may_be_stale = sync->options.strong_reads &&
-			       !sync->shard_write_conflicted &&
-			       now_ms >= sync->stale_reads_from_ms;
+	request.may_be_stale =
+		sync->options.strong_reads && !sync->shard_write_conflicted &&
+		!platform_sync_restored_within(sync, STALE_READ_MAX_MS, now_ms);
 	platform_start_call(sync, &sync->shard_call, TASK_READ_SHARD, &request,
 			    now_ms, callbacks);
 }
@@ -587,6 +589,8 @@
 	sync->last_watcher_contact_ms =
 		MAX(sync->last_watcher_contact_ms,
 		    contact_time(ages->watcher_ms, now_ms));
+	sync->last_restore_ms = MAX(sync->last_restore_ms,
+				    contact_time(ages->restore_ms, now_ms));
 }
 
 static uint32_t contact_age(int64_t time_ms, int64_t now_ms)
@@ -603,6 +607,7 @@
 		.any_process_ms = contact_age(sync->last_contact_ms, now_ms),
 		.watcher_ms =
 			contact_age(sync->last_watcher_contact_ms, now_ms),
+		.restore_ms = contact_age(sync->last_restore_ms, now_ms),
 	};
 
 	return ages;
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -173,6 +173,9 @@
 	/** Newest epoch that peers have reported, and the last one of them for
 	 * which the versions were forgotten. */
 	uint64_t reported_epoch, checked_epoch;
+	/** When any process last found the store restored from an older copy,
+	 * as known here, ms. */
+	int64_t last_restore_ms;
 	/** Store version that the manifest watch has reached, 0 for none. */
 	int64_t watch_version;
 	/** Version of the last manifest object that was delivered. */
@@ -193,9 +196,6 @@
 	bool list_may_be_stale;
 	/** The whole roster does not fit into one response of the store. */
 	bool roster_exceeds_one_response;
-	/** Before this time, shards are not read stale: the copies could be of
-	 * the time before a restore, ms. */
-	int64_t stale_reads_from_ms;
 	/** The last shard write failed: the copy read before it was stale. */
 	bool shard_write_conflicted;
 	/** Pages of the roster that were requested, one bit each. */
@@ -227,7 +227,7 @@
 				 int64_t now_ms,
 				 struct platform_sync_callbacks *callbacks);
 
-/** Merges the contact ages that a peer's message carried. */
+/** Merges the ages that a peer's message carried. */
 void platform_sync_merge_ages(struct platform_sync *sync,
 			      const struct store_contact_ages *ages,
 			      int64_t now_ms);
@@ -235,10 +235,14 @@
 /** Records the newest epoch of the store that a peer knows. */
 void platform_sync_merge_epoch(struct platform_sync *sync, uint64_t epoch);
 
+/** Whether a process found the store restored in the @ms before @now_ms. */
+bool platform_sync_restored_within(const struct platform_sync *sync, int64_t ms,
+				   int64_t now_ms);
+
 /** The newest epoch of the store that is known, to send to peers. */
 uint64_t platform_sync_newest_epoch(const struct platform_sync *sync);
 
-/** The contact ages to send to peers. */
+/** The ages to send to peers. */
 struct store_contact_ages
 platform_sync_contact_ages(const struct platform_sync *sync, int64_t now_ms);
 
--- a/include/tarragonflow/store/object_store.h
+++ b/include/tarragonflow/store/object_store.h
@@ -111,15 +111,17 @@
 	size_t n_objects;
 };
 
-/** Times since the platform was last reached, as known to this process, ms. */
+/** Times since events at the platform, as known to this process, ms. */
 struct store_contact_ages {
-	/** By any process. */
+	/** Any process reached the platform. */
 	uint32_t any_process_ms;
-	/** By a process that is selected to watch the platform. */
+	/** A process that is selected to watch the platform reached it. */
 	uint32_t watcher_ms;
+	/** A process found the store restored from an older copy. */
+	uint32_t restore_ms;
 };
 
-/** Age if no process is known to have reached the platform. */
+/** Age if no process is known to have met the event. */
 #define STORE_AGE_NEVER UINT32_MAX
 
 struct object_store {
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -779,7 +779,7 @@
   (ProtobufCMessageInit) control__zone_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor control__message__field_descriptors[14] =
+static const ProtobufCFieldDescriptor control__message__field_descriptors[15] =
 {
   {
     "kind",
@@ -949,6 +949,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "platform_restore_age",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Control__Message, platform_restore_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned control__message__field_indices_by_name[] = {
   3,   /* field[3] = config */
@@ -960,6 +972,7 @@
   4,   /* field[4] = nonce */
   6,   /* field[6] = number */
   9,   /* field[9] = platform_any_age */
+  14,   /* field[14] = platform_restore_age */
   10,   /* field[10] = platform_watcher_age */
   13,   /* field[13] = store_epoch */
   5,   /* field[5] = target */
@@ -969,7 +982,7 @@
 static const ProtobufCIntRange control__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor control__message__descriptor =
 {
@@ -979,7 +992,7 @@
   "Control__Message",
   "control",
   sizeof(Control__Message),
-  14,
+  15,
   control__message__field_descriptors,
   control__message__field_indices_by_name,
   1,  control__message__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -211,10 +211,15 @@
    * Newest epoch of the platform's store that the sender knows; 0: none.
    */
   uint64_t store_epoch;
+  /*
+   * Time since any member found the platform's store restored from an older
+   * copy, by the information of the sender, in ms plus one; 0: unknown.
+   */
+  uint32_t platform_restore_age;
 };
 #define CONTROL__MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&control__message__descriptor) \
-    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0 }
+    , CONTROL__KIND__KIND_NONE, NULL, 0,NULL, NULL, 0, NULL, 0, 0,NULL, NULL, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /* Control__Member methods */
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -324,6 +324,7 @@
 	zone_orders_merge(&original.zone_orders, &order);
 	original.previous_release = 9;
 	original.store_epoch = 4;
+	original.contact_ages.restore_ms = 250;
 	message_encode(&original, &wire);
 	g_assert_true(message_decode(&decoded, (const uint8_t *)wire.data,
 				     wire.len, &storage));
@@ -337,6 +338,7 @@
 	g_assert_cmpuint(decoded.zone_orders.entries[0].epoch, ==, 3);
 	g_assert_cmpuint(decoded.previous_release, ==, 9);
 	g_assert_cmpuint(decoded.store_epoch, ==, 4);
+	g_assert_cmpuint(decoded.contact_ages.restore_ms, ==, 250);
 	strbuf_finish(&wire);
 	strbuf_finish(&storage);
 }
@@ -356,6 +358,41 @@
 	control_finish(&fixture.control);
 }
 
+/* A list of the roster right after a restore, which a peer reported, does not
+ * count as complete: members of the lost time may be missing. */
+static void test_roster_incomplete_after_restore(void)
+{
+	static const struct {
+		uint32_t restore_age_ms;
+		bool complete;
+	} cases[] = {
+		{STORE_AGE_NEVER, true},
+		{0, false},
+		{4000, false},
+		{6000, true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const struct store_contact_ages ages = {
+			.any_process_ms = 100,
+			.watcher_ms = 100,
+			.restore_ms = cases[i].restore_age_ms,
+		};
+		struct fixture fixture;
+
+		fixture_init(&fixture, 100);
+		platform_sync_merge_ages(&fixture.control.platform, &ages,
+					 1100);
+		fixture.control.platform.full_roster_received = true;
+		g_assert_cmpint(
+			control_roster_is_complete(&fixture.control, 1500), ==,
+			cases[i].complete);
+		g_assert_true(
+			control_roster_is_complete(&fixture.control, 6000));
+		control_finish(&fixture.control);
+	}
+}
+
 static void receive_member(struct fixture *fixture, const char *name,
 			   enum member_role role, uint64_t instance,
 			   int64_t now_ms)
@@ -432,6 +469,8 @@
 	g_test_add_func("/control/zone-orders-encoding",
 			test_zone_orders_encoding);
 	g_test_add_func("/control/roster-complete", test_roster_complete);
+	g_test_add_func("/control/roster-incomplete-after-restore",
+			test_roster_incomplete_after_restore);
 	g_test_add_func("/control/roster-growing", test_roster_growing);
 	return g_test_run();
 }
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -620,7 +620,7 @@
  */
 static void test_only_selected_watch(void)
 {
-	const struct store_contact_ages ages = {100, 100};
+	const struct store_contact_ages ages = {100, 100, STORE_AGE_NEVER};
 	struct fixture fixture;
 	unsigned int n_watch_calls;
 
@@ -1013,9 +1013,10 @@
  */
 static void test_list_after_outage(void)
 {
-	const struct store_contact_ages no_contacts = {STORE_AGE_NEVER,
-						       STORE_AGE_NEVER};
-	const struct store_contact_ages recent_contacts = {100, 100};
+	const struct store_contact_ages no_contacts = {
+		STORE_AGE_NEVER, STORE_AGE_NEVER, STORE_AGE_NEVER};
+	const struct store_contact_ages recent_contacts = {100, 100,
+							   STORE_AGE_NEVER};
 	struct fixture fixture;
 	unsigned int n_lists;
 
@@ -1049,7 +1050,8 @@
 /* A list that fails is repeated. */
 static void test_failed_list_repeated(void)
 {
-	const struct store_contact_ages recent_contacts = {100, 100};
+	const struct store_contact_ages recent_contacts = {100, 100,
+							   STORE_AGE_NEVER};
 	struct fixture fixture;
 
 	fixture_init_fleet(&fixture);
@@ -1091,7 +1093,8 @@
 		{false, false, 2000, 6000},
 		{false, true, -1, -1},
 	};
-	const struct store_contact_ages recent_contacts = {100, 100};
+	const struct store_contact_ages recent_contacts = {100, 100,
+							   STORE_AGE_NEVER};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct platform_view view;
