An ended zone order stays ended while operators write again

A zone that an operator had returned to service in the lost time went out of service again in all processes, until the operator removed the order once more: capacity of a zone, and after the grace period its open connections.

For the first 2 s of an epoch, lists already ended no order of an earlier epoch; they now put no zone out of service either that the earlier epoch returned. Watched changes are explicit and count at once; the list after the 2 s decides.

--- a/control/control.c
+++ b/control/control.c
@@ -348,13 +348,27 @@
 			     text, CONFIG_FROM_PLATFORM);
 }
 
-/* Whether @order, which the platform's list lacks, has ended. */
-static bool has_order_ended(const struct zone_order *order,
-			    const struct zone_orders_update *update)
+/*
+ * Whether the list in @update decides about @existing. Right after a restore
+ * the list may have an older state than the earlier epoch had.
+ */
+static bool list_decides(const struct zone_order *existing,
+			 const struct zone_orders_update *update)
 {
-	if (zone_orders_is_out_of_service(&update->orders, &order->zone))
-		return false;
-	return order->epoch >= update->epoch || update->ends_earlier_epochs;
+	return existing->epoch >= update->epoch || update->ends_earlier_epochs;
+}
+
+/* Removes orders from a list on zones about which it does not decide. */
+static void drop_undecided_orders(const struct zone_orders *existing,
+				  const struct zone_orders_update *update,
+				  struct zone_orders *orders)
+{
+	for (size_t i = 0; i < existing->n; i++) {
+		const struct zone_order *known = &existing->entries[i];
+
+		if (!known->out && !list_decides(known, update))
+			zone_orders_remove(orders, &known->zone);
+	}
 }
 
 /* A full list of zone orders puts zones that it lacks back in service, with the
@@ -368,10 +382,13 @@
 	const struct zone_orders *existing = &context->control->zone_orders;
 	struct zone_orders merged = update->orders;
 
+	if (update->is_full_list)
+		drop_undecided_orders(existing, update, &merged);
 	for (size_t i = 0; update->is_full_list && i < existing->n; i++) {
 		struct zone_order ended = existing->entries[i];
 
-		if (!has_order_ended(&ended, update))
+		if (zone_orders_is_out_of_service(&merged, &ended.zone) ||
+		    !list_decides(&ended, update))
 			continue;
 		ended.epoch = update->epoch;
 		ended.version = update->version;
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -16,7 +16,7 @@
 	uint64_t epoch, version;
 	/** All zones without an order are in service. */
 	bool is_full_list;
-	/** The orders of earlier epochs that are missing here have ended, too.
+	/** The list decides also about zones with orders of earlier epochs.
 	 */
 	bool ends_earlier_epochs;
 };
@@ -102,8 +102,7 @@
 	int64_t newest_release;
 	/** The roster should contain all members. */
 	bool roster_complete;
-	/** Epoch of the oldest order that has a zone out of service;
-	 * UINT64_MAX if there is none. */
+	/** Oldest epoch of a zone order; UINT64_MAX if there is none. */
 	uint64_t oldest_order_epoch;
 };
 
--- a/include/tarragonflow/roster/zone_orders.h
+++ b/include/tarragonflow/roster/zone_orders.h
@@ -56,6 +56,9 @@
 bool zone_orders_merge(struct zone_orders *orders,
 		       const struct zone_order *order);
 
+/** Removes the order for @zone, if there is one. */
+void zone_orders_remove(struct zone_orders *orders, const struct name *zone);
+
 /** Whether an order has put @zone out of service. */
 bool zone_orders_is_out_of_service(const struct zone_orders *orders,
 				   const struct name *zone);
@@ -64,8 +67,7 @@
 					const struct name *zone,
 					int64_t now_ms);
 
-/** The oldest epoch of an order that has its zone out of service; UINT64_MAX if
- * there is none. */
+/** The oldest epoch of an order; UINT64_MAX if there is none. */
 uint64_t zone_orders_oldest_epoch(const struct zone_orders *orders);
 
 /** When the open connections of an out-of-service zone are dropped next, ms;
--- a/roster/zone_orders.c
+++ b/roster/zone_orders.c
@@ -48,6 +48,14 @@
 	return was_out != order->out;
 }
 
+void zone_orders_remove(struct zone_orders *orders, const struct name *zone)
+{
+	struct zone_order *order = find_order(orders, zone);
+
+	if (order)
+		*order = orders->entries[--orders->n];
+}
+
 bool zone_orders_is_out_of_service(const struct zone_orders *orders,
 				   const struct name *zone)
 {
@@ -77,8 +85,7 @@
 	uint64_t oldest = UINT64_MAX;
 
 	for (size_t i = 0; i < orders->n; i++)
-		if (orders->entries[i].out)
-			oldest = MIN(oldest, orders->entries[i].epoch);
+		oldest = MIN(oldest, orders->entries[i].epoch);
 	return oldest;
 }
 
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -222,17 +222,28 @@
 static void test_order_lost_by_restore(void)
 {
 	static const struct {
+		bool was_out;
 		uint64_t order_epoch, order_version, list_epoch;
 		/** Version of the order in the first list and in those after
 		 * the operators' time to write; 0: it is missing. */
 		int64_t listed_version, later_version;
 		bool out_at_once, out_later;
 	} cases[] = {
-		{1, 15, 1, 0, 0, false, false}, {1, 25, 1, 0, 0, true, true},
-		{1, 15, 2, 0, 0, true, false},	{1, 25, 2, 0, 0, true, false},
-		{1, 25, 2, 0, 18, true, true},	{1, 25, 2, 18, 18, true, true},
-		{1, 15, 2, 15, 15, true, true}, {2, 15, 2, 0, 0, false, false},
-		{2, 25, 2, 0, 0, true, true},	{3, 1, 2, 0, 0, true, true},
+		{true, 1, 15, 1, 0, 0, false, false},
+		{true, 1, 25, 1, 0, 0, true, true},
+		{true, 1, 15, 2, 0, 0, true, false},
+		{true, 1, 25, 2, 0, 0, true, false},
+		{true, 1, 25, 2, 0, 18, true, true},
+		{true, 1, 25, 2, 18, 18, true, true},
+		{true, 1, 15, 2, 15, 15, true, true},
+		{true, 2, 15, 2, 0, 0, false, false},
+		{true, 2, 25, 2, 0, 0, true, true},
+		{true, 3, 1, 2, 0, 0, true, true},
+		/* The order ended in the lost time; the copy still has it. */
+		{false, 1, 15, 2, 15, 0, false, false},
+		{false, 1, 15, 2, 18, 18, false, true},
+		{false, 1, 15, 1, 18, 18, true, true},
+		{false, 2, 15, 2, 18, 18, true, true},
 	};
 	struct zone_order order = {.out = true};
 
@@ -247,6 +258,7 @@
 		fixture_init(&fixture, 100);
 		control_tick(&fixture.control, 1100, &fixture.sink);
 		context = context_at(&fixture, 1110);
+		order.out = cases[i].was_out;
 		order.epoch = cases[i].order_epoch;
 		order.version = cases[i].order_version;
 		zone_orders_merge(&received, &order);
