A process that restarts after a restore does not go back to an older release

A process that was restarted between the restore of the store and the operator's next write served an older release than before, until a peer's message arrived: it took what it read from a store with strong reads as the newest release at once, without the settling time in which peers tell what was in force.

A store that was ever restored (epoch over 1) no longer counts as current, so the settling time of 300 ms holds for it as for other platforms. No rule of the users was broken by it, as a process that has just started is not judged.

--- a/control/config_store.c
+++ b/control/config_store.c
@@ -67,8 +67,9 @@
 static bool must_hold(const struct config_store *store, int64_t release,
 		      enum config_source source, int64_t now_ms)
 {
-	bool settled = now_ms >= store->settle_end_ms ||
-		       (source == CONFIG_FROM_PLATFORM && store->strong_reads);
+	bool settled =
+		now_ms >= store->settle_end_ms ||
+		(source == CONFIG_FROM_PLATFORM && store->platform_is_current);
 
 	return !store->manifest.release &&
 	       (!settled || release < store->previous_release);
--- a/control/control.c
+++ b/control/control.c
@@ -77,7 +77,6 @@
 	roster_init(&control->roster);
 	config_store_init(&control->config, &options->deployment, counters,
 			  now_ms);
-	control->config.strong_reads = options->strong_reads;
 	platform_sync_init(&control->platform, &sync_options, counters, now_ms);
 	failure_detector_init(&control->detector, &control->roster,
 			      &options->self.name,
@@ -344,8 +343,16 @@
 static void offer_platform_config(struct platform_sync_callbacks *callbacks,
 				  struct str text)
 {
-	inbound_offer_config(((struct platform_adapter *)callbacks)->context,
-			     text, CONFIG_FROM_PLATFORM);
+	struct control_context *context =
+		((struct platform_adapter *)callbacks)->context;
+	struct control *control = context->control;
+
+	/* A restored store may have an older release than this process had
+	 * before its restart. */
+	control->config.platform_is_current = control->options.strong_reads &&
+					      control->platform.epoch <=
+						      STORE_FIRST_EPOCH;
+	inbound_offer_config(context, text, CONFIG_FROM_PLATFORM);
 }
 
 /*
--- a/include/tarragonflow/control/config_store.h
+++ b/include/tarragonflow/control/config_store.h
@@ -27,9 +27,9 @@
 	int64_t previous_release;
 	/** End of the settling time; no release is applied before it, ms. */
 	int64_t settle_end_ms;
-	/** Reads from the store are strongly consistent, never stale, so a
-	 * release read from it is applied without the settling time. */
-	bool strong_reads;
+	/** The platform's store returns the newest release, so one read from it
+	 * is applied without the settling time. */
+	bool platform_is_current;
 	/** Text of the newest release that is held back; else empty. */
 	struct strbuf held_text;
 	/** Release of held_text, 0 for none. */
--- a/include/tarragonflow/store/object_store.h
+++ b/include/tarragonflow/store/object_store.h
@@ -91,6 +91,9 @@
 	struct strbuf value;
 };
 
+/** Epoch of a store that was never restored. */
+#define STORE_FIRST_EPOCH 1
+
 struct store_result {
 	uint64_t id;
 	enum store_op op;
