Responses to configuration pulls no longer wait for gossip

A pull may now borrow up to one burst, the same debt as a single accepted pull could make before, so the limit over any second stays; gossip waits instead.

--- a/control/byte_budget.c
+++ b/control/byte_budget.c
@@ -32,6 +32,17 @@
 	budget->millibytes -= (int64_t)bytes * MILLIBYTES_PER_BYTE;
 }
 
+bool byte_budget_borrow(struct byte_budget *budget, size_t bytes)
+{
+	int64_t left =
+		budget->millibytes - (int64_t)bytes * MILLIBYTES_PER_BYTE;
+
+	if (left < -budget->burst * MILLIBYTES_PER_BYTE)
+		return false;
+	budget->millibytes = left;
+	return true;
+}
+
 size_t byte_budget_available(const struct byte_budget *budget)
 {
 	return budget->millibytes > 0
--- a/control/control.c
+++ b/control/control.c
@@ -272,17 +272,15 @@
 
 /*
  * Charges the byte budget for a response to a pull. The budget may become
- * negative, by at most the burst, so that a large configuration is not delayed.
+ * negative, by at most the burst: gossip and probes use up what is available,
+ * and a configuration must not wait for them.
  */
 static bool charge_pull_budget(struct control *control)
 {
 	size_t bytes = MIN(control->config.text.len,
 			   (size_t)control->byte_budget.burst);
 
-	if (!byte_budget_available(&control->byte_budget))
-		return false;
-	byte_budget_charge(&control->byte_budget, bytes);
-	return true;
+	return byte_budget_borrow(&control->byte_budget, bytes);
 }
 
 bool control_handle_pull(struct control *control, const uint8_t *data,
