Bench balance: compute the chain before it is read

The group ended with a segmentation fault after imbalance_hash_200: place_first() read a row of chains that nothing had computed, and used its contents as indices. It asks for the chain now, which computes it.

--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -157,7 +157,10 @@
 		view_lookup_service(view, &caller->key);
 	uint32_t bucket = view_bucket_of(view, service, &caller->key);
 	const uint16_t *chain = &service->chains[bucket * service->chain_len];
+	struct packet_header header;
 
+	/* Computes the chain if the balancer has not used it. */
+	view_fill_chain(service, bucket, &header);
 	for (int i = 0; i < service->chain_len; i++)
 		if (spread->open_connections[chain[i]] <
 		    (unsigned int)service->service.connections)
