Test reload: an address of its own for each run

Two runs at the same time, in two trees, failed with 127.77.6.1:4702 in use. The address is now made of the process id.

--- a/tests/unit/test_reload.c
+++ b/tests/unit/test_reload.c
@@ -19,9 +19,9 @@
 
 static const char settings_template[] =
 	"{\"deployment\":\"d\",\"name\":\"edge-1\",\"zone\":\"z\","
-	"\"data\":\"127.77.6.1:4701\",\"control\":\"127.77.6.1:4702\","
-	"\"admin\":\"127.77.6.1:4703\",\"platform\":\"http://127.77.6.1:1\","
-	"\"seeds\":[],%s}";
+	"\"data\":\"%1$s:4701\",\"control\":\"%1$s:4702\","
+	"\"admin\":\"%1$s:4703\",\"platform\":\"http://%1$s:1\","
+	"\"seeds\":[],%2$s}";
 
 /** A balancer process and its output so far. */
 struct process {
@@ -31,13 +31,24 @@
 	char *settings_path;
 };
 
+/* A loopback address of this test process alone: several may run at once. */
+static char *own_address(void)
+{
+	unsigned int pid = (unsigned int)getpid();
+
+	return g_strdup_printf("127.%u.%u.%u", 64 + (pid >> 16) % 128,
+			       pid >> 8 & 0xff, pid & 0xff);
+}
+
 static void write_settings(const struct process *process, const char *fields)
 {
-	char *text = g_strdup_printf(settings_template, fields);
+	char *address = own_address();
+	char *text = g_strdup_printf(settings_template, address, fields);
 
 	g_assert_true(
 		g_file_set_contents(process->settings_path, text, -1, NULL));
 	g_free(text);
+	g_free(address);
 }
 
 static void process_start(struct process *process, const char *fields)
