--- a/control/byte_budget.c
+++ b/control/byte_budget.c
@@ -32,20 +32,21 @@
 	budget->millibytes -= (int64_t)bytes * MILLIBYTES_PER_BYTE;
 }
 
+size_t byte_budget_available(const struct byte_budget *budget)
+{
+	return budget->millibytes > 0
+		       ? (size_t)(budget->millibytes / MILLIBYTES_PER_BYTE)
+		       : 0;
+}
+
 bool byte_budget_borrow(struct byte_budget *budget, size_t bytes)
 {
 	int64_t left =
 		budget->millibytes - (int64_t)bytes * MILLIBYTES_PER_BYTE;
 
-	if (left < -budget->burst * MILLIBYTES_PER_BYTE)
+	if (!byte_budget_available(budget) &&
+	    left < -budget->burst * MILLIBYTES_PER_BYTE / 2)
 		return false;
 	budget->millibytes = left;
 	return true;
 }
-
-size_t byte_budget_available(const struct byte_budget *budget)
-{
-	return budget->millibytes > 0
-		       ? (size_t)(budget->millibytes / MILLIBYTES_PER_BYTE)
-		       : 0;
-}
--- a/control/control.c
+++ b/control/control.c
@@ -272,8 +272,9 @@
 
 /*
  * Charges the byte budget for a response to a pull. The budget may become
- * negative, by at most the burst: gossip and probes use up what is available,
- * and a configuration must not wait for them.
+ * negative, by at most the burst, so that a large configuration is not delayed.
+ * A small one does not wait either for gossip and probes, which use up what is
+ * available.
  */
 static bool charge_pull_budget(struct control *control)
 {
--- a/include/tarragonflow/control/byte_budget.h
+++ b/include/tarragonflow/control/byte_budget.h
@@ -31,8 +31,8 @@
 /** Subtracts @bytes even if the budget becomes negative. */
 void byte_budget_charge(struct byte_budget *budget, size_t bytes);
 
-/** Subtracts @bytes, also when the budget is negative, unless its debt would
- * exceed a burst; false then. */
+/** Subtracts @bytes if any are available, or if the debt is then at most half a
+ * burst; false otherwise. */
 bool byte_budget_borrow(struct byte_budget *budget, size_t bytes);
 
 /** Bytes that may be sent now; 0 while the budget is negative. */
