Test of the store client: a socket in place of CivetWeb

The server of the test is a thread on a socket now; the checks are the same.

zone_orders_update: decides_earlier_epochs says what the flag means.

--- a/control/control.c
+++ b/control/control.c
@@ -361,7 +361,8 @@
 static bool list_decides(const struct zone_order *existing,
 			 const struct zone_orders_update *update)
 {
-	return existing->epoch >= update->epoch || update->ends_earlier_epochs;
+	return existing->epoch >= update->epoch ||
+	       update->decides_earlier_epochs;
 }
 
 /* Removes orders from a list on zones about which it does not decide. */
--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -199,7 +199,7 @@
 		.epoch = result->epoch,
 		.version = (uint64_t)result->version,
 		.is_full_list = task == TASK_LIST_ZONES,
-		.ends_earlier_epochs = platform_epoch_settled(
+		.decides_earlier_epochs = platform_epoch_settled(
 			sync, sync->zones_call.started_ms),
 	};
 
--- a/include/tarragonflow/control/platform_sync.h
+++ b/include/tarragonflow/control/platform_sync.h
@@ -16,9 +16,9 @@
 	uint64_t epoch, version;
 	/** All zones without an order are in service. */
 	bool is_full_list;
-	/** The list decides also about zones with orders of earlier epochs.
+	/** The list also decides about zones with orders of earlier epochs.
 	 */
-	bool ends_earlier_epochs;
+	bool decides_earlier_epochs;
 };
 
 /** Callbacks that start calls to the platform and deliver what was read. */
--- a/tests/unit/test_http_store.c
+++ b/tests/unit/test_http_store.c
@@ -1,7 +1,10 @@
-#include <civetweb.h>
+#include <arpa/inet.h>
 #include <glib.h>
 #include <pthread.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "tarragonflow/common/clock.h"
 #include "tarragonflow/platform/platform.h"
@@ -16,47 +19,114 @@
 	const char *body;
 };
 
-/** A server that gives one response after the other. */
+/** A server that gives one response after the other, each on a connection of
+ * its own. */
 struct server {
-	struct mg_context *context;
+	int listen_fd;
 	char url[64];
+	pthread_t thread;
 	const struct response *responses;
-	int n_served;
+	int n_responses;
 	int64_t delay_ms;
 };
 
-static int serve(struct mg_connection *conn, void *user)
+/* Reads a request with its body, whose length Content-Length gives. */
+static void read_request(int fd)
+{
+	GString *request = g_string_new(NULL);
+	const char *body = NULL, *length;
+	size_t body_len = 0;
+	char chunk[4096];
+	ssize_t n;
+
+	while (!body ||
+	       request->len < (size_t)(body - request->str) + body_len) {
+		n = recv(fd, chunk, sizeof(chunk), 0);
+		if (n <= 0)
+			break;
+		g_string_append_len(request, chunk, n);
+		body = strstr(request->str, "\r\n\r\n");
+		if (!body)
+			continue;
+		body += strlen("\r\n\r\n");
+		length = strstr(request->str, "Content-Length: ");
+		if (length)
+			body_len = strtoul(length + strlen("Content-Length: "),
+					   NULL, 10);
+	}
+	g_string_free(request, TRUE);
+}
+
+static void send_response(int fd, const struct response *response)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text,
+			"HTTP/1.1 %d x\r\nContent-Length: %zu\r\n"
+			"Connection: close\r\n",
+			response->code, strlen(response->body));
+	if (response->epoch)
+		g_string_append_printf(text, "Store-Era: %llu\r\n",
+				       (unsigned long long)response->epoch);
+	g_string_append_printf(text, "\r\n%s", response->body);
+	send(fd, text->str, text->len, MSG_NOSIGNAL);
+	g_string_free(text, TRUE);
+}
+
+static void *serve(void *user)
 {
 	struct server *server = user;
-	const struct response *response =
-		&server->responses[server->n_served++];
 
-	if (server->delay_ms)
+	for (int i = 0; i < server->n_responses; i++) {
+		int fd = accept(server->listen_fd, NULL, NULL);
+
+		g_assert_cmpint(fd, >=, 0);
+		read_request(fd);
 		clock_sleep(server->delay_ms);
-	mg_printf(conn, "HTTP/1.1 %d x\r\nContent-Length: %zu\r\n",
-		  response->code, strlen(response->body));
-	if (response->epoch)
-		mg_printf(conn, "Store-Era: %llu\r\n",
-			  (unsigned long long)response->epoch);
-	mg_printf(conn, "\r\n%s", response->body);
-	return response->code;
+		send_response(fd, &server->responses[i]);
+		close(fd);
+	}
+	return NULL;
+}
+
+static int count_responses(const struct response *responses)
+{
+	int n = 0;
+
+	while (n < RESPONSES_MAX && responses[n].code)
+		n++;
+	return n;
 }
 
 static void server_start(struct server *server,
-			 const struct response *responses)
+			 const struct response *responses, int64_t delay_ms)
 {
-	const char *options[] = {"listening_ports", "127.0.0.1:0",
-				 "num_threads", "2", NULL};
-	struct mg_server_port port;
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	socklen_t len = sizeof(address);
 
 	memset(server, 0, sizeof(*server));
 	server->responses = responses;
-	server->context = mg_start(NULL, NULL, options);
-	g_assert_nonnull(server->context);
-	g_assert_cmpint(mg_get_server_ports(server->context, 1, &port), ==, 1);
+	server->n_responses = count_responses(responses);
+	server->delay_ms = delay_ms;
+	server->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	g_assert_cmpint(
+		bind(server->listen_fd, (struct sockaddr *)&address, len), ==,
+		0);
+	g_assert_cmpint(listen(server->listen_fd, 4), ==, 0);
+	getsockname(server->listen_fd, (struct sockaddr *)&address, &len);
 	g_snprintf(server->url, sizeof(server->url), "http://127.0.0.1:%d",
-		   port.port);
-	mg_set_request_handler(server->context, "/", serve, server);
+		   ntohs(address.sin_port));
+	g_assert_cmpint(pthread_create(&server->thread, NULL, serve, server),
+			==, 0);
+}
+
+static void server_stop(struct server *server)
+{
+	pthread_join(server->thread, NULL);
+	close(server->listen_fd);
 }
 
 #define PAGE(name, more)                                            \
@@ -95,7 +165,7 @@
 		struct http_store http;
 		struct server server;
 
-		server_start(&server, cases[i].responses);
+		server_start(&server, cases[i].responses, 0);
 		http_store_init(&http, server.url, &http_dialect_platform,
 				NULL);
 		store_request_init(&request, cases[i].op,
@@ -110,7 +180,7 @@
 		store_result_finish(&result);
 		store_request_finish(&request);
 		http_store_finish(&http);
-		mg_stop(server.context);
+		server_stop(&server);
 	}
 }
 
@@ -136,8 +206,7 @@
 	struct server server;
 	pthread_t thread;
 
-	server_start(&server, responses);
-	server.delay_ms = 500;
+	server_start(&server, responses, 500);
 	http_store_init(&http, server.url, &http_dialect_platform, NULL);
 	g_assert_cmpint(pthread_create(&thread, NULL, cancel_soon, &http), ==,
 			0);
@@ -156,7 +225,7 @@
 	}
 	pthread_join(thread, NULL);
 	http_store_finish(&http);
-	mg_stop(server.context);
+	server_stop(&server);
 }
 
 int main(int argc, char **argv)
