--- a/review/lib/target.py
+++ b/review/lib/target.py
@@ -42,6 +42,7 @@
         self.beat_s, self.first_beat_s = beat_ms / 1000, first_beat_s
         self.sequence = first_sequence - 1
         self.cold_until = time.monotonic() + cold_ms / 1000
+        self.cold_factor = 1.6      # how much slower it is while it is cold
         self.max_conns = max_conns
         self.state = "ready"
         self.flows, self.ended = {}, {}
@@ -255,7 +256,11 @@
         async with self.busy:
             self.runs.append(request)
             self.world.ran(self, flow.key, request)
-            await asyncio.sleep(self.work_s)
+            cold = time.monotonic() < self.cold_until
+            await asyncio.sleep(self.work_s *
+                                (self.cold_factor if cold else 1))
+            if not self.alive:
+                return
         body = ("ran %s at %s" % (request, self.id)).encode()
         close = self.state == "draining" or flow.fin_in
         flow.unsent += (b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n"
