--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,23 +1,22 @@
-"""A zone that was evacuated is taken back; its target has become cold shortly
-before. It has to get no more requests a second than a cold target may; the
-stand-in falls over when it gets more."""
+"""A target has just started and its agent's process is killed before the
+second heartbeat. The flows that opened meanwhile have to stay."""
 
 import asyncio
 import os
+import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "lib"))
 
-from world import BOUNDS, CouldNotRun, config, route, run  # noqa: E402
+from world import BOUNDS, config, route, run  # noqa: E402
 
-ZONES = ("tas-a", "tas-b", "tas-c")
-ORDERS_PER_S = 120      # a flow each
-COLD_PER_S = 8.0
-COLD_S = 2.0
-EVACUATED_S = 8.0
-DEADLINE_S = 1.2
-BOUND = COLD_PER_S * BOUNDS["cold_multiplier"] + BOUNDS["cold_slack"]
+ZONES = ("thess-a", "thess-b", "thess-c")
+ORDERS_PER_S = 180      # a flow each
+FLOW_GAP_S = 0.01
+KILL_AFTER_S = 0.5      # after the target's start; heartbeats come every 0.77 s
+RESTART_DELAY_S = 0.1
+DEADLINE_S = 3.0
 
 
 async def play(world):
@@ -27,78 +26,69 @@
         world.add_side(zone, "orders")
     where = (world.host_ip(1), 443)
     world.store.put("config", "main", config(
-        7, [route("r-orders", where[0], "orders")], services=("orders",),
-        cold_per_s=COLD_PER_S))
+        7, [route("r-orders", where[0], "orders")], services=("orders",)))
     await world.start()
     for machine in world.sides:
-        target = world.add_target(machine)
-        await target.start()
+        await world.add_target(machine, first_sequence=0).start()
     for zone in ZONES:
         await world.add_host(zone)
     await world.wait_ready()
-    await asyncio.sleep(4)
-    cold = world.targets[0]
-    sent, arrivals, results = {}, [], {}
+    await asyncio.sleep(7)      # every roster is complete by now
 
-    def most_in_one_second():
-        return max((sum(a >= s0 and b < s0 + 1 for a, b in arrivals)
-                    for s0, _ in arrivals), default=0)
-
-    def took(target, key, packet):
-        if target is not cold or world.now() >= cold.cold_until:
-            return
-        arrivals.append((sent[key[:2]].first_syn_at, world.now()))
-        if most_in_one_second() > BOUND and cold.alive:
-            world.broken("FAILBACK", "cold target %s got %d requests in one "
-                         "second; the bound is %.0f", cold.id,
-                         most_in_one_second(), BOUND)
-            # More than it can bear: it falls over.
-            asyncio.get_running_loop().call_soon(cold.crash)
-
-    world.syn_hooks.append(took)
-
-    async def order(host):
-        flow = host.open(where)
-        sent[flow.key[:2]] = flow
-        if await flow.connect():
-            result = await flow.request(world.request_id(), 900, DEADLINE_S)
-        else:
-            result = "not opened"
-        owner = world.owners.get(flow.key)
-        if result == "served":
-            await flow.close()
-        else:
-            flow.abandon()
-            result += " at the cold target" if owner is cold else ""
-        results[result] = results.get(result, 0) + 1
-
-    async def traffic():
+    async def orders():
         while True:
             for zone in ZONES:
-                asyncio.create_task(order(world.hosts[zone][0]))
+                asyncio.create_task(world.one_request(
+                    world.hosts[zone][0], where, 300))
             await asyncio.sleep(len(ZONES) / ORDERS_PER_S)
 
-    tasks = asyncio.create_task(traffic())
-    await asyncio.sleep(3)
-    world.store.put("evacuations", cold.machine.zone, {})
-    await asyncio.sleep(EVACUATED_S)
-    beat = cold.sequence
-    await world.wait_until(lambda: cold.sequence > beat, 2, "a heartbeat")
-    await asyncio.sleep(0.1)
-    results.clear()
+    traffic = asyncio.create_task(orders())
+    await asyncio.sleep(1)
+    added = world.add_side("thess-a", "orders")
+    added.start()
+    await asyncio.sleep(0.8)
+    target = world.add_target(added, first_sequence=0, cold_ms=2000)
+    await target.start()
+    start = world.now()
+    flows = []
+
+    async def open_one(host):
+        flow = host.open(where)
+        if await flow.connect() and \
+                await flow.request(world.request_id(), 300, 1.0) == "served":
+            flows.append(flow)
+
+    tasks = []
+    for i in range(10 ** 6):
+        if world.now() - start > KILL_AFTER_S - 0.15:
+            break
+        tasks.append(asyncio.create_task(
+            open_one(world.hosts[ZONES[i % 3]][0])))
+        await asyncio.sleep(FLOW_GAP_S)
+    await asyncio.sleep(KILL_AFTER_S - (world.now() - start))
     if world.trouble:
-        cold.cold_until = world.now() + COLD_S
-        world.record("target %s turns cold for %.0f s", cold.id, COLD_S)
-    world.store.delete("evacuations", cold.machine.zone)
-    await asyncio.sleep(COLD_S + DEADLINE_S + 0.5)
-    tasks.cancel()
-    if world.trouble and not arrivals:
-        raise CouldNotRun("no request reached the cold target")
-    world.record("requests to the cold target, s after the first: %s",
-                 " ".join("%.2f" % (b - arrivals[0][1]) for _, b in arrivals))
-    world.record("most that were sent and arrived inside one second: %d; "
-                 "bound %.0f", most_in_one_second(), BOUND)
-    world.record("requests since the zone was taken back: %s", results)
+        added.kill()
+        await asyncio.sleep(RESTART_DELAY_S)
+        added.start()
+    await asyncio.gather(*tasks)
+    kept = [f for f in flows if world.owners.get(f.key) is target]
+    world.record("flows open at the added target: %d", len(kept))
+    # All machines are in touch again before a client sends.
+    await asyncio.sleep(BOUNDS["stable_window_ms"] / 1000 + 0.7)
+
+    def reset(flow, owner, packet):
+        if owner:
+            world.broken("FLOW", "the client of flow %s:%d gets a reset that "
+                         "its target %s didn't send; the target lives and "
+                         "holds the flow", flow.key[0], flow.key[1], owner.id)
+
+    world.reset_hooks.append(reset)
+    traffic.cancel()
+    results = {}
+    for flow in kept:
+        result = await flow.request(world.request_id(), 300, DEADLINE_S)
+        results[result] = results.get(result, 0) + 1
+    world.record("next requests on these flows: %s", results)
 
 
-run(os.path.dirname(os.path.abspath(__file__)), "FAILBACK", play)
+run(os.path.dirname(os.path.abspath(__file__)), "FLOW", play)
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -409,6 +409,7 @@
 def run(folder, rule, play):
     """Plays a case; the exit code is that of its run.sh."""
     world = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
 
     async def limited():
         await asyncio.wait_for(play(world), TIME_LIMIT_S)
@@ -417,7 +418,7 @@
         world = World(folder)
         asyncio.run(limited())
         code = BROKEN if rule in world.breaks else HELD
-    except Exception as error:  # noqa: BLE001
+    except (Exception, SystemExit) as error:  # noqa: BLE001
         print("could not run: %s" % (error or type(error).__name__))
         if world:
             world.record("could not run: %s", error or type(error).__name__)
