--- a/review/4/play.py
+++ b/review/4/play.py
@@ -22,11 +22,12 @@
 async def play(world):
     for zone in ZONES:
         world.add_edge(zone)
-    for zone in ZONES:
-        world.add_side(zone, "orders")
+    for service in ("orders", "assessing"):
+        for zone in ZONES:
+            world.add_side(zone, service)
     where = (world.host_ip(1), 443)
     world.store.put("config", "main", config(
-        7, [route("r-orders", where[0], "orders")], services=("orders",)))
+        7, [route("r-orders", where[0], "orders")]))
     await world.start()
     for machine in world.sides:
         await world.add_target(machine, first_sequence=0).start()
--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -8,6 +8,9 @@
 
 SYN_COPIES_S = (0.2, 0.4, 0.8)
 RESET_WINDOW = 76800
+IN_FLIGHT = 16
+# A last odd packet is acknowledged after this time.
+LATE_ACK_S = 0.04
 
 
 class ClientHost:
@@ -61,6 +64,7 @@
         self.syn_seq, self.rcv = self.seq, 0
         self.inbox, self.buffer = {}, b""
         self.sent, self.timer, self.tries = [], None, 0
+        self.unsent, self.to_ack, self.ack_timer = [], 0, None
         self.state = "new"          # new, opening, open, reset, closed
         self.opened = asyncio.Event()
         self.answer = asyncio.Event()
@@ -103,6 +107,9 @@
         if self.timer:
             self.timer.cancel()
             self.timer = None
+        if self.ack_timer:
+            self.ack_timer.cancel()
+            self.ack_timer = None
         self.opened.set()
         self.answer.set()
 
@@ -126,6 +133,7 @@
         self.acknowledged(packet.ack)
         if not packet.data and not packet.flags & FIN:
             return
+        in_order = packet.seq == self.rcv
         self.inbox[packet.seq] = packet
         while self.rcv in self.inbox:
             p = self.inbox.pop(self.rcv)
@@ -134,9 +142,22 @@
             if p.flags & FIN:
                 self.rcv = (self.rcv + 1) & 0xFFFFFFFF
                 self.fin_in = True
-        self.send(ACK, self.seq)
+        self.to_ack += 1
+        if self.to_ack >= 2 or not in_order or packet.flags & FIN:
+            self.send_ack()
+        elif not self.ack_timer:
+            self.ack_timer = asyncio.get_running_loop().call_later(
+                LATE_ACK_S, self.send_ack)
         self.answer.set()
 
+    def send_ack(self):
+        if self.ack_timer:
+            self.ack_timer.cancel()
+            self.ack_timer = None
+        if self.to_ack and self.state == "open":
+            self.to_ack = 0
+            self.send(ACK, self.seq)
+
     def acknowledged(self, ack):
         kept = [x for x in self.sent
                 if (ack - x[0] - len(x[1]) - bool(x[2] & FIN)) & 0xFFFFFFFF
@@ -144,8 +165,13 @@
         if len(kept) != len(self.sent):
             self.sent, self.tries = kept, 0
             self.arm()
+        while self.unsent and len(self.sent) < IN_FLIGHT:
+            self.transmit(*self.unsent.pop(0))
 
     def transmit(self, data, flags=ACK):
+        if len(self.sent) >= IN_FLIGHT:
+            self.unsent.append((data, flags))
+            return
         self.sent.append((self.seq, data, flags))
         self.send(flags, self.seq, data)
         self.seq = (self.seq + len(data) + bool(flags & FIN)) & 0xFFFFFFFF
@@ -164,7 +190,8 @@
         self.timer = None
         if self.sent and self.state == "open":
             self.tries += 1
-            self.send(self.sent[0][2], self.sent[0][0], self.sent[0][1])
+            for seq, data, flags in self.sent:
+                self.send(flags, seq, data)
             self.arm()
 
     def parse_answer(self):
--- a/review/lib/target.py
+++ b/review/lib/target.py
@@ -12,6 +12,8 @@
 RETRANSMIT_MAX_S = 1.6
 RETRANSMISSIONS = 8
 IN_FLIGHT = 16
+# A last odd packet is acknowledged after this time.
+LATE_ACK_S = 0.04
 
 
 class Flow:
@@ -31,6 +33,8 @@
         self.running = 0
         self.fin_in = self.fin_out = False
         self.want_fin = False
+        self.to_ack = 0
+        self.ack_timer = None
 
 
 class Target:
@@ -209,6 +213,7 @@
         if packet.flags & ACK:
             self.acknowledged(flow, packet.ack)
         if packet.data or packet.flags & FIN:
+            in_order = packet.seq == flow.rcv
             flow.inbox[packet.seq] = packet
             while flow.rcv in flow.inbox:
                 p = flow.inbox.pop(flow.rcv)
@@ -217,12 +222,25 @@
                 if p.flags & FIN:
                     flow.rcv = (flow.rcv + 1) & 0xFFFFFFFF
                     flow.fin_in = True
-            self.send(flow, ACK, flow.seq)
+            flow.to_ack += 1
+            if flow.to_ack >= 2 or not in_order or packet.flags & FIN:
+                self.send_ack(flow)
+            elif not flow.ack_timer:
+                flow.ack_timer = asyncio.get_running_loop().call_later(
+                    LATE_ACK_S, self.send_ack, flow)
         self.requests(flow)
         if flow.fin_in and not flow.running:
             flow.want_fin = True
             self.pump(flow)
 
+    def send_ack(self, flow):
+        if flow.ack_timer:
+            flow.ack_timer.cancel()
+            flow.ack_timer = None
+        if flow.to_ack and self.alive:
+            flow.to_ack = 0
+            self.send(flow, ACK, flow.seq)
+
     def acknowledged(self, flow, ack):
         kept = []
         for seq, data, flags in flow.sent:
@@ -304,14 +322,15 @@
         if flow.tries > RETRANSMISSIONS:
             self.close(flow)
             return
-        seq, data, flags = flow.sent[0]
-        self.send(flow, flags, seq, data)
+        for seq, data, flags in flow.sent:
+            self.send(flow, flags, seq, data)
         self.arm(flow)
 
     def close(self, flow):
         if flow.timer:
             flow.timer.cancel()
             flow.timer = None
+        self.send_ack(flow)
         if self.flows.pop(flow.key, None):
             self.ended[flow.key] = flow
             self.world.flow_ended(self, flow.key)
