A server's report number doesn't show that the server is new

Cause: a restarted agent asks its server about connections that its empty table lacks, for flow_lifetime_s. It gave this up when the first report that it received had the sequence 0 or 1, as if only a server that has just started could send that. A server that counts from 0 sends 1 as its second report.

Evidence: kept logs. The second process of the agent logs only "event=server sequence=1"; an agent of another service logs did=reset-no-owner, a search that met no doubt. The owner logs no packet returned by its server. The agent was in the search and its server wasn't asked.

Why the fix works: nothing is concluded from the sequence any more. A server that was not listening when its agent checked has no older connections; that check runs from the agent's start to the first report and already ends all doubt.

Test: /search/restart-between-first-reports; before the fix "host->delivered == delivered + 1: (1 == 2)".

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -27,8 +27,6 @@
 #define REFILL_MS 1000
 #define CHAIN_RESOLVES_PER_REFILL 2000
 #define HINTS_PER_REFILL 500
-/* Servers number their server reports from zero or one at each start. */
-#define FIRST_SERVER_REPORT_SEQUENCE_MAX 1
 /*
  * Time without any response until the server is checked, and between checks. A
  * server with several slots responds to some request within this time.
@@ -598,8 +596,6 @@
 				const struct server_report *report,
 				int64_t now_ms, struct packet_sink *sink)
 {
-	bool is_first_report = !agent->server.has_report;
-
 	switch (server_watch_update(&agent->server, report, now_ms)) {
 	case SERVER_REPORT_OUTDATED:
 		return;
@@ -609,10 +605,6 @@
 	case SERVER_UNCHANGED:
 		break;
 	}
-	/* A server that has just started has no connections yet. */
-	if (is_first_report &&
-	    report->sequence <= FIRST_SERVER_REPORT_SEQUENCE_MAX)
-		agent->table_incomplete_until_ms = now_ms;
 	if (report->state == SERVER_GONE) {
 		end_all_flows(agent, report->refused, sink);
 		admit_drain(&agent->admit);
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -323,6 +323,18 @@
 				   cluster->now_ms, &cluster->hosts[i].sink);
 }
 
+/* The agent's check finds that no server is listening. */
+static void refuse_server_check(struct cluster *cluster, unsigned int i)
+{
+	const struct server_report refused = {
+		.state = SERVER_GONE,
+		.refused = true,
+	};
+
+	agent_handle_server_report(&cluster->hosts[i].agent, &refused,
+				   cluster->now_ms, &cluster->hosts[i].sink);
+}
+
 static void cluster_init(struct cluster *cluster, unsigned int n,
 			 unsigned int first_b)
 {
@@ -365,8 +377,11 @@
 		start_agent(cluster, i);
 	}
 	make_views(cluster, true);
-	for (unsigned int i = 1; i <= n; i++)
+	/* The servers start after their agents. */
+	for (unsigned int i = 1; i <= n; i++) {
+		refuse_server_check(cluster, i);
 		send_server_report(cluster, i, "first", SERVER_READY, 1);
+	}
 }
 
 static void cluster_finish(struct cluster *cluster)
@@ -513,6 +528,46 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against RSTs on open connections after an agent is killed between the
+ * first two reports of its server: the number of a report doesn't show that the
+ * server has just started.
+ */
+static void test_agent_restarted_between_first_reports(void)
+{
+	static const uint64_t first_sequences[] = {0, 1, 7};
+	struct cluster cluster;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(first_sequences); i++) {
+		uint64_t sequence = first_sequences[i];
+		struct host *host;
+		uint16_t port = 1;
+		unsigned int delivered;
+
+		cluster_init(&cluster, 3, 4);
+		host = &cluster.hosts[1];
+		agent_finish(&host->agent);
+		start_agent(&cluster, 1);
+		refuse_server_check(&cluster, 1);
+		send_server_report(&cluster, 1, "new", SERVER_READY, sequence);
+		advance_time(&cluster, 200);
+		while (open_connection(&cluster, port),
+		       owner_of(&cluster, port) != 1)
+			port++;
+		agent_finish(&host->agent);
+		start_agent(&cluster, 1);
+		send_server_report(&cluster, 1, "new", SERVER_READY,
+				   sequence + 1);
+		advance_time(&cluster, 700);
+		clear_hints(&cluster);
+		delivered = host->delivered;
+		send_from_caller(&cluster, port, FLAG_ACK, 100);
+		g_assert_cmpuint(host->delivered, ==, delivered + 1);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+		cluster_finish(&cluster);
+	}
+}
+
 /*
  * The agent of a connection is not running, but its server may be. The
  * connection's packets must reach each other server at most once, and the
@@ -824,10 +879,12 @@
 		agent_finish(&cluster.hosts[i].agent);
 		start_agent(&cluster, i);
 	}
-	/* These are the servers' first reports since their start, so the agents
-	 * of the service "b" know that the servers have no connections. */
-	send_server_report(&cluster, 14, "first", SERVER_READY, 1);
-	send_server_report(&cluster, 15, "first", SERVER_READY, 1);
+	/* These servers start after their agents, so the agents of the service
+	 * "b" know that the servers have no connections. */
+	for (unsigned int i = 14; i <= 15; i++) {
+		refuse_server_check(&cluster, i);
+		send_server_report(&cluster, i, "first", SERVER_READY, 1);
+	}
 	advance_time(&cluster, 200);
 	clear_hints(&cluster);
 	for (uint16_t port = 1; port <= 40; port++) {
@@ -1589,6 +1646,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/search/other-balancer", test_other_balancer);
 	g_test_add_func("/search/agents-restarted", test_agents_restarted);
+	g_test_add_func("/search/restart-between-first-reports",
+			test_agent_restarted_between_first_reports);
 	g_test_add_func("/search/owner-unreachable", test_owner_unreachable);
 	g_test_add_func("/search/reset-without-owner", test_rst_without_owner);
 	g_test_add_func("/search/zone-out-of-service",
