A service that a release drops is still searched for open connections

Cause: views held only the services of the manifest. The agents of a dropped service were in no chain, so a search could not find their connections, but counted as conclusive once it had been through the manifest's services.

Evidence: kept logs. After the release did=search-begun at the balancer, then did=reset-no-owner at an agent of the new service; the owner logs nothing after did=open-delivered. With the service still in the manifest the same search found the owner at each packet.

Why the fix works: a view also has the services that live agents of the roster belong to and the manifest lacks. No route leads to them. They are searched last, by ascending id, and the search continues after the id of the current service, so processes with different rosters skip or repeat none that both know. Heartbeats include their agents, so they count as reachable.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -100,7 +100,7 @@
 	peer_loads_set_heartbeat_interval(&agent->peers,
 					  view->peer_heartbeat_interval_ms);
 	agent->service = view_find_service(view, agent->service_id);
-	if (!agent->service)
+	if (!agent->service || agent->service->retired)
 		return;
 	agent->idle_timeout_ms = agent->service->service.idle_timeout_s * 1000;
 	agent->admit.warm_response_ms = agent->service->service.answer_ms;
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -207,8 +207,8 @@
 	const struct view *view = agent->view;
 
 	return agent->server.reports_expected && packet->payload_len &&
-	       !header->doubt && view->n_services <= SERVICES_SEARCHED_MAX &&
-	       header->services_tried >= view->n_services;
+	       !header->doubt && view->n_configured <= SERVICES_SEARCHED_MAX &&
+	       header->services_tried >= view->n_configured;
 }
 
 /*
@@ -255,6 +255,55 @@
 	agent_reset_caller(agent, packet, sink);
 }
 
+/*
+ * The first retired service, or the one after @service_id if that is retired;
+ * NULL after the last one. Processes whose rosters differ may know different
+ * retired services, so the position in the search is an id, not a count.
+ */
+static const struct service_view *next_retired_service(const struct view *view,
+						       uint32_t service_id)
+{
+	const struct service_view *current =
+		view_find_service(view, service_id);
+	bool is_first = current && !current->retired;
+
+	for (size_t i = view->n_configured; i < view->n_services; i++)
+		if (is_first || view->services[i].service.id > service_id)
+			return &view->services[i];
+	return NULL;
+}
+
+/* The service to search after the one that @header names; NULL after the last
+ * one. Services of the manifest come first. */
+static const struct service_view *next_service(const struct view *view,
+					       struct packet_header *header)
+{
+	const struct service_view *next;
+
+	if (header->services_tried <
+	    MIN(view->n_configured, SERVICES_SEARCHED_MAX))
+		return &view->services[header->services_tried++];
+	next = next_retired_service(view, header->service_id);
+	if (next)
+		header->service_id = next->service.id;
+	return next;
+}
+
+static void start_search(const struct view *view,
+			 const struct service_view *service,
+			 const struct inner_packet *packet,
+			 struct packet_header *header)
+{
+	header->service_id = service->service.id;
+	header->bucket = view_bucket_of(view, service, &packet->key);
+	view_fill_chain(service, header->bucket, header);
+	header->visited = 0;
+	header->unsure = 0;
+	header->asking = false;
+	header->resolves = 0;
+	header->from = PACKET_FROM_OUTSIDE;
+}
+
 /*
  * Starts the search of the next service that has not been searched: the
  * connection may have been opened while the route led to that service. Returns
@@ -264,35 +313,25 @@
 					 struct packet_header *header,
 					 const struct inner_packet *packet)
 {
-	const struct route_view *route =
-		view_find_route(agent->view, &packet->key);
+	const struct view *view = agent->view;
+	const struct route_view *route = view_find_route(view, &packet->key);
 	const struct service_view *first_service, *next;
 
 	if (!route || !agent->server.reports_expected ||
 	    inner_opens_connection(packet))
 		return false;
-	first_service = view_select_service(agent->view, route, &packet->key);
-	while (header->services_tried <
-	       MIN(agent->view->n_services, SERVICES_SEARCHED_MAX)) {
-		next = &agent->view->services[header->services_tried++];
+	first_service = view_select_service(view, route, &packet->key);
+	while ((next = next_service(view, header))) {
+		if (next == first_service)
+			continue;
+		if (next->n_members) {
+			start_search(view, next, packet, header);
+			return true;
+		}
 		/* Without members in service there is no chain to search, but
 		 * the servers in zones out of service may have the connection.
 		 */
-		if (next != first_service && !next->n_members &&
-		    view_searchable_count(next))
-			header->doubt = true;
-		if (next == first_service || !next->n_members)
-			continue;
-		header->service_id = next->service.id;
-		header->bucket =
-			view_bucket_of(agent->view, next, &packet->key);
-		view_fill_chain(next, header->bucket, header);
-		header->visited = 0;
-		header->unsure = 0;
-		header->asking = false;
-		header->resolves = 0;
-		header->from = PACKET_FROM_OUTSIDE;
-		return true;
+		header->doubt |= view_searchable_count(next) > 0;
 	}
 	return false;
 }
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -20,6 +20,12 @@
  */
 struct service_view {
 	struct service service;
+	/**
+	 * The manifest doesn't contain the service any more, but agents still
+	 * belong to it. It gets no new connections; its members are searched
+	 * for open ones. Of `service`, only name and id are set.
+	 */
+	bool retired;
 	/**
 	 * First the n_members that chains are made of, then the n_search_only
 	 * whose zone is out of service by an operator's order that has passed
@@ -95,8 +101,10 @@
 	uint64_t roster_version;
 	/** Seed of the bucket hash. */
 	uint64_t seed;
+	/** First the n_configured services of the manifest, in its order, then
+	 * the retired ones by ascending id. */
 	struct service_view *services;
-	size_t n_services;
+	size_t n_configured, n_services;
 	/** Routes of the manifest, plus one per service with its own address.
 	 */
 	struct route_view *routes;
--- a/route/view.c
+++ b/route/view.c
@@ -227,18 +227,18 @@
 }
 
 /*
+ * Initializes the view of @service with its @n agents in @agents from index
+ * @first on.
+ *
  * Members in a zone that is out of service by the manifest are excluded.
  * Members in a zone that is out of service by an operator's order in the state
  * ZONE_ORDER_CUT are kept for searches, because their connections stay open.
  */
-static void service_view_init(struct service_view *view,
-			      const struct service *service,
-			      const struct view *parent,
-			      const struct manifest *manifest,
-			      const struct agent_list *agents)
-{
-	size_t first = agent_list_lower_bound(agents, &service->name);
-	size_t n = agent_list_count(agents, first, &service->name);
+static void
+service_view_init(struct service_view *view, const struct service *service,
+		  const struct view *parent, const struct manifest *manifest,
+		  const struct agent_list *agents, size_t first, size_t n)
+{
 	size_t first_search_only = n;
 
 	memset(view, 0, sizeof(*view));
@@ -272,6 +272,81 @@
 	service_view_init_chains(view);
 }
 
+/* Adds the services of the manifest. Sets @configured[i] if the service of the
+ * agent @i is among them. */
+static void view_add_configured_services(struct view *view,
+					 const struct manifest *manifest,
+					 const struct agent_list *agents,
+					 bool *configured)
+{
+	for (size_t i = 0; i < manifest->n_services; i++) {
+		const struct service *service = &manifest->services[i];
+		size_t first = agent_list_lower_bound(agents, &service->name);
+		size_t n = agent_list_count(agents, first, &service->name);
+
+		service_view_init(&view->services[i], service, view, manifest,
+				  agents, first, n);
+		for (size_t j = first; j < first + n; j++)
+			configured[j] = true;
+	}
+	view->n_configured = manifest->n_services;
+	view->n_services = manifest->n_services;
+}
+
+static int compare_service_ids(const void *a, const void *b)
+{
+	uint32_t x = ((const struct service_view *)a)->service.id;
+	uint32_t y = ((const struct service_view *)b)->service.id;
+
+	return (x > y) - (x < y);
+}
+
+/* Adds the services of agents that the manifest does not contain. */
+static void view_add_retired_services(struct view *view,
+				      const struct manifest *manifest,
+				      const struct agent_list *agents,
+				      const bool *configured)
+{
+	for (size_t first = 0; first < agents->n;) {
+		const struct name *name = &agents->members[first]->service;
+		size_t n = agent_list_count(agents, first, name);
+		struct service service = {
+			.name = *name,
+			.id = service_id(name),
+		};
+
+		if (!configured[first]) {
+			struct service_view *added =
+				&view->services[view->n_services++];
+
+			service_view_init(added, &service, view, manifest,
+					  agents, first, n);
+			added->retired = true;
+		}
+		first += n;
+	}
+	qsort(view->services + view->n_configured,
+	      view->n_services - view->n_configured, sizeof(*view->services),
+	      compare_service_ids);
+}
+
+static void view_build_services(struct view *view,
+				const struct manifest *manifest,
+				const struct roster *roster)
+{
+	struct agent_list agents;
+	bool *configured;
+
+	agent_list_init(&agents, roster);
+	configured = g_new0(bool, agents.n);
+	view->services =
+		g_new(struct service_view, manifest->n_services + agents.n);
+	view_add_configured_services(view, manifest, &agents, configured);
+	view_add_retired_services(view, manifest, &agents, configured);
+	g_free(configured);
+	g_free(agents.members);
+}
+
 static uint32_t route_index_slot(const struct view *view,
 				 const struct ip_addr *ip, uint16_t port)
 {
@@ -352,7 +427,7 @@
 				   const struct view *view,
 				   const struct route_backend *backend)
 {
-	for (uint32_t i = 0; i < view->n_services; i++) {
+	for (uint32_t i = 0; i < view->n_configured; i++) {
 		if (!name_equal(&view->services[i].service.name,
 				&backend->service))
 			continue;
@@ -414,21 +489,13 @@
 			   const struct roster *roster,
 			   const struct zone_orders *orders, int64_t now_ms)
 {
-	struct agent_list agents;
-
 	memset(view, 0, sizeof(*view));
 	view->orders = *orders;
 	view->computed_ms = now_ms;
-	agent_list_init(&agents, roster);
 	view->config_revision = manifest->release;
 	view->roster_version = roster->version;
 	view->seed = BUCKET_SEED;
-	view->n_services = manifest->n_services;
-	view->services = g_new(struct service_view, view->n_services);
-	for (size_t i = 0; i < view->n_services; i++)
-		service_view_init(&view->services[i], &manifest->services[i],
-				  view, manifest, &agents);
-	g_free(agents.members);
+	view_build_services(view, manifest, roster);
 	view_build_routes(view, manifest);
 	view_build_route_index(view);
 	view_copy_zones(view, manifest);
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -19,7 +19,7 @@
  * servers send server reports and keep their connections when their agents
  * restart. The tests deliver the datagrams without a network. Agent N has the
  * address N; its server is of the service "a", or of "b" from number `first_b`
- * on. Its zone is "odd" or "even", as N is.
+ * on, or of "c" from `first_c` on. Its zone is "odd" or "even", as N is.
  */
 #define TEST_AGENTS_MAX 64
 #define PLATFORM_HEADER_BYTES 31
@@ -79,8 +79,9 @@
 
 struct cluster {
 	struct host *hosts;
-	/** Number of agents, and the first agent of the service "b". */
-	unsigned int n, first_b;
+	/** Number of agents, and the first agents of the services "b" and "c".
+	 */
+	unsigned int n, first_b, first_c;
 	struct balancer balancer;
 	struct counters counters;
 	struct packet_sink balancer_sink;
@@ -247,6 +248,14 @@
 	set_views(cluster);
 }
 
+static struct str service_of_agent(const struct cluster *cluster,
+				   unsigned int i)
+{
+	if (i >= cluster->first_c)
+		return str_from("c");
+	return str_from(i < cluster->first_b ? "a" : "b");
+}
+
 static void start_agent(struct cluster *cluster, unsigned int i)
 {
 	struct host *host = &cluster->hosts[i];
@@ -265,7 +274,7 @@
 	snprintf(name, sizeof(name), "agent-%u", i);
 	name_set(&identity.name, str_from(name));
 	name_set(&identity.zone, str_from(i % 2 ? "odd" : "even"));
-	name_set(&identity.service, str_from(i < cluster->first_b ? "a" : "b"));
+	name_set(&identity.service, service_of_agent(cluster, i));
 	agent_init(&host->agent, &identity, &host->counters, cluster->now_ms);
 	host->agent_running = true;
 	if (cluster->has_view)
@@ -288,7 +297,7 @@
 	snprintf(name, sizeof(name), "agent-%u", i);
 	name_set(&member.name, str_from(name));
 	name_set(&member.zone, str_from(i % 2 ? "odd" : "even"));
-	name_set(&member.service, str_from(i < cluster->first_b ? "a" : "b"));
+	name_set(&member.service, service_of_agent(cluster, i));
 	roster_merge(&cluster->roster, &member, cluster->now_ms);
 }
 
@@ -317,8 +326,7 @@
 	};
 
 	g_strlcpy(new_report.id, id, sizeof(new_report.id));
-	name_set(&new_report.service,
-		 str_from(i < cluster->first_b ? "a" : "b"));
+	name_set(&new_report.service, service_of_agent(cluster, i));
 	agent_handle_server_report(&cluster->hosts[i].agent, &new_report,
 				   cluster->now_ms, &cluster->hosts[i].sink);
 }
@@ -335,29 +343,42 @@
 				   cluster->now_ms, &cluster->hosts[i].sink);
 }
 
-static void cluster_init(struct cluster *cluster, unsigned int n,
-			 unsigned int first_b)
+/* Replaces the manifest: @services as JSON, and a route to @service. */
+static void set_manifest(struct cluster *cluster, int release,
+			 const char *services, const char *service)
 {
-	static const char text[] =
-		"{\"deployment\":\"d\",\"release\":1,\"zones\":[],"
-		"\"services\":[{\"name\":\"a\"},{\"name\":\"b\"}],"
+	char *text = g_strdup_printf(
+		"{\"deployment\":\"d\",\"release\":%d,\"zones\":[],"
+		"\"services\":[%s],"
 		"\"routes\":[{\"name\":\"r\",\"address\":\"198.18.0.1\","
 		"\"port\":443,\"kind\":\"safe\",\"backends\":[{\"service\":"
-		"\"a\"}]}]}";
+		"\"%s\"}]}]}",
+		release, services, service);
 	struct status status;
-	struct name zone;
 
-	memset(cluster, 0, sizeof(*cluster));
-	cluster->hosts = g_new0(struct host, TEST_AGENTS_MAX);
 	status_init(&status);
+	manifest_finish(&cluster->manifest);
 	manifest_init(&cluster->manifest);
 	g_assert_cmpint(manifest_parse(&cluster->manifest, str_from(text), "m",
 				       &status),
 			==, STATUS_OK);
+	g_free(text);
+}
+
+static void cluster_init_services(struct cluster *cluster, unsigned int n,
+				  unsigned int first_b, unsigned int first_c)
+{
+	struct name zone;
+
+	memset(cluster, 0, sizeof(*cluster));
+	cluster->hosts = g_new0(struct host, TEST_AGENTS_MAX);
+	manifest_init(&cluster->manifest);
+	set_manifest(cluster, 1, "{\"name\":\"a\"},{\"name\":\"b\"}", "a");
 	roster_init(&cluster->roster);
 	g_queue_init(&cluster->datagrams);
 	cluster->n = n;
 	cluster->first_b = first_b;
+	cluster->first_c = first_c;
 	cluster->now_ms = 100000;
 	cluster->balancer_sink.to_peer = balancer_to_peer;
 	balancer_init(&cluster->balancer, &cluster->counters);
@@ -384,6 +405,12 @@
 	}
 }
 
+static void cluster_init(struct cluster *cluster, unsigned int n,
+			 unsigned int first_b)
+{
+	cluster_init_services(cluster, n, first_b, TEST_AGENTS_MAX);
+}
+
 static void cluster_finish(struct cluster *cluster)
 {
 	for (unsigned int i = 1; i <= cluster->n; i++)
@@ -797,6 +824,67 @@
 	}
 }
 
+/*
+ * Guards against RSTs on open connections of a service that the configuration
+ * drops while its servers go on: the search must include such services, however
+ * many there are, and conclude only after all of them.
+ */
+static void test_service_dropped_by_configuration(void)
+{
+	static const struct {
+		/** The remaining services, and the one that the route uses. */
+		const char *services, *service;
+	} cases[] = {
+		{"{\"name\":\"a\"},{\"name\":\"b\"},{\"name\":\"c\"}", "c"},
+		{"{\"name\":\"a\"},{\"name\":\"c\"}", "c"},
+		{"{\"name\":\"b\"},{\"name\":\"c\"}", "c"},
+		{"{\"name\":\"b\"},{\"name\":\"c\"}", "b"},
+		{"{\"name\":\"b\"}", "b"},
+		{"{\"name\":\"c\"}", "c"},
+	};
+	struct cluster cluster;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		cluster_init_services(&cluster, 9, 4, 7);
+		advance_time(&cluster, 700);
+		for (uint16_t port = 1; port <= 20; port++)
+			open_connection(&cluster, port);
+		set_manifest(&cluster, 2, cases[i].services, cases[i].service);
+		make_views(&cluster, true);
+		advance_time(&cluster, 700);
+		for (uint16_t port = 1; port <= 20; port++) {
+			struct host *owner =
+				&cluster.hosts[owner_of(&cluster, port)];
+			unsigned int delivered = owner->delivered;
+
+			g_assert_cmpuint(owner_of(&cluster, port), <, 4);
+			send_from_caller(&cluster, port, FLAG_ACK, 100);
+			g_assert_cmpuint(owner->delivered, ==, delivered + 1);
+		}
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+		/* New connections only open at the route's service. */
+		for (uint16_t port = 21; port <= 30; port++) {
+			advance_time(&cluster, 20);
+			open_connection(&cluster, port);
+			g_assert_cmpmem(
+				service_of_agent(&cluster,
+						 owner_of(&cluster, port))
+					.data,
+				1, cases[i].service, 1);
+		}
+		send_from_caller(&cluster, 99, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+		/* A dropped service is searched like the others: an agent that
+		 * is unreachable may have the connection. */
+		cluster.hosts[2].agent_running = false;
+		advance_time(&cluster, 1000);
+		send_from_caller(&cluster, 99, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+		g_assert_cmpuint(count_rejected_packets(&cluster), ==, 0);
+		cluster_finish(&cluster);
+	}
+}
+
 /*
  * The server of a connection is in a zone that @take_out takes out of service,
  * by an order or by the manifest. In the view of the agents @updated_from to
@@ -1650,6 +1738,8 @@
 			test_agent_restarted_between_first_reports);
 	g_test_add_func("/search/owner-unreachable", test_owner_unreachable);
 	g_test_add_func("/search/reset-without-owner", test_rst_without_owner);
+	g_test_add_func("/search/service-dropped-by-configuration",
+			test_service_dropped_by_configuration);
 	g_test_add_func("/search/zone-out-of-service",
 			test_zone_out_of_service);
 	g_test_add_func("/search/service-out-by-order",
