A route without servers doesn't end the search for its open connections

Callers would see: a release moves a route to a service that has no servers yet, and every open connection of the route falls silent until the new service has one. Found by reading, as a related path of the dropped service.

Cause: a balancer drops each packet whose route selects a service without members, as if only that service could have the connection.

Evidence: the new test, before the fix "owner->delivered == delivered + 1: (6 == 7)".

Why the fix works: a packet other than a SYN starts its search at any service that has members. The search passes through all services from there; it is marked as inconclusive, so nobody is reset by it. A SYN is dropped and counted as before.

Test: /search/route-moved-to-empty-service, with the old service kept in the release and dropped from it.

--- a/route/balancer.c
+++ b/route/balancer.c
@@ -347,10 +347,45 @@
 	return position;
 }
 
+/* Any service with members that are in chains, or NULL. */
+static const struct service_view *
+find_populated_service(const struct view *view)
+{
+	for (size_t i = 0; i < view->n_services; i++)
+		if (view->services[i].n_members)
+			return &view->services[i];
+	return NULL;
+}
+
+/*
+ * The service along whose chain @packet is sent, or NULL: the one that the
+ * route selects. If that has no members, the connection of a packet other than
+ * a SYN may still be open at another service. The search then starts at any
+ * service and is inconclusive (@doubt).
+ */
+static const struct service_view *
+select_service(const struct view *view, const struct inner_packet *packet,
+	       bool *doubt)
+{
+	const struct route_view *route = view_find_route(view, &packet->key);
+	const struct service_view *service;
+
+	*doubt = false;
+	if (!route)
+		return NULL;
+	service = view_select_service(view, route, &packet->key);
+	if (service && service->n_members)
+		return service;
+	if (inner_opens_connection(packet))
+		return NULL;
+	*doubt = true;
+	return find_populated_service(view);
+}
+
 static void forward_packet(struct balancer *balancer,
 			   const struct service_view *service,
-			   const struct inner_packet *packet, int64_t now_ms,
-			   struct packet_sink *sink)
+			   const struct inner_packet *packet, bool doubt,
+			   int64_t now_ms, struct packet_sink *sink)
 {
 	const struct view *view = balancer->view;
 	uint64_t hash = flow_key_hash(&packet->key, view->seed);
@@ -370,7 +405,7 @@
 	header.warming = false;
 	header.unsure = 0;
 	header.asking = false;
-	header.doubt = false;
+	header.doubt = doubt;
 	header.services_tried = 0;
 	header.origin = balancer->origin;
 	header.bucket = (uint32_t)hash & (service->n_buckets - 1);
@@ -392,6 +427,7 @@
 	const struct view *view = balancer->view;
 	const struct service_view *service;
 	struct inner_packet packet;
+	bool doubt;
 
 	counter_inc(balancer->counters, COUNTER_PACKET_RECEIVED);
 	if (!view) {
@@ -407,14 +443,13 @@
 				    inner_drop_reason(&packet));
 		return;
 	}
-	service = view_lookup_service(view, &packet.key);
+	service = select_service(view, &packet, &doubt);
 	if (!service) {
-		counter_inc(balancer->counters, COUNTER_DROP_NO_SERVICE);
-		return;
-	}
-	if (!service->n_members) {
-		counter_inc(balancer->counters, COUNTER_DROP_NO_SERVER);
+		counter_inc(balancer->counters,
+			    view_lookup_service(view, &packet.key)
+				    ? COUNTER_DROP_NO_SERVER
+				    : COUNTER_DROP_NO_SERVICE);
 		return;
 	}
-	forward_packet(balancer, service, &packet, now_ms, sink);
+	forward_packet(balancer, service, &packet, doubt, now_ms, sink);
 }
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -885,6 +885,44 @@
 	}
 }
 
+/*
+ * Guards against the loss of open connections whose route moves to a service
+ * that has no servers yet.
+ */
+static void test_route_moved_to_empty_service(void)
+{
+	static const char *const services[] = {
+		"{\"name\":\"a\"},{\"name\":\"b\"},{\"name\":\"c\"}",
+		"{\"name\":\"b\"},{\"name\":\"c\"}",
+		"{\"name\":\"c\"}",
+	};
+	struct cluster cluster;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(services); i++) {
+		cluster_init(&cluster, 6, 4);
+		advance_time(&cluster, 700);
+		for (uint16_t port = 1; port <= 20; port++)
+			open_connection(&cluster, port);
+		set_manifest(&cluster, 2, services[i], "c");
+		make_views(&cluster, true);
+		advance_time(&cluster, 700);
+		for (uint16_t port = 1; port <= 20; port++) {
+			struct host *owner =
+				&cluster.hosts[owner_of(&cluster, port)];
+			unsigned int delivered = owner->delivered;
+
+			send_from_caller(&cluster, port, FLAG_ACK, 100);
+			g_assert_cmpuint(owner->delivered, ==, delivered + 1);
+		}
+		open_connection(&cluster, 21);
+		g_assert_cmpuint(owner_of(&cluster, 21), ==, 0);
+		send_from_caller(&cluster, 99, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+		g_assert_cmpuint(count_rejected_packets(&cluster), ==, 0);
+		cluster_finish(&cluster);
+	}
+}
+
 /*
  * The server of a connection is in a zone that @take_out takes out of service,
  * by an order or by the manifest. In the view of the agents @updated_from to
@@ -1740,6 +1778,8 @@
 	g_test_add_func("/search/reset-without-owner", test_rst_without_owner);
 	g_test_add_func("/search/service-dropped-by-configuration",
 			test_service_dropped_by_configuration);
+	g_test_add_func("/search/route-moved-to-empty-service",
+			test_route_moved_to_empty_service);
 	g_test_add_func("/search/zone-out-of-service",
 			test_zone_out_of_service);
 	g_test_add_func("/search/service-out-by-order",
