One odd object in the store doesn't hide the others

Operators of a similar system saw: another writer leaves one entry that is very deeply nested, or has a number too large; processes that read the list stop following it.

Cause: a response of the store was parsed as one JSON document. The parser refuses the whole for one integer beyond 64 bits, one real beyond a double, one invalid byte or nesting beyond 2,048, and the call counted as failed.

Why the fix works: the extents of a response's entries are found by quotes and brackets alone, without recursion, and each is parsed by itself, nested at most 32 deep. An object whose spec can't be parsed still exists without a value, so an order on a zone holds and a shard can be written anew. One whose name can't be read is skipped. Both leave a log line. A response that is cut off is still no answer; one whose list is of another type now is none either.

Tests: /platform/odd-object-in-store, odd-name-in-store, malformed-response, http-calls, /http-store/odd-object, /common/json-scan-*. On the code before, the first two and odd-object fail with "status.code == STATUS_OK: (8 == 0)".

--- a/store/http_dialect.c
+++ b/store/http_dialect.c
@@ -6,6 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "tarragonflow/common/json_scan.h"
+#include "tarragonflow/common/log.h"
+
 #define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
 #define HTTP_NOT_FOUND 404
@@ -85,50 +88,87 @@
 	}
 }
 
-static void parse_object(struct store_result *result, const json_t *item)
+/** Members of an object in the API. */
+enum object_part {
+	PART_KEY,
+	PART_VERSION,
+	PART_TOKEN,
+	PART_DELETED,
+	PART_VALUE,
+	N_OBJECT_PARTS,
+};
+
+/*
+ * Adds the object @text to @result. An object whose key can't be read is
+ * skipped; one whose value can't be read has an empty value.
+ */
+static void add_object(struct store_result *result, struct str text)
 {
-	const json_t *value = json_object_get(item, "value");
-	const char *key = json_string_value(json_object_get(item, "key"));
-	const char *token = json_string_value(json_object_get(item, "token"));
+	struct json_part parts[N_OBJECT_PARTS] = {
+		[PART_KEY].name = "key",     [PART_VERSION].name = "version",
+		[PART_TOKEN].name = "token", [PART_DELETED].name = "deleted",
+		[PART_VALUE].name = "value",
+	};
 	struct store_object *object;
-	struct str text = {"", 0};
+	json_t *values[N_OBJECT_PARTS];
+	struct str value_text = {"", 0};
+	struct status status;
+	const char *key, *token;
 
-	if (!key)
-		return;
-	if (json_is_string(value)) {
-		text.data = json_string_value(value);
-		text.len = json_string_length(value);
+	json_scan_object(text, parts, N_OBJECT_PARTS);
+	for (int i = 0; i < N_OBJECT_PARTS; i++) {
+		values[i] = json_scan_parse(parts[i].value, &status);
+		if (parts[i].value.len && !values[i])
+			log_event(LOG_LEVEL_WARN, "store-object-unreadable",
+				  "field=%s reason=\"%s\"", parts[i].name,
+				  status.message);
+	}
+	key = json_string_value(values[PART_KEY]);
+	token = json_string_value(values[PART_TOKEN]);
+	if (json_is_string(values[PART_VALUE]))
+		value_text =
+			(struct str){json_string_value(values[PART_VALUE]),
+				     json_string_length(values[PART_VALUE])};
+	if (key && strlen(key) < STORE_KEY_MAX) {
+		object = store_result_add(
+			result, key, json_integer_value(values[PART_VERSION]),
+			value_text);
+		object->deleted = json_is_true(values[PART_DELETED]);
+		if (token)
+			g_strlcpy(object->token, token, sizeof(object->token));
+	} else {
+		log_event(LOG_LEVEL_WARN, "store-object-skipped",
+			  "name=\"%s\" reason=\"%s\"", key ? key : "",
+			  key ? "key: too long" : "key: must be a string");
 	}
-	object = store_result_add(
-		result, key,
-		json_integer_value(json_object_get(item, "version")), text);
-	object->deleted = json_is_true(json_object_get(item, "deleted"));
-	if (token)
-		g_strlcpy(object->token, token, sizeof(object->token));
+	for (int i = 0; i < N_OBJECT_PARTS; i++)
+		json_decref(values[i]);
 }
 
 void http_dialect_native_parse(struct store_result *result, struct str body)
 {
-	json_error_t error;
-	json_t *root =
-		json_loadb(body.data ? body.data : "", body.len, 0, &error);
-	const json_t *objects, *item;
-	size_t i;
+	struct json_part parts[] = {{.name = "version"}, {.name = "objects"}};
+	struct json_array objects = {0};
+	struct str object;
+	struct status status;
+	json_t *version;
 
-	if (!json_is_object(root)) {
+	if (!json_scan_object(body, parts, G_N_ELEMENTS(parts)) ||
+	    (parts[1].value.len &&
+	     !json_array_scan(&objects, parts[1].value))) {
 		status_set(&result->status,
 			   result->op == STORE_OP_PUT ? STATUS_UNKNOWN
 						      : STATUS_UNAVAILABLE,
 			   "platform response is not a JSON object");
-		json_decref(root);
 		return;
 	}
-	result->version = json_integer_value(json_object_get(root, "version"));
-	objects = json_object_get(root, "objects");
-	json_array_foreach(objects, i, item) parse_object(result, item);
+	version = json_scan_parse(parts[0].value, &status);
+	result->version = json_integer_value(version);
+	json_decref(version);
+	while (json_array_next(&objects, &object))
+		add_object(result, object);
 	if (result->op == STORE_OP_GET)
-		parse_object(result, root);
-	json_decref(root);
+		add_object(result, body);
 }
 
 static void native_parse_response(const struct store_request *request,
--- a/tests/unit/test_common.c
+++ b/tests/unit/test_common.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <pthread.h>
 
+#include "tarragonflow/common/json_scan.h"
 #include "tarragonflow/common/clock.h"
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/common/ring.h"
@@ -152,6 +153,126 @@
 			 0);
 }
 
+static void test_json_scan_object(void)
+{
+	/** An object, and the text of its member "a"; NULL when malformed. */
+	static const struct {
+		const char *text, *a;
+	} cases[] = {
+		{"{}", ""},
+		{" { } ", ""},
+		{"{\"a\":1}", "1"},
+		{"{ \"a\" : 1 , \"b\" : 2 }", "1"},
+		{"{\"b\":{\"a\":2}}", ""},
+		{"{\"a\":1,\"a\":2}", "2"},
+		{"{\"a\":[1,{\"a\":2}]}", "[1,{\"a\":2}]"},
+		{"{\"a\":\"\\\"}\"}", "\"\\\"}\""},
+		{"{\"a\":\"\\\\\"}", "\"\\\\\""},
+		{"{\"\\\"\":{},\"a\":\xff}", "\xff"},
+		{"", NULL},
+		{"[]", NULL},
+		{"{", NULL},
+		{"{\"a\":1", NULL},
+		{"{\"a\":}", NULL},
+		{"{\"a\"}", NULL},
+		{"{\"a\":1,}", NULL},
+		{"{\"a\":1 \"b\":2}", NULL},
+		{"{\"a\":1} 2", NULL},
+		{"{\"a\":\"}", NULL},
+		{"{a:1}", NULL},
+		{"{\"a\":1]", NULL},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct json_part part = {.name = "a"};
+
+		g_test_message("case %zu", i);
+		g_assert_cmpint(
+			json_scan_object(str_from(cases[i].text), &part, 1), ==,
+			cases[i].a != NULL);
+		if (cases[i].a)
+			g_assert_cmpmem(part.value.data, part.value.len,
+					cases[i].a, strlen(cases[i].a));
+	}
+}
+
+static void test_json_scan_array(void)
+{
+	/** An array and its elements, joined by '|'; NULL when malformed. */
+	static const struct {
+		const char *text, *elements;
+	} cases[] = {
+		{"[]", ""},
+		{" [ ] ", ""},
+		{"[1]", "1|"},
+		{"[ 1 , [2,3] , \"4,5\" ]", "1|[2,3]|\"4,5\"|"},
+		{"[{\"a\":[]},\xff,null]", "{\"a\":[]}|\xff|null|"},
+		{"", NULL},
+		{"{}", NULL},
+		{"[1", NULL},
+		{"[1,]", NULL},
+		{"[,]", NULL},
+		{"[,1]", NULL},
+		{"[1 2]", NULL},
+		{"[1] 2", NULL},
+		{"[[1]", NULL},
+		{"[\"]", NULL},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GString *elements = g_string_new(NULL);
+		struct json_array array;
+		struct str element;
+
+		g_test_message("case %zu", i);
+		g_assert_cmpint(
+			json_array_scan(&array, str_from(cases[i].text)), ==,
+			cases[i].elements != NULL);
+		while (cases[i].elements && json_array_next(&array, &element)) {
+			g_string_append_len(elements, element.data,
+					    (gssize)element.len);
+			g_string_append_c(elements, '|');
+		}
+		if (cases[i].elements)
+			g_assert_cmpstr(elements->str, ==, cases[i].elements);
+		g_string_free(elements, TRUE);
+	}
+}
+
+/* A value is parsed unless its nesting would exhaust a thread's stack. */
+static void test_json_scan_nesting(void)
+{
+	static const struct {
+		size_t depth;
+		bool valid;
+	} cases[] = {
+		{1, true},
+		{JSON_NESTING_MAX, true},
+		{JSON_NESTING_MAX + 1, false},
+		{1000000, false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GString *text = g_string_new(NULL);
+		struct status status;
+		json_t *value;
+
+		for (size_t j = 0; j < cases[i].depth; j++)
+			g_string_append_c(text, '[');
+		for (size_t j = 0; j < cases[i].depth; j++)
+			g_string_append_c(text, ']');
+		value = json_scan_parse((struct str){text->str, text->len},
+					&status);
+		g_assert_cmpint(value != NULL, ==, cases[i].valid);
+		json_decref(value);
+		/* Without its end. */
+		value = json_scan_parse((struct str){text->str, cases[i].depth},
+					&status);
+		g_assert_null(value);
+		g_string_free(text, TRUE);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -162,5 +283,8 @@
 	g_test_add_func("/common/ring-threads", test_ring_threads);
 	g_test_add_func("/common/ring-full", test_ring_full);
 	g_test_add_func("/common/counters", test_counters);
+	g_test_add_func("/common/json-scan-object", test_json_scan_object);
+	g_test_add_func("/common/json-scan-array", test_json_scan_array);
+	g_test_add_func("/common/json-scan-nesting", test_json_scan_nesting);
 	return g_test_run();
 }
--- a/tests/unit/test_http_store.c
+++ b/tests/unit/test_http_store.c
@@ -228,10 +228,55 @@
 	server_stop(&server);
 }
 
+/*
+ * Guards against processes that no longer follow the store because one object
+ * of another writer in a response can't be parsed.
+ */
+static void test_odd_object(void)
+{
+	static const char *const odd_objects[] = {
+		"{\"key\":\"b\",\"version\":2,\"value\":1e999}",
+		"{\"key\":\"b\",\"version\":99999999999999999999}",
+		"{\"key\":\"b\",\"value\":\"\xff\"}",
+		"{\"key\":\"b\",\"value\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]"
+		"]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]}",
+		"{\"key\":7}",
+		"{}",
+		"[]",
+		"\xff",
+	};
+	struct store_request request;
+	struct store_result result;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_objects); i++) {
+		char *body = g_strdup_printf(
+			"{\"version\":9,\"objects\":["
+			"{\"key\":\"a\",\"version\":1,\"value\":\"x\"},%s,"
+			"{\"key\":\"c\",\"version\":3,\"value\":\"y\"}]}",
+			odd_objects[i]);
+
+		store_request_init(&request, STORE_OP_LIST, "");
+		store_result_init(&result, &request);
+		http_dialect_native_parse(&result, str_from(body));
+		g_assert_cmpint(result.status.code, ==, STATUS_OK);
+		g_assert_cmpint(result.version, ==, 9);
+		g_assert_cmpuint(result.n_objects, ==, i < 4 ? 3 : 2);
+		g_assert_cmpstr(result.objects[0].key, ==, "a");
+		g_assert_cmpstr(result.objects[result.n_objects - 1].key, ==,
+				"c");
+		g_assert_cmpstr(result.objects[result.n_objects - 1].value.data,
+				==, "y");
+		store_result_finish(&result);
+		store_request_finish(&request);
+		g_free(body);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http-store/epoch", test_epoch);
 	g_test_add_func("/http-store/cancel-call", test_cancel_call);
+	g_test_add_func("/http-store/odd-object", test_odd_object);
 	return g_test_run();
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -110,6 +110,20 @@
 	",\"state\":" state ",\"cold_left_ms\":" cold_left      \
 	",\"sequence\":" sequence ",\"born\":1700000000000}"
 
+/* Deeper than any parser follows. */
+#define ODD_NESTING 5000
+
+/* @depth arrays in each other; valid until the next call. */
+static const char *nested_arrays(size_t depth)
+{
+	static char text[2 * ODD_NESTING + 1];
+
+	memset(text, '[', depth);
+	memset(text + depth, ']', depth);
+	text[2 * depth] = '\0';
+	return text;
+}
+
 static void test_heartbeat(void)
 {
 	static const struct {
@@ -340,6 +354,8 @@
 		 "/-/objects/config?watch=5&wait_ms=3000", 5},
 		{STORE_OP_LIST, "tarragonflow/main/zones/", "tas-a", "GET",
 		 "/-/objects/evacuations?after=tas-a", 0},
+		{STORE_OP_LIST, "tarragonflow/main/zones/", "a&b c%d?#", "GET",
+		 "/-/objects/evacuations?after=a%26b%20c%25d%3F%23", 0},
 		{STORE_OP_WATCH, "tarragonflow/main/zones/", "", "GET",
 		 "/-/objects/evacuations?watch=9&wait_ms=3000", 9},
 		{STORE_OP_GET, "tarragonflow/main/roster/0f", "", "GET",
@@ -462,6 +478,214 @@
 	store_result_finish(&result);
 }
 
+/* Objects of another writer: the text of their `spec`; NULL: nested too deep.
+ */
+static const char *const odd_specs[] = {
+	NULL,
+	"{\"x\":99999999999999999999}",
+	"{\"x\":1e999}",
+	"\"\xff\xfe\"",
+	"{\"x\":\xff\xfe}",
+	"\"a\\u0000b\"",
+	"\"\\\\\\\"]}{[\"",
+	"nothing",
+	"7",
+	"{\"value\":7,\"token\":[]}",
+};
+
+/* Parses a response with @before, the odd object or event, and @after in its
+ * array. @format has three places for these texts. */
+static void read_odd_response(enum store_op op, const char *key,
+			      const char *format, size_t i,
+			      struct store_result *result, char *after)
+{
+	const char *spec = odd_specs[i] ? odd_specs[i]
+					: nested_arrays(ODD_NESTING);
+	char *body = g_strdup_printf(format, spec);
+
+	read_response(op, key, 200, body, result, after);
+	g_free(body);
+}
+
+#define STORED(name, rev, spec) \
+	"{\"meta\":{\"name\":\"" name "\",\"rev\":" rev "},\"spec\":" spec "}"
+#define EVENT(object) "{\"object\":" object ",\"deleted\":false}"
+#define VALUE(text) "{\"token\":\"t\",\"value\":\"" text "\"}"
+#define LIST_OF(first, second, third)                               \
+	"{\"items\":[" first "," second "," third "],\"has_more\":" \
+	"false,\"current_rev\":12}"
+#define EVENTS(first, second, third)                              \
+	"{\"events\":[" EVENT(first) "," EVENT(second) "," EVENT( \
+		third) "],\"current_rev\":12}"
+
+/*
+ * Guards against processes that no longer follow the store because one object
+ * of another writer in a response can't be parsed. The other objects hold, and
+ * the odd one exists without a value.
+ */
+static void test_odd_object_in_store(void)
+{
+	static const struct {
+		enum store_op op;
+		const char *key, *format;
+		/** Expected keys, and values; NULL: the manifest of release 7.
+		 */
+		const char *keys[3], *values[3];
+	} cases[] = {
+		{STORE_OP_LIST,
+		 "tarragonflow/main/roster/",
+		 LIST_OF(STORED("00", "3", VALUE("m0")),
+			 STORED("0d", "4", "%s"),
+			 STORED("0f", "5", VALUE("m1"))),
+		 {"tarragonflow/main/roster/00", "tarragonflow/main/roster/0d",
+		  "tarragonflow/main/roster/0f"},
+		 {"m0", "", "m1"}},
+		{STORE_OP_LIST,
+		 "tarragonflow/main/zones/",
+		 LIST_OF(STORED("tas-a", "3", "{}"), STORED("tas-b", "4", "%s"),
+			 STORED("tas-c", "5", "{}")),
+		 {"tarragonflow/main/zones/tas-a",
+		  "tarragonflow/main/zones/tas-b",
+		  "tarragonflow/main/zones/tas-c"},
+		 {"", "", ""}},
+		{STORE_OP_WATCH,
+		 "tarragonflow/main/zones/",
+		 EVENTS(STORED("tas-a", "3", "{}"), STORED("tas-b", "4", "%s"),
+			STORED("tas-c", "5", "{}")),
+		 {"tarragonflow/main/zones/tas-a",
+		  "tarragonflow/main/zones/tas-b",
+		  "tarragonflow/main/zones/tas-c"},
+		 {"", "", ""}},
+		{STORE_OP_LIST,
+		 "tarragonflow/main/manifest",
+		 LIST_OF(STORED("a", "3", "%s"),
+			 STORED("main", "4", "{\"version\":7," SERVICES "}"),
+			 STORED("z", "5", "{}")),
+		 {"tarragonflow/main/manifest"},
+		 {NULL}},
+		{STORE_OP_WATCH,
+		 "tarragonflow/main/manifest",
+		 EVENTS(STORED("a", "3", "%s"),
+			STORED("main", "4", "{\"version\":7," SERVICES "}"),
+			STORED("z", "5", "{}")),
+		 {"tarragonflow/main/manifest"},
+		 {NULL}},
+		/* An invalid configuration isn't returned. */
+		{STORE_OP_WATCH,
+		 "tarragonflow/main/manifest",
+		 EVENTS(STORED("a", "3", "{}"), STORED("main", "4", "%s"),
+			STORED("z", "5", "{}")),
+		 {NULL},
+		 {NULL}},
+		{STORE_OP_GET,
+		 "tarragonflow/main/roster/0d",
+		 STORED("0d", "12", "%s"),
+		 {"tarragonflow/main/roster/0d"},
+		 {""}},
+		{STORE_OP_GET,
+		 "tarragonflow/main/manifest",
+		 STORED("main", "12", "%s"),
+		 {NULL},
+		 {NULL}},
+	};
+	struct store_result result;
+	char after[STORE_KEY_MAX];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS(odd_specs); j++) {
+			size_t n = 0;
+
+			g_test_message("case %zu, object %zu", i, j);
+			read_odd_response(cases[i].op, cases[i].key,
+					  cases[i].format, j, &result, after);
+			g_assert_cmpint(result.status.code, ==, STATUS_OK);
+			g_assert_cmpint(result.version, ==, 12);
+			for (; n < 3 && cases[i].keys[n]; n++) {
+				const char *value = cases[i].values[n];
+
+				g_assert_cmpuint(result.n_objects, >, n);
+				g_assert_cmpstr(result.objects[n].key, ==,
+						cases[i].keys[n]);
+				g_assert_cmpint(result.objects[n].version, >,
+						2);
+				if (value)
+					g_assert_cmpmem(
+						result.objects[n].value.data,
+						result.objects[n].value.len,
+						value, strlen(value));
+				else
+					g_assert_nonnull(strstr(
+						result.objects[n].value.data,
+						"\"release\":7"));
+			}
+			g_assert_cmpuint(result.n_objects, ==, n);
+			store_result_finish(&result);
+		}
+}
+
+/* An object whose name can't be read doesn't hide the others of the page, nor
+ * the next page. */
+static void test_odd_name_in_store(void)
+{
+	static const char *const odd_objects[] = {
+		"{\"meta\":{\"name\":99999999999999999999}}",
+		"{\"meta\":{\"name\":\"\xff\"}}",
+		"{\"meta\":{\"name\":7}}",
+		"{\"meta\":[]}",
+		"{}",
+		"[]",
+		"null",
+		"\xff",
+	};
+	struct store_result result;
+	char after[STORE_KEY_MAX];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_objects); i++) {
+		char *body = g_strdup_printf(
+			"{\"items\":[" STORED(
+				"tas-a", "3",
+				"{}") ",%s],"
+				      "\"has_more\":true,\"current_rev\":12}",
+			odd_objects[i]);
+
+		read_response(STORE_OP_LIST, "tarragonflow/main/zones/", 200,
+			      body, &result, after);
+		g_assert_cmpint(result.status.code, ==, STATUS_OK);
+		g_assert_cmpuint(result.n_objects, ==, 1);
+		g_assert_cmpstr(after, ==, "tas-a");
+		store_result_finish(&result);
+		g_free(body);
+	}
+}
+
+/* A response that is cut off or not JSON is no answer. */
+static void test_malformed_response(void)
+{
+	static const char *const bodies[] = {
+		"",
+		"[]",
+		"{\"items\":[" STORED("tas-a", "3", "{}") ",",
+		"{\"items\":[" STORED("tas-a", "3", "{}") "]",
+		"{\"items\":[" STORED("tas-a", "3", "{}") " {}],"
+							  "\"current_rev\":12}",
+		"{\"items\":[{}],\"current_rev\":12} {}",
+		"{\"items\":[{},],\"current_rev\":12}",
+		"{\"items\":7,\"current_rev\":12}",
+		"{\"items\" []}",
+	};
+	struct store_result result;
+	char after[STORE_KEY_MAX];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		read_response(STORE_OP_LIST, "tarragonflow/main/zones/", 200,
+			      bodies[i], &result, after);
+		g_test_message("%s", bodies[i]);
+		g_assert_cmpint(result.status.code, ==, STATUS_UNAVAILABLE);
+		g_assert_cmpuint(result.n_objects, ==, 0);
+		store_result_finish(&result);
+	}
+}
+
 /*
  * The pages of a list are read one after the other. The result has the version
  * of its oldest page: with the version of a newer page, an object that was
@@ -579,6 +803,11 @@
 	g_test_add_func("/platform/http-calls", test_http_calls);
 	g_test_add_func("/platform/http-codes", test_http_codes);
 	g_test_add_func("/platform/zones-response", test_zones_response);
+	g_test_add_func("/platform/odd-object-in-store",
+			test_odd_object_in_store);
+	g_test_add_func("/platform/odd-name-in-store", test_odd_name_in_store);
+	g_test_add_func("/platform/malformed-response",
+			test_malformed_response);
 	g_test_add_func("/platform/list-pages", test_list_pages);
 	g_test_add_func("/platform/config-response", test_config_response);
 	g_test_add_func("/platform/large-value", test_large_value);
