One odd member in the store's roster doesn't hide the others of its shard

Callers would see: another writer leaves a member with a port out of range, a number too large or a nested field in the store's copy of the roster.

Cause: a shard was parsed up to the first member that is not valid, and counted as empty if the parser refused any of it. Numbers that don't fit their fields were cut off: 2^32 connections counted as none. Nothing can outnumber an instance of 2^63 - 1, so such an entry replaced a live member of that name.

Why the fix works: members are read one by one, each number within a range that leaves room above it, and one that is not valid is skipped with a log line that names the field. A list with a skipped entry doesn't count as the full roster, as the entry may have been a member's. An order on a zone whose name can't be a zone's is logged, too.

Tests: /platform-sync/odd-entry-in-roster, 20 odd entries each for a process that knows only the list and for a balancer that updates the shard; before "fixture.roster.n == 3: (4 == 3)" with 2^32 connections accepted or members lost. /platform-sync/unreadable-shard passes before and after.

--- a/control/platform_results.c
+++ b/control/platform_results.c
@@ -186,6 +186,9 @@
 
 		if (slash && name_set(&order.zone, str_from(slash + 1)))
 			zone_orders_merge(orders, &order);
+		else
+			log_event(LOG_LEVEL_WARN, "zone-order-skipped",
+				  "key=\"%s\"", object->key);
 	}
 }
 
@@ -216,21 +219,24 @@
 	callbacks->deliver_zone_orders(callbacks, &update);
 }
 
-/* Tombstones are delivered only for members that the local roster has. */
-static void deliver_members(const struct store_object *object,
+/* Tombstones are delivered only for members that the local roster has. Returns
+ * false if an entry was skipped. */
+static bool deliver_members(const struct store_object *object,
 			    const struct roster *known,
 			    struct platform_sync_callbacks *callbacks)
 {
 	struct roster stored;
+	bool all_valid;
 
 	roster_init(&stored);
-	roster_shard_parse(strbuf_str(&object->value), &stored);
+	all_valid = roster_shard_parse(strbuf_str(&object->value), &stored);
 	for (size_t i = 0; i < stored.n; i++)
 		if (stored.members[i].state != MEMBER_LEFT ||
 		    roster_find(known, &stored.members[i].name))
 			callbacks->deliver_member(callbacks,
 						  &stored.members[i]);
 	roster_finish(&stored);
+	return all_valid;
 }
 
 static void handle_roster_list(struct platform_sync *sync,
@@ -238,6 +244,8 @@
 			       const struct platform_view *view, int64_t now_ms,
 			       struct platform_sync_callbacks *callbacks)
 {
+	bool all_valid = true;
+
 	if (result->status.code != STATUS_OK) {
 		if (!sync->full_roster_received)
 			sync->initial_list_sent = false;
@@ -246,12 +254,14 @@
 		return;
 	}
 	for (size_t i = 0; i < result->n_objects; i++)
-		deliver_members(&result->objects[i], view->roster, callbacks);
+		all_valid &= deliver_members(&result->objects[i], view->roster,
+					     callbacks);
 	if (sync->list_covers_all) {
 		sync->roster_exceeds_one_response = result->has_more;
+		/* A skipped entry may be that of a member. */
 		sync->full_roster_received |= !result->has_more &&
 					      !sync->list_may_be_stale &&
-					      result->n_objects;
+					      result->n_objects && all_valid;
 	}
 	if (sync->pages_requested == ALL_PAGES || sync->list_covers_all)
 		sync->list_call.not_before_ms =
--- a/control/roster_shard.c
+++ b/control/roster_shard.c
@@ -7,6 +7,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "tarragonflow/common/json_scan.h"
+#include "tarragonflow/common/log.h"
+
 unsigned int roster_shard_of(const struct name *name)
 {
 	return (unsigned int)(XXH3_64bits(name->data, name->len) %
@@ -52,55 +55,99 @@
 	return text && endpoint_parse(endpoint, text);
 }
 
-static uint64_t parse_number(const json_t *item, const char *key)
+static bool parse_number(const json_t *item, const char *key, uint64_t min,
+			 uint64_t max, uint64_t *number)
 {
-	json_int_t value = json_integer_value(json_object_get(item, key));
+	const json_t *value = json_object_get(item, key);
+	json_int_t integer = json_integer_value(value);
 
-	return value > 0 ? (uint64_t)value : 0;
+	*number = (uint64_t)integer;
+	return json_is_integer(value) && integer >= 0 && *number >= min &&
+	       *number <= max;
 }
 
-static bool parse_member(const json_t *item, struct member *member)
+/* Parses an entry. Returns the name of the first invalid field, or NULL. */
+static const char *parse_member(const json_t *item, struct member *member)
 {
-	uint64_t role = parse_number(item, "role");
-	uint64_t state = parse_number(item, "state");
+	uint64_t role, state, connections, slots;
 
 	memset(member, 0, sizeof(*member));
-	if ((role != MEMBER_BALANCER && role != MEMBER_AGENT) ||
-	    state < MEMBER_ACTIVE || state > MEMBER_LEFT)
-		return false;
+	if (!parse_name(item, "name", &member->name, false))
+		return "name";
+	if (!parse_number(item, "role", MEMBER_BALANCER, MEMBER_AGENT, &role))
+		return "role";
+	if (!parse_number(item, "state", MEMBER_ACTIVE, MEMBER_LEFT, &state))
+		return "state";
+	if (!parse_number(item, "instance", 0, MEMBER_INSTANCE_MAX,
+			  &member->instance))
+		return "instance";
+	if (!parse_number(item, "sequence", 0, MEMBER_SEQUENCE_MAX,
+			  &member->sequence))
+		return "sequence";
+	if (!parse_number(item, "connections", 0, MEMBER_CONNECTIONS_MAX,
+			  &connections))
+		return "connections";
+	if (!parse_number(item, "slots", 0, MEMBER_SLOTS_MAX, &slots))
+		return "slots";
+	if (!parse_name(item, "zone", &member->zone, false))
+		return "zone";
+	if (!parse_name(item, "service", &member->service,
+			role == MEMBER_BALANCER))
+		return "service";
+	if (!parse_endpoint(item, "data", &member->data))
+		return "data";
+	if (!parse_endpoint(item, "control", &member->control))
+		return "control";
+	if (!parse_endpoint(item, "admin", &member->admin))
+		return "admin";
 	member->role = (enum member_role)role;
 	member->state = (enum member_state)state;
-	member->instance = parse_number(item, "instance");
-	member->sequence = parse_number(item, "sequence");
-	member->connections = (uint32_t)parse_number(item, "connections");
-	member->slots = (uint32_t)parse_number(item, "slots");
-	return parse_name(item, "name", &member->name, false) &&
-	       parse_name(item, "zone", &member->zone, false) &&
-	       parse_name(item, "service", &member->service,
-			  role == MEMBER_BALANCER) &&
-	       parse_endpoint(item, "data", &member->data) &&
-	       parse_endpoint(item, "control", &member->control) &&
-	       parse_endpoint(item, "admin", &member->admin);
+	member->connections = (uint32_t)connections;
+	member->slots = (uint32_t)slots;
+	return NULL;
+}
+
+/* Parses the entry @text; logs what is wrong when it returns false. */
+static bool read_entry(struct str text, struct member *member)
+{
+	struct status status;
+	json_t *item = json_scan_parse(text, &status);
+	const char *invalid_field;
+
+	if (!item) {
+		log_event(LOG_LEVEL_WARN, "member-entry-skipped",
+			  "reason=\"%s\"", status.message);
+		return false;
+	}
+	invalid_field = parse_member(item, member);
+	if (invalid_field)
+		log_event(LOG_LEVEL_WARN, "member-entry-skipped",
+			  "name=\"%s\" field=%s", member->name.data,
+			  invalid_field);
+	json_decref(item);
+	return !invalid_field;
 }
 
 bool roster_shard_parse(struct str text, struct roster *out)
 {
-	json_error_t error;
-	json_t *root = json_loadb(text.data, text.len, 0, &error);
-	const json_t *members = json_object_get(root, "members");
-	bool valid = json_is_array(members);
+	struct json_part members = {.name = "members"};
+	struct json_array entries;
 	struct member member;
-	const json_t *item;
-	size_t i;
-
-	json_array_foreach(members, i, item)
-	{
-		valid = valid && parse_member(item, &member);
-		if (!valid)
-			break;
-		roster_merge(out, &member, 0);
+	struct str entry;
+	bool valid = true;
+
+	if (!json_scan_object(text, &members, 1) ||
+	    !json_array_scan(&entries, members.value)) {
+		log_event(LOG_LEVEL_WARN, "roster-shard-unreadable",
+			  "bytes=%zu", text.len);
+		return false;
+	}
+	while (json_array_next(&entries, &entry)) {
+		if (read_entry(entry, &member))
+			roster_merge(out, &member, 0);
+		else
+			valid = false;
 	}
-	json_decref(root);
 	return valid;
 }
 
--- a/include/tarragonflow/control/roster_shard.h
+++ b/include/tarragonflow/control/roster_shard.h
@@ -33,8 +33,9 @@
 			      unsigned int page);
 
 /**
- * Parses a shard's value and merges its members into @out. False when @text is
- * malformed; the members before the malformed one are merged.
+ * Parses a shard's value and merges its members into @out. Entries that are not
+ * valid are skipped with a log line; then, and when @text is no shard at all,
+ * returns false.
  */
 bool roster_shard_parse(struct str text, struct roster *out);
 
--- a/include/tarragonflow/roster/roster.h
+++ b/include/tarragonflow/roster/roster.h
@@ -61,6 +61,15 @@
 	int64_t updated_ms;
 };
 
+/**
+ * Largest numbers of a member. Entries that exceed them are of a writer that
+ * does not number as the processes do: no process could outnumber them.
+ */
+#define MEMBER_INSTANCE_MAX 253402300799999ULL /* 9999-12-31, ms since 1970 */
+#define MEMBER_SEQUENCE_MAX (1ULL << 53)
+#define MEMBER_CONNECTIONS_MAX 1000000
+#define MEMBER_SLOTS_MAX 10000
+
 /** All known members, sorted by name. */
 struct roster {
 	struct member *members;
@@ -92,6 +101,9 @@
 /** True if @a supersedes @b, both entries for the same member. */
 bool member_is_newer(const struct member *a, const struct member *b);
 
+/** Name of the first number of @member that is too large, or NULL. */
+const char *member_excessive_field(const struct member *member);
+
 const char *member_state_name(enum member_state state);
 const char *member_role_name(enum member_role role);
 
--- a/roster/roster.c
+++ b/roster/roster.c
@@ -129,6 +129,19 @@
 	return change;
 }
 
+const char *member_excessive_field(const struct member *member)
+{
+	if (member->instance > MEMBER_INSTANCE_MAX)
+		return "instance";
+	if (member->sequence > MEMBER_SEQUENCE_MAX)
+		return "sequence";
+	if (member->connections > MEMBER_CONNECTIONS_MAX)
+		return "connections";
+	if (member->slots > MEMBER_SLOTS_MAX)
+		return "slots";
+	return NULL;
+}
+
 const char *member_state_name(enum member_state state)
 {
 	static const char *const names[] = {"none", "active", "suspect",
--- a/tests/unit/test_platform_sync.c
+++ b/tests/unit/test_platform_sync.c
@@ -293,6 +293,20 @@
 	}
 }
 
+/* Copies the name of the first member "orders-N" of @shard, N at least @number,
+ * to @text. Returns N. */
+static int find_name_in_shard(unsigned int shard, int number, char *text,
+			      size_t size)
+{
+	struct name name;
+
+	do {
+		g_snprintf(text, size, "orders-%d", number++);
+		name_set(&name, str_from(text));
+	} while (roster_shard_of(&name) != shard);
+	return number - 1;
+}
+
 static void test_shard_merges(void)
 {
 	struct fixture fixture;
@@ -310,14 +324,8 @@
 	roster_init(&other);
 	strbuf_init(&value);
 	/* Another writer added a member to the shard of "self". */
-	for (int i = 0; !other.n; i++) {
-		struct name candidate;
-
-		g_snprintf(name, sizeof(name), "orders-%d", i);
-		name_set(&candidate, str_from(name));
-		if (roster_shard_of(&candidate) == shard)
-			add_member(&other, name, MEMBER_AGENT, MEMBER_ACTIVE);
-	}
+	find_name_in_shard(shard, 0, name, sizeof(name));
+	add_member(&other, name, MEMBER_AGENT, MEMBER_ACTIVE);
 	roster_shard_format(&other, &value);
 	roster_shard_key(key, &deployment, shard);
 	put_object(&fixture, key, 0, value.data);
@@ -334,6 +342,144 @@
 	strbuf_finish(&value);
 }
 
+/* An entry in the store's copy of the roster, with one field replaced. */
+#define ENTRY(name, state, instance, sequence, connections, data)             \
+	"{\"name\":" name ",\"zone\":\"z\",\"service\":\"orders\",\"role\":2" \
+	",\"state\":" state ",\"instance\":" instance                         \
+	",\"sequence\":" sequence ",\"connections\":" connections             \
+	",\"slots\":5,\"data\":" data                                         \
+	",\"control\":\"10.0.0.9:2\",\"admin\":\"10.0.0.9:3\"}"
+#define DATA "\"10.0.0.9:1\""
+#define DEEP                                       \
+	"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[" \
+	"]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]"
+#define LARGE "99999999999999999999"
+
+/* Parses the shard @key in the store into @out; false if an entry is not valid.
+ */
+static bool read_stored_shard(struct fixture *fixture, const char *key,
+			      struct roster *out)
+{
+	struct store_request request;
+	struct store_result result;
+	bool valid;
+
+	store_request_init(&request, STORE_OP_GET, key);
+	memory_store_apply(&fixture->store, &request, &result);
+	g_assert_cmpuint(result.n_objects, ==, 1);
+	valid = roster_shard_parse(strbuf_str(&result.objects[0].value), out);
+	store_result_finish(&result);
+	store_request_finish(&request);
+	return valid;
+}
+
+/*
+ * Guards against the loss of members because another writer left an odd entry
+ * beside them in the store: processes that know only the store must learn the
+ * others, and a balancer that updates the shard must keep them.
+ */
+static void test_odd_entry_in_roster(void)
+{
+	static const char *const odd_entries[] = {
+		ENTRY("\"odd\"", "1", DEEP, "1", "9", DATA),
+		ENTRY("\"odd\"", "1", LARGE, "1", "9", DATA),
+		ENTRY("\"odd\"", "1", "1e999", "1", "9", DATA),
+		ENTRY("\"odd\"", "1", "9223372036854775807", "1", "9", DATA),
+		ENTRY("\"odd\"", "1", "1", "9223372036854775807", "9", DATA),
+		ENTRY("\"odd\"", "1", "1", "1", "4294967296", DATA),
+		ENTRY("\"odd\"", "1", "1", "1", "-1", DATA),
+		ENTRY("\"odd\"", "9", "1", "1", "9", DATA),
+		ENTRY("\"odd\"", "\"ready\"", "1", "1", "9", DATA),
+		ENTRY("\"odd\"", "1", "1", "1", "9", "\"10.0.0.9:65536\""),
+		ENTRY("\"odd\"", "1", "1", "1", "9", "\"10.0.0.9:0\""),
+		ENTRY("\"odd\"", "1", "1", "1", "9",
+		      "\"10.0.0.9:99999999999\""),
+		ENTRY("\"odd\"", "1", "1", "1", "9", "8080"),
+		ENTRY("\"\xff\"", "1", "1", "1", "9", DATA),
+		ENTRY("\"Odd\"", "1", "1", "1", "9", DATA),
+		ENTRY("[]", "1", "1", "1", "9", DATA),
+		"{}",
+		"7",
+		"\"odd\"",
+		DEEP,
+	};
+	char key[STORE_KEY_MAX], before[32], after[32];
+	struct name self, deployment, odd;
+	int number;
+
+	name_set(&self, str_from("self"));
+	name_set(&deployment, str_from("d"));
+	name_set(&odd, str_from("odd"));
+	roster_shard_key(key, &deployment, roster_shard_of(&self));
+	number = find_name_in_shard(roster_shard_of(&self), 0, before,
+				    sizeof(before));
+	find_name_in_shard(roster_shard_of(&self), number + 1, after,
+			   sizeof(after));
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_entries); i++) {
+		/* The process reads the roster by a list, or the shard in order
+		 * to write it. */
+		for (int writes = 0; writes < 2; writes++) {
+			char *text = g_strdup_printf(
+				"{\"members\":[" ENTRY(
+					"\"%s\"", "1", "5", "1", "9",
+					DATA) ",%s," ENTRY("\"%s\"", "1", "5",
+							   "1", "9", DATA) "]}",
+				before, odd_entries[i], after);
+			struct roster written;
+			struct fixture fixture;
+
+			g_test_message("entry %zu, writes %d", i, writes);
+			fixture_init_with(&fixture,
+					  writes ? MEMBER_BALANCER
+						 : MEMBER_AGENT,
+					  !writes, 7);
+			put_object(&fixture, key, 0, text);
+			fixture_run(&fixture, 20000);
+			g_assert_cmpuint(fixture.roster.n, ==, 3);
+			g_assert_null(roster_find(&fixture.roster, &odd));
+			g_assert_false(fixture.sync.full_roster_received);
+			if (writes) {
+				g_assert_cmpuint(fixture.n_calls[STORE_OP_PUT],
+						 ==, 1);
+				roster_init(&written);
+				g_assert_true(read_stored_shard(&fixture, key,
+								&written));
+				g_assert_cmpuint(written.n, ==, 3);
+				roster_finish(&written);
+			}
+			fixture_finish(&fixture);
+			g_free(text);
+		}
+	}
+}
+
+/* A shard that can't be read at all is written anew, and stops no other. */
+static void test_unreadable_shard(void)
+{
+	static const char *const values[] = {
+		"", "7", "{", "{\"members\":{}}", "{\"members\":[1,]}", "\xff"};
+	struct name self, deployment;
+	char key[STORE_KEY_MAX];
+
+	name_set(&self, str_from("self"));
+	name_set(&deployment, str_from("d"));
+	roster_shard_key(key, &deployment, roster_shard_of(&self));
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		struct roster written;
+		struct fixture fixture;
+
+		fixture_init(&fixture, MEMBER_BALANCER);
+		put_object(&fixture, key, 0, values[i]);
+		fixture_run(&fixture, 20000);
+		g_assert_cmpuint(fixture.n_calls[STORE_OP_PUT], ==, 1);
+		roster_init(&written);
+		g_assert_true(read_stored_shard(&fixture, key, &written));
+		g_assert_nonnull(roster_find(&written, &self));
+		roster_finish(&written);
+		fixture_finish(&fixture);
+	}
+}
+
 static void test_tombstones_expire(void)
 {
 	struct fixture fixture;
@@ -1238,6 +1384,10 @@
 	g_test_add_func("/platform-sync/shard-written-once",
 			test_shard_written_once);
 	g_test_add_func("/platform-sync/shard-merges", test_shard_merges);
+	g_test_add_func("/platform-sync/odd-entry-in-roster",
+			test_odd_entry_in_roster);
+	g_test_add_func("/platform-sync/unreadable-shard",
+			test_unreadable_shard);
 	g_test_add_func("/platform-sync/tombstones-expire",
 			test_tombstones_expire);
 	g_test_add_func("/platform-sync/watcher-selection",
