One odd entry in a peer's message doesn't lose the message

Callers would see: a peer passes on one entry that is not valid, and nothing of its message arrives: no member, no order on a zone, no release. An entry or zone report with the greatest possible number replaces a live member, or ends all later reports on a zone, since the reply to it wraps around to 0.

Cause: a message was refused as a whole for one entry, and the numbers by which entries outdate each other had no bounds.

Why the fix works: each entry, report and order is checked by itself, and one that is not valid is skipped, counted and logged (at most a line a second). Numbers are bounded below the point where they wrap; a process whose own entry has the greatest sequence starts a new instance, which outdates it.

Tests: /control/odd-entry-in-message, odd-zone-in-message, own-entry-with-largest-sequence.

--- a/control/control.c
+++ b/control/control.c
@@ -37,6 +37,7 @@
 #define PUSH_INTERVAL_MS 150
 #define PUSH_MS 4000
 #define PULL_RETRY_MS 150
+#define SKIPPED_LOG_LINES_PER_S 1
 /* Time for anti-entropy to compare the roster with several peers. */
 #define ROSTER_COMPLETE_AFTER_MS 5000
 /* Value of last_discovery_ms until a peer reports an unknown member. */
@@ -209,6 +210,25 @@
 	return control->resync.active;
 }
 
+/* Counts entries of @message that are not valid, and logs one a second. */
+static void record_skipped_entries(struct control *control,
+				   const struct message *message,
+				   int64_t now_ms)
+{
+	uint32_t suppressed;
+
+	if (!message->n_skipped)
+		return;
+	counter_add(control->counters, COUNTER_CONTROL_DROP_MALFORMED,
+		    (uint32_t)message->n_skipped);
+	if (log_rate_limit_allow(&control->skipped_log_budget,
+				 SKIPPED_LOG_LINES_PER_S, now_ms, &suppressed))
+		log_event(LOG_LEVEL_WARN, "member-entry-skipped",
+			  "from=%s entries=%zu field=%s suppressed=%u",
+			  message->from.member.name.data, message->n_skipped,
+			  message->skipped_field, suppressed);
+}
+
 /* Verifies and decodes a datagram; counts the reason for a drop. */
 static bool accept_message(struct control *control, const uint8_t *data,
 			   size_t len, struct message *message,
@@ -260,6 +280,7 @@
 	counter_inc(control->counters, COUNTER_CONTROL_RECEIVED);
 	context_init(&context, control, sink, now_ms);
 	if (accept_message(control, data, len, &message, &storage)) {
+		record_skipped_entries(control, &message, now_ms);
 		platform_sync_merge_ages(&control->platform,
 					 &message.contact_ages, now_ms);
 		platform_sync_merge_epoch(&control->platform,
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -37,6 +37,21 @@
 			    COUNTER_GOSSIP_QUEUE_FULL);
 }
 
+/* Starts a new instance of this process in the rosters, greater than @instance.
+ */
+static void restart_instance(struct control_context *context, uint64_t instance)
+{
+	struct control *control = context->control;
+	struct member *self = &control->options.self;
+
+	if (instance >= MEMBER_INSTANCE_MAX)
+		return;
+	self->instance = instance + 1;
+	self->sequence = 1;
+	roster_merge(&control->roster, self, context->now_ms);
+	queue_gossip(context, GOSSIP_JOIN, &self->name, true);
+}
+
 /* Handles a received entry about this process; refutes a newer one. */
 static void handle_self_entry(struct control_context *context,
 			      const struct member *entry)
@@ -47,10 +62,7 @@
 	/* The entry is of a previous run: this run needs a greater instance. */
 	if (entry->instance > self->instance &&
 	    context->now_ms - control->started_ms < PREVIOUS_RUN_WINDOW_MS) {
-		self->instance = entry->instance + 1;
-		self->sequence = 1;
-		roster_merge(&control->roster, self, context->now_ms);
-		queue_gossip(context, GOSSIP_JOIN, &self->name, true);
+		restart_instance(context, entry->instance);
 		return;
 	}
 	if (entry->instance < self->instance)
@@ -58,6 +70,10 @@
 						     entry->config_revision);
 	if (entry->instance != self->instance || !member_is_newer(entry, self))
 		return;
+	if (entry->sequence >= MEMBER_SEQUENCE_MAX) {
+		restart_instance(context, entry->instance);
+		return;
+	}
 	self->sequence = entry->sequence + 1;
 	counter_inc(control->counters, COUNTER_SUSPICION_REFUTED);
 	control_announce_self(context, GOSSIP_SELF);
--- a/control/message.c
+++ b/control/message.c
@@ -76,22 +76,33 @@
 	return name_set(name, str_from(text));
 }
 
-static bool member_from_wire(struct member *member, bool *brief,
-			     const Control__Member *wire)
+static bool are_ports_valid(const Control__Member *wire)
+{
+	return wire->data_port <= UINT16_MAX &&
+	       wire->control_port <= UINT16_MAX &&
+	       wire->admin_port <= UINT16_MAX;
+}
+
+/* Reads an entry. Returns the name of the first invalid field, or NULL. */
+static const char *member_from_wire(struct member *member, bool *brief,
+				    const Control__Member *wire)
 {
 	bool agent = wire->role == MEMBER_AGENT;
 
 	memset(member, 0, sizeof(*member));
 	*brief = !*wire->zone;
-	if (!name_from_wire(&member->name, wire->name, false) ||
-	    !name_from_wire(&member->zone, wire->zone, *brief) ||
-	    !name_from_wire(&member->service, wire->service, !agent))
-		return false;
-	if ((!*brief && wire->role != MEMBER_BALANCER && !agent) ||
-	    wire->state < MEMBER_ACTIVE || wire->state > MEMBER_LEFT ||
-	    wire->data_port > UINT16_MAX || wire->control_port > UINT16_MAX ||
-	    wire->admin_port > UINT16_MAX)
-		return false;
+	if (!name_from_wire(&member->name, wire->name, false))
+		return "name";
+	if (!name_from_wire(&member->zone, wire->zone, *brief))
+		return "zone";
+	if (!name_from_wire(&member->service, wire->service, !agent))
+		return "service";
+	if (!*brief && wire->role != MEMBER_BALANCER && !agent)
+		return "role";
+	if (wire->state < MEMBER_ACTIVE || wire->state > MEMBER_LEFT)
+		return "state";
+	if (!are_ports_valid(wire))
+		return "port";
 	member->role = (enum member_role)wire->role;
 	member->state = (enum member_state)wire->state;
 	member->instance = wire->instance;
@@ -105,7 +116,7 @@
 	member->connections = wire->connections;
 	member->slots = wire->slots;
 	member->config_revision = wire->config_revision;
-	return true;
+	return member_excessive_field(member);
 }
 
 /* On the wire 0 means never, and other ages are incremented by one. */
@@ -272,51 +283,94 @@
 
 	if (!wire)
 		return message->kind != MESSAGE_PING_REQUEST;
-	return member_from_wire(&message->target, &brief, wire);
+	return !member_from_wire(&message->target, &brief, wire);
+}
+
+/* Skips an entry, report or order of a message that is not valid. */
+static void skip_entry(struct message *message, const char *invalid_field)
+{
+	message->n_skipped++;
+	message->skipped_field = invalid_field;
 }
 
-static bool entries_from_wire(struct message *message,
+static bool members_from_wire(struct message *message,
 			      const Control__Message *wire)
 {
-	if (wire->n_members > MESSAGE_MEMBERS_MAX ||
-	    wire->n_zones > MESSAGE_ZONES_MAX)
+	if (wire->n_members > MESSAGE_MEMBERS_MAX)
+		return false;
+	for (size_t i = 0; i < wire->n_members; i++) {
+		struct message_entry *entry =
+			&message->members[message->n_members];
+		const char *invalid_field = member_from_wire(
+			&entry->member, &entry->brief, wire->members[i]);
+
+		if (invalid_field)
+			skip_entry(message, invalid_field);
+		else
+			message->n_members++;
+	}
+	return true;
+}
+
+static const char *zone_from_wire(struct zone_report *report,
+				  const Control__ZoneReport *wire)
+{
+	if (!name_from_wire(&report->zone, wire->zone, false))
+		return "zones.zone";
+	if (wire->state < MEMBER_ACTIVE || wire->state > MEMBER_LEFT)
+		return "zones.state";
+	if (wire->id > ZONE_REPORT_ID_MAX)
+		return "zones.id";
+	report->id = wire->id;
+	report->state = (enum member_state)wire->state;
+	return NULL;
+}
+
+static bool zones_from_wire(struct message *message,
+			    const Control__Message *wire)
+{
+	if (wire->n_zones > MESSAGE_ZONES_MAX)
 		return false;
-	for (size_t i = 0; i < wire->n_members; i++)
-		if (!member_from_wire(&message->members[i].member,
-				      &message->members[i].brief,
-				      wire->members[i]))
-			return false;
 	for (size_t i = 0; i < wire->n_zones; i++) {
-		const Control__ZoneReport *zone = wire->zones[i];
-
-		if (!name_from_wire(&message->zones[i].zone, zone->zone,
-				    false) ||
-		    zone->state < MEMBER_ACTIVE || zone->state > MEMBER_LEFT)
-			return false;
-		message->zones[i].id = zone->id;
-		message->zones[i].state = (enum member_state)zone->state;
+		const char *invalid_field = zone_from_wire(
+			&message->zones[message->n_zones], wire->zones[i]);
+
+		if (invalid_field)
+			skip_entry(message, invalid_field);
+		else
+			message->n_zones++;
 	}
-	message->n_members = wire->n_members;
-	message->n_zones = wire->n_zones;
 	return true;
 }
 
+static const char *order_from_wire(struct zone_order *order,
+				   const Control__ZoneOrder *wire)
+{
+	if (!name_from_wire(&order->zone, wire->zone, false))
+		return "zone_orders.zone";
+	/* Versions of the store are signed. */
+	if (wire->version > INT64_MAX)
+		return "zone_orders.version";
+	order->epoch = wire->epoch;
+	order->version = wire->version;
+	order->out = wire->out;
+	return NULL;
+}
+
 static bool orders_from_wire(struct message *message,
 			     const Control__Message *wire)
 {
 	if (wire->n_zone_orders > ZONE_ORDERS_MAX)
 		return false;
 	for (size_t i = 0; i < wire->n_zone_orders; i++) {
-		const Control__ZoneOrder *wire_order = wire->zone_orders[i];
-		struct zone_order order = {
-			.epoch = wire_order->epoch,
-			.version = wire_order->version,
-			.out = wire_order->out,
-		};
-
-		if (!name_from_wire(&order.zone, wire_order->zone, false))
-			return false;
-		zone_orders_merge(&message->zone_orders, &order);
+		struct zone_order order = {0};
+		const char *invalid_field =
+			order_from_wire(&order, wire->zone_orders[i]);
+
+		if (invalid_field)
+			skip_entry(message, invalid_field);
+		else
+			zone_orders_merge(&message->zone_orders, &order);
 	}
 	return true;
 }
@@ -339,9 +393,10 @@
 		age_from_wire(wire->platform_watcher_age);
 	message->contact_ages.restore_ms =
 		age_from_wire(wire->platform_restore_age);
-	return member_from_wire(&message->from.member, &message->from.brief,
-				wire->from) &&
-	       entries_from_wire(message, wire) &&
+	return !member_from_wire(&message->from.member, &message->from.brief,
+				 wire->from) &&
+	       members_from_wire(message, wire) &&
+	       zones_from_wire(message, wire) &&
 	       orders_from_wire(message, wire) &&
 	       target_from_wire(message, wire->target) &&
 	       digest_from_wire(message, wire->digest) &&
--- a/include/tarragonflow/control/control.h
+++ b/include/tarragonflow/control/control.h
@@ -99,8 +99,9 @@
 	struct zone_orders zone_orders;
 	/** When a peer last reported a member that the roster lacked, ms. */
 	int64_t last_discovery_ms;
-	/** Rate limit of the log lines about members. */
-	struct log_rate_limit member_log_budget;
+	/** Rate limits of the log lines about members, and about entries of
+	 * messages that were skipped. */
+	struct log_rate_limit member_log_budget, skipped_log_budget;
 	struct config_store config;
 	struct platform_sync platform;
 	struct random random;
--- a/include/tarragonflow/control/message.h
+++ b/include/tarragonflow/control/message.h
@@ -59,6 +59,9 @@
 	bool brief;
 };
 
+/** Largest id of a zone report. */
+#define ZONE_REPORT_ID_MAX (1ULL << 53)
+
 /** Reports the state of all members of a zone at once. */
 struct zone_report {
 	struct name zone;
@@ -113,6 +116,10 @@
 	struct roster_digest digest;
 	/** Number of this message since the sender's instance started. */
 	uint64_t number;
+	/** Decoded messages: entries, zone reports and zone orders that were
+	 * skipped as not valid, and the invalid field of the last one. */
+	size_t n_skipped;
+	const char *skipped_field;
 };
 
 /** Appends the wire form of @message to @out. */
@@ -125,8 +132,9 @@
 size_t message_zone_bytes(const struct zone_report *report);
 
 /**
- * Decodes @data; false when malformed, and @message is then invalid. The
- * manifest is copied into @storage.
+ * Decodes @data; false when malformed, and @message is then invalid. Entries,
+ * zone reports and zone orders that are not valid are skipped. The manifest is
+ * copied into @storage.
  */
 bool message_decode(struct message *message, const uint8_t *data, size_t len,
 		    struct strbuf *storage);
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -10,7 +10,7 @@
 	struct control_sink sink;
 	struct control control;
 	struct counters counters;
-	unsigned int n_sent, n_routing_changes;
+	unsigned int n_sent, n_routing_changes, n_received;
 	/** The last platform call for zone orders. */
 	struct store_request last_zones_call;
 };
@@ -117,6 +117,178 @@
 	}
 }
 
+/* Sends @message, from "peer", to the control core. */
+static void receive_message(struct fixture *fixture, struct message *message,
+			    int64_t now_ms)
+{
+	struct strbuf wire, sealed;
+
+	message->kind = MESSAGE_GOSSIP;
+	message->from.member = (struct member){
+		.role = MEMBER_AGENT,
+		.state = MEMBER_ACTIVE,
+		.instance = 7,
+		.control = {2, 2},
+	};
+	name_set(&message->from.member.name, str_from("peer"));
+	name_set(&message->from.member.zone, str_from("z"));
+	name_set(&message->from.member.service, str_from("orders"));
+	message->number = ++fixture->n_received;
+	strbuf_init(&wire);
+	strbuf_init(&sealed);
+	message_encode(message, &wire);
+	auth_seal(&fixture->control.options.keys,
+		  &fixture->control.options.self.control, strbuf_str(&wire),
+		  &sealed);
+	control_handle_message(&fixture->control, &message->from.member.control,
+			       (const uint8_t *)sealed.data, sealed.len, now_ms,
+			       &fixture->sink);
+	strbuf_finish(&wire);
+	strbuf_finish(&sealed);
+}
+
+static void set_member(struct message_entry *entry, const char *name)
+{
+	*entry = (struct message_entry){
+		.member = {.role = MEMBER_AGENT,
+			   .state = MEMBER_ACTIVE,
+			   .instance = 5,
+			   .sequence = 1,
+			   .connections = 2000,
+			   .slots = 5,
+			   .data = {3, 3},
+			   .control = {3, 3}},
+	};
+	name_set(&entry->member.name, str_from(name));
+	name_set(&entry->member.zone, str_from("z"));
+	name_set(&entry->member.service, str_from("orders"));
+}
+
+/*
+ * Guards against the loss of a whole message, or a member that nothing can
+ * outnumber any more, because of one odd entry that a peer passes on.
+ */
+static void test_odd_entry_in_message(void)
+{
+	/* Fields of the entry in the middle. */
+	static const struct {
+		enum member_role role;
+		enum member_state state;
+		uint64_t instance, sequence;
+		uint32_t connections, slots;
+		const char *service;
+	} cases[] = {
+		{MEMBER_AGENT, (enum member_state)9, 5, 1, 9, 5, "orders"},
+		{(enum member_role)7, MEMBER_ACTIVE, 5, 1, 9, 5, "orders"},
+		{MEMBER_AGENT, MEMBER_ACTIVE, 5, 1, 9, 5, ""},
+		{MEMBER_AGENT, MEMBER_ACTIVE, UINT64_MAX, 1, 9, 5, "orders"},
+		{MEMBER_AGENT, MEMBER_ACTIVE, INT64_MAX, 1, 9, 5, "orders"},
+		{MEMBER_AGENT, MEMBER_ACTIVE, 5, UINT64_MAX, 9, 5, "orders"},
+		{MEMBER_AGENT, MEMBER_ACTIVE, 5, 1, UINT32_MAX, 5, "orders"},
+		{MEMBER_AGENT, MEMBER_ACTIVE, 5, 1, 9, UINT32_MAX, "orders"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct message message = {0};
+		struct fixture fixture;
+		struct member *odd;
+		struct name name;
+
+		fixture_init(&fixture, 100);
+		set_member(&message.members[0], "m1");
+		set_member(&message.members[1], "m2");
+		set_member(&message.members[2], "m3");
+		message.n_members = 3;
+		odd = &message.members[1].member;
+		odd->role = cases[i].role;
+		odd->state = cases[i].state;
+		odd->instance = cases[i].instance;
+		odd->sequence = cases[i].sequence;
+		odd->connections = cases[i].connections;
+		odd->slots = cases[i].slots;
+		if (!*cases[i].service)
+			memset(&odd->service, 0, sizeof(odd->service));
+		receive_message(&fixture, &message, 1100);
+		g_test_message("case %zu", i);
+		g_assert_null(roster_find(&fixture.control.roster, &odd->name));
+		for (int j = 1; j <= 3; j += 2) {
+			char text[] = {'m', (char)('0' + j), 0};
+
+			name_set(&name, str_from(text));
+			g_assert_nonnull(
+				roster_find(&fixture.control.roster, &name));
+		}
+		g_assert_cmpuint(counter_get(&fixture.counters,
+					     COUNTER_CONTROL_DROP_MALFORMED),
+				 ==, 1);
+		control_finish(&fixture.control);
+	}
+}
+
+/* An odd report or order on a zone hides neither the others nor the members of
+ * the message, and no later one is older than it. */
+static void test_odd_zone_in_message(void)
+{
+	struct message message = {0};
+	struct fixture fixture;
+	struct name zone, member;
+
+	fixture_init(&fixture, 100);
+	set_member(&message.members[0], "m1");
+	message.n_members = 1;
+	for (size_t i = 0; i < 3; i++) {
+		char text[] = {'z', (char)('1' + i), 0};
+
+		name_set(&message.zones[i].zone, str_from(text));
+		message.zones[i].id = 4;
+		message.zones[i].state = MEMBER_SUSPECT;
+		message.zone_orders.entries[i] =
+			(struct zone_order){.version = 4, .out = true};
+		name_set(&message.zone_orders.entries[i].zone, str_from(text));
+	}
+	message.zones[1].id = UINT64_MAX;
+	message.zone_orders.entries[1].version = UINT64_MAX;
+	message.n_zones = message.zone_orders.n = 3;
+	receive_message(&fixture, &message, 1100);
+	name_set(&member, str_from("m1"));
+	g_assert_nonnull(roster_find(&fixture.control.roster, &member));
+	for (int i = 1; i <= 3; i++) {
+		char text[] = {'z', (char)('0' + i), 0};
+
+		name_set(&zone, str_from(text));
+		g_assert_cmpint(zone_orders_is_out_of_service(
+					&fixture.control.zone_orders, &zone),
+				==, i != 2);
+		g_assert_cmpint(
+			zone_monitor_report(&fixture.control.zone_monitor,
+					    &zone) != NULL,
+			==, i != 2);
+	}
+	control_finish(&fixture.control);
+}
+
+/* An entry of this process with the largest sequence is outnumbered by a new
+ * instance; the sequence must not leave the range that peers accept. */
+static void test_own_entry_with_largest_sequence(void)
+{
+	const uint64_t largest_sequence = 1ULL << 53;
+	struct control_context context;
+	struct fixture fixture;
+	struct member entry;
+
+	fixture_init(&fixture, 100);
+	context = context_at(&fixture, 1100);
+	entry = fixture.control.options.self;
+	entry.sequence = largest_sequence;
+	entry.state = MEMBER_LEFT;
+	inbound_merge_entry(&context, &entry, false);
+	g_assert_cmpuint(fixture.control.options.self.instance, ==, 101);
+	g_assert_cmpuint(fixture.control.options.self.sequence, <,
+			 largest_sequence);
+	g_assert_true(member_is_newer(&fixture.control.options.self, &entry));
+	control_finish(&fixture.control);
+}
+
 /* A zone order is merged once; when the grace time of 3 s ends, the zone's open
  * connections are dropped, so routing changes. */
 static void test_zone_orders(void)
@@ -470,6 +642,12 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/control/odd-entry-in-message",
+			test_odd_entry_in_message);
+	g_test_add_func("/control/odd-zone-in-message",
+			test_odd_zone_in_message);
+	g_test_add_func("/control/own-entry-with-largest-sequence",
+			test_own_entry_with_largest_sequence);
 	g_test_add_func("/control/previous-run", test_previous_run);
 	g_test_add_func("/control/zone-orders", test_zone_orders);
 	g_test_add_func("/control/zone-orders-and-list",
