Heartbeats with a start or an address out of range are refused

Callers would see: another writer's heartbeat with the largest integer as its start is acknowledged; all later heartbeats of the real server count as sent by an earlier start, and nothing more opens at it until its agent restarts. Found by reading, as a related path of the odd entry in the store.

Cause: the start was read without a check of type or range, the address only as a text.

Evidence: /platform/heartbeat on the code before: "status.code == STATUS_INVALID: (0 == 2)".

The error names the field.

Test: /platform/heartbeat, twelve cases more.

--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -110,6 +110,12 @@
 	",\"state\":" state ",\"cold_left_ms\":" cold_left      \
 	",\"sequence\":" sequence ",\"born\":1700000000000}"
 
+#define HEARTBEAT_FROM(address, born)                                          \
+	"{\"service\":\"a\",\"address\":\"" address                            \
+	"\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":5,"                    \
+	"\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":4,\"born\":" born \
+	"}"
+
 /* Deeper than any parser follows. */
 #define ODD_NESTING 5000
 
@@ -124,6 +130,7 @@
 	return text;
 }
 
+/* A heartbeat that is not valid is refused, with the name of the field. */
 static void test_heartbeat(void)
 {
 	static const struct {
@@ -156,7 +163,33 @@
 		{"i-1", HEARTBEAT("\"a\"", "\"ready\"", "5", "0", "\"4\""),
 		 "sequence"},
 		{"i-1", "{\"service\":\"a\",\"state\":\"ready\"}", "address"},
+		/* Reports of another writer. */
+		{"i-1", HEARTBEAT("\"a\"", "\"ready\"", "5", "0", "4E99"),
+		 "sequence"},
+		{"i-1",
+		 HEARTBEAT("\"a\"", "\"ready\"", "5", "0",
+			   "99999999999999999999"),
+		 "body"},
+		{"i-1", HEARTBEAT("\"a\"", "\"ready\"", "1e999", "0", "4"),
+		 "body"},
+		{"i-1", HEARTBEAT("\"a\"", "\"ready\"", "70000", "0", "4"),
+		 "slots"},
+		{"i-1", HEARTBEAT_FROM("10.0.0.9:70000", "1700000000000"),
+		 "address"},
+		{"i-1", HEARTBEAT_FROM("10.0.0.9:0", "1700000000000"),
+		 "address"},
+		{"i-1", HEARTBEAT_FROM("10.0.0.900:80", "1700000000000"),
+		 "address"},
+		{"i-1", HEARTBEAT_FROM("10.0.0.9:80", "9223372036854775807"),
+		 "born"},
+		{"i-1", HEARTBEAT_FROM("10.0.0.9:80", "-1"), "born"},
+		{"i-1", HEARTBEAT_FROM("10.0.0.9:80", "\"1700000000000\""),
+		 "born"},
+		{"i-1", HEARTBEAT_FROM("10.0.0.9:80", "1700000000000.5"),
+		 "born"},
 	};
+	char *deep =
+		g_strdup_printf("{\"service\":%s}", nested_arrays(ODD_NESTING));
 	struct server_report report;
 	struct status status;
 
@@ -176,6 +209,14 @@
 		g_assert_true(g_str_has_prefix(status.message,
 					       cases[i].invalid_field));
 	}
+	status_init(&status);
+	g_assert_cmpint(platform_heartbeat_read(str_from(deep), "i-1", &report,
+						&status),
+			==, STATUS_INVALID);
+	g_assert_true(g_str_has_prefix(status.message, "body"));
+	platform_deregister_read(str_from(deep), "i-1", &report);
+	g_assert_cmpuint(report.started_ms, ==, 0);
+	g_free(deep);
 	platform_deregister_read(str_from("not json"), "i-1", &report);
 	g_assert_cmpint(report.state, ==, SERVER_GONE);
 	g_assert_cmpuint(report.started_ms, ==, 0);
