Invalid bytes in one member don't hide its shard

Cause: a shard's value is a string in the store's JSON. The parser refuses a string with one invalid byte, and with it the members beside.

Orders on zones don't depend on their spec; the operator's configuration is not touched.

Test: /platform/odd-bytes-in-shard.

--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "tarragonflow/control/roster_shard.h"
 #include "tarragonflow/platform/platform.h"
 
 #define HEADER_BYTES 31
@@ -664,6 +665,47 @@
 		}
 }
 
+/* Guards against the loss of a shard of the roster because one of its members
+ * has invalid bytes: the other members hold. */
+static void test_odd_bytes_in_shard(void)
+{
+	static const char *const odd_names[] = {"x\xff", "\xc3", "\xe2\x28\xa1",
+						"\xf0\x9f\x92"};
+	static const char member[] =
+		"{\\\"name\\\":\\\"%s\\\",\\\"zone\\\":\\\"z\\\",\\\"service\\\""
+		":\\\"orders\\\",\\\"role\\\":2,\\\"state\\\":1,\\\"instance\\\":5,"
+		"\\\"sequence\\\":1,\\\"connections\\\":9,\\\"slots\\\":5,"
+		"\\\"data\\\":\\\"10.0.0.9:1\\\",\\\"control\\\":"
+		"\\\"10.0.0.9:2\\\",\\\"admin\\\":\\\"10.0.0.9:3\\\"}";
+	char after[STORE_KEY_MAX];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_names); i++) {
+		GString *body = g_string_new(
+			"{\"meta\":{\"name\":\"0d\",\"rev\":4},\"spec\":{"
+			"\"token\":\"t\",\"value\":\"{\\\"members\\\":[");
+		struct store_result result;
+		struct roster roster;
+
+		g_string_append_printf(body, member, "m1");
+		g_string_append_c(body, ',');
+		g_string_append_printf(body, member, odd_names[i]);
+		g_string_append_c(body, ',');
+		g_string_append_printf(body, member, "m2");
+		g_string_append(body, "]}\"}}");
+		read_response(STORE_OP_GET, "tarragonflow/main/roster/0d", 200,
+			      body->str, &result, after);
+		g_assert_cmpuint(result.n_objects, ==, 1);
+		g_assert_cmpstr(result.objects[0].token, ==, "t");
+		roster_init(&roster);
+		g_assert_false(roster_shard_parse(
+			strbuf_str(&result.objects[0].value), &roster));
+		g_assert_cmpuint(roster.n, ==, 2);
+		roster_finish(&roster);
+		store_result_finish(&result);
+		g_string_free(body, TRUE);
+	}
+}
+
 /* An object whose name can't be read doesn't hide the others of the page, nor
  * the next page. */
 static void test_odd_name_in_store(void)
@@ -846,6 +888,8 @@
 	g_test_add_func("/platform/zones-response", test_zones_response);
 	g_test_add_func("/platform/odd-object-in-store",
 			test_odd_object_in_store);
+	g_test_add_func("/platform/odd-bytes-in-shard",
+			test_odd_bytes_in_shard);
 	g_test_add_func("/platform/odd-name-in-store", test_odd_name_in_store);
 	g_test_add_func("/platform/malformed-response",
 			test_malformed_response);
