Servers of a dropped service don't make a balancer isolated

A balancer that is reached by less than half of the agents reports that it is not ready. Since views contain the services that a release has dropped, their agents counted, too: when a dropped service with most of the servers is switched off, all balancers would leave the rotation until the members are found to be gone.

Also: wording of two comments, a function named after what it does.

--- a/control/message.c
+++ b/control/message.c
@@ -286,8 +286,8 @@
 	return !member_from_wire(&message->target, &brief, wire);
 }
 
-/* Skips an entry, report or order of a message that is not valid. */
-static void skip_entry(struct message *message, const char *invalid_field)
+/* Records that an entry, report or order of @message is not valid. */
+static void record_skipped(struct message *message, const char *invalid_field)
 {
 	message->n_skipped++;
 	message->skipped_field = invalid_field;
@@ -305,7 +305,7 @@
 			&entry->member, &entry->brief, wire->members[i]);
 
 		if (invalid_field)
-			skip_entry(message, invalid_field);
+			record_skipped(message, invalid_field);
 		else
 			message->n_members++;
 	}
@@ -336,7 +336,7 @@
 			&message->zones[message->n_zones], wire->zones[i]);
 
 		if (invalid_field)
-			skip_entry(message, invalid_field);
+			record_skipped(message, invalid_field);
 		else
 			message->n_zones++;
 	}
@@ -368,7 +368,7 @@
 			order_from_wire(&order, wire->zone_orders[i]);
 
 		if (invalid_field)
-			skip_entry(message, invalid_field);
+			record_skipped(message, invalid_field);
 		else
 			zone_orders_merge(&message->zone_orders, &order);
 	}
--- a/include/tarragonflow/common/json_scan.h
+++ b/include/tarragonflow/common/json_scan.h
@@ -12,7 +12,7 @@
  * Finds the texts of values in a JSON text without parsing them, and parses
  * them one by one. So an element that can't be parsed, because it is nested too
  * deep, has a number too large or invalid bytes, does not make its neighbours
- * unreadable. Only quotes and brackets must match. Nothing here is recursive.
+ * unreadable. Only quotes and brackets must match. The scan is not recursive.
  */
 
 /** Deepest nesting of arrays and objects that json_scan_parse() accepts. */
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -236,7 +236,7 @@
 	const struct view *view = balancer->view;
 	size_t reachable = 0, total = 0;
 
-	for (size_t i = 0; view && i < view->n_services; i++)
+	for (size_t i = 0; view && i < view->n_configured; i++)
 		for (size_t j = 0; j < view->services[i].n_members;
 		     j++, total++)
 			reachable += is_reachable(
