Agents and servers that start together know of each other's connections

A server that starts after its agent's first check is still known as new, but after a reboot both start within 2 ms, mostly the server first. All tables counted as incomplete for flow_lifetime_s, and searches were inconclusive.

Why the fix works: a server whose reported start lies within 20 ms of its agent's can't have connections of an earlier agent process: a handshake takes a round trip to a caller, and the restart of a process more than that. A greater sequence excludes it.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -27,6 +27,14 @@
 #define REFILL_MS 1000
 #define CHAIN_RESOLVES_PER_REFILL 2000
 #define HINTS_PER_REFILL 500
+/*
+ * A server that started within this time of its agent has no connections of an
+ * earlier agent process: the round trip to a caller that opens one and the
+ * restart of a process take longer.
+ */
+#define COMMON_START_MS 20
+/* Servers number their reports from zero or one. */
+#define FIRST_SERVER_REPORT_SEQUENCE_MAX 1
 /*
  * Time without any response until the server is checked, and between checks. A
  * server with several slots responds to some request within this time.
@@ -51,6 +59,7 @@
 	agent->member_id = member_id(&identity->name);
 	agent->service_id = service_id(&identity->service);
 	agent->instance_check = packet_instance_check(identity->instance);
+	agent->started_ms = identity->instance;
 	agent->idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
 	agent->chain_resolves_left = CHAIN_RESOLVES_PER_REFILL;
 	agent->hints_left = HINTS_PER_REFILL;
@@ -592,10 +601,28 @@
 	return agent->service ? agent->service->service.cold_per_s : 0;
 }
 
+/*
+ * Whether the server of @report, the first one that this agent has received,
+ * started together with the agent, as after a reboot of the VM. The sequence
+ * alone shows nothing, as the start of the numbers is not known, but a greater
+ * one is of a server that has run before.
+ */
+static bool started_together(const struct agent *agent,
+			     const struct server_report *report)
+{
+	uint64_t earlier = MIN(agent->started_ms, report->started_ms);
+	uint64_t later = MAX(agent->started_ms, report->started_ms);
+
+	return report->started_ms && later - earlier <= COMMON_START_MS &&
+	       report->sequence <= FIRST_SERVER_REPORT_SEQUENCE_MAX;
+}
+
 void agent_handle_server_report(struct agent *agent,
 				const struct server_report *report,
 				int64_t now_ms, struct packet_sink *sink)
 {
+	bool is_first_report = !agent->server.has_report;
+
 	switch (server_watch_update(&agent->server, report, now_ms)) {
 	case SERVER_REPORT_OUTDATED:
 		return;
@@ -605,6 +632,8 @@
 	case SERVER_UNCHANGED:
 		break;
 	}
+	if (is_first_report && started_together(agent, report))
+		agent->table_incomplete_until_ms = now_ms;
 	if (report->state == SERVER_GONE) {
 		end_all_flows(agent, report->refused, sink);
 		admit_drain(&agent->admit);
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -69,6 +69,8 @@
 	uint32_t service_id;
 	/** packet_instance_check() of this agent process. */
 	uint16_t instance_check;
+	/** Start of this agent process, wall-clock ms since 1970. */
+	uint64_t started_ms;
 	/** Whether the agent's zone is in service according to `view`. */
 	bool zone_in_service;
 	/** State of the operator's order on the agent's zone. */
@@ -99,6 +101,7 @@
 	struct name name;
 	struct name zone;
 	struct name service;
+	/** Start of this agent process, wall-clock ms since 1970. */
 	uint64_t instance;
 	/** Connections that the server accepts when it is warm. */
 	uint32_t connections;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -595,6 +595,60 @@
 	}
 }
 
+/*
+ * A search that finds no owner ends with a RST if the restarted agent's server
+ * started together with it, as after a reboot; otherwise the server is queried.
+ * Guards against callers that wait out their deadline after a reboot.
+ */
+static void test_agent_and_server_started_together(void)
+{
+	static const struct {
+		uint64_t agent_started_ms, server_started_ms, sequence;
+		bool queried;
+	} cases[] = {
+		{100000, 100000, 0, false},
+		{100000, 100000, 1, false},
+		{100015, 100000, 1, false},
+		{100000, 100015, 1, false},
+		/* The agent was killed soon after the server's start. */
+		{100100, 100000, 0, true},
+		{100600, 100000, 1, true},
+		/* The clock was set back in between. */
+		{100000, 105000, 1, true},
+		{100000, 100000, 2, true},
+		/* The server doesn't report its start. */
+		{0, 0, 0, true},
+		{5, 0, 1, true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct server_report report = {
+			.id = "new",
+			.state = SERVER_READY,
+			.slots = 5,
+			.started_ms = cases[i].server_started_ms,
+			.sequence = cases[i].sequence,
+		};
+		struct cluster cluster;
+		struct host *host;
+
+		cluster_init(&cluster, 3, 4);
+		host = &cluster.hosts[1];
+		agent_finish(&host->agent);
+		start_agent(&cluster, 1);
+		host->agent.started_ms = cases[i].agent_started_ms;
+		name_set(&report.service, str_from("a"));
+		agent_handle_server_report(&host->agent, &report,
+					   cluster.now_ms, &host->sink);
+		advance_time(&cluster, 700);
+		g_test_message("case %zu", i);
+		send_from_caller(&cluster, 77, FLAG_ACK, 100);
+		g_assert_cmpuint(host->rejected_packets, ==, cases[i].queried);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+		cluster_finish(&cluster);
+	}
+}
+
 /*
  * The agent of a connection is not running, but its server may be. The
  * connection's packets must reach each other server at most once, and the
@@ -1774,6 +1828,8 @@
 	g_test_add_func("/search/agents-restarted", test_agents_restarted);
 	g_test_add_func("/search/restart-between-first-reports",
 			test_agent_restarted_between_first_reports);
+	g_test_add_func("/search/agent-and-server-started-together",
+			test_agent_and_server_started_together);
 	g_test_add_func("/search/owner-unreachable", test_owner_unreachable);
 	g_test_add_func("/search/reset-without-owner", test_rst_without_owner);
 	g_test_add_func("/search/service-dropped-by-configuration",
