A server is new by the number and the age of its first report

On a VM with 0.15 cores an agent needs 115 ms to start, so the rule never held there. A bound above that would not exclude a fast restart of the agent.

Why this works: number 0 is a server's first report. Number 1 may be the second one of a server that counts from 0, but then it is as old as a whole interval between reports; before half of that it is the first one, however long the agent took to start. Without the new setting report_interval_ms or a start in the report only number 0 counts.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -27,14 +27,6 @@
 #define REFILL_MS 1000
 #define CHAIN_RESOLVES_PER_REFILL 2000
 #define HINTS_PER_REFILL 500
-/*
- * A server that started within this time of its agent has no connections of an
- * earlier agent process: the round trip to a caller that opens one and the
- * restart of a process take longer.
- */
-#define COMMON_START_MS 20
-/* Servers number their reports from zero or one. */
-#define FIRST_SERVER_REPORT_SEQUENCE_MAX 1
 /*
  * Time without any response until the server is checked, and between checks. A
  * server with several slots responds to some request within this time.
@@ -52,6 +44,7 @@
 	agent->format = identity->format ? identity->format : &packet_format_ip;
 	agent->reports_load_to_balancers = identity->reports_load_to_balancers;
 	agent->table_incomplete_until_ms = now_ms + identity->flow_lifetime_ms;
+	agent->report_interval_ms = identity->report_interval_ms;
 	agent->awaiting_response_since_ms = CLOCK_NEVER;
 	server_watch_init(&agent->server, identity->server_reports,
 			  identity->report_lease_ms);
@@ -59,7 +52,6 @@
 	agent->member_id = member_id(&identity->name);
 	agent->service_id = service_id(&identity->service);
 	agent->instance_check = packet_instance_check(identity->instance);
-	agent->started_ms = identity->instance;
 	agent->idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
 	agent->chain_resolves_left = CHAIN_RESOLVES_PER_REFILL;
 	agent->hints_left = HINTS_PER_REFILL;
@@ -602,19 +594,18 @@
 }
 
 /*
- * Whether the server of @report, the first one that this agent has received,
- * started together with the agent, as after a reboot of the VM. The sequence
- * alone shows nothing, as the start of the numbers is not known, but a greater
- * one is of a server that has run before.
+ * Whether @report is certainly the first one since the server's start, so that
+ * no earlier agent process has opened connections there. Servers may count from
+ * zero or one: a report 1 is the second one of a server that counts from zero,
+ * but not before a second one is due. Its age is negative if the clock was set.
  */
-static bool started_together(const struct agent *agent,
-			     const struct server_report *report)
+static bool is_first_of_server(const struct agent *agent,
+			       const struct server_report *report)
 {
-	uint64_t earlier = MIN(agent->started_ms, report->started_ms);
-	uint64_t later = MAX(agent->started_ms, report->started_ms);
-
-	return report->started_ms && later - earlier <= COMMON_START_MS &&
-	       report->sequence <= FIRST_SERVER_REPORT_SEQUENCE_MAX;
+	if (report->sequence == 0)
+		return true;
+	return report->sequence == 1 && report->age_ms >= 0 &&
+	       report->age_ms < agent->report_interval_ms / 2;
 }
 
 void agent_handle_server_report(struct agent *agent,
@@ -632,7 +623,7 @@
 	case SERVER_UNCHANGED:
 		break;
 	}
-	if (is_first_report && started_together(agent, report))
+	if (is_first_report && is_first_of_server(agent, report))
 		agent->table_incomplete_until_ms = now_ms;
 	if (report->state == SERVER_GONE) {
 		end_all_flows(agent, report->refused, sink);
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -53,6 +53,8 @@
 	int64_t next_server_check_ms;
 	/** Until this time `flows` may lack connections of the server, ms. */
 	int64_t table_incomplete_until_ms;
+	/** Time between two server reports, ms; 0: unknown. */
+	int64_t report_interval_ms;
 	/** Send load reports to balancers, which choose servers by load. */
 	bool reports_load_to_balancers;
 	/** SYNs that this agent forwarded to other agents. */
@@ -69,8 +71,6 @@
 	uint32_t service_id;
 	/** packet_instance_check() of this agent process. */
 	uint16_t instance_check;
-	/** Start of this agent process, wall-clock ms since 1970. */
-	uint64_t started_ms;
 	/** Whether the agent's zone is in service according to `view`. */
 	bool zone_in_service;
 	/** State of the operator's order on the agent's zone. */
@@ -101,7 +101,6 @@
 	struct name name;
 	struct name zone;
 	struct name service;
-	/** Start of this agent process, wall-clock ms since 1970. */
 	uint64_t instance;
 	/** Connections that the server accepts when it is warm. */
 	uint32_t connections;
@@ -120,6 +119,8 @@
 	 * outlive the agent process.
 	 */
 	int64_t flow_lifetime_ms;
+	/** Time between two server reports, ms; 0: unknown. */
+	int64_t report_interval_ms;
 	/** Balancers choose servers by load and get load reports. */
 	bool reports_load_to_balancers;
 };
--- a/include/tarragonflow/flow/server_report.h
+++ b/include/tarragonflow/flow/server_report.h
@@ -28,6 +28,9 @@
 	char id[SERVER_ID_MAX];
 	/** Start of the server, wall-clock ms since 1970; 0 if not reported. */
 	uint64_t started_ms;
+	/** Time since the start when the report arrived, by the wall clock, ms;
+	 * negative: not known. */
+	int64_t age_ms;
 	/** Number of the report since the server's start. */
 	uint64_t sequence;
 	/** Empty in SERVER_GONE. */
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -80,6 +80,8 @@
 	 * restart of the agent.
 	 */
 	int64_t flow_lifetime_ms;
+	/** Time between two reports of the backend server, ms; 0: unknown. */
+	int64_t report_interval_ms;
 	/** Connections that the server can carry once it is warm. */
 	int64_t connections;
 	/** Requests that the server runs concurrently. */
--- a/node/packet_worker.c
+++ b/node/packet_worker.c
@@ -448,6 +448,7 @@
 		.server_reports = worker->node->adapter->servers_report,
 		.report_lease_ms = settings->report_lease_ms,
 		.flow_lifetime_ms = settings->flow_lifetime_ms,
+		.report_interval_ms = settings->report_interval_ms,
 		.reports_load_to_balancers =
 			worker->node->adapter->servers_report,
 	};
--- a/node/settings.c
+++ b/node/settings.c
@@ -23,6 +23,7 @@
 #define ORDER_PROPAGATION_MS 2000
 /* Transit time of a server report and of the last packet relying on it. */
 #define LEASE_MARGIN_MS 100
+#define REPORT_INTERVAL_MAX_MS (60 * 1000)
 #define FLOW_LIFETIME_MAX_MS (24 * 3600 * 1000)
 #define LINK_MAX_KBIT_PER_S (400LL * 1000 * 1000)
 #define MTU_MIN 1280
@@ -234,6 +235,15 @@
 	 .unit = "s",
 	 .help = "longest lifetime of a connection, if servers keep their "
 		 "connections when an agent restarts; 0: they do not"},
+	{.name = "report_interval_ms",
+	 .type = FIELD_INT,
+	 .offset = offsetof(struct settings, report_interval_ms),
+	 .min = 0,
+	 .max = REPORT_INTERVAL_MAX_MS,
+	 .default_value = 0,
+	 .unit = "ms",
+	 .help = "time between two reports of the server, by which a "
+		 "restarted agent tells a new server; 0: unknown"},
 	{.name = "connections",
 	 .type = FIELD_INT,
 	 .offset = offsetof(struct settings, connections),
