A SYN that is forwarded no longer waits at the agent that forwards it

Cause: an agent with a busy server passes a retransmitted SYN on to a peer with free slots, but the first copy stays in its own queue. The end of that wait, 1.35 s after the first SYN, resets the caller, whose connection is open at the peer.

Why the fix works: every SYN that leaves an agent passes forward_to(), which now takes a waiting copy out of the queue.

Test: /search/waiting-syn-opened-elsewhere; without the fix "agent.admit.waiting == 0: (1 == 0)".

--- a/admit/waiting_syns.c
+++ b/admit/waiting_syns.c
@@ -42,6 +42,19 @@
 	syns->entries[i] = syns->entries[--syns->n];
 }
 
+bool waiting_syns_remove(struct waiting_syns *syns, uint64_t id)
+{
+	struct waiting removed;
+
+	for (size_t i = 0; i < syns->n; i++) {
+		if (syns->entries[i].id != id)
+			continue;
+		remove_entry(syns, i, &removed);
+		return true;
+	}
+	return false;
+}
+
 static bool meets_objective(const struct waiting *entry, int64_t now_ms,
 			    int64_t service_ms)
 {
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -40,12 +40,28 @@
 	       header->candidates[i].member_id == agent->member_id;
 }
 
+/*
+ * A SYN that is forwarded no longer waits here: the connection may be opened at
+ * the other agent, and the end of the wait would reset it.
+ */
+static void forward_syn(struct agent *agent, const struct inner_packet *packet,
+			const struct candidate *next, int64_t now_ms,
+			struct packet_sink *sink)
+{
+	if (waiting_syns_remove(&agent->waiting_syns, agent_attempt_id(packet)))
+		agent->admit.waiting--;
+	forwarded_syns_add(&agent->forwarded_syns, packet, next->member_id,
+			   now_ms);
+	count(agent, COUNTER_OPEN_FORWARDED);
+	agent_record_decision(agent, DECISION_OPEN_FORWARDED, packet,
+			      next->member_id, NULL, sink);
+}
+
 static void forward_to(struct agent *agent, struct packet_header *header, int i,
 		       const struct inner_packet *packet, int64_t now_ms,
 		       struct packet_sink *sink)
 {
 	const struct candidate *next = &header->candidates[i];
-	bool is_syn = inner_opens_connection(packet);
 
 	if (!header->hops_left) {
 		count(agent, COUNTER_DROP_HOP_BUDGET);
@@ -54,14 +70,10 @@
 	header->hops_left--;
 	header->position = (uint8_t)i;
 	agent_write_load(agent, header, now_ms);
-	if (is_syn)
-		forwarded_syns_add(&agent->forwarded_syns, packet,
-				   next->member_id, now_ms);
-	count(agent, is_syn ? COUNTER_OPEN_FORWARDED
-			    : COUNTER_PACKET_FORWARDED_BY_AGENT);
-	if (is_syn)
-		agent_record_decision(agent, DECISION_OPEN_FORWARDED, packet,
-				      next->member_id, NULL, sink);
+	if (inner_opens_connection(packet))
+		forward_syn(agent, packet, next, now_ms, sink);
+	else
+		count(agent, COUNTER_PACKET_FORWARDED_BY_AGENT);
 	/*
 	 * When `from` does not name this agent, the receiver counts the packet
 	 * as one of the balancer, and its load reports to this agent would not
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -182,6 +182,11 @@
 	return mean > 0 ? (int64_t)mean : DEFAULT_RESPONSE_MS;
 }
 
+uint64_t agent_attempt_id(const struct inner_packet *packet)
+{
+	return flow_key_hash(&packet->key, packet->seq);
+}
+
 /*
  * Queues a SYN until the server has a free slot. Returns false when there is no
  * space for the SYN or its wait would exceed the caller's timeout.
@@ -192,7 +197,7 @@
 	const struct route_view *route =
 		view_find_route(agent->view, &packet->key);
 	struct waiting entry = {
-		.id = flow_key_hash(&packet->key, packet->seq),
+		.id = agent_attempt_id(packet),
 		.sent_ms = now_ms - packet->sent_ago_ms,
 		.len = (uint16_t)packet->len,
 	};
--- a/include/tarragonflow/admit/waiting_syns.h
+++ b/include/tarragonflow/admit/waiting_syns.h
@@ -57,6 +57,10 @@
 /** Whether the SYN of the connection attempt @id is in the queue. */
 bool waiting_syns_contains(const struct waiting_syns *syns, uint64_t id);
 
+/** Removes the SYN of the connection attempt @id. False when it is not in the
+ * queue. */
+bool waiting_syns_remove(struct waiting_syns *syns, uint64_t id);
+
 /** Adds @entry. False when the queue is full or the packet is too large. */
 bool waiting_syns_add(struct waiting_syns *syns, const struct waiting *entry);
 
--- a/include/tarragonflow/flow/agent_syn.h
+++ b/include/tarragonflow/flow/agent_syn.h
@@ -39,4 +39,8 @@
 void agent_admit_waiting_syns(struct agent *agent, int64_t now_ms,
 			      struct packet_sink *sink);
 
+/** Identifies the connection attempt of the SYN @packet; equal for all
+ * retransmissions of it. */
+uint64_t agent_attempt_id(const struct inner_packet *packet);
+
 #endif
--- a/tests/unit/test_http_store.c
+++ b/tests/unit/test_http_store.c
@@ -228,6 +228,11 @@
 	server_stop(&server);
 }
 
+/* An object whose value is nested 40 deep. */
+static const char nested_object[] = "{\"key\":\"b\",\"value\":"
+				    "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[["
+				    "]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]}";
+
 /*
  * Guards against processes that no longer follow the store because one object
  * of another writer in a response can't be parsed.
@@ -238,8 +243,7 @@
 		"{\"key\":\"b\",\"version\":2,\"value\":1e999}",
 		"{\"key\":\"b\",\"version\":99999999999999999999}",
 		"{\"key\":\"b\",\"value\":\"\xff\"}",
-		"{\"key\":\"b\",\"value\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]"
-		"]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]}",
+		nested_object,
 		"{\"key\":7}",
 		"{}",
 		"[]",
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1510,6 +1510,35 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against RSTs on open connections: a SYN waits at a busy agent, and a
+ * retransmission of it is forwarded and opened elsewhere. The end of the wait
+ * must not reset the caller.
+ */
+static void test_waiting_syn_opened_elsewhere(void)
+{
+	struct cluster cluster;
+	unsigned int waits_at;
+
+	cluster_init(&cluster, 2, 3);
+	advance_time(&cluster, 200);
+	cluster.hosts[1].agent.admit.running = 20;
+	cluster.hosts[2].agent.admit.running = 20;
+	advance_time(&cluster, 200);
+	send_from_caller(&cluster, 1, FLAG_SYN, 0);
+	waits_at = cluster.hosts[1].agent.waiting_syns.n ? 1 : 2;
+	g_assert_cmpuint(cluster.hosts[waits_at].agent.waiting_syns.n, ==, 1);
+	cluster.hosts[3 - waits_at].agent.admit.running = 0;
+	advance_time(&cluster, 200);
+	send_from_caller(&cluster, 1, FLAG_SYN, 0);
+	g_assert_cmpuint(owner_of(&cluster, 1), ==, 3 - waits_at);
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.hosts[waits_at].agent.admit.waiting, ==, 0);
+	advance_time(&cluster, 2000);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	cluster_finish(&cluster);
+}
+
 /*
  * An agent whose load reports are missing gets no SYNs. A retransmitted SYN,
  * whose first copy went to such an agent, goes to another one.
@@ -1868,6 +1897,8 @@
 	g_test_add_func("/search/relayed-by-wrong-hint",
 			test_relay_with_wrong_hint);
 	g_test_add_func("/search/syn-retransmitted", test_syn_retransmitted);
+	g_test_add_func("/search/waiting-syn-opened-elsewhere",
+			test_waiting_syn_opened_elsewhere);
 	g_test_add_func("/search/unreachable-agent", test_unreachable_agent);
 	g_test_add_func("/search/one-way-link", test_one_way_link);
 	g_test_add_func("/search/search-through-third-agent",
