A report that contradicts the server is held back until it is repeated

One heartbeat with a later start made all later reports of the true server outdated, so it got no new connections any more.

Cause: a single message replaced the known server; nothing asked whether that one had ended. Reports of another server, start or service are now accepted only when the known server has ended, is ending, refuses connections or is overdue, or when they are repeated before it reports again.

--- a/flow/server_watch.c
+++ b/flow/server_watch.c
@@ -22,7 +22,7 @@
 	enum server_change change = SERVER_UNCHANGED;
 	uint64_t sequence = report->sequence;
 
-	if (watch->has_report &&
+	if (watch->has_report && !report->confirmed &&
 	    server_report_is_outdated(report, &watch->report))
 		return SERVER_REPORT_OUTDATED;
 	if (watch->has_report &&
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -131,6 +131,7 @@
 	X(DROP_OPEN_WARMING, "drop_open_warming")                             \
 	X(HOME_LIST_ADOPTED, "home_lists_adopted")                            \
 	X(REFUSE_NO_SERVER_REPORT, "refuse_server_unheard")                   \
+	X(SERVER_REPORT_HELD, "server_reports_held")                          \
 	X(PACKET_OFFERED_TO_SERVER, "servers_asked")                          \
 	X(PACKET_REJECTED_BY_SERVER, "servers_returned")                      \
 	X(SERVER_RESTARTED, "servers_restarted")                              \
--- a/include/tarragonflow/flow/server_report.h
+++ b/include/tarragonflow/flow/server_report.h
@@ -43,6 +43,9 @@
 	uint32_t slots;
 	/** Remaining warm-up time, ms. */
 	int64_t warmup_left_ms;
+	/** Accepted because it was repeated, although it contradicts what was
+	 * known of the server: it isn't outdated. */
+	bool confirmed;
 };
 
 /** Whether the server sends no reports after @report. */
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -9,6 +9,7 @@
 #include "tarragonflow/common/histogram.h"
 #include "tarragonflow/common/ring.h"
 #include "tarragonflow/control/control.h"
+#include "tarragonflow/flow/report_gate.h"
 #include "tarragonflow/flow/server_watch.h"
 #include "tarragonflow/node/adapter.h"
 #include "tarragonflow/node/store_worker.h"
@@ -62,6 +63,8 @@
 	struct ring server_reports;
 	/** State of the backend server according to its server reports. */
 	struct server_watch server_watch;
+	/** Holds back server reports that contradict `server_watch`. */
+	struct report_gate report_gate;
 	/** Checks that the server listens; unused without server reports. */
 	struct server_check server_check;
 	/** Start of the last check that the server refused, for the packet
--- a/node/node.c
+++ b/node/node.c
@@ -291,6 +291,8 @@
 	ring_init(&node->server_reports, RING_SIZE);
 	server_watch_init(&node->server_watch, awaits_report,
 			  settings->report_lease_ms);
+	report_gate_init(&node->report_gate, &settings->service,
+			 settings->report_interval_ms);
 	node->instance = (uint64_t)clock_wall_ms();
 	clock_init_monotonic(&node->clock);
 	counters_init(&node->counters);
@@ -448,13 +450,29 @@
 	       control_knows_service(&node->control, service);
 }
 
+static enum status_code refuse_contradiction(struct node *node,
+					     const struct server_report *report,
+					     struct status *status)
+{
+	const struct server_watch *known = &node->server_watch;
+
+	counter_inc(&node->counters, COUNTER_SERVER_REPORT_HELD);
+	return status_set(status, STATUS_UNAVAILABLE,
+			  "%s: contradicts server %s of service %s; accepted "
+			  "if repeated before that one reports again",
+			  report_gate_contradicted_field(&node->report_gate,
+							 known, report),
+			  known->has_report ? known->report.id : "-",
+			  node->report_gate.service.data);
+}
+
 /* Call with the lock held. */
 static enum status_code submit_report_locked(struct node *node,
 					     const struct server_report *report,
 					     struct status *status)
 {
 	const struct server_watch *watch = &node->server_watch;
-	struct server_report *copy;
+	struct server_report accepted = *report, *copy;
 	bool changed;
 
 	if (!server_report_is_last(report) &&
@@ -462,14 +480,18 @@
 		return status_set(status, STATUS_INVALID,
 				  "service: %s is not of this deployment",
 				  report->service.data);
+	if (!report_gate_accepts(&node->report_gate, watch,
+				 atomic_load(&node->server_refuses), &accepted,
+				 clock_now(&node->clock)))
+		return refuse_contradiction(node, report, status);
 	changed = !watch->has_report || watch->report.state != report->state ||
 		  !name_equal(&watch->report.service, &report->service) ||
 		  server_report_shows_restart(report, &watch->report);
-	if (server_watch_update(&node->server_watch, report,
+	if (server_watch_update(&node->server_watch, &accepted,
 				clock_now(&node->clock)) ==
 	    SERVER_REPORT_OUTDATED)
 		return STATUS_OK;
-	copy = g_memdup2(report, sizeof(*report));
+	copy = g_memdup2(&accepted, sizeof(accepted));
 	if (!ring_push(&node->server_reports, copy)) {
 		g_free(copy);
 		counter_inc(&node->counters, COUNTER_DROP_RING_FULL);
--- a/tests/processes/play.py
+++ b/tests/processes/play.py
@@ -40,7 +40,8 @@
             "zone": target.machine.zone, "version": "v1",
             "slots": target.slots, "state": "ready", "cold_left_ms": 0,
             "sequence": target.sequence, "born": target.born}
-    ok = await caller.call(what, body | changes)
+    body = {k: v for k, v in (body | changes).items() if v is not None}
+    ok = await caller.call(what, body)
     target.world.record("call %s of %s %s: %s", what, caller.id, changes,
                         "acknowledged" if ok else "no acknowledgement")
 
@@ -64,6 +65,50 @@
                           born=target.born + 60000)
 
 
+async def known_service(target, name=None, **changes):
+    """One heartbeat names another service of the configuration; the server
+    goes on and sends its own reports."""
+    target.sequence += 1
+    await call(target, "heartbeat", name, service="assessing", **changes)
+
+
+async def known_service_own_id(world, target):
+    await known_service(target)
+
+
+async def known_service_own_id_without_start_time(world, target):
+    await known_service(target, born=None)
+
+
+async def known_service_other_id(world, target):
+    await known_service(target, "i-%08x" % random.getrandbits(32))
+
+
+async def known_service_later_start(world, target):
+    await known_service(target, "i-%08x" % random.getrandbits(32),
+                        born=target.born + 60000)
+
+
+async def own_service_other_id(world, target):
+    """One heartbeat of a server that does not exist, of the same service."""
+    await call(target, "heartbeat", "i-%08x" % random.getrandbits(32),
+               sequence=1, born=target.born + 60000)
+
+
+async def own_service_earlier_start(world, target):
+    await call(target, "heartbeat", "i-%08x" % random.getrandbits(32),
+               sequence=1, born=target.born - 60000)
+
+
+async def other_id_deregisters(world, target):
+    await call(target, "deregister", "i-%08x" % random.getrandbits(32),
+               born=target.born + 60000)
+
+
+async def own_id_deregisters_later_start(world, target):
+    await call(target, "deregister", born=target.born + 60000)
+
+
 async def ends(target, lives_on_s, listener_closed=False):
     """A planned end: draining, deregistration, and the process goes on for a
     while before it ends."""
@@ -135,7 +180,11 @@
 
 CASES = {f.__name__: f for f in (
     unknown_service_own_id, unknown_service_other_id,
-    unknown_service_later_start, deregisters_and_lives_50_ms,
+    unknown_service_later_start, known_service_own_id,
+    known_service_own_id_without_start_time, known_service_other_id,
+    known_service_later_start, own_service_other_id,
+    own_service_earlier_start, other_id_deregisters,
+    own_id_deregisters_later_start, deregisters_and_lives_50_ms,
     deregisters_and_lives_1_s, deregisters_and_lives_4_s,
     closes_listener_and_lives_1_s, agent_stops_after_deregistration,
     agent_killed_while_listener_is_closed,
@@ -157,6 +206,19 @@
     flow.abandon()
 
 
+async def check_accepts(world, target, where):
+    """Whether the server still gets new connections."""
+    n = len(target.opened)
+    for _ in range(4 * FLOWS_A_ZONE):
+        flow = world.hosts[target.machine.zone][0].open(where)
+        if await flow.connect():
+            await flow.request(world.request_id(), 100, DEADLINE_S)
+        flow.abandon()
+    if len(target.opened) == n:
+        world.broken("FLOW", "target %s lives and reports, but gets no new "
+                     "connections", target.id)
+
+
 def use_own_network(world, number):
     """Cases that run at the same time have different addresses."""
     world.net = "127.%d" % (20 + number)
@@ -211,6 +273,8 @@
         if world.trouble:
             await trouble(world, target)
         await asyncio.sleep(WATCH_S)
+        if target.alive and target.state == "ready":
+            await check_accepts(world, target, where)
         end[0] = world.now()
         await asyncio.gather(*tasks)
         world.record("connections by end: %s", results)
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -11,6 +11,7 @@
 #include "tarragonflow/flow/agent_mark.h"
 #include "tarragonflow/flow/agent_load_report.h"
 #include "tarragonflow/flow/agent_route.h"
+#include "tarragonflow/flow/report_gate.h"
 #include "tarragonflow/platform/platform.h"
 #include "tarragonflow/route/balancer.h"
 
@@ -2124,6 +2125,162 @@
 	}
 }
 
+/*
+ * Guards against: open connections reset, or a server's own reports ignored for
+ * good, because of a single report that contradicts the server.
+ */
+static void test_contradicting_report(void)
+{
+	/* The known server "b" of "orders", started at 20 s, reports every 770
+	 * ms, last with sequence 5 at 0 ms. Then two reports arrive, and
+	 * whether each is accepted. */
+	struct arrival {
+		int64_t at_ms;
+		const char *id, *service;
+		uint64_t started_ms, sequence;
+		bool accepted;
+	};
+	static const struct {
+		const char *name;
+		enum server_state known_state;
+		bool refuses;
+		struct arrival arrivals[3];
+	} cases[] = {
+		{"other service, own id",
+		 SERVER_READY,
+		 false,
+		 {{100, "b", "assessing", 20000, 6, false},
+		  {770, "b", "orders", 20000, 6, true},
+		  {870, "b", "assessing", 20000, 7, false}}},
+		{"other service, other id",
+		 SERVER_READY,
+		 false,
+		 {{100, "x", "assessing", 80000, 1, false},
+		  {770, "b", "orders", 20000, 6, true}}},
+		{"other service, no start time",
+		 SERVER_READY,
+		 false,
+		 {{100, "x", "assessing", 0, 1, false},
+		  {770, "b", "orders", 20000, 6, true}}},
+		{"other service, server ending",
+		 SERVER_ENDING,
+		 false,
+		 {{100, "x", "assessing", 80000, 1, false}}},
+		{"other service, lease expired",
+		 SERVER_ENDING,
+		 false,
+		 {{2000, "x", "assessing", 80000, 1, true}}},
+		{"other service, server ended",
+		 SERVER_GONE,
+		 false,
+		 {{100, "x", "assessing", 80000, 1, true}}},
+		{"other service, repeated",
+		 SERVER_READY,
+		 false,
+		 {{100, "x", "assessing", 80000, 1, false},
+		  {870, "x", "assessing", 80000, 2, true},
+		  {1640, "x", "assessing", 80000, 3, true}}},
+		{"other service, same report twice",
+		 SERVER_READY,
+		 false,
+		 {{100, "x", "assessing", 80000, 1, false},
+		  {110, "x", "assessing", 80000, 1, false}}},
+		{"later start, same service",
+		 SERVER_READY,
+		 false,
+		 {{100, "x", "orders", 80000, 1, false},
+		  {770, "b", "orders", 20000, 6, true},
+		  {1540, "b", "orders", 20000, 7, true}}},
+		{"later start, server overdue",
+		 SERVER_READY,
+		 false,
+		 {{1200, "x", "orders", 80000, 1, true}}},
+		{"later start, server refuses",
+		 SERVER_READY,
+		 true,
+		 {{100, "x", "orders", 80000, 1, true}}},
+		{"later start, server ending",
+		 SERVER_ENDING,
+		 false,
+		 {{100, "x", "orders", 80000, 1, true}}},
+		{"later start, repeated",
+		 SERVER_READY,
+		 false,
+		 {{100, "b", "orders", 80000, 1, false},
+		  {870, "b", "orders", 80000, 2, true}}},
+		{"earlier start in a row",
+		 SERVER_READY,
+		 false,
+		 {{100, "a", "orders", 10000, 8, false},
+		  {110, "a", "orders", 10000, 9, false},
+		  {770, "b", "orders", 20000, 6, true}}},
+		{"earlier start, server silent",
+		 SERVER_READY,
+		 false,
+		 {{1300, "a", "orders", 10000, 8, false},
+		  {2070, "a", "orders", 10000, 9, true}}},
+	};
+	struct name orders, service;
+
+	name_set(&orders, str_from("orders"));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct server_report known = {.id = "b",
+					      .started_ms = 20000,
+					      .sequence = 5,
+					      .service = orders,
+					      .state = SERVER_READY};
+		struct report_gate gate;
+		struct server_watch watch;
+
+		g_test_message("%s", cases[i].name);
+		report_gate_init(&gate, &orders, 770);
+		server_watch_init(&watch, true, SERVER_REPORT_LEASE_MS);
+		server_watch_update(&watch, &known, 0);
+		watch.report.state = cases[i].known_state;
+		for (size_t j = 0; j < G_N_ELEMENTS(cases[i].arrivals) &&
+				   cases[i].arrivals[j].id;
+		     j++) {
+			const struct arrival *arrival = &cases[i].arrivals[j];
+			struct server_report report = {
+				.started_ms = arrival->started_ms,
+				.sequence = arrival->sequence,
+				.state = SERVER_READY,
+			};
+
+			name_set(&service, str_from(arrival->service));
+			report.service = service;
+			g_strlcpy(report.id, arrival->id, sizeof(report.id));
+			g_assert_cmpint(report_gate_accepts(
+						&gate, &watch, cases[i].refuses,
+						&report, arrival->at_ms),
+					==, arrival->accepted);
+			if (arrival->accepted)
+				g_assert_cmpint(
+					server_watch_update(&watch, &report,
+							    arrival->at_ms),
+					!=, SERVER_REPORT_OUTDATED);
+		}
+	}
+}
+
+/* Guards against: a stray report is the first one that an agent gets, and the
+ * agent serves another service. */
+static void test_first_report_of_other_service(void)
+{
+	struct report_gate gate;
+	struct server_watch watch;
+	struct server_report report = {.id = "x", .state = SERVER_READY};
+	struct name orders;
+
+	name_set(&orders, str_from("orders"));
+	name_set(&report.service, str_from("assessing"));
+	report_gate_init(&gate, &orders, 770);
+	server_watch_init(&watch, true, SERVER_REPORT_LEASE_MS);
+	g_assert_false(report_gate_accepts(&gate, &watch, false, &report, 0));
+	report.sequence = 1;
+	g_assert_true(report_gate_accepts(&gate, &watch, false, &report, 770));
+}
+
 static void test_zone_orders_merge(void)
 {
 	/* Successive orders on one zone: whether each takes the zone out of
@@ -2245,6 +2402,10 @@
 	g_test_add_func("/search/server-check", test_server_check);
 	g_test_add_func("/search/server-report-order",
 			test_server_report_order);
+	g_test_add_func("/search/contradicting-report",
+			test_contradicting_report);
+	g_test_add_func("/search/first-report-of-other-service",
+			test_first_report_of_other_service);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	return g_test_run();
 }
