A server that returns packets answers queries, also with a closed listener

Callers of connections that died in an outage waited for a retransmission or their timeout: each search that met a server with a closed listener and no reports was inconclusive, although that server returned the query.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -255,6 +255,14 @@
 	agent_query_server(agent, &copy, packet, copy.position, now_ms, sink);
 }
 
+/* Whether a query to the server would be answered: it listens, or has sent a
+ * packet or returned one a moment ago. */
+static bool server_answers(const struct agent *agent, int64_t now_ms)
+{
+	return !server_watch_refuses(&agent->server) ||
+	       now_ms - agent->server.last_sign_of_life_ms < SERVER_CHECK_MS;
+}
+
 /*
  * Records in @header that the server may have the connection of @packet, which
  * its agent doesn't know.
@@ -265,9 +273,8 @@
 				 int64_t now_ms, struct packet_sink *sink)
 {
 	bool may_query = may_query_server(agent, packet, now_ms);
-	bool refuses = server_watch_refuses(&agent->server);
 
-	if (may_query && !refuses) {
+	if (may_query && server_answers(agent, now_ms)) {
 		header->unsure |= (uint8_t)(1U << header->position);
 		return;
 	}
--- a/flow/server_watch.c
+++ b/flow/server_watch.c
@@ -11,7 +11,7 @@
 	memset(watch, 0, sizeof(*watch));
 	watch->reports_expected = reports_expected;
 	watch->lease_ms = lease_ms;
-	watch->last_sign_of_life_ms = INT64_MIN;
+	watch->last_sign_of_life_ms = INT64_MIN / 2;
 	watch->refused_since_ms = CLOCK_NEVER;
 }
 
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1481,6 +1481,43 @@
 	}
 }
 
+/*
+ * Guards against: callers of connections that no server has wait for a
+ * retransmission, because one server that has closed its listener and sends no
+ * reports makes the first search of each inconclusive, although it returns the
+ * queries.
+ */
+static void test_refusing_server_returns_queries(void)
+{
+	/* Whether the server runs, and resets after the caller's packets. */
+	static const struct {
+		bool runs;
+		unsigned int resets;
+	} cases[] = {{true, 1}, {false, 0}};
+	struct cluster cluster;
+
+	for (size_t n_case = 0; n_case < G_N_ELEMENTS(cases); n_case++) {
+		cluster_init(&cluster, 3, 4);
+		for (unsigned int n = 1; n <= 3; n++) {
+			agent_finish(&cluster.hosts[n].agent);
+			start_agent(&cluster, n);
+			if (n != 2)
+				send_server_report(&cluster, n, "first",
+						   SERVER_READY, 0);
+		}
+		advance_time(&cluster, 700);
+		refuse_server_check(&cluster, 2, 0);
+		cluster.hosts[2].server_running = cases[n_case].runs;
+		send_from_caller(&cluster, 77, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+		refuse_server_check(&cluster, 2, 0);
+		send_from_caller(&cluster, 78, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==,
+				 cases[n_case].resets);
+		cluster_finish(&cluster);
+	}
+}
+
 /* A report that was sent before the server announced its end, and arrives after
  * that, opens nothing there. */
 static void test_report_overtaken_by_end(void)
@@ -2376,6 +2413,8 @@
 			test_report_overtaken_by_end);
 	g_test_add_func("/search/end-announced-to-restarted-agent",
 			test_end_announced_to_restarted_agent);
+	g_test_add_func("/search/refusing-server-returns-queries",
+			test_refusing_server_returns_queries);
 	g_test_add_func("/search/refusal-older-than-report",
 			test_refusal_older_than_report);
 	g_test_add_func("/search/service-changed", test_service_changed);
