--- a/flow/agent.c
+++ b/flow/agent.c
@@ -280,7 +280,9 @@
 	}
 	if (may_query)
 		query_refusing_server(agent, header, packet, now_ms, sink);
-	header->doubt = true;
+	agent_doubt_search(agent, header, packet, agent->member_id,
+			   may_query ? "server-refuses" : "server-silent",
+			   sink);
 }
 
 static void handle_other_flow(struct agent *agent, struct packet_header *header,
@@ -379,8 +381,10 @@
 		agent_count(agent, COUNTER_DROP_ZONE_CUT);
 		return;
 	}
-	header->doubt |= header->asking ||
-			 server_may_have_unlisted_flow(agent, packet, now_ms);
+	if (header->asking ||
+	    server_may_have_unlisted_flow(agent, packet, now_ms))
+		agent_doubt_search(agent, header, packet, agent->member_id,
+				   "zone-out", sink);
 	agent_forward(agent, header, packet, now_ms, sink);
 }
 
@@ -431,10 +435,13 @@
 	struct inner_packet packet;
 
 	agent_count(agent, COUNTER_STRAY_FORWARDED);
-	header->doubt = true;
-	if (header->kind == PACKET_DATA &&
-	    agent->format->parse(&packet, data, len))
-		agent_forward(agent, header, &packet, now_ms, sink);
+	if (header->kind != PACKET_DATA ||
+	    !agent->format->parse(&packet, data, len))
+		return;
+	agent_doubt_search(agent, header, &packet,
+			   header->candidates[header->position].member_id,
+			   "stray", sink);
+	agent_forward(agent, header, &packet, now_ms, sink);
 }
 
 static void handle_data(struct agent *agent, struct packet_header *header,
@@ -471,7 +478,8 @@
 		agent_count(agent, COUNTER_ZONE_OUT_FORWARDED);
 		/* The server may have the connection but must not be queried,
 		 * so the search is inconclusive. */
-		header->doubt = true;
+		agent_doubt_search(agent, header, &packet, agent->member_id,
+				   "zone-out", sink);
 		agent_forward(agent, header, &packet, now_ms, sink);
 		return;
 	}
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -28,6 +28,16 @@
 	counter_inc(agent->counters, id);
 }
 
+void agent_doubt_search(struct agent *agent, struct packet_header *header,
+			const struct inner_packet *packet, uint32_t member_id,
+			const char *reason, struct packet_sink *sink)
+{
+	if (!header->doubt && !inner_opens_connection(packet))
+		agent_record_decision(agent, DECISION_SEARCH_DOUBTED, packet,
+				      member_id, reason, sink);
+	header->doubt = true;
+}
+
 static bool is_visited(const struct packet_header *header, int i)
 {
 	return header->visited & (1U << i);
@@ -172,12 +182,17 @@
  * been missing, so the search is inconclusive. Only the roster shows that a
  * member has left.
  */
-static void skip_unreachable_candidates(struct packet_header *header)
+static void skip_unreachable_candidates(struct agent *agent,
+					struct packet_header *header,
+					const struct inner_packet *packet,
+					struct packet_sink *sink)
 {
-	if (all_visited(header))
-		return;
+	for (int i = 0; i < header->n_candidates; i++)
+		if (!is_visited(header, i))
+			agent_doubt_search(agent, header, packet,
+					   header->candidates[i].member_id,
+					   "unreachable", sink);
 	header->visited = candidates_mask(header);
-	header->doubt = true;
 }
 
 /*
@@ -323,7 +338,8 @@
  */
 static bool start_search_in_next_service(struct agent *agent,
 					 struct packet_header *header,
-					 const struct inner_packet *packet)
+					 const struct inner_packet *packet,
+					 struct packet_sink *sink)
 {
 	const struct view *view = agent->view;
 	const struct route_view *route = view_find_route(view, &packet->key);
@@ -343,7 +359,9 @@
 		/* Without members in service there is no chain to search, but
 		 * the servers in zones out of service may have the connection.
 		 */
-		header->doubt |= view_searchable_count(next) > 0;
+		if (view_searchable_count(next))
+			agent_doubt_search(agent, header, packet, 0, "zone-out",
+					   sink);
 	}
 	return false;
 }
@@ -355,24 +373,32 @@
  * reached. Sets `doubt` at a limit or if the view may lack members.
  */
 static bool resolve_chain_again(struct agent *agent,
-				struct packet_header *header, bool *all_queried)
+				struct packet_header *header,
+				const struct inner_packet *packet,
+				bool *all_queried, struct packet_sink *sink)
 {
 	*all_queried = false;
 	if (!agent->service || header->service_id != agent->service_id ||
 	    header->resolves >= PACKET_RESOLVES_MAX) {
-		header->doubt = true;
+		agent_doubt_search(agent, header, packet, 0, "search-limit",
+				   sink);
 		return false;
 	}
 	if (!agent->chain_resolves_left) {
 		count(agent, COUNTER_DROP_SEARCH_LIMIT);
-		header->doubt = true;
+		agent_doubt_search(agent, header, packet, 0, "search-limit",
+				   sink);
 		return false;
 	}
 	agent->chain_resolves_left--;
 	if (!view_resolve_chain(agent->service, header)) {
 		*all_queried = true;
-		header->doubt |= !agent->view->roster_complete ||
-				 view_excludes_members(agent->view);
+		if (!agent->view->roster_complete)
+			agent_doubt_search(agent, header, packet, 0,
+					   "roster-incomplete", sink);
+		if (view_excludes_members(agent->view))
+			agent_doubt_search(agent, header, packet, 0, "zone-out",
+					   sink);
 		return false;
 	}
 	count(agent, COUNTER_CHAIN_RECOMPUTED);
@@ -414,15 +440,16 @@
 	if (next == NO_CANDIDATE && !is_syn && !visited_before)
 		next = return_to_sender(agent, header, sender, now_ms);
 	if (next == NO_CANDIDATE)
-		skip_unreachable_candidates(header);
+		skip_unreachable_candidates(agent, header, packet, sink);
 	if (next == NO_CANDIDATE && !is_syn)
 		next = next_unsure_candidate(header);
 	if (next == NO_CANDIDATE &&
-	    (resolve_chain_again(agent, header, &all_queried) ||
-	     start_search_in_next_service(agent, header, packet))) {
+	    (resolve_chain_again(agent, header, packet, &all_queried, sink) ||
+	     start_search_in_next_service(agent, header, packet, sink))) {
 		next = next_candidate(agent, header, is_syn, now_ms);
 		if (next == NO_CANDIDATE)
-			skip_unreachable_candidates(header);
+			skip_unreachable_candidates(agent, header, packet,
+						    sink);
 	}
 	if (next == NO_CANDIDATE)
 		end_search(agent, header, packet, all_queried, sink);
--- a/include/tarragonflow/flow/agent_route.h
+++ b/include/tarragonflow/flow/agent_route.h
@@ -20,6 +20,15 @@
 		   const struct inner_packet *packet, int64_t now_ms,
 		   struct packet_sink *sink);
 
+/**
+ * Records in @header that the search for the owner of @packet is inconclusive,
+ * and logs the @reason the first time; @member_id is the agent that caused it,
+ * or 0.
+ */
+void agent_doubt_search(struct agent *agent, struct packet_header *header,
+			const struct inner_packet *packet, uint32_t member_id,
+			const char *reason, struct packet_sink *sink);
+
 /**
  * Forwards a SYN to a candidate with clearly less load, or a retransmission to
  * the candidate that received the first copy. Returns false when this agent is
--- a/include/tarragonflow/net/decision.h
+++ b/include/tarragonflow/net/decision.h
@@ -16,6 +16,7 @@
 	X(OPEN_FORWARDED, "open-passed")    \
 	X(OPEN_REFUSED, "open-refused")     \
 	X(SEARCH_BEGUN, "search-begun")     \
+	X(SEARCH_DOUBTED, "search-doubted") \
 	X(SEARCH_ENDED, "search-ended")     \
 	X(RESET_LOST, "reset-lost")         \
 	X(RESET_NO_OWNER, "reset-no-owner") \
