The hop limit no longer cuts off searches in deployments of over 60 agents

A search that finds no owner visits every agent, and servers that may have the connection, 78 hops there; the packet was dropped after 64, without a log line, at every copy, so no caller was reset and none could open a new connection. The limit is 240 now, the number of chains of one service is bounded by it alone, and search-ended reason=hop-limit is logged.

--- a/flow/agent_mark.c
+++ b/flow/agent_mark.c
@@ -21,7 +21,9 @@
  * server returns the packet, the search of the service restarts at this agent.
  */
 #define MARK_CHECKSUM_BITS 3
+/* Remaining hops are rounded down to a multiple of MARK_HOPS_UNIT. */
 #define MARK_HOPS_BITS 6
+#define MARK_HOPS_UNIT 4
 #define MARK_CANDIDATES_BITS 8
 #define MARK_SERVICES_BITS 4
 
@@ -55,7 +57,8 @@
 			 const struct packet_header *header,
 			 const struct inner_packet *packet)
 {
-	uint32_t hops = MIN(header->hops_left, (1U << MARK_HOPS_BITS) - 1);
+	uint32_t hops = MIN(header->hops_left / MARK_HOPS_UNIT,
+			    (1U << MARK_HOPS_BITS) - 1);
 	uint32_t mark = !is_chain_of_own_view(agent, header, packet);
 
 	mark = mark << MARK_SERVICES_BITS | header->services_tried;
@@ -128,7 +131,8 @@
 		return false;
 	unsure = pop_mark_field(&mark, MARK_CANDIDATES_BITS);
 	visited = pop_mark_field(&mark, MARK_CANDIDATES_BITS);
-	header->hops_left = (uint8_t)pop_mark_field(&mark, MARK_HOPS_BITS);
+	header->hops_left = (uint8_t)(pop_mark_field(&mark, MARK_HOPS_BITS) *
+				      MARK_HOPS_UNIT);
 	checksum = pop_mark_field(&mark, MARK_CHECKSUM_BITS);
 	queries_server = pop_mark_field(&mark, 1);
 	header->doubt = pop_mark_field(&mark, 1);
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -75,6 +75,8 @@
 
 	if (!header->hops_left) {
 		count(agent, COUNTER_DROP_HOP_BUDGET);
+		agent_record_decision(agent, DECISION_SEARCH_ENDED, packet,
+				      next->member_id, "hop-limit", sink);
 		return;
 	}
 	header->hops_left--;
@@ -378,8 +380,7 @@
 				bool *all_queried, struct packet_sink *sink)
 {
 	*all_queried = false;
-	if (!agent->service || header->service_id != agent->service_id ||
-	    header->resolves >= PACKET_RESOLVES_MAX) {
+	if (!agent->service || header->service_id != agent->service_id) {
 		agent_doubt_search(agent, header, packet, 0, "search-limit",
 				   sink);
 		return false;
--- a/include/tarragonflow/net/packet.h
+++ b/include/tarragonflow/net/packet.h
@@ -16,11 +16,15 @@
 /** Maximum number of candidates in a chain. */
 #define CHAIN_MAX 8
 
-/** Times that one packet may be forwarded between processes. */
-#define PACKET_HOP_BUDGET 64
+/**
+ * Times that one packet may be forwarded between processes. Bounds the search
+ * for a connection that no server has, which visits every agent: with 64 it was
+ * cut off, and never conclusive, with more than some 60 agents.
+ */
+#define PACKET_HOP_BUDGET 240
 
-/** Times that agents may recompute the chain of one packet. */
-#define PACKET_RESOLVES_MAX 8
+/** Largest `resolves` that the header can carry. */
+#define PACKET_RESOLVES_MAX 15
 
 /** Load value for full, cold and draining servers and for unknown load. */
 #define PACKET_LOAD_FULL 0xffff
@@ -84,7 +88,8 @@
 	uint8_t visited;
 	/** Index of the sending candidate, or PACKET_FROM_OUTSIDE. */
 	uint8_t from;
-	/** Times that agents recomputed the chain from their own view. */
+	/** Times that agents recomputed the chain from their own view, at most
+	 * PACKET_RESOLVES_MAX. */
 	uint8_t resolves;
 	/** Load of the sender's backend server, 0 to PACKET_LOAD_SCALE. */
 	uint16_t load;
--- a/route/view.c
+++ b/route/view.c
@@ -729,6 +729,7 @@
 	header->unsure = 0;
 	header->asking = false;
 	header->from = PACKET_FROM_OUTSIDE;
-	header->resolves++;
+	header->resolves =
+		(uint8_t)MIN(header->resolves + 1, PACKET_RESOLVES_MAX);
 	return true;
 }
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -22,7 +22,7 @@
  * address N; its server is of the service "a", or of "b" from number `first_b`
  * on, or of "c" from `first_c` on. Its zone is "odd" or "even", as N is.
  */
-#define TEST_AGENTS_MAX 64
+#define TEST_AGENTS_MAX 256
 #define PLATFORM_HEADER_BYTES 31
 #define PACKET_MAX 200
 #define FLOW_LIFETIME_MS 60000
@@ -1103,13 +1103,17 @@
 /*
  * In a large service each agent gets load reports of all others so often that
  * none counts as unreachable. Every search for an existing connection finds the
- * owner, and any other search ends with a RST.
+ * owner, and any other search ends with a RST. The limit of hops doesn't cut
+ * off the search.
  */
-static void test_large_service(void)
+static void test_large_service(gconstpointer data)
 {
+	/* Numbers of agents, and of those of the first service. */
+	static const unsigned int sizes[][2] = {{60, 40}, {70, 56}, {204, 163}};
+	const unsigned int *size = sizes[GPOINTER_TO_UINT(data)];
 	struct cluster cluster;
 
-	cluster_init(&cluster, 60, 41);
+	cluster_init(&cluster, size[0], size[1] + 1);
 	advance_time(&cluster, 700);
 	for (uint16_t port = 1; port <= 60; port++) {
 		advance_time(&cluster, 10);
@@ -2386,7 +2390,12 @@
 	g_test_add_func("/search/service-out-by-order",
 			test_service_out_by_order);
 	g_test_add_func("/search/many-members", test_many_members);
-	g_test_add_func("/search/large-service", test_large_service);
+	g_test_add_data_func("/search/large-service", GUINT_TO_POINTER(0),
+			     test_large_service);
+	g_test_add_data_func("/search/large-service-70", GUINT_TO_POINTER(1),
+			     test_large_service);
+	g_test_add_data_func("/search/large-service-204", GUINT_TO_POINTER(2),
+			     test_large_service);
 	g_test_add_func("/search/near-server",
 			test_server_in_same_zone_preferred);
 	g_test_add_func("/search/load-report-rate", test_load_report_rate);
