--- a/include/tarragonflow/flow/server_report.h
+++ b/include/tarragonflow/flow/server_report.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "tarragonflow/common/str.h"
+#include "tarragonflow/net/endpoint.h"
 
 /** State of a backend server in its server reports. */
 enum server_state {
@@ -36,6 +37,8 @@
 	int64_t age_ms;
 	/** Number of the report since the server's start. */
 	uint64_t sequence;
+	/** Where the server says that it is; port 0: not reported. */
+	struct endpoint address;
 	/** Empty in SERVER_ENDING. */
 	struct name service;
 	enum server_state state;
