A contradicting report is accepted only when the known server is silent, too

Cause: repetition needed no time, the agent counted its own pause as the server's silence, numbers were trusted, and a restart always completed the table. Now a repetition needs half an interval and a known server that is overdue; silence alone isn't enough; a number that the time can't explain is a contradiction; a successor leaves an incomplete table incomplete; report 0 of a server that started long ago isn't its first.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -27,11 +27,9 @@
 #define REFILL_MS 1000
 #define CHAIN_RESOLVES_PER_REFILL 2000
 #define HINTS_PER_REFILL 500
-/*
- * Time without any response until the server is checked, and between checks. A
- * server with several slots responds to some request within this time.
- */
-#define SERVER_CHECK_MS 250
+/* Intervals between reports after a server's start within which it has sent its
+ * first one. */
+#define FIRST_REPORT_INTERVALS_MAX 10
 /* Time without a report after which one is missing, in percent of the interval
  * between reports. */
 #define SILENCE_INTERVALS_PERCENT 150
@@ -260,7 +258,8 @@
 static bool server_answers(const struct agent *agent, int64_t now_ms)
 {
 	return !server_watch_refuses(&agent->server) ||
-	       now_ms - agent->server.last_sign_of_life_ms < SERVER_CHECK_MS;
+	       now_ms - agent->server.last_sign_of_life_ms <
+		       AGENT_SERVER_CHECK_MS;
 }
 
 /*
@@ -594,7 +593,6 @@
 	agent->admit.slow_factor = 1;
 	agent->admit.failure_rate = 0;
 	agent->awaiting_response_since_ms = CLOCK_NEVER;
-	agent->table_incomplete_until_ms = INT64_MIN;
 }
 
 /* Closes all connections and resets their callers. */
@@ -606,13 +604,15 @@
 		if (flows->slots[i].state != FLOW_FREE)
 			end_flow(agent, &flows->slots[i], sink);
 	agent->unconfirmed_until_ms = CLOCK_NEVER;
+	agent->table_incomplete_until_ms = INT64_MIN;
 	forget_server(agent);
 }
 
 /*
  * Another server of the service has reported at this address. Its predecessor
  * may still be ending, so a connection is closed only when the server returns
- * its packets or sends none for some time.
+ * its packets, or the predecessor sends nothing on any connection for some
+ * time. It may have connections that are not in the flow table.
  */
 static void suspect_open_flows(struct agent *agent, int64_t now_ms)
 {
@@ -625,10 +625,10 @@
 		    (flow->state_bits & FLOW_UNCONFIRMED))
 			continue;
 		agent_flow_set_awaiting_response(agent, flow, false, now_ms);
-		flow->state_bits |= FLOW_UNCONFIRMED;
+		flow->state_bits |= FLOW_UNCONFIRMED | FLOW_OF_PREDECESSOR;
 		admit_suspect_connection(&agent->admit);
 	}
-	agent->unconfirmed_until_ms = now_ms + SERVER_CHECK_MS;
+	agent->unconfirmed_until_ms = now_ms + AGENT_SERVER_CHECK_MS;
 	forget_server(agent);
 }
 
@@ -672,7 +672,8 @@
 /* Whether the server owes a response for longer than a running one takes. */
 static bool owes_response(const struct agent *agent, int64_t now_ms)
 {
-	return now_ms - SERVER_CHECK_MS >= agent->awaiting_response_since_ms;
+	return now_ms - AGENT_SERVER_CHECK_MS >=
+	       agent->awaiting_response_since_ms;
 }
 
 bool agent_server_check_due(struct agent *agent, int64_t now_ms)
@@ -687,7 +688,7 @@
 	    !owes_response(agent, now_ms) && !server_watch_refuses(server) &&
 	    !agent->drains)
 		return false;
-	agent->next_server_check_ms = now_ms + SERVER_CHECK_MS;
+	agent->next_server_check_ms = now_ms + AGENT_SERVER_CHECK_MS;
 	return true;
 }
 
@@ -701,7 +702,7 @@
 	const struct server_watch *server = &agent->server;
 
 	if (!server->has_report)
-		return SERVER_CHECK_MS;
+		return AGENT_SERVER_CHECK_MS;
 	if (!agent->report_interval_ms || server->report.state == SERVER_ENDING)
 		return server->lease_ms;
 	return MIN(server->lease_ms,
@@ -736,6 +737,7 @@
  * no earlier agent process has opened connections there. Servers may count from
  * zero or one: a report 1 is the second one of a server that counts from zero,
  * but not before a second one is due. Its age is negative if the clock was set.
+ * A report 0 of a server that started long ago isn't its first one.
  */
 static bool is_first_of_server(const struct agent *agent,
 			       const struct server_report *report)
@@ -743,7 +745,9 @@
 	if (server_report_is_last(report))
 		return false;
 	if (report->sequence == 0)
-		return true;
+		return !agent->report_interval_ms ||
+		       report->age_ms < agent->report_interval_ms *
+						FIRST_REPORT_INTERVALS_MAX;
 	return report->sequence == 1 && report->age_ms >= 0 &&
 	       report->age_ms < agent->report_interval_ms / 2;
 }
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -64,6 +64,10 @@
 	if (flow->state != FLOW_OPEN)
 		return;
 	if (!(packet->flags & TCP_RST)) {
+		if ((flow->state_bits & FLOW_OF_PREDECESSOR) &&
+		    agent->unconfirmed_until_ms != CLOCK_NEVER)
+			agent->unconfirmed_until_ms =
+				now_ms + AGENT_SERVER_CHECK_MS;
 		if (flow->state_bits & FLOW_UNCONFIRMED)
 			admit_confirm_connection(&agent->admit);
 		flow->state_bits &= (uint8_t)~FLOW_UNCONFIRMED;
--- a/flow/report_gate.c
+++ b/flow/report_gate.c
@@ -5,6 +5,9 @@
 /* Time without a report after which the known server is overdue, in percent of
  * the interval between reports. */
 #define OVERDUE_INTERVALS_PERCENT 150
+/* Reports that may be missing beyond those that the time since the last one
+ * explains, such as numbers used up by failed calls. */
+#define SEQUENCE_SLACK 20
 
 void report_gate_init(struct report_gate *gate, const struct name *service,
 		      int64_t report_interval_ms)
@@ -14,6 +17,13 @@
 	gate->report_interval_ms = report_interval_ms;
 }
 
+/* Whether a server has reported here; an agent that has seen none knows only
+ * that nothing listened. */
+static bool is_known(const struct server_watch *known)
+{
+	return known->has_report && known->report.id[0];
+}
+
 static bool is_overdue(const struct report_gate *gate,
 		       const struct server_watch *known, int64_t now_ms)
 {
@@ -26,95 +36,117 @@
 				 100;
 }
 
-static bool is_earlier_start(const struct server_report *report,
-			     const struct server_report *known)
+static bool names_other_service(const struct report_gate *gate,
+				const struct server_report *report)
 {
-	return report->started_ms && known->started_ms &&
-	       report->started_ms < known->started_ms;
+	return !name_equal(&report->service, &gate->service);
 }
 
-/* Whether @report is of the known server as far as it can be told. */
-static bool is_of_known_server(const struct report_gate *gate,
-			       const struct server_watch *known,
-			       const struct server_report *report)
+/* Whether the number of @report is greater than the time since the last one
+ * allows. */
+static bool is_number_ahead(const struct report_gate *gate,
+			    const struct server_watch *known,
+			    const struct server_report *report, int64_t now_ms)
 {
-	return name_equal(&report->service, &gate->service) &&
-	       !(known->has_report &&
-		 server_report_shows_restart(report, &known->report));
+	int64_t age_ms = now_ms - known->report_received_ms;
+	uint64_t n_expected;
+
+	if (!gate->report_interval_ms)
+		return false;
+	n_expected = (uint64_t)(age_ms / gate->report_interval_ms) * 2;
+	return report->sequence >
+	       known->report.sequence + n_expected + SEQUENCE_SLACK;
 }
 
-/* Whether @report is plausible although it is not of the known server. */
+const char *report_gate_contradiction(const struct report_gate *gate,
+				      const struct server_watch *known,
+				      const struct server_report *report,
+				      int64_t now_ms)
+{
+	if (names_other_service(gate, report))
+		return "service";
+	if (!is_known(known))
+		return NULL;
+	if (strcmp(report->id, known->report.id) != 0)
+		return "id";
+	if (server_report_shows_restart(report, &known->report))
+		return "start time";
+	return is_number_ahead(gate, known, report, now_ms) ? "sequence" : NULL;
+}
+
+/* Whether a contradicting @report is plausible, as the known server has ended
+ * or has announced its end. */
 static bool is_plausible(const struct report_gate *gate,
-			 const struct server_watch *known, bool refuses,
-			 const struct server_report *report, int64_t now_ms)
+			 const struct server_watch *known,
+			 const struct server_report *report)
 {
-	if (!known->has_report)
+	if (!is_known(known))
 		return false;
 	if (known->report.state == SERVER_GONE)
 		return true;
-	if (is_earlier_start(report, &known->report))
-		return false;
 	/* The address goes to another service only some time after the end of
-	 * its last server, when that one's lease has expired. */
-	if (!name_equal(&report->service, &gate->service))
-		return server_report_shows_restart(report, &known->report) &&
-		       !server_watch_report_valid(known, now_ms);
-	return known->report.state == SERVER_ENDING || refuses ||
-	       is_overdue(gate, known, now_ms);
+	 * its last server. */
+	return known->report.state == SERVER_ENDING &&
+	       !names_other_service(gate, report) &&
+	       !server_report_is_outdated(report, &known->report);
+}
+
+/* Whether @report is of the same server as the one that was held back. */
+static bool is_of_held_server(const struct report_gate *gate,
+			      const struct server_report *report)
+{
+	const struct server_report *held = &gate->held;
+
+	return gate->has_held && !server_report_shows_restart(report, held) &&
+	       report->started_ms == held->started_ms &&
+	       name_equal(&report->service, &held->service);
 }
 
-/* Whether @report repeats the one that was held back. */
 static bool is_repeated(const struct report_gate *gate,
 			const struct server_watch *known,
 			const struct server_report *report, int64_t now_ms)
 {
-	const struct server_report *held = &gate->held;
-
-	if (!gate->has_held || server_report_shows_restart(report, held) ||
-	    report->started_ms != held->started_ms ||
-	    !name_equal(&report->service, &held->service) ||
-	    report->sequence <= held->sequence)
-		return false;
-	/* Late reports of an earlier start may come in a row. */
-	return !known->has_report ||
-	       !is_earlier_start(report, &known->report) ||
-	       is_overdue(gate, known, now_ms);
+	return is_of_held_server(gate, report) &&
+	       report->sequence > gate->held.sequence &&
+	       now_ms - gate->held_ms >= gate->report_interval_ms / 2 &&
+	       (!is_known(known) || is_overdue(gate, known, now_ms));
 }
 
-static void accept(struct report_gate *gate, const struct server_report *report)
+static bool accept_report(struct report_gate *gate,
+			  const struct server_report *report)
 {
 	gate->has_held = false;
 	gate->service = report->service;
+	return true;
+}
+
+/* Keeps the first report of a server, so that the time between it and a
+ * repetition counts. */
+static void hold(struct report_gate *gate, const struct server_report *report,
+		 int64_t now_ms)
+{
+	if (is_of_held_server(gate, report))
+		return;
+	gate->has_held = true;
+	gate->held = *report;
+	gate->held_ms = now_ms;
 }
 
 bool report_gate_accepts(struct report_gate *gate,
-			 const struct server_watch *known, bool refuses,
+			 const struct server_watch *known,
 			 struct server_report *report, int64_t now_ms)
 {
 	/* An announcement of the end names no service, and that of another
 	 * server is ignored as outdated. */
 	if (server_report_is_last(report))
 		return true;
-	if (is_of_known_server(gate, known, report) ||
-	    is_plausible(gate, known, refuses, report, now_ms)) {
-		accept(gate, report);
-		return true;
-	}
+	if (!report_gate_contradiction(gate, known, report, now_ms) ||
+	    is_plausible(gate, known, report))
+		return accept_report(gate, report);
 	if (is_repeated(gate, known, report, now_ms)) {
-		accept(gate, report);
 		report->confirmed = true;
-		return true;
+		return accept_report(gate, report);
 	}
-	gate->has_held = true;
-	gate->held = *report;
+	hold(gate, report, now_ms);
 	return false;
 }
-
-const char *report_gate_contradicted_field(const struct report_gate *gate,
-					   const struct server_watch *known,
-					   const struct server_report *report)
-{
-	if (!name_equal(&report->service, &gate->service))
-		return "service";
-	return strcmp(report->id, known->report.id) != 0 ? "id" : "start time";
-}
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -14,6 +14,12 @@
 #include "tarragonflow/net/packet_sink.h"
 #include "tarragonflow/route/view.h"
 
+/**
+ * Time without any response until the server is checked, and between checks,
+ * ms. A server with several slots responds to some request within this time.
+ */
+#define AGENT_SERVER_CHECK_MS 250
+
 /** Entries of the table of received packets by sender, a power of two. */
 #define AGENT_SENDERS 1024
 
--- a/include/tarragonflow/flow/flow_table.h
+++ b/include/tarragonflow/flow/flow_table.h
@@ -37,6 +37,8 @@
 	/** The server has lost the connection; packets of the caller get a
 	 * RST. */
 	FLOW_LOST = 0x20,
+	/** Opened before another server reported at the address. */
+	FLOW_OF_PREDECESSOR = 0x40,
 };
 
 /** A connection. Times are ms modulo 2^32. */
--- a/include/tarragonflow/flow/report_gate.h
+++ b/include/tarragonflow/flow/report_gate.h
@@ -4,40 +4,43 @@
 #include "tarragonflow/flow/server_watch.h"
 
 /**
- * Holds back server reports that contradict the known server at an address.
- * Such a report is of another server, of another start, or names another
- * service. One message alone doesn't show that the known server has been
- * replaced: it may be of another writer, misaddressed or late. It is accepted
- * when the known server has ended or is overdue, or when it is repeated before
- * the known server reports again. Pure functions.
+ * Holds back server reports that contradict the known server at an address: of
+ * another server, of another start, with another service, or with a number that
+ * it can't have reached. One message doesn't show that the known server has
+ * been replaced: it may be of another writer, misaddressed or late. It is
+ * accepted when the known server has ended, or a successor's after the known
+ * one has announced its end; else when it is repeated while the known server is
+ * overdue. The silence alone isn't enough, because this process may have been
+ * paused. Pure functions.
  */
 struct report_gate {
 	/** Service of the last accepted report, first that of the settings. */
 	struct name service;
 	/** Time between two server reports, ms; 0: unknown. */
 	int64_t report_interval_ms;
-	/** The last report that was held back, if the known server has not
-	 * reported since. */
+	/** The first report that was held back, of the server that reported
+	 * last without being accepted, and when it arrived, ms. */
 	bool has_held;
 	struct server_report held;
+	int64_t held_ms;
 };
 
 void report_gate_init(struct report_gate *gate, const struct name *service,
 		      int64_t report_interval_ms);
 
 /**
- * Whether @report may be processed. @known is the state of the known server;
- * @refuses: it has refused connections since its last sign of life. Sets
- * report->confirmed if the report is accepted because it was repeated.
+ * Whether @report may be processed. @known is the state of the known server.
+ * Sets report->confirmed if the report is accepted because it was repeated.
  */
 bool report_gate_accepts(struct report_gate *gate,
-			 const struct server_watch *known, bool refuses,
+			 const struct server_watch *known,
 			 struct server_report *report, int64_t now_ms);
 
-/** The field of @report that contradicts the known server, as it is called in
- * messages. */
-const char *report_gate_contradicted_field(const struct report_gate *gate,
-					   const struct server_watch *known,
-					   const struct server_report *report);
+/** The field in which @report contradicts the known server, as it is called in
+ * messages, or NULL. */
+const char *report_gate_contradiction(const struct report_gate *gate,
+				      const struct server_watch *known,
+				      const struct server_report *report,
+				      int64_t now_ms);
 
 #endif
--- a/node/node.c
+++ b/node/node.c
@@ -475,8 +475,9 @@
 	return status_set(status, STATUS_UNAVAILABLE,
 			  "%s: contradicts server %s of service %s; accepted "
 			  "if repeated before that one reports again",
-			  report_gate_contradicted_field(&node->report_gate,
-							 known, report),
+			  report_gate_contradiction(&node->report_gate, known,
+						    report,
+						    clock_now(&node->clock)),
 			  known->has_report ? known->report.id : "-",
 			  node->report_gate.service.data);
 }
@@ -495,8 +496,11 @@
 		return status_set(status, STATUS_INVALID,
 				  "service: %s is not of this deployment",
 				  report->service.data);
-	if (!report_gate_accepts(&node->report_gate, watch,
-				 atomic_load(&node->server_refuses), &accepted,
+	if (report->address.port &&
+	    !endpoint_equal(&report->address, &node->settings->server))
+		return status_set(status, STATUS_INVALID,
+				  "address: not that of this agent's server");
+	if (!report_gate_accepts(&node->report_gate, watch, &accepted,
 				 clock_now(&node->clock)))
 		return refuse_contradiction(node, report, status);
 	changed = !watch->has_report || watch->report.state != report->state ||
--- a/tests/processes/play.py
+++ b/tests/processes/play.py
@@ -44,6 +44,7 @@
     ok = await caller.call(what, body)
     target.world.record("call %s of %s %s: %s", what, caller.id, changes,
                         "acknowledged" if ok else "no acknowledgement")
+    return ok
 
 
 async def unknown_service(world, target, name=None, **changes):
@@ -109,6 +110,61 @@
     await call(target, "deregister", born=target.born + 60000)
 
 
+async def known_service_twice(world, target):
+    """Two heartbeats in a moment, between two of the server's own."""
+    name = "i-%08x" % random.getrandbits(32)
+    for sequence in (1, 2):
+        await call(target, "heartbeat", name, service="assessing",
+                   sequence=sequence, born=target.born + 60000)
+        await asyncio.sleep(0.02)
+
+
+async def own_id_number_ahead(world, target):
+    await call(target, "heartbeat", sequence=target.sequence + 100000)
+
+
+async def first_message(target, what, name, **changes):
+    """The agent is killed and started again; the first message that it gets
+    is another one than its server's."""
+    target.tasks[0].cancel()
+    target.machine.kill()
+    await asyncio.sleep(0.1)
+    target.machine.start()
+    for _ in range(200):
+        if await call(target, what, name, **changes):
+            break
+        await asyncio.sleep(0.01)
+    else:
+        raise CouldNotRun("no first message")
+    target.tasks[0] = asyncio.create_task(target.beats())
+    await asyncio.sleep(3)
+
+
+async def other_id_is_first_to_deregister(world, target):
+    await first_message(target, "deregister",
+                        "i-%08x" % random.getrandbits(32),
+                        born=target.born - 60000)
+
+
+async def other_id_is_first_to_report(world, target):
+    await first_message(target, "heartbeat",
+                        "i-%08x" % random.getrandbits(32), sequence=0,
+                        born=target.born - 60000)
+
+
+async def known_service_after_pause(world, target):
+    """The heartbeat is the first in the queue of an agent that was paused."""
+    target.tasks[0].cancel()
+    target.machine.signal(signal.SIGSTOP)
+    await asyncio.sleep(2.0)
+    stray = asyncio.create_task(known_service_later_start(world, target))
+    await asyncio.sleep(0.1)
+    target.machine.signal(signal.SIGCONT)
+    target.tasks[0] = asyncio.create_task(target.beats())
+    await stray
+    await asyncio.sleep(4)
+
+
 async def ends(target, lives_on_s, listener_closed=False):
     """A planned end: draining, deregistration, and the process goes on for a
     while before it ends."""
@@ -184,7 +240,9 @@
     known_service_own_id_without_start_time, known_service_other_id,
     known_service_later_start, own_service_other_id,
     own_service_earlier_start, other_id_deregisters,
-    own_id_deregisters_later_start, deregisters_and_lives_50_ms,
+    own_id_deregisters_later_start, known_service_twice, own_id_number_ahead,
+    other_id_is_first_to_deregister, other_id_is_first_to_report,
+    known_service_after_pause, deregisters_and_lives_50_ms,
     deregisters_and_lives_1_s, deregisters_and_lives_4_s,
     closes_listener_and_lives_1_s, agent_stops_after_deregistration,
     agent_killed_while_listener_is_closed,
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -634,6 +634,8 @@
 		{0, 0, false},
 		{0, 5000, false},
 		{0, -1, false},
+		/* A server that has run for so long has sent others. */
+		{0, 60000, true},
 		{1, 0, false},
 		{1, 130, false},
 		{1, REPORT_INTERVAL_MS / 2 - 1, false},
@@ -2173,7 +2175,7 @@
 static void test_contradicting_report(void)
 {
 	/* The known server "b" of "orders", started at 20 s, reports every 770
-	 * ms, last with sequence 5 at 0 ms. Then two reports arrive, and
+	 * ms, last with sequence 5 at 0 ms. Then more reports arrive, and
 	 * whether each is accepted. */
 	struct arrival {
 		int64_t at_ms;
@@ -2184,82 +2186,84 @@
 	static const struct {
 		const char *name;
 		enum server_state known_state;
-		bool refuses;
-		struct arrival arrivals[3];
+		struct arrival arrivals[6];
 	} cases[] = {
 		{"other service, own id",
 		 SERVER_READY,
-		 false,
 		 {{100, "b", "assessing", 20000, 6, false},
 		  {770, "b", "orders", 20000, 6, true},
 		  {870, "b", "assessing", 20000, 7, false}}},
 		{"other service, other id",
 		 SERVER_READY,
-		 false,
 		 {{100, "x", "assessing", 80000, 1, false},
 		  {770, "b", "orders", 20000, 6, true}}},
 		{"other service, no start time",
 		 SERVER_READY,
-		 false,
 		 {{100, "x", "assessing", 0, 1, false},
 		  {770, "b", "orders", 20000, 6, true}}},
 		{"other service, server ending",
 		 SERVER_ENDING,
-		 false,
-		 {{100, "x", "assessing", 80000, 1, false}}},
-		{"other service, lease expired",
-		 SERVER_ENDING,
-		 false,
-		 {{2000, "x", "assessing", 80000, 1, true}}},
+		 {{100, "x", "assessing", 80000, 1, false},
+		  {2000, "x", "assessing", 80000, 3, true}}},
 		{"other service, server ended",
 		 SERVER_GONE,
-		 false,
 		 {{100, "x", "assessing", 80000, 1, true}}},
-		{"other service, repeated",
+		{"other service, after a pause of this process",
 		 SERVER_READY,
-		 false,
-		 {{100, "x", "assessing", 80000, 1, false},
-		  {870, "x", "assessing", 80000, 2, true},
-		  {1640, "x", "assessing", 80000, 3, true}}},
-		{"other service, same report twice",
+		 {{2500, "x", "assessing", 80000, 1, false},
+		  {2500, "b", "orders", 20000, 8, true}}},
+		{"other service, known server silent",
+		 SERVER_READY,
+		 {{400, "x", "assessing", 80000, 1, false},
+		  {1170, "x", "assessing", 80000, 2, true},
+		  {1940, "x", "assessing", 80000, 3, true}}},
+		{"two in a moment",
 		 SERVER_READY,
-		 false,
 		 {{100, "x", "assessing", 80000, 1, false},
-		  {110, "x", "assessing", 80000, 1, false}}},
+		  {110, "x", "assessing", 80000, 2, false},
+		  {770, "b", "orders", 20000, 6, true}}},
+		{"copies in disorder",
+		 SERVER_READY,
+		 {{1200, "x", "assessing", 80000, 2, false},
+		  {1201, "x", "assessing", 80000, 1, false},
+		  {1202, "x", "assessing", 80000, 2, false}}},
+		{"repeated between the known server's reports",
+		 SERVER_READY,
+		 {{10, "x", "orders", 80000, 1, false},
+		  {780, "x", "orders", 80000, 2, false},
+		  {785, "b", "orders", 20000, 6, true},
+		  {1540, "b", "orders", 20000, 7, true},
+		  {1550, "x", "orders", 80000, 3, false},
+		  {2310, "b", "orders", 20000, 8, true}}},
 		{"later start, same service",
 		 SERVER_READY,
-		 false,
 		 {{100, "x", "orders", 80000, 1, false},
 		  {770, "b", "orders", 20000, 6, true},
 		  {1540, "b", "orders", 20000, 7, true}}},
-		{"later start, server overdue",
-		 SERVER_READY,
-		 false,
-		 {{1200, "x", "orders", 80000, 1, true}}},
-		{"later start, server refuses",
+		{"later start, one report missing",
 		 SERVER_READY,
-		 true,
-		 {{100, "x", "orders", 80000, 1, true}}},
-		{"later start, server ending",
+		 {{1200, "x", "orders", 80000, 1, false},
+		  {1540, "b", "orders", 20000, 7, true}}},
+		{"successor of an ending server",
 		 SERVER_ENDING,
-		 false,
 		 {{100, "x", "orders", 80000, 1, true}}},
-		{"later start, repeated",
+		{"restarted, the end wasn't seen",
 		 SERVER_READY,
-		 false,
-		 {{100, "b", "orders", 80000, 1, false},
-		  {870, "b", "orders", 80000, 2, true}}},
+		 {{500, "b", "orders", 80000, 1, false},
+		  {1270, "b", "orders", 80000, 2, true}}},
 		{"earlier start in a row",
 		 SERVER_READY,
-		 false,
 		 {{100, "a", "orders", 10000, 8, false},
 		  {110, "a", "orders", 10000, 9, false},
 		  {770, "b", "orders", 20000, 6, true}}},
-		{"earlier start, server silent",
+		{"number far ahead",
 		 SERVER_READY,
-		 false,
-		 {{1300, "a", "orders", 10000, 8, false},
-		  {2070, "a", "orders", 10000, 9, true}}},
+		 {{100, "b", "orders", 20000, 5000, false},
+		  {770, "b", "orders", 20000, 6, true},
+		  {1540, "b", "orders", 20000, 7, true}}},
+		{"numbers after a long pause of this process",
+		 SERVER_READY,
+		 {{77000, "b", "orders", 20000, 105, true}}},
 	};
 	struct name orders, service;
 
@@ -2291,9 +2295,9 @@
 			name_set(&service, str_from(arrival->service));
 			report.service = service;
 			g_strlcpy(report.id, arrival->id, sizeof(report.id));
-			g_assert_cmpint(report_gate_accepts(
-						&gate, &watch, cases[i].refuses,
-						&report, arrival->at_ms),
+			g_assert_cmpint(report_gate_accepts(&gate, &watch,
+							    &report,
+							    arrival->at_ms),
 					==, arrival->accepted);
 			if (arrival->accepted)
 				g_assert_cmpint(
@@ -2308,18 +2312,49 @@
  * agent serves another service. */
 static void test_first_report_of_other_service(void)
 {
-	struct report_gate gate;
-	struct server_watch watch;
-	struct server_report report = {.id = "x", .state = SERVER_READY};
 	struct name orders;
 
 	name_set(&orders, str_from("orders"));
-	name_set(&report.service, str_from("assessing"));
-	report_gate_init(&gate, &orders, 770);
-	server_watch_init(&watch, true, SERVER_REPORT_LEASE_MS);
-	g_assert_false(report_gate_accepts(&gate, &watch, false, &report, 0));
-	report.sequence = 1;
-	g_assert_true(report_gate_accepts(&gate, &watch, false, &report, 770));
+	/* The agent starts beside a running server, or before its server. */
+	for (int starts_before = 0; starts_before < 2; starts_before++) {
+		struct server_report report = {.id = "x",
+					       .state = SERVER_READY};
+		struct report_gate gate;
+		struct server_watch watch;
+
+		name_set(&report.service, str_from("assessing"));
+		report_gate_init(&gate, &orders, 770);
+		server_watch_init(&watch, true, SERVER_REPORT_LEASE_MS);
+		watch.has_report = starts_before;
+		watch.report.state = starts_before ? SERVER_GONE : 0;
+		g_assert_false(report_gate_accepts(&gate, &watch, &report, 0));
+		report.sequence = 1;
+		g_assert_true(report_gate_accepts(&gate, &watch, &report, 770));
+	}
+}
+
+/*
+ * Guards against: a successor's report completes a table that lacks the
+ * connections of the agent's previous process, and their callers are reset.
+ */
+static void test_successor_keeps_incomplete_table(void)
+{
+	struct cluster cluster;
+
+	cluster_init(&cluster, 3, 4);
+	advance_time(&cluster, 700);
+	open_connection(&cluster, 1);
+	for (unsigned int i = 1; i <= 3; i++) {
+		agent_finish(&cluster.hosts[i].agent);
+		start_agent(&cluster, i);
+		send_server_report(&cluster, i, "other", SERVER_ENDING, 0);
+		send_server_report(&cluster, i, "first", SERVER_READY, 40);
+	}
+	advance_time(&cluster, 200);
+	clear_hints(&cluster);
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	cluster_finish(&cluster);
 }
 
 static void test_zone_orders_merge(void)
@@ -2452,6 +2487,8 @@
 			test_server_report_order);
 	g_test_add_func("/search/contradicting-report",
 			test_contradicting_report);
+	g_test_add_func("/search/successor-keeps-incomplete-table",
+			test_successor_keeps_incomplete_table);
 	g_test_add_func("/search/first-report-of-other-service",
 			test_first_report_of_other_service);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
