A listed roster is complete 2 s after the last unknown agent, not 5 s

The platform's list lacks only agents that joined just before it was read, and those announce themselves at once. Without a list the time stays 5 s.

--- a/control/control.c
+++ b/control/control.c
@@ -44,6 +44,10 @@
 #define NO_DISCOVERY_MS (INT64_MIN / 2)
 /* After a list from the platform: time for peers to report missing members. */
 #define LISTED_ROSTER_COMPLETE_AFTER_MS 200
+/* After a peer reported an unknown agent: time for peers to report others, if
+ * the platform's list was received. It lacks only those that joined just before
+ * it was read, and they announce themselves. */
+#define LISTED_ROSTER_SETTLE_MS 2000
 #define RESYNC_REQUEST_INTERVAL_MS 300
 #define RESYNC_REQUEST_FANOUT 3
 /* Ends a resync that gets no response, as when all processes were paused. */
@@ -194,9 +198,12 @@
 bool control_roster_is_complete(const struct control *control, int64_t now_ms)
 {
 	int64_t age_ms = now_ms - control->started_ms;
+	int64_t settle_ms = control->platform.full_roster_received
+				    ? LISTED_ROSTER_SETTLE_MS
+				    : ROSTER_COMPLETE_AFTER_MS;
 
 	/* While unknown members are still being reported, more may follow. */
-	if (now_ms - control->last_discovery_ms < ROSTER_COMPLETE_AFTER_MS)
+	if (now_ms - control->last_discovery_ms < settle_ms)
 		return false;
 	/* A restored copy may lack members until balancers write it again. */
 	return age_ms >= ROSTER_COMPLETE_AFTER_MS ||
--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -622,6 +622,8 @@
 	g_assert_true(control_roster_is_complete(&fixture.control, 1500));
 	receive_agent(&fixture, "m1", 1, 1600);
 	g_assert_false(control_roster_is_complete(&fixture.control, 1700));
+	g_assert_false(control_roster_is_complete(&fixture.control, 3500));
+	g_assert_true(control_roster_is_complete(&fixture.control, 3700));
 	g_assert_true(control_roster_is_complete(&fixture.control, 8000));
 	control_finish(&fixture.control);
 	/* An unknown balancer counts only if the platform has not listed the
