Load by work left: cost model, agents' load, balancers' additions, setting

Cause: the load counts running and waiting requests and is clamped at four per slot. A request that has run for long counts as one that has just started, a connection with one request every few seconds as nothing, and all overloaded servers alike.

Change: agents learn response times and requests per open time by route (admit/cost.c). With the setting "placement" "work" the load is the work left in requests of mean cost per slot (admit/work_left.c), and balancers and agents add one such request over the server's slots per SYN sent. The view takes the slots over from the roster.

Effect on placement not measured yet.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "tarragonflow/admit/slowness.h"
+#include "tarragonflow/admit/work_left.h"
 #include "tarragonflow/net/packet.h"
 
 /* A response is slow above this multiple of the usual response time, plus some
@@ -113,6 +114,32 @@
 		admit->running--;
 }
 
+void admit_start_request(struct admit *admit, uint8_t kind, int64_t now_ms)
+{
+	admit_adjust_running(admit, 1, now_ms);
+	cost_start_request(&admit->cost, kind, admit->slots_max, now_ms);
+}
+
+void admit_end_request(struct admit *admit, uint8_t kind, uint32_t started_ms,
+		       bool responded, int64_t now_ms)
+{
+	admit_adjust_running(admit, -1, now_ms);
+	cost_end_request(&admit->cost, kind, started_ms, responded,
+			 admit->slots_max, now_ms);
+}
+
+void admit_adjust_waiting(struct admit *admit, uint8_t kind, int change)
+{
+	admit->waiting += (uint32_t)change;
+	cost_adjust_waiting(&admit->cost, kind, change);
+}
+
+void admit_forget_running(struct admit *admit)
+{
+	admit->running = 0;
+	cost_forget_running(&admit->cost);
+}
+
 void admit_expect_request(struct admit *admit, int64_t now_ms)
 {
 	admit->latest_opens_ms[admit->n_opens++ % ADMIT_LATEST_OPENS] = now_ms;
@@ -364,17 +391,23 @@
 	return (uint16_t)MAX(PACKET_LOAD_SCALE / admit->connections_max, 1);
 }
 
-/* The part of the load that comes from requests. Their current number and their
- * mean over the last second count equally. */
-static uint64_t requests_load(const struct admit *admit, int64_t now_ms)
+/* Requests per slot. Their current number and their mean over the last second
+ * count equally. */
+static double requests_per_slot(const struct admit *admit, int64_t now_ms)
 {
 	double decay = exp(-(double)(now_ms - admit->mean_updated_ms) /
 			   RUNNING_MEAN_TIME_CONSTANT_MS);
 	double mean =
 		decay * admit->mean_running + (1 - decay) * admit->running;
-	double slot_usage = ((mean + admit->running) / 2 + admit->waiting) /
-			    admit->slots_max;
 
+	return ((mean + admit->running) / 2 + admit->waiting) /
+	       admit->slots_max;
+}
+
+/* @slot_usage, increased if the server is cold or slow. */
+static double weighted_slot_usage(const struct admit *admit, double slot_usage,
+				  int64_t now_ms)
+{
 	if (now_ms < admit->cold_until_ms)
 		slot_usage = (slot_usage + COLD_SERVER_EXTRA_SLOT_SHARE) *
 			     COLD_SERVER_LOAD_FACTOR;
@@ -382,7 +415,20 @@
 		slot_usage = (slot_usage + (admit->slow_factor -
 					    1) * SLOW_SERVER_EXTRA_SLOT_SHARE) *
 			     admit->slow_factor;
-	return (uint64_t)(slot_usage * ADMIT_LOAD_SLOTS_FULL);
+	return slot_usage;
+}
+
+/* The load by work left. Connections count as they do beside running requests:
+ * a server with all of them in use has a load of PACKET_LOAD_SCALE. */
+static uint16_t work_load(const struct admit *admit, int64_t now_ms)
+{
+	double slot_usage = weighted_slot_usage(
+		admit, work_left(&admit->cost, admit->slots_max, now_ms),
+		now_ms);
+	double connections = (double)admit->open / admit->connections_max *
+			     PACKET_LOAD_SCALE / ADMIT_LOAD_SLOTS_FULL;
+
+	return work_left_encode(slot_usage + connections);
 }
 
 void admit_compare_peers(struct admit *admit, uint16_t *peers_ms, size_t n)
@@ -404,9 +450,15 @@
 	    admit->open >= admit->limit ||
 	    admit->open + admit->unconfirmed >= admit->connections_max)
 		return PACKET_LOAD_FULL;
+	if (admit->by_work && admit->has_server_report)
+		return work_load(admit, now_ms);
 	load /= admit->connections_max;
 	if (admit->has_server_report)
-		load += requests_load(admit, now_ms);
+		load += (uint64_t)(weighted_slot_usage(
+					   admit,
+					   requests_per_slot(admit, now_ms),
+					   now_ms) *
+				   ADMIT_LOAD_SLOTS_FULL);
 	return (uint16_t)MIN(load, PACKET_LOAD_SCALE);
 }
 
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -64,6 +64,7 @@
 			identity->seed);
 	admit_init(&agent->admit, identity->connections, identity->slots,
 		   now_ms);
+	agent->admit.by_work = identity->place_by_work;
 }
 
 void agent_finish(struct agent *agent)
@@ -86,6 +87,8 @@
 	}
 	agent->zone_in_service = in_service;
 	flow_table_clear(&agent->flows);
+	cost_forget_running(&agent->admit.cost);
+	cost_forget_open(&agent->admit.cost);
 	agent->admit.open = 0;
 	agent->admit.unconfirmed = 0;
 	agent->admit.limit =
@@ -198,12 +201,8 @@
 	agent_send_owner_hint(agent, header, packet, sink);
 	if (flow->state == FLOW_HALF_OPEN)
 		flow->state = FLOW_OPEN;
-	if (packet->payload_len &&
-	    !(flow->state_bits & FLOW_AWAITING_RESPONSE) &&
-	    flow->state == FLOW_OPEN) {
-		agent_flow_set_awaiting_response(agent, flow, true, now_ms);
-		flow->pending_since_ms = (uint32_t)now_ms;
-	}
+	if (packet->payload_len && flow->state == FLOW_OPEN)
+		agent_flow_start_request(agent, flow, now_ms);
 	agent_seq_advance(&flow->caller_seq, agent_seq_after(packet));
 	agent_flow_track(agent, flow, packet->flags, FLOW_CALLER_FIN, now_ms);
 	agent_deliver(agent, header, packet, now_ms, sink);
@@ -574,7 +573,7 @@
 static void forget_server(struct agent *agent)
 {
 	agent_count(agent, COUNTER_SERVER_RESTARTED);
-	agent->admit.running = 0;
+	admit_forget_running(&agent->admit);
 	agent->admit.mean_response_ms = 0;
 	agent->admit.slow_factor = 1;
 	agent->admit.failure_rate = 0;
@@ -609,9 +608,10 @@
 		if (flow->state != FLOW_OPEN ||
 		    (flow->state_bits & FLOW_UNCONFIRMED))
 			continue;
-		agent_flow_set_awaiting_response(agent, flow, false, now_ms);
+		agent_flow_end_request(agent, flow, false, now_ms);
 		flow->state_bits |= FLOW_UNCONFIRMED;
 		admit_suspect_connection(&agent->admit);
+		cost_adjust_open(&agent->admit.cost, flow->kind, -1, now_ms);
 	}
 	agent->unconfirmed_until_ms = now_ms + SERVER_CHECK_MS;
 	forget_server(agent);
--- a/flow/agent_flow.c
+++ b/flow/agent_flow.c
@@ -1,5 +1,7 @@
 #include "tarragonflow/flow/agent_flow.h"
 
+#include <xxhash.h>
+
 /* Maximum distance of a packet's sequence number from the expected one, bytes.
  */
 #define SEQ_WINDOW (1 << 26)
@@ -10,23 +12,55 @@
 	counter_inc(agent->counters, id);
 }
 
-void agent_flow_set_awaiting_response(struct agent *agent, struct flow *flow,
-				      bool awaiting, int64_t now_ms)
+uint8_t agent_kind_of(struct agent *agent, const struct flow_key *key)
 {
-	if (awaiting == ((flow->state_bits & FLOW_AWAITING_RESPONSE) != 0))
+	const struct route_view *route =
+		agent->view ? view_find_route(agent->view, key) : NULL;
+	uint64_t hash = XXH3_64bits_withSeed(&key->dst, sizeof(key->dst),
+					     key->dst_port);
+
+	return cost_find_kind(&agent->admit.cost, hash,
+			      route ? route->timeout_ms : 0);
+}
+
+void agent_flow_count_open(struct agent *agent, struct flow *flow,
+			   const struct flow_key *key, int64_t now_ms)
+{
+	flow->kind = agent_kind_of(agent, key);
+	cost_adjust_open(&agent->admit.cost, flow->kind, 1, now_ms);
+}
+
+void agent_flow_start_request(struct agent *agent, struct flow *flow,
+			      int64_t now_ms)
+{
+	if (flow->state_bits & FLOW_AWAITING_RESPONSE)
+		return;
+	flow->state_bits |= FLOW_AWAITING_RESPONSE;
+	flow->pending_since_ms = (uint32_t)now_ms;
+	admit_start_request(&agent->admit, flow->kind, now_ms);
+}
+
+void agent_flow_end_request(struct agent *agent, struct flow *flow,
+			    bool responded, int64_t now_ms)
+{
+	if (!(flow->state_bits & FLOW_AWAITING_RESPONSE))
 		return;
-	flow->state_bits ^= FLOW_AWAITING_RESPONSE;
-	admit_adjust_running(&agent->admit, awaiting ? 1 : -1, now_ms);
+	flow->state_bits &= (uint8_t)~FLOW_AWAITING_RESPONSE;
+	admit_end_request(&agent->admit, flow->kind, flow->pending_since_ms,
+			  responded, now_ms);
 }
 
 static void uncount_connection(struct agent *agent, struct flow *flow)
 {
-	agent_flow_set_awaiting_response(agent, flow, false,
-					 agent->admit.mean_updated_ms);
-	if (flow->state_bits & FLOW_UNCONFIRMED)
+	agent_flow_end_request(agent, flow, false,
+			       agent->admit.mean_updated_ms);
+	if (flow->state_bits & FLOW_UNCONFIRMED) {
 		admit_remove_unconfirmed(&agent->admit);
-	else
-		admit_remove_connection(&agent->admit);
+		return;
+	}
+	admit_remove_connection(&agent->admit);
+	cost_adjust_open(&agent->admit.cost, flow->kind, -1,
+			 agent->admit.mean_updated_ms);
 }
 
 void agent_flow_close(struct agent *agent, struct flow *flow)
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -49,7 +49,8 @@
 			struct packet_sink *sink)
 {
 	if (waiting_syns_remove(&agent->waiting_syns, agent_attempt_id(packet)))
-		agent->admit.waiting--;
+		admit_adjust_waiting(&agent->admit,
+				     agent_kind_of(agent, &packet->key), -1);
 	forwarded_syns_add(&agent->forwarded_syns, packet, next->member_id,
 			   now_ms);
 	count(agent, COUNTER_OPEN_FORWARDED);
@@ -57,6 +58,19 @@
 			      next->member_id, NULL, sink);
 }
 
+/* Adds a SYN that is sent to @candidate to its load: one request of mean cost,
+ * or @load where loads are not the work left. */
+static void add_sent_syn(struct agent *agent, const struct candidate *candidate,
+			 uint16_t load)
+{
+	if (agent->admit.by_work && agent->admit.has_server_report)
+		peer_load_add_requests(&agent->peers, candidate->member_id, 1,
+				       view_member_slots(agent->service,
+							 candidate->member_id));
+	else
+		peer_load_add(&agent->peers, candidate->member_id, load);
+}
+
 static void forward_to(struct agent *agent, struct packet_header *header, int i,
 		       const struct inner_packet *packet, int64_t now_ms,
 		       struct packet_sink *sink)
@@ -525,8 +539,8 @@
 	header->placed = true;
 	header->visited |= (uint8_t)(1U << header->position);
 	header->from = header->position;
-	peer_load_add(&agent->peers, header->candidates[best].member_id,
-		      admit_load_per_connection(&agent->admit));
+	add_sent_syn(agent, &header->candidates[best],
+		     admit_load_per_connection(&agent->admit));
 	count(agent, COUNTER_OPEN_PLACED_BY_LOAD);
 	forward_to(agent, header, best, packet, now_ms, sink);
 	return true;
@@ -562,8 +576,7 @@
 		return false;
 	header->visited |= (uint8_t)(1U << header->position);
 	header->from = header->position;
-	peer_load_add(&agent->peers, header->candidates[best].member_id,
-		      OFFLOADED_SYN_LOAD);
+	add_sent_syn(agent, &header->candidates[best], OFFLOADED_SYN_LOAD);
 	count(agent, COUNTER_OPEN_OFFLOADED);
 	agent_record_decision(agent, DECISION_OPEN_OFFLOADED, packet,
 			      header->candidates[best].member_id, NULL, sink);
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -33,6 +33,7 @@
 
 	agent_count(agent, COUNTER_SERVER_TREATED_AS_COLD);
 	admit_handle_restart(&agent->admit);
+	cost_forget_open(&agent->admit.cost);
 	for (uint32_t i = 0; i <= flows->mask; i++)
 		if (flows->slots[i].state == FLOW_OPEN ||
 		    flows->slots[i].state == FLOW_HALF_OPEN)
@@ -64,8 +65,11 @@
 	if (flow->state != FLOW_OPEN)
 		return;
 	if (!(packet->flags & TCP_RST)) {
-		if (flow->state_bits & FLOW_UNCONFIRMED)
+		if (flow->state_bits & FLOW_UNCONFIRMED) {
 			admit_confirm_connection(&agent->admit);
+			cost_adjust_open(&agent->admit.cost, flow->kind, 1,
+					 now_ms);
+		}
 		flow->state_bits &= (uint8_t)~FLOW_UNCONFIRMED;
 		return;
 	}
@@ -91,7 +95,7 @@
 		admit_record_unrequested_payload(&agent->admit);
 	if (packet->payload_len &&
 	    (flow->state_bits & FLOW_AWAITING_RESPONSE)) {
-		agent_flow_set_awaiting_response(agent, flow, false, now_ms);
+		agent_flow_end_request(agent, flow, true, now_ms);
 		histogram_record(&agent->response_times_ms,
 				 (uint32_t)now_ms - flow->pending_since_ms);
 		admit_record_response(&agent->admit,
@@ -134,6 +138,7 @@
 	flow->caller_seq = packet->ack;
 	flow->server_seq = packet->seq;
 	admit_add_connection(&agent->admit);
+	agent_flow_count_open(agent, flow, key, now_ms);
 	agent_count(agent, COUNTER_FLOW_ADOPTED);
 	agent_record_decision(agent, DECISION_FLOW_ADOPTED, &from_caller, 0,
 			      NULL, sink);
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -165,6 +165,7 @@
 	flow->last_packet_ms = (uint32_t)now_ms;
 	flow->syn_seq = packet->seq;
 	flow->caller_seq = agent_seq_after(packet);
+	agent_flow_count_open(agent, flow, &packet->key, now_ms);
 	agent_count(agent, COUNTER_FLOW_OPENED);
 	agent_record_decision(agent, DECISION_OPEN_DELIVERED, packet, 0, NULL,
 			      sink);
@@ -215,7 +216,8 @@
 	memcpy(entry.data, packet->data, packet->len);
 	if (!waiting_syns_add(&agent->waiting_syns, &entry))
 		return false;
-	agent->admit.waiting++;
+	admit_adjust_waiting(&agent->admit, agent_kind_of(agent, &packet->key),
+			     1);
 	agent_count(agent, COUNTER_OPEN_QUEUED);
 	return true;
 }
@@ -259,10 +261,13 @@
 	struct packet_header header;
 	struct inner_packet packet;
 
-	agent->admit.waiting--;
 	histogram_record(&agent->syn_wait_times_ms, now_ms - entry->sent_ms);
-	if (!agent->format->parse(&packet, entry->data, entry->len))
+	if (!agent->format->parse(&packet, entry->data, entry->len)) {
+		agent->admit.waiting--;
 		return;
+	}
+	admit_adjust_waiting(&agent->admit, agent_kind_of(agent, &packet.key),
+			     -1);
 	if (expired) {
 		agent_count(agent, COUNTER_REFUSE_WAIT_EXPIRED);
 		agent_record_decision(agent, DECISION_OPEN_REFUSED, &packet, 0,
--- a/flow/handover.c
+++ b/flow/handover.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "proto/handover.pb-c.h"
+#include "tarragonflow/flow/agent_flow.h"
 
 static void record_from_flow(Handover__FlowRecord *record, struct flow *flow,
 			     int64_t now_ms)
@@ -110,8 +111,10 @@
 	flow->syn_seq = record->syn_seq;
 	flow->caller_seq = record->caller_seq;
 	flow->server_seq = record->server_seq;
-	if (flow->state != FLOW_CLOSING)
+	if (flow->state != FLOW_CLOSING) {
 		admit_add_connection(&agent->admit);
+		agent_flow_count_open(agent, flow, &key, now_ms);
+	}
 	counter_inc(agent->counters, COUNTER_FLOW_TAKEN_OVER);
 }
 
--- a/flow/peer_load.c
+++ b/flow/peer_load.c
@@ -1,5 +1,6 @@
 #include "tarragonflow/flow/peer_load.h"
 
+#include "tarragonflow/admit/work_left.h"
 #include "tarragonflow/net/packet.h"
 
 /* In percent of the heartbeat interval: two intervals, as one load report may
@@ -168,3 +169,12 @@
 	if (entry && entry->load < PACKET_LOAD_SCALE)
 		entry->load += load;
 }
+
+void peer_load_add_requests(struct peer_loads *loads, uint32_t member_id,
+			    double requests, uint32_t slots)
+{
+	struct peer_load *entry = find_mutable(loads, member_id);
+
+	if (entry)
+		entry->load = work_left_add(entry->load, requests, slots);
+}
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -5,6 +5,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "tarragonflow/admit/cost.h"
+
 /** Whether a new connection or request is admitted, and why not. */
 enum admit_verdict {
 	ADMIT_ACCEPTED,
@@ -113,6 +115,11 @@
 	/** Connections opened so far; modulo ADMIT_LATEST_OPENS it is the next
 	 * index of latest_opens_ms. */
 	size_t n_opens;
+	/** The load counts the work left, see work_left(), in place of running
+	 * and waiting requests. */
+	bool by_work;
+	/** Costs of the requests at the server. */
+	struct cost cost;
 };
 
 /** Load of a server with all slots in use. */
@@ -149,6 +156,21 @@
 /** Records that a request started (@change 1) or ended (-1) at the server. */
 void admit_adjust_running(struct admit *admit, int change, int64_t now_ms);
 
+/** Records that a request of the kind @kind of the cost model started. */
+void admit_start_request(struct admit *admit, uint8_t kind, int64_t now_ms);
+
+/** Records that a request that started at @started_ms, modulo 2^32, ended: with
+ * a response, or without. */
+void admit_end_request(struct admit *admit, uint8_t kind, uint32_t started_ms,
+		       bool responded, int64_t now_ms);
+
+/** Records that a SYN of the kind @kind waits (@change 1) or no longer does
+ * (-1). */
+void admit_adjust_waiting(struct admit *admit, uint8_t kind, int change);
+
+/** Forgets the running requests: the server has ended. */
+void admit_forget_running(struct admit *admit);
+
 /** Counts one more open connection, or returns why it is not admitted. */
 enum admit_verdict admit_connection(struct admit *admit, int64_t now_ms);
 
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -128,6 +128,8 @@
 	int64_t report_interval_ms;
 	/** Balancers choose servers by load and get load reports. */
 	bool reports_load_to_balancers;
+	/** The load is the work left, see admit.by_work. */
+	bool place_by_work;
 };
 
 void agent_init(struct agent *agent, const struct agent_identity *identity,
--- a/include/tarragonflow/flow/agent_flow.h
+++ b/include/tarragonflow/flow/agent_flow.h
@@ -25,9 +25,22 @@
 void agent_flow_track(struct agent *agent, struct flow *flow, uint8_t flags,
 		      uint8_t fin_bit, int64_t now_ms);
 
-/** Sets whether the server has yet to respond to a request of the caller. */
-void agent_flow_set_awaiting_response(struct agent *agent, struct flow *flow,
-				      bool awaiting, int64_t now_ms);
+/** Index in the cost model of the kind of request that connections with @key
+ * carry: their route. */
+uint8_t agent_kind_of(struct agent *agent, const struct flow_key *key);
+
+/** Counts a connection that was added to the flow table with @key. */
+void agent_flow_count_open(struct agent *agent, struct flow *flow,
+			   const struct flow_key *key, int64_t now_ms);
+
+/** Records that a request of the caller arrived. */
+void agent_flow_start_request(struct agent *agent, struct flow *flow,
+			      int64_t now_ms);
+
+/** Records that the server responded to the request, if there is one, or that
+ * it will not (@responded false). */
+void agent_flow_end_request(struct agent *agent, struct flow *flow,
+			    bool responded, int64_t now_ms);
 
 /** Passes a decision on the connection of @packet to @sink, for the log. */
 void agent_record_decision(const struct agent *agent, enum decision_kind kind,
--- a/include/tarragonflow/flow/flow_table.h
+++ b/include/tarragonflow/flow/flow_table.h
@@ -50,6 +50,8 @@
 	uint8_t state;
 	/** Values of enum flow_state_bit, combined. */
 	uint8_t state_bits;
+	/** Kind of its requests in the cost model. */
+	uint8_t kind;
 	/** Time of the last packet in either direction. */
 	uint32_t last_packet_ms;
 	/** Arrival of the SYN, later of the payload that the server has not
--- a/include/tarragonflow/flow/peer_load.h
+++ b/include/tarragonflow/flow/peer_load.h
@@ -116,4 +116,9 @@
 /** Adds the load of a connection that was sent to @member_id. */
 void peer_load_add(struct peer_loads *loads, uint32_t member_id, uint16_t load);
 
+/** Adds @requests requests of mean cost to the load of @member_id, whose server
+ * has @slots slots; for loads that are the work left. */
+void peer_load_add_requests(struct peer_loads *loads, uint32_t member_id,
+			    double requests, uint32_t slots);
+
 #endif
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -57,6 +57,8 @@
 	struct json_text fabric_tun;
 	/** Balancers: separate UDP address for callers' packets. */
 	struct endpoint fabric_listen;
+	/** One of enum placement. */
+	int placement;
 	int log_level;
 	/** Whether decisions about connections are logged. */
 	bool log_connections;
@@ -92,6 +94,14 @@
 	struct endpoint handover;
 };
 
+/** What the load of a server counts, by which new connections are placed. */
+enum placement {
+	/** Running and waiting requests. */
+	PLACEMENT_REQUESTS = 0,
+	/** The work left, see work_left(). */
+	PLACEMENT_WORK = 1,
+};
+
 /** Reads and validates @root for @role; adds every error to @errors. */
 void settings_read(struct settings *settings, enum member_role role,
 		   const json_t *root, struct json_errors *errors);
--- a/include/tarragonflow/route/balancer.h
+++ b/include/tarragonflow/route/balancer.h
@@ -36,6 +36,8 @@
 	/** Whether the backend server for a SYN is selected by reported load.
 	 */
 	bool least_load_enabled;
+	/** Loads are the work left of the servers, see work_left(). */
+	bool by_work;
 	/** Load of the backend servers, from the load reports of agents. */
 	struct peer_loads loads;
 	/** Zone of this balancer. */
@@ -59,6 +61,9 @@
 void balancer_enable_least_load(struct balancer *balancer,
 				const struct name *zone);
 
+/** Treats loads as the work left of the servers from now on. */
+void balancer_place_by_work(struct balancer *balancer);
+
 /** Sets the address of this balancer that is written to forwarded packets. */
 void balancer_set_origin(struct balancer *balancer,
 			 const struct endpoint *origin);
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -37,6 +37,9 @@
 	struct name *zones;
 	/** Weight of each member in the rendezvous order. */
 	uint32_t *weights;
+	/** Requests that each member's server runs concurrently, at least 1.
+	 */
+	uint32_t *slots;
 	size_t n_members, n_search_only;
 	/** Members that have not left but are not in the view, because their
 	 * zone is out of service by the manifest. */
@@ -206,6 +209,10 @@
 const struct candidate *view_find_member(const struct service_view *service,
 					 uint32_t id);
 
+/** Requests that the server of the member @id runs concurrently; a default for
+ * an unknown member. */
+uint32_t view_member_slots(const struct service_view *service, uint32_t id);
+
 /** Whether @zone is in service by the manifest and by the operators' orders. */
 bool view_zone_in_service(const struct view *view, const struct name *zone);
 
--- a/node/packet_worker.c
+++ b/node/packet_worker.c
@@ -467,6 +467,7 @@
 		.report_interval_ms = settings->report_interval_ms,
 		.reports_load_to_balancers =
 			worker->node->adapter->servers_report,
+		.place_by_work = settings->placement == PLACEMENT_WORK,
 	};
 
 	if (settings->server_tun.len)
@@ -554,6 +555,8 @@
 	if (node->adapter->servers_report)
 		balancer_enable_least_load(&worker->balancer,
 					   &node->settings->zone);
+	if (node->settings->placement == PLACEMENT_WORK)
+		balancer_place_by_work(&worker->balancer);
 	if (pthread_create(&worker->thread, NULL, packet_thread, worker))
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the packet thread");
--- a/node/settings.c
+++ b/node/settings.c
@@ -36,6 +36,9 @@
 static const char *const log_levels[] = {"debug", "info", "warn", "error",
 					 NULL};
 
+static const char *const settings_placements[] =
+	{[PLACEMENT_REQUESTS] = "requests", [PLACEMENT_WORK] = "work", NULL};
+
 const char *const settings_adapters[] = {"native", "platform", NULL};
 
 /* Fields of both roles; settings_agent_fields adds those of agents. */
@@ -172,6 +175,14 @@
 	 .min = 1,
 	 .max = TUN_NAME_MAX,
 	 .help = "TUN interface to the fabric, instead of UDP"},
+	{.name = "placement",
+	 .type = FIELD_CHOICE,
+	 .offset = offsetof(struct settings, placement),
+	 .choices = settings_placements,
+	 .default_value = PLACEMENT_REQUESTS,
+	 .help = "what servers are compared by when a connection is opened: "
+		 "running and waiting requests, or the work left, learned "
+		 "from their response times"},
 	{.name = "log_level",
 	 .type = FIELD_CHOICE,
 	 .offset = offsetof(struct settings, log_level),
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "tarragonflow/admit/work_left.h"
 #include "tarragonflow/net/inner.h"
 
 #define HASH_HIGH_SHIFT 32
@@ -15,6 +16,9 @@
 /* Load added to servers in other zones, so that servers in the balancer's zone
  * are preferred: a third of a request at a server with five slots. */
 #define CROSS_ZONE_LOAD (PACKET_LOAD_SCALE / 60)
+/* The same in requests and slots, for loads that are the work left. */
+#define CROSS_ZONE_REQUESTS (1.0 / 3)
+#define CROSS_ZONE_SLOTS 5
 /* Load added to a server for each connection that was sent to it since its last
  * load report: one request at a server with a few slots. */
 #define NEW_CONNECTION_LOAD (PACKET_LOAD_SCALE / 32)
@@ -39,6 +43,11 @@
 	balancer->zone = *zone;
 }
 
+void balancer_place_by_work(struct balancer *balancer)
+{
+	balancer->by_work = true;
+}
+
 void balancer_set_origin(struct balancer *balancer,
 			 const struct endpoint *origin)
 {
@@ -190,6 +199,18 @@
 				    &balancer->zone);
 }
 
+/* The load @load of a server in another zone, for the comparison with servers
+ * in the balancer's zone. */
+static uint32_t cross_zone_load(const struct balancer *balancer, uint32_t load)
+{
+	if (load >= PACKET_LOAD_SCALE)
+		return load;
+	return balancer->by_work
+		       ? work_left_add((uint16_t)load, CROSS_ZONE_REQUESTS,
+				       CROSS_ZONE_SLOTS)
+		       : load + CROSS_ZONE_LOAD;
+}
+
 /* Index of the least loaded of the candidates whose last load report is not
  * older than report_max_age_ms(). */
 static uint8_t least_loaded(struct balancer *balancer,
@@ -208,9 +229,8 @@
 		load = peer_load_get_fresh(&balancer->loads,
 					   candidate->member_id,
 					   report_max_age_ms(balancer), now_ms);
-		if (load < PACKET_LOAD_SCALE &&
-		    !is_same_zone(balancer, service, candidate->member_id))
-			load += CROSS_ZONE_LOAD;
+		if (!is_same_zone(balancer, service, candidate->member_id))
+			load = cross_zone_load(balancer, load);
 		if (load >= best_load)
 			continue;
 		best = i;
@@ -288,6 +308,18 @@
 	return 0;
 }
 
+/* Adds a connection that is sent to @member_id to its load. */
+static void add_new_connection(struct balancer *balancer,
+			       const struct service_view *service,
+			       uint32_t member_id)
+{
+	if (balancer->by_work)
+		peer_load_add_requests(&balancer->loads, member_id, 1,
+				       view_member_slots(service, member_id));
+	else
+		peer_load_add(&balancer->loads, member_id, NEW_CONNECTION_LOAD);
+}
+
 /* Index of the candidate for a SYN: the least loaded one. A retransmission goes
  * to the candidate that got the first copy while that one is available. */
 static uint8_t position_for_syn(struct balancer *balancer,
@@ -309,8 +341,8 @@
 		return position_of_member(service, header, previous_receiver);
 	best = least_loaded(balancer, service, header, now_ms);
 	header->placed = true;
-	peer_load_add(&balancer->loads, header->candidates[best].member_id,
-		      NEW_CONNECTION_LOAD);
+	add_new_connection(balancer, service,
+			   header->candidates[best].member_id);
 	set_hint(balancer, flow_hash, header->candidates[best].member_id);
 	emit_decision(balancer, DECISION_OPEN_PLACED, packet,
 		      header->candidates[best].member_id, now_ms, sink);
--- a/route/view.c
+++ b/route/view.c
@@ -21,6 +21,8 @@
 /* Shortest heartbeat interval. Agents whose load reports are missing for three
  * intervals are skipped. */
 #define HEARTBEAT_MIN_MS 150
+/* Slots of a server whose member announces none: the default of the setting. */
+#define SLOTS_DEFAULT 5
 
 /** Sort key of a member in the chain of one bucket. */
 struct rank {
@@ -222,6 +224,7 @@
 				    bool accepts_new)
 {
 	view->weights[i] = MAX(member->connections, 1);
+	view->slots[i] = member->slots ? member->slots : SLOTS_DEFAULT;
 	view->zones[i] = member->zone;
 	candidate_from_member(&view->members[i], member, accepts_new);
 }
@@ -245,6 +248,7 @@
 	view->service = *service;
 	view->members = g_new0(struct candidate, n);
 	view->weights = g_new0(uint32_t, n);
+	view->slots = g_new0(uint32_t, n);
 	view->zones = g_new0(struct name, n);
 	for (size_t i = 0; i < n; i++) {
 		const struct member *member = agents->members[first + i];
@@ -267,6 +271,8 @@
 	memmove(view->weights + view->n_members,
 		view->weights + first_search_only,
 		view->n_search_only * sizeof(*view->weights));
+	memmove(view->slots + view->n_members, view->slots + first_search_only,
+		view->n_search_only * sizeof(*view->slots));
 	memmove(view->zones + view->n_members, view->zones + first_search_only,
 		view->n_search_only * sizeof(*view->zones));
 	service_view_init_chains(view);
@@ -508,6 +514,7 @@
 	for (size_t i = 0; i < view->n_services; i++) {
 		g_free(view->services[i].members);
 		g_free(view->services[i].weights);
+		g_free(view->services[i].slots);
 		g_free(view->services[i].zones);
 		g_free(view->services[i].chains);
 	}
@@ -673,6 +680,14 @@
 	return NULL;
 }
 
+uint32_t view_member_slots(const struct service_view *service, uint32_t id)
+{
+	const struct candidate *member = view_find_member(service, id);
+
+	return member ? service->slots[member - service->members]
+		      : SLOTS_DEFAULT;
+}
+
 /*
  * Sort key for chains that are resolved during a search. Unlike in the initial
  * chain, suspect members are not sorted last: other processes, which may
