--- a/route/balancer.c
+++ b/route/balancer.c
@@ -1,5 +1,6 @@
 #include "tarragonflow/route/balancer.h"
 
+#include <glib.h>
 #include <string.h>
 
 #include "tarragonflow/admit/work_left.h"
@@ -308,14 +309,21 @@
 	return 0;
 }
 
-/* Adds a connection that is sent to @member_id to its load. */
+/*
+ * Adds a connection that is sent to @member_id to its load. All balancers have
+ * the same load reports and send about as many connections, so the others are
+ * expected to send one each. Counting only its own, each of them would select
+ * the server that reported the least load until the next report.
+ */
 static void add_new_connection(struct balancer *balancer,
 			       const struct service_view *service,
 			       uint32_t member_id)
 {
 	if (balancer->by_work)
-		peer_load_add_requests(&balancer->loads, member_id, 1,
-				       view_member_slots(service, member_id));
+		peer_load_add_requests(
+			&balancer->loads, member_id,
+			(double)MAX(balancer->view->n_balancers, 1),
+			view_member_slots(service, member_id));
 	else
 		peer_load_add(&balancer->loads, member_id, NEW_CONNECTION_LOAD);
 }
--- a/tests/unit/test_cost.c
+++ b/tests/unit/test_cost.c
@@ -152,7 +152,8 @@
 		g_assert_cmpuint(work_left_encode(cases[i].per_slot), ==,
 				 cases[i].load);
 	g_assert_cmpint(work_left_encode(40) - work_left_encode(20), >, 5000);
-	for (double x = 0; x < 200; x += 0.25) {
+	for (int quarters = 0; quarters < 800; quarters++) {
+		double x = 0.25 * quarters;
 		uint16_t load = work_left_encode(x);
 
 		g_assert_cmpuint(work_left_encode(x + 0.25), >, load);
