--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -72,8 +72,6 @@
 	_Atomic int64_t server_refused_ms;
 	/** The server refuses connections, and may have ended. */
 	_Atomic bool server_refuses;
-	/** The last check found that the server doesn't listen. */
-	_Atomic bool server_not_listening;
 	/** The server was checked at least once. */
 	_Atomic bool server_checked;
 	/** Histograms of the agent core for the metrics; NULL in balancers. */
@@ -120,10 +118,6 @@
  * Thread-safe. */
 bool node_server_ended(struct node *node);
 
-/** Whether the backend server runs and is about to end: it has reported so, or
- * has closed its listener. Thread-safe. */
-bool node_server_is_ending(struct node *node);
-
 /** Start of the last check in which the server refused a connection, ms;
  * CLOCK_NEVER: none, or cleared. */
 int64_t node_server_refusal(struct node *node);
--- a/include/tarragonflow/node/settings.h
+++ b/include/tarragonflow/node/settings.h
@@ -44,9 +44,6 @@
 	int64_t link_kbit_per_s;
 	/** Time a balancer keeps forwarding after SIGTERM, ms; derived. */
 	int64_t linger_ms;
-	/** How long an agent continues after SIGTERM while its server is about
-	 * to end, ms. */
-	int64_t server_end_wait_ms;
 	/** Time until no traffic reaches a zone put out of service, ms. */
 	int64_t zone_bound_ms;
 	/** Time that connections in a zone out of service last, ms; derived. */
--- a/node/node.c
+++ b/node/node.c
@@ -302,7 +302,6 @@
 	node->packet_wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	atomic_init(&node->server_refused_ms, CLOCK_NEVER);
 	atomic_init(&node->server_refuses, false);
-	atomic_init(&node->server_not_listening, false);
 	atomic_init(&node->server_checked, false);
 	control_options_from_settings(&options, settings, node->instance,
 				      awaits_report, adapter->strong_reads);
@@ -323,7 +322,6 @@
 
 	if (refused)
 		atomic_store(&node->server_refused_ms, began_ms);
-	atomic_store(&node->server_not_listening, refused);
 	if (!atomic_exchange(&node->server_checked, true))
 		node_wake(node->control_wake_fd);
 	node_wake(node->packet_wake_fd);
@@ -351,19 +349,6 @@
 	return ended;
 }
 
-bool node_server_is_ending(struct node *node)
-{
-	const struct server_watch *watch = &node->server_watch;
-	bool ending = atomic_load(&node->server_not_listening);
-
-	pthread_mutex_lock(&node->lock);
-	if (watch->has_report)
-		ending |= watch->report.state == SERVER_DRAINING ||
-			  watch->report.state == SERVER_ENDING;
-	pthread_mutex_unlock(&node->lock);
-	return ending && !node_server_ended(node);
-}
-
 enum status_code node_start(struct node *node, struct status *status)
 {
 	if (node->server_watch.reports_expected &&
--- a/node/settings.c
+++ b/node/settings.c
@@ -394,8 +394,6 @@
 		settings->admin = admin_default;
 	settings->linger_ms = CLAMP(
 		settings->stop_grace_ms - SHUTDOWN_MARGIN_MS, 0, LINGER_MAX_MS);
-	settings->server_end_wait_ms =
-		MAX(settings->stop_grace_ms - SHUTDOWN_MARGIN_MS, 0);
 	settings->zone_grace_ms =
 		MAX(settings->zone_bound_ms - ORDER_PROPAGATION_MS, 0);
 	settings->report_lease_ms =
--- a/tarragonflow/commands/agent.c
+++ b/tarragonflow/commands/agent.c
@@ -40,22 +40,13 @@
 		agent_hand_over(role);
 }
 
-/* Waits until the server is known to have ended while it refuses connections,
- * or, for a limited time, while it is about to end. Until then its connections
- * are served; after that, peers need not query this agent, so searches don't
- * stay inconclusive for want of it. */
+/* Waits while the server refuses connections until it is known to have ended.
+ * After that, peers need not query this agent. */
 static void wait_for_server_end(struct role *role, int64_t deadline_ms)
 {
-	int64_t end_wait_until_ms = clock_now(&role->node.clock) +
-				    role->settings.server_end_wait_ms -
-				    ANNOUNCE_WAIT_MS;
-	int64_t now_ms;
-
-	while ((now_ms = clock_now(&role->node.clock)) < deadline_ms &&
+	while (atomic_load(&role->node.server_refuses) &&
 	       !node_server_ended(&role->node) &&
-	       (atomic_load(&role->node.server_refuses) ||
-		(now_ms < end_wait_until_ms &&
-		 node_server_is_ending(&role->node))))
+	       clock_now(&role->node.clock) < deadline_ms)
 		clock_sleep(DRAIN_POLL_MS);
 	if (node_server_ended(&role->node))
 		clock_sleep(ANNOUNCE_WAIT_MS);
--- a/tarragonflow/commands/reload.c
+++ b/tarragonflow/commands/reload.c
@@ -64,7 +64,6 @@
 	settings->log_connections = loaded->log_connections;
 	settings->stop_grace_ms = loaded->stop_grace_ms;
 	settings->linger_ms = loaded->linger_ms;
-	settings->server_end_wait_ms = loaded->server_end_wait_ms;
 	settings->zone_bound_ms = loaded->zone_bound_ms;
 	settings->zone_grace_ms = loaded->zone_grace_ms;
 	log_set_threshold((enum log_level)loaded->log_level);
