A queried server's response continues the search, it doesn't restart it

The mark in a returned packet can express only the first chain of the agent's view, so each server that was queried later restarted the search of its service: nine servers, some 70 hops each.

--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -6,6 +6,7 @@
 #include "tarragonflow/common/counter.h"
 #include "tarragonflow/common/histogram.h"
 #include "tarragonflow/flow/server_miss_cache.h"
+#include "tarragonflow/flow/server_queries.h"
 #include "tarragonflow/flow/flow_table.h"
 #include "tarragonflow/flow/forwarded_syns.h"
 #include "tarragonflow/flow/peer_load.h"
@@ -72,6 +73,8 @@
 	struct forwarded_syns forwarded_syns;
 	/** Connections that the server is known not to have. */
 	struct server_miss_cache server_miss_cache;
+	/** Searches that wait for the server's response. */
+	struct server_queries server_queries;
 	/** Load and reachability of other agents. */
 	struct peer_loads peers;
 	/** Packets received from each process, for load reports to it. */
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1141,6 +1141,27 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against: each server that returns a query restarts the search of a
+ * large service, which then ends at the limit of hops, and no caller is reset.
+ */
+static void test_large_service_queries(void)
+{
+	struct cluster cluster;
+
+	cluster_init(&cluster, 70, 57);
+	advance_time(&cluster, 700);
+	for (unsigned int i = 1; i <= 56; i += 6) {
+		agent_finish(&cluster.hosts[i].agent);
+		start_agent(&cluster, i);
+		send_server_report(&cluster, i, "first", SERVER_READY, 5);
+	}
+	advance_time(&cluster, 700);
+	send_from_caller(&cluster, 99, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	cluster_finish(&cluster);
+}
+
 /*
  * The balancer suspects members and so puts them last in its chains; the agents
  * do not. The bit masks of visited and unsure candidates, which refer to the
@@ -2427,6 +2448,8 @@
 	g_test_add_func("/search/many-members", test_many_members);
 	g_test_add_data_func("/search/large-service", GUINT_TO_POINTER(0),
 			     test_large_service);
+	g_test_add_func("/search/large-service-queries",
+			test_large_service_queries);
 	g_test_add_data_func("/search/large-service-70", GUINT_TO_POINTER(1),
 			     test_large_service);
 	g_test_add_data_func("/search/large-service-204", GUINT_TO_POINTER(2),
