Route: explain where a SYN would be sent, without sending it

Operators can see by /v1/chain which servers are in a connection's chain, but not which one a SYN goes to: that depends on the loads and owner hints that only the balancer core has.

The selection is split into balancer_select_for_syn() and balancer_candidate_load(), which change no state. The entry of a peer keeps its load as reported beside the load with the connections sent since.

--- a/flow/peer_load.c
+++ b/flow/peer_load.c
@@ -11,8 +11,8 @@
 	return (member_id + i) & (PEER_LOADS - 1);
 }
 
-static const struct peer_load *find(const struct peer_loads *loads,
-				    uint32_t member_id)
+const struct peer_load *peer_load_find(const struct peer_loads *loads,
+				       uint32_t member_id)
 {
 	for (uint32_t i = 0; i < PEER_LOAD_PROBE_SLOTS; i++) {
 		const struct peer_load *entry =
@@ -27,7 +27,7 @@
 static struct peer_load *find_mutable(struct peer_loads *loads,
 				      uint32_t member_id)
 {
-	return (struct peer_load *)find(loads, member_id);
+	return (struct peer_load *)peer_load_find(loads, member_id);
 }
 
 /* Adds an entry for @member_id in a free slot, or instead of the peer whose
@@ -49,6 +49,7 @@
 	*oldest = (struct peer_load){
 		.member_id = member_id,
 		.load = PACKET_LOAD_FULL,
+		.reported_load = PACKET_LOAD_FULL,
 		.last_seen_ms = now_ms,
 	};
 	return oldest;
@@ -69,6 +70,7 @@
 	if (!entry)
 		entry = insert(loads, member_id, now_ms);
 	entry->load = load;
+	entry->reported_load = load;
 	entry->last_seen_ms = now_ms;
 }
 
@@ -85,7 +87,7 @@
 			       uint32_t member_id, int64_t max_age_ms,
 			       int64_t now_ms)
 {
-	const struct peer_load *entry = find(loads, member_id);
+	const struct peer_load *entry = peer_load_find(loads, member_id);
 
 	return entry && now_ms - entry->last_seen_ms <= max_age_ms
 		       ? entry->response_ms
@@ -117,7 +119,7 @@
 bool peer_load_is_unreachable(const struct peer_loads *loads,
 			      uint32_t member_id, int64_t now_ms)
 {
-	const struct peer_load *entry = find(loads, member_id);
+	const struct peer_load *entry = peer_load_find(loads, member_id);
 
 	return entry && entry->unacked_since_ms &&
 	       now_ms - entry->unacked_since_ms > loads->ack_timeout_ms;
@@ -133,7 +135,7 @@
 uint16_t peer_load_get_fresh(const struct peer_loads *loads, uint32_t member_id,
 			     int64_t max_age_ms, int64_t now_ms)
 {
-	const struct peer_load *entry = find(loads, member_id);
+	const struct peer_load *entry = peer_load_find(loads, member_id);
 
 	if (!entry || now_ms - entry->last_seen_ms > max_age_ms ||
 	    peer_load_is_unreachable(loads, member_id, now_ms))
@@ -144,7 +146,7 @@
 int64_t peer_load_last_seen_ms(const struct peer_loads *loads,
 			       uint32_t member_id, int64_t earliest_ms)
 {
-	const struct peer_load *entry = find(loads, member_id);
+	const struct peer_load *entry = peer_load_find(loads, member_id);
 
 	if (!entry || entry->last_seen_ms < earliest_ms)
 		return earliest_ms;
@@ -154,7 +156,7 @@
 int64_t peer_load_age_ms(struct peer_loads *loads, uint32_t member_id,
 			 int64_t now_ms)
 {
-	const struct peer_load *entry = find(loads, member_id);
+	const struct peer_load *entry = peer_load_find(loads, member_id);
 
 	if (!entry)
 		entry = insert(loads, member_id, now_ms);
--- a/include/tarragonflow/flow/peer_load.h
+++ b/include/tarragonflow/flow/peer_load.h
@@ -35,6 +35,8 @@
 	/** Packets from this process that the peer has received, by its last
 	 * load report. */
 	uint32_t received;
+	/** Load as last reported. */
+	uint16_t reported_load;
 	/**
 	 * When the first packet was sent to the peer that it may not have
 	 * received (`received` has not changed since), ms; 0: none.
@@ -80,6 +82,10 @@
 uint16_t peer_load_get_fresh(const struct peer_loads *loads, uint32_t member_id,
 			     int64_t max_age_ms, int64_t now_ms);
 
+/** The entry of @member_id, or NULL. */
+const struct peer_load *peer_load_find(const struct peer_loads *loads,
+				       uint32_t member_id);
+
 /**
  * When the load of @member_id was last reported, ms. Returns @earliest_ms when
  * that was earlier, or when the peer has no entry.
--- a/include/tarragonflow/route/balancer.h
+++ b/include/tarragonflow/route/balancer.h
@@ -77,6 +77,51 @@
  */
 bool balancer_is_isolated(const struct balancer *balancer, int64_t now_ms);
 
+/** Why a SYN is sent to a candidate. */
+enum syn_reason {
+	/** The lowest load of all candidates. */
+	SYN_LEAST_LOADED,
+	/** No candidate's load is known and not full: the first candidate that
+	 * accepts new connections, or the first one. */
+	SYN_NO_LOAD_KNOWN,
+	/** Servers report no load: as SYN_NO_LOAD_KNOWN. */
+	SYN_FIRST_ACCEPTING,
+	/** The owner hint names the agent that got an earlier copy. */
+	SYN_PREVIOUS_RECEIVER,
+};
+
+/** The candidate for a SYN: its index in the chain, and why. */
+struct syn_target {
+	uint8_t position;
+	enum syn_reason reason;
+};
+
+/**
+ * Selects the candidate for a SYN whose connection has the hash @hash. Changes
+ * nothing except @header, whose last candidate may be replaced by the previous
+ * receiver. @sent_ago_ms: as in struct inner_packet.
+ */
+struct syn_target balancer_select_for_syn(const struct balancer *balancer,
+					  const struct service_view *service,
+					  struct packet_header *header,
+					  uint64_t hash, uint16_t sent_ago_ms,
+					  int64_t now_ms);
+
+/** The load by which candidates for a SYN are compared. */
+struct candidate_load {
+	/** Includes `cross_zone`; PACKET_LOAD_FULL: ruled out. */
+	uint32_t total;
+	/** Added as the server is in another zone than the balancer. */
+	uint32_t cross_zone;
+	/** Loads older than this count as unknown, ms. */
+	int64_t max_age_ms;
+};
+
+struct candidate_load
+balancer_candidate_load(const struct balancer *balancer,
+			const struct service_view *service,
+			const struct candidate *candidate, int64_t now_ms);
+
 /** Handles an agent's owner hint or load report. */
 void balancer_handle_agent_packet(struct balancer *balancer,
 				  const uint8_t *data, size_t len,
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -52,16 +52,15 @@
 					  view->heartbeat_interval_ms);
 }
 
-static struct owner_hint *hint_slot(struct balancer *balancer,
-				    uint32_t flow_hash)
+static uint32_t hint_index(uint32_t flow_hash)
 {
-	return &balancer->hints[flow_hash & (BALANCER_HINT_ENTRIES - 1)];
+	return flow_hash & (BALANCER_HINT_ENTRIES - 1);
 }
 
 static void set_hint(struct balancer *balancer, uint32_t flow_hash,
 		     uint32_t member_id)
 {
-	struct owner_hint *hint = hint_slot(balancer, flow_hash);
+	struct owner_hint *hint = &balancer->hints[hint_index(flow_hash)];
 
 	hint->flow_hash = flow_hash;
 	hint->member_id = member_id;
@@ -69,9 +68,10 @@
 
 /* The owner (member identifier) by the connection's owner hint, or 0 without a
  * hint. */
-static uint32_t hinted_owner(struct balancer *balancer, uint32_t flow_hash)
+static uint32_t hinted_owner(const struct balancer *balancer,
+			     uint32_t flow_hash)
 {
-	const struct owner_hint *hint = hint_slot(balancer, flow_hash);
+	const struct owner_hint *hint = &balancer->hints[hint_index(flow_hash)];
 
 	return hint->flow_hash == flow_hash ? hint->member_id : 0;
 }
@@ -190,31 +190,45 @@
 				    &balancer->zone);
 }
 
-/* Index of the least loaded of the candidates whose last load report is not
- * older than report_max_age_ms(). */
-static uint8_t least_loaded(struct balancer *balancer,
-			    const struct service_view *service,
-			    const struct packet_header *header, int64_t now_ms)
+struct candidate_load
+balancer_candidate_load(const struct balancer *balancer,
+			const struct service_view *service,
+			const struct candidate *candidate, int64_t now_ms)
 {
-	uint8_t best = first_accepting_position(header);
+	struct candidate_load load = {
+		.total = PACKET_LOAD_FULL,
+		.max_age_ms = report_max_age_ms(balancer),
+	};
+
+	if (!(candidate->flags & CANDIDATE_TAKES_NEW))
+		return load;
+	load.total = peer_load_get_fresh(&balancer->loads, candidate->member_id,
+					 load.max_age_ms, now_ms);
+	if (load.total < PACKET_LOAD_SCALE &&
+	    !is_same_zone(balancer, service, candidate->member_id))
+		load.cross_zone = CROSS_ZONE_LOAD;
+	load.total += load.cross_zone;
+	return load;
+}
+
+/* The least loaded of the candidates whose load is known and not full. */
+static struct syn_target least_loaded(const struct balancer *balancer,
+				      const struct service_view *service,
+				      const struct packet_header *header,
+				      int64_t now_ms)
+{
+	struct syn_target best = {first_accepting_position(header),
+				  SYN_NO_LOAD_KNOWN};
 	uint32_t best_load = PACKET_LOAD_FULL;
 
 	for (uint8_t i = 0; i < header->n_candidates; i++) {
-		const struct candidate *candidate = &header->candidates[i];
-		uint32_t load;
+		struct candidate_load load = balancer_candidate_load(
+			balancer, service, &header->candidates[i], now_ms);
 
-		if (!(candidate->flags & CANDIDATE_TAKES_NEW))
-			continue;
-		load = peer_load_get_fresh(&balancer->loads,
-					   candidate->member_id,
-					   report_max_age_ms(balancer), now_ms);
-		if (load < PACKET_LOAD_SCALE &&
-		    !is_same_zone(balancer, service, candidate->member_id))
-			load += CROSS_ZONE_LOAD;
-		if (load >= best_load)
+		if (load.total >= best_load)
 			continue;
-		best = i;
-		best_load = load;
+		best = (struct syn_target){i, SYN_LEAST_LOADED};
+		best_load = load.total;
 	}
 	return best;
 }
@@ -288,30 +302,51 @@
 	return 0;
 }
 
-/* Index of the candidate for a SYN: the least loaded one. A retransmission goes
- * to the candidate that got the first copy while that one is available. */
-static uint8_t position_for_syn(struct balancer *balancer,
-				const struct service_view *service,
-				struct packet_header *header,
-				const struct inner_packet *packet,
-				uint32_t flow_hash, int64_t now_ms,
-				struct packet_sink *sink)
+struct syn_target balancer_select_for_syn(const struct balancer *balancer,
+					  const struct service_view *service,
+					  struct packet_header *header,
+					  uint64_t hash, uint16_t sent_ago_ms,
+					  int64_t now_ms)
 {
-	uint32_t previous_receiver = hinted_owner(balancer, flow_hash);
-	int64_t max_age_ms = packet->sent_ago_ms
+	uint32_t previous_receiver =
+		hinted_owner(balancer, (uint32_t)(hash >> HASH_HIGH_SHIFT));
+	int64_t max_age_ms = sent_ago_ms
 				     ? retransmit_report_max_age_ms(balancer)
 				     : report_max_age_ms(balancer);
-	uint8_t best;
 
+	if (!balancer->least_load_enabled)
+		return (struct syn_target){first_accepting_position(header),
+					   SYN_FIRST_ACCEPTING};
 	if (previous_receiver &&
 	    peer_load_get_fresh(&balancer->loads, previous_receiver, max_age_ms,
 				now_ms) != PACKET_LOAD_FULL)
-		return position_of_member(service, header, previous_receiver);
-	best = least_loaded(balancer, service, header, now_ms);
+		return (struct syn_target){
+			position_of_member(service, header, previous_receiver),
+			SYN_PREVIOUS_RECEIVER};
+	return least_loaded(balancer, service, header, now_ms);
+}
+
+/* Index of the candidate for a SYN. Records a selection by load, so that later
+ * SYNs and retransmissions take it into account. */
+static uint8_t position_for_syn(struct balancer *balancer,
+				const struct service_view *service,
+				struct packet_header *header,
+				const struct inner_packet *packet,
+				uint64_t hash, int64_t now_ms,
+				struct packet_sink *sink)
+{
+	struct syn_target target = balancer_select_for_syn(
+		balancer, service, header, hash, packet->sent_ago_ms, now_ms);
+	uint8_t best = target.position;
+
+	if (target.reason == SYN_FIRST_ACCEPTING ||
+	    target.reason == SYN_PREVIOUS_RECEIVER)
+		return best;
 	header->placed = true;
 	peer_load_add(&balancer->loads, header->candidates[best].member_id,
 		      NEW_CONNECTION_LOAD);
-	set_hint(balancer, flow_hash, header->candidates[best].member_id);
+	set_hint(balancer, (uint32_t)(hash >> HASH_HIGH_SHIFT),
+		 header->candidates[best].member_id);
 	emit_decision(balancer, DECISION_OPEN_PLACED, packet,
 		      header->candidates[best].member_id, now_ms, sink);
 	return best;
@@ -329,11 +364,8 @@
 	uint8_t position;
 
 	if (inner_opens_connection(packet))
-		return balancer->least_load_enabled
-			       ? position_for_syn(balancer, service, header,
-						  packet, flow_hash, now_ms,
-						  sink)
-			       : first_accepting_position(header);
+		return position_for_syn(balancer, service, header, packet, hash,
+					now_ms, sink);
 	owner = hinted_owner(balancer, flow_hash);
 	if (!owner || !view_find_member(service, owner)) {
 		emit_decision(balancer, DECISION_SEARCH_BEGUN, packet, owner,
