Command where: a balancer explains where a new connection would go

Why a SYN went to a server could only be read from log lines afterwards, at most 20 a second, and without the other candidates.

GET /v1/where of a balancer returns the route's service, the bucket, each candidate with its load, the age of that, what is added to it and what rules the candidate out, the selected one and why, and how old the balancer's knowledge is. The packet thread, which alone has the view and loads, answers through a slot: without a request it reads one atomic, and it never waits for the lock.

--- a/admin/admin.c
+++ b/admin/admin.c
@@ -119,6 +119,31 @@
 	return respond_json(conn, HTTP_OK, admin_chain_json(user, &key));
 }
 
+/* Copies the parameter @name of @query to @out of ADMIN_ADDRESS_MAX. A value
+ * that doesn't fit becomes "?", which is no address, instead of a missing one.
+ */
+static void get_address(const char *query, const char *name, char *out)
+{
+	const char *text = query ? query : "";
+
+	*out = '\0';
+	if (mg_get_var(text, strlen(text), name, out, ADMIN_ADDRESS_MAX) == -2)
+		memcpy(out, "?", 2);
+}
+
+static int handle_where(struct mg_connection *conn, void *user)
+{
+	const char *query = mg_get_request_info(conn)->query_string;
+	char to[ADMIN_ADDRESS_MAX], from[ADMIN_ADDRESS_MAX];
+	json_t *root;
+	int code;
+
+	get_address(query, "to", to);
+	get_address(query, "from", from);
+	root = admin_where_json(user, to, from, &code);
+	return respond_json(conn, code, root);
+}
+
 static int handle_page(struct mg_connection *conn, void *user)
 {
 	(void)user;
@@ -188,6 +213,7 @@
 	{"/v1/status$", handle_status},
 	{"/v1/overview$", handle_overview},
 	{"/v1/chain$", handle_chain},
+	{"/v1/where$", handle_where},
 	{LEAVE_PATH "$", handle_leave},
 };
 
--- a/include/tarragonflow/admin/admin.h
+++ b/include/tarragonflow/admin/admin.h
@@ -5,8 +5,8 @@
 
 /**
  * The HTTP admin API of a balancer or agent, based on CivetWeb. GET /healthz,
- * /readyz, /metrics, /v1/status, /v1/overview, /v1/chain and the page at /
- * need no authentication; POST /v1/leave needs the admin token.
+ * /readyz, /metrics, /v1/status, /v1/overview, /v1/chain, /v1/where and the
+ * page at / need no authentication; POST /v1/leave needs the admin token.
  */
 struct admin {
 	struct node *node;
@@ -31,6 +31,15 @@
 /** The candidate servers of the connection @key, and why they were chosen. */
 json_t *admin_chain_json(struct node *node, const struct flow_key *key);
 
+/**
+ * Where a new connection to the address @to would go now, and why; @from may be
+ * empty. Both are texts for admin_parse_address(). Waits for the packet thread.
+ * Failures are in the document, as "status" (a name of enum status_code) and
+ * "error"; @http_code is set to the HTTP status.
+ */
+json_t *admin_where_json(struct node *node, const char *to, const char *from,
+			 int *http_code);
+
 /** Parses "a.b.c.d:port" or "[address]:port"; false when malformed. */
 bool admin_parse_address(const char *text, struct ip_addr *addr,
 			 uint16_t *port);
--- a/include/tarragonflow/commands/command.h
+++ b/include/tarragonflow/commands/command.h
@@ -28,6 +28,7 @@
 extern const struct command command_wait;
 extern const struct command command_dump;
 extern const struct command command_explain;
+extern const struct command command_where;
 
 /**
  * Parses the options @entries with GLib, removes them from @argv and checks
--- a/include/tarragonflow/commands/fetch.h
+++ b/include/tarragonflow/commands/fetch.h
@@ -13,4 +13,8 @@
  */
 json_t *fetch_json(const char *admin, const char *path, struct status *status);
 
+/** As fetch_json(), for documents that also come with other HTTP codes. */
+json_t *fetch_json_of_any_code(const char *admin, const char *path,
+			       struct status *status);
+
 #endif
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -12,6 +12,7 @@
 #include "tarragonflow/flow/report_gate.h"
 #include "tarragonflow/flow/server_watch.h"
 #include "tarragonflow/node/adapter.h"
+#include "tarragonflow/node/explanation_slot.h"
 #include "tarragonflow/node/store_worker.h"
 #include "tarragonflow/node/pull_server.h"
 #include "tarragonflow/node/server_check.h"
@@ -78,6 +79,8 @@
 	const struct histogram *response_times, *wait_times;
 	/** Balancers: most agents are unreachable, so not ready. */
 	_Atomic bool isolated;
+	/** Requests of the admin API to the packet thread; balancers only. */
+	struct explanation_slot explanation_slot;
 	/** Shutting down: server reports no longer change the state. */
 	_Atomic bool leaving;
 };
--- a/node/node.c
+++ b/node/node.c
@@ -300,6 +300,7 @@
 	ring_init(&node->views, RING_SIZE);
 	ring_init(&node->retired_views, RING_SIZE);
 	node->packet_wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	explanation_slot_init(&node->explanation_slot, node->packet_wake_fd);
 	atomic_init(&node->server_refused_ms, CLOCK_NEVER);
 	atomic_init(&node->server_refuses, false);
 	atomic_init(&node->server_checked, false);
@@ -398,6 +399,7 @@
 	control_finish(&node->control);
 	close(node->control_fd);
 	close(node->control_wake_fd);
+	explanation_slot_finish(&node->explanation_slot);
 	close(node->packet_wake_fd);
 	pthread_mutex_destroy(&node->lock);
 }
--- a/node/packet_worker.c
+++ b/node/packet_worker.c
@@ -439,6 +439,9 @@
 			if (worker->fabric.fd >= 0)
 				receive_from_fabric(worker, buf, stale);
 			update_isolation(worker);
+			explanation_slot_serve(&node->explanation_slot,
+					       &worker->balancer,
+					       clock_now(&node->clock));
 		}
 	}
 	/* The shutdown must not lose queued packets. */
--- a/tarragonflow/completion/tarragonflow.bash
+++ b/tarragonflow/completion/tarragonflow.bash
@@ -6,7 +6,7 @@
 	if test "$COMP_CWORD" = 1
 	then
 		COMPREPLY=($(compgen -W "balancer agent check apply status \
-			wait dump explain --help --version" -- "$word"))
+			wait dump explain where --help --version" -- "$word"))
 		return
 	fi
 	case ${COMP_WORDS[1]} in
@@ -26,6 +26,8 @@
 		options="--help --platform" ;;
 	explain)
 		options="--help" ;;
+	where)
+		options="--help --admin --source --json" ;;
 	esac
 	COMPREPLY=($(compgen -W "$options" -- "$word") \
 		$(compgen -f -- "$word"))
--- a/tarragonflow/main.c
+++ b/tarragonflow/main.c
@@ -9,8 +9,9 @@
 #endif
 
 static const struct command *const commands[] = {
-	&command_balancer, &command_agent, &command_check, &command_apply,
-	&command_status,   &command_wait,  &command_dump,  &command_explain,
+	&command_balancer, &command_agent,   &command_check,
+	&command_apply,	   &command_status,  &command_wait,
+	&command_dump,	   &command_explain, &command_where,
 };
 
 static void print_usage(FILE *out)
