--- a/admin/where.c
+++ b/admin/where.c
@@ -87,9 +87,10 @@
 	return load < PACKET_LOAD_FULL ? json_integer(load) : json_null();
 }
 
-static json_t *age_json(int64_t age_ms)
+/* @ms, or null when it is negative: unknown, or not set. */
+static json_t *ms_json(int64_t ms)
 {
-	return age_ms >= 0 ? json_integer(age_ms) : json_null();
+	return ms >= 0 ? json_integer(ms) : json_null();
 }
 
 static const char *member_name(const struct roster *roster, uint32_t id)
@@ -119,7 +120,7 @@
 				  "suspect", candidate->suspect, "load",
 				  load_json(candidate->reported_load),
 				  "load_age_ms",
-				  age_json(candidate->load_age_ms),
+				  ms_json(candidate->load_age_ms),
 				  "added_for_sent",
 				  (json_int_t)candidate->sent_load,
 				  "added_for_zone",
@@ -137,9 +138,9 @@
 		platform_sync_contact_ages(sync, now_ms).any_process_ms;
 
 	return json_pack("{s:o,s:b,s:I}", "last_contact_ms",
-			 age_json(contact_ms == STORE_AGE_NEVER
-					  ? -1
-					  : (int64_t)contact_ms),
+			 ms_json(contact_ms == STORE_AGE_NEVER
+					 ? -1
+					 : (int64_t)contact_ms),
 			 "isolated", sync->failed_calls > 0, "failed_calls",
 			 (json_int_t)sync->failed_calls);
 }
@@ -158,10 +159,10 @@
 	return json_pack(
 		"{s:I,s:o,s:o,s:I,s:I,s:b,s:b,s:o,s:o}", "release",
 		(json_int_t)explanation->release, "view_age_ms",
-		age_json(explanation->release ? explanation->view_age_ms : -1),
+		ms_json(explanation->release ? explanation->view_age_ms : -1),
 		"confirmed_ms",
-		age_json(confirmed_ms ? now_ms - confirmed_ms : -1), "members",
-		(json_int_t)n_live, "servers",
+		ms_json(explanation->release ? now_ms - confirmed_ms : -1),
+		"members", (json_int_t)n_live, "servers",
 		(json_int_t)explanation->n_members, "roster_complete",
 		explanation->roster_complete, "resyncing",
 		control_is_resyncing(&node->control), "agents_isolated",
@@ -180,14 +181,17 @@
 	if (explanation->service.len)
 		json_object_set_new(
 			root, "service",
-			json_pack("{s:s,s:I,s:I,s:I,s:I}", "name",
+			json_pack("{s:s,s:I,s:I,s:I,s:o}", "name",
 				  explanation->service.data, "weight",
 				  (json_int_t)explanation->service_weight,
 				  "total_weight",
 				  (json_int_t)explanation->total_weight,
 				  "priority", (json_int_t)explanation->priority,
 				  "objective_ms",
-				  (json_int_t)explanation->objective_ms));
+				  ms_json(explanation->objective_ms
+						  ? (int64_t)explanation
+							    ->objective_ms
+						  : -1)));
 	if (!explanation->n_candidates)
 		return;
 	json_object_set_new(root, "bucket", json_integer(explanation->bucket));
--- a/include/tarragonflow/node/explanation_slot.h
+++ b/include/tarragonflow/node/explanation_slot.h
@@ -12,27 +12,33 @@
 #define EXPLANATION_TIMEOUT_MS 500
 
 enum explanation_slot_state {
-	EXPLANATION_SLOT_FREE,
+	EXPLANATION_SLOT_IDLE,
+	/** A request waits for the packet thread. */
 	EXPLANATION_SLOT_ASKED,
+	/** The packet thread writes the answer. */
+	EXPLANATION_SLOT_ANSWERING,
 	EXPLANATION_SLOT_ANSWERED,
 };
 
 /**
  * One request at a time from the threads of the admin API to the packet thread,
  * which alone uses the balancer's view and loads. The packet thread takes no
- * lock while nothing is asked, and never waits for one.
+ * lock; while nothing is asked it reads one atomic.
  */
 struct explanation_slot {
-	/** The state is EXPLANATION_SLOT_ASKED; read without the lock. */
-	_Atomic bool pending;
-	/** Guards everything below. */
-	pthread_mutex_t lock;
-	pthread_cond_t changed;
-	enum explanation_slot_state state;
+	/** enum explanation_slot_state. */
+	_Atomic int state;
+	/** The requesting thread's until the state is EXPLANATION_SLOT_ASKED,
+	 * then the packet thread's until it is EXPLANATION_SLOT_ANSWERED. */
 	struct flow_key key;
 	struct explanation answer;
-	/** Eventfd that wakes the packet thread; not owned. */
-	int wake_fd;
+	/** Requesting threads only: `busy` while one has the slot. */
+	pthread_mutex_t lock;
+	pthread_cond_t released;
+	bool busy;
+	/** Eventfds that wake the packet thread (not owned), and the requesting
+	 * thread. */
+	int wake_fd, answered_fd;
 	struct clock clock;
 };
 
--- a/node/explanation_slot.c
+++ b/node/explanation_slot.c
@@ -1,6 +1,9 @@
 #include "tarragonflow/node/explanation_slot.h"
 
+#include <poll.h>
+#include <sys/eventfd.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "tarragonflow/node/node.h"
 
@@ -11,42 +14,71 @@
 {
 	pthread_condattr_t attr;
 
-	atomic_init(&slot->pending, false);
+	atomic_init(&slot->state, EXPLANATION_SLOT_IDLE);
 	pthread_mutex_init(&slot->lock, NULL);
 	pthread_condattr_init(&attr);
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&slot->changed, &attr);
+	pthread_cond_init(&slot->released, &attr);
 	pthread_condattr_destroy(&attr);
-	slot->state = EXPLANATION_SLOT_FREE;
+	slot->busy = false;
 	slot->wake_fd = wake_fd;
+	slot->answered_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	clock_init_monotonic(&slot->clock);
 }
 
 void explanation_slot_finish(struct explanation_slot *slot)
 {
-	pthread_cond_destroy(&slot->changed);
+	close(slot->answered_fd);
+	pthread_cond_destroy(&slot->released);
 	pthread_mutex_destroy(&slot->lock);
 }
 
-/* Waits until the state is @state; false when @deadline passes first. Call with
- * the lock held. */
-static bool wait_for_state(struct explanation_slot *slot,
-			   enum explanation_slot_state state,
-			   const struct timespec *deadline)
+/* Waits for other requests to end; false when @end_ms comes first. */
+static bool acquire(struct explanation_slot *slot, int64_t end_ms)
 {
-	while (slot->state != state)
-		if (pthread_cond_timedwait(&slot->changed, &slot->lock,
-					   deadline))
-			return slot->state == state;
-	return true;
+	const struct timespec end = {
+		.tv_sec = end_ms / MS_PER_S,
+		.tv_nsec = end_ms % MS_PER_S * NS_PER_MS,
+	};
+	int error = 0;
+	bool acquired;
+
+	pthread_mutex_lock(&slot->lock);
+	while (slot->busy && !error)
+		error = pthread_cond_timedwait(&slot->released, &slot->lock,
+					       &end);
+	acquired = !slot->busy;
+	slot->busy = true;
+	pthread_mutex_unlock(&slot->lock);
+	return acquired;
+}
+
+static void release(struct explanation_slot *slot)
+{
+	pthread_mutex_lock(&slot->lock);
+	slot->busy = false;
+	pthread_cond_signal(&slot->released);
+	pthread_mutex_unlock(&slot->lock);
 }
 
-static void set_state(struct explanation_slot *slot,
-		      enum explanation_slot_state state)
+/* Waits for the answer, and withdraws the request when @end_ms comes first. An
+ * answer that has been begun is waited for, as it is being written. */
+static bool wait_for_answer(struct explanation_slot *slot, int64_t end_ms)
 {
-	slot->state = state;
-	atomic_store(&slot->pending, state == EXPLANATION_SLOT_ASKED);
-	pthread_cond_broadcast(&slot->changed);
+	struct pollfd fd = {.fd = slot->answered_fd, .events = POLLIN};
+
+	while (atomic_load(&slot->state) != EXPLANATION_SLOT_ANSWERED) {
+		int64_t left_ms = end_ms - clock_now(&slot->clock);
+		int asked = EXPLANATION_SLOT_ASKED;
+
+		if (left_ms <= 0 &&
+		    atomic_compare_exchange_strong(&slot->state, &asked,
+						   EXPLANATION_SLOT_IDLE))
+			return false;
+		poll(&fd, 1, left_ms > 0 ? (int)left_ms : 1);
+		node_wake_clear(slot->answered_fd);
+	}
+	return true;
 }
 
 enum status_code explanation_slot_ask(struct explanation_slot *slot,
@@ -55,27 +87,18 @@
 				      struct status *status)
 {
 	int64_t end_ms = clock_now(&slot->clock) + EXPLANATION_TIMEOUT_MS;
-	const struct timespec deadline = {
-		.tv_sec = end_ms / MS_PER_S,
-		.tv_nsec = end_ms % MS_PER_S * NS_PER_MS,
-	};
 	bool answered = false;
 
-	pthread_mutex_lock(&slot->lock);
-	if (wait_for_state(slot, EXPLANATION_SLOT_FREE, &deadline)) {
+	if (acquire(slot, end_ms)) {
 		slot->key = *key;
-		set_state(slot, EXPLANATION_SLOT_ASKED);
-		/* The packet thread skips a request while the lock is held. */
-		pthread_mutex_unlock(&slot->lock);
+		atomic_store(&slot->state, EXPLANATION_SLOT_ASKED);
 		node_wake(slot->wake_fd);
-		pthread_mutex_lock(&slot->lock);
-		answered = wait_for_state(slot, EXPLANATION_SLOT_ANSWERED,
-					  &deadline);
+		answered = wait_for_answer(slot, end_ms);
 		if (answered)
 			*out = slot->answer;
-		set_state(slot, EXPLANATION_SLOT_FREE);
+		atomic_store(&slot->state, EXPLANATION_SLOT_IDLE);
+		release(slot);
 	}
-	pthread_mutex_unlock(&slot->lock);
 	if (!answered)
 		return status_set(status, STATUS_TIMEOUT,
 				  "the packet thread did not answer within "
@@ -87,11 +110,13 @@
 void explanation_slot_serve(struct explanation_slot *slot,
 			    const struct balancer *balancer, int64_t now_ms)
 {
-	if (!atomic_load(&slot->pending) || pthread_mutex_trylock(&slot->lock))
+	int asked = EXPLANATION_SLOT_ASKED;
+
+	if (atomic_load(&slot->state) != EXPLANATION_SLOT_ASKED ||
+	    !atomic_compare_exchange_strong(&slot->state, &asked,
+					    EXPLANATION_SLOT_ANSWERING))
 		return;
-	if (slot->state == EXPLANATION_SLOT_ASKED) {
-		explanation_init(&slot->answer, balancer, &slot->key, now_ms);
-		set_state(slot, EXPLANATION_SLOT_ANSWERED);
-	}
-	pthread_mutex_unlock(&slot->lock);
+	explanation_init(&slot->answer, balancer, &slot->key, now_ms);
+	atomic_store(&slot->state, EXPLANATION_SLOT_ANSWERED);
+	node_wake(slot->answered_fd);
 }
--- a/tarragonflow/commands/where.c
+++ b/tarragonflow/commands/where.c
@@ -93,16 +93,17 @@
 static void print_decision(const json_t *root)
 {
 	const json_t *service = json_object_get(root, "service"), *candidate;
+	char objective[NUMBER_TEXT_MAX];
 	size_t i;
 
 	if (service)
 		printf("%s: service %s (weight %lld of %lld), priority %lld, "
-		       "objective %lld ms\n",
+		       "objective %s ms\n",
 		       get_text(root, "to"), get_text(service, "name"),
 		       get_number(service, "weight"),
 		       get_number(service, "total_weight"),
 		       get_number(service, "priority"),
-		       get_number(service, "objective_ms"));
+		       number_text(service, "objective_ms", objective));
 	if (!json_object_get(root, "candidates"))
 		return;
 	printf("from %s%s: bucket %lld of %lld\n", get_text(root, "from"),
--- a/tests/unit/test_where.c
+++ b/tests/unit/test_where.c
@@ -293,7 +293,9 @@
 	struct admin admin;
 	struct fixture fixture;
 	pthread_t thread;
-	_Atomic bool serves;
+	/** Guards `serves` and the balancer. */
+	pthread_mutex_t lock;
+	bool serves;
 	char address[ENDPOINT_TEXT_MAX];
 };
 
@@ -306,10 +308,12 @@
 	while (!atomic_load(&node->stop)) {
 		poll(&fd, 1, -1);
 		node_wake_clear(node->packet_wake_fd);
-		if (atomic_load(&process->serves))
+		pthread_mutex_lock(&process->lock);
+		if (process->serves)
 			explanation_slot_serve(&node->explanation_slot,
 					       &process->fixture.balancer,
 					       NOW_MS);
+		pthread_mutex_unlock(&process->lock);
 	}
 	return NULL;
 }
@@ -337,6 +341,7 @@
 	node->packet_wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	clock_init_monotonic(&node->clock);
 	pthread_mutex_init(&node->lock, NULL);
+	pthread_mutex_init(&process->lock, NULL);
 	explanation_slot_init(&node->explanation_slot, node->packet_wake_fd);
 	g_assert_cmpint(admin_start(&process->admin, node, &status), ==,
 			STATUS_OK);
@@ -344,16 +349,18 @@
 }
 
 /* Replaces what the balancer knows. */
-static void set_state(struct process *process, bool has_view, bool has_loads)
+static void set_state(struct process *process, bool serves, bool has_view,
+		      bool has_loads)
 {
 	struct balancer *balancer = &process->fixture.balancer;
 
-	pthread_mutex_lock(&process->node.explanation_slot.lock);
+	pthread_mutex_lock(&process->lock);
+	process->serves = serves;
 	balancer->view = has_view ? &process->fixture.view : NULL;
 	memset(balancer->loads.entries, 0, sizeof(balancer->loads.entries));
 	for (int i = 0; i < MEMBERS && has_loads; i++)
 		report_load(balancer, i, 'e', some_loads[i]);
-	pthread_mutex_unlock(&process->node.explanation_slot.lock);
+	pthread_mutex_unlock(&process->lock);
 }
 
 static void process_finish(struct process *process)
@@ -366,6 +373,7 @@
 	pthread_join(process->thread, NULL);
 	explanation_slot_finish(&node->explanation_slot);
 	pthread_mutex_destroy(&node->lock);
+	pthread_mutex_destroy(&process->lock);
 	close(node->packet_wake_fd);
 	fixture_finish(&process->fixture);
 }
@@ -426,8 +434,8 @@
 		char *out, *err;
 		int code;
 
-		atomic_store(&process->serves, situation != NO_PACKET_THREAD);
-		set_state(process, situation != NO_VIEW, situation != NO_LOAD);
+		set_state(process, situation != NO_PACKET_THREAD,
+			  situation != NO_VIEW, situation != NO_LOAD);
 		code = run_where(situation == NO_PROCESS ? "127.0.0.1:1"
 							 : process->address,
 				 cases[i].to, cases[i].option, cases[i].value,
