Admin API: responses without mg_printf(), which overflows the stack

With the address sanitizer, each response of the admin API ended the process with a stack overflow in mg_printf(), /healthz included: CivetWeb gives handlers about 12 KiB of stack. No test had sent a request to it before test_where. Heads of responses are now formatted into 256 bytes, as in platform/endpoints.c.

The load added for sent connections in an explanation is taken from the entry of the peer, so that it doesn't depend on how candidates are compared; a test checks that reported and added loads make up the compared one.

--- a/admin/admin.c
+++ b/admin/admin.c
@@ -10,6 +10,7 @@
 
 #include "page.h"
 
+#define HEAD_MAX_BYTES 256
 #define REASON_MAX_BYTES 64
 #define PORTS_MAX_BYTES (4 * ENDPOINT_TEXT_MAX)
 #define LEAVE_PATH "/v1/leave"
@@ -25,10 +26,16 @@
 static int respond(struct mg_connection *conn, int code, const char *type,
 		   struct str body)
 {
-	mg_printf(conn,
-		  "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
-		  "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-		  code, mg_get_response_code_text(conn, code), type, body.len);
+	/* CivetWeb gives handlers about 12 KiB of stack: too little for
+	 * mg_printf(). */
+	char head[HEAD_MAX_BYTES];
+	int len = snprintf(head, sizeof(head),
+			   "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
+			   "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+			   code, mg_get_response_code_text(conn, code), type,
+			   body.len);
+
+	mg_write(conn, head, (size_t)len);
 	mg_write(conn, body.data, body.len);
 	return code;
 }
--- a/route/explanation.c
+++ b/route/explanation.c
@@ -38,13 +38,13 @@
 	out->suspect = candidate->flags & CANDIDATE_SUSPECT;
 	out->reported_load = peer ? peer->reported_load : PACKET_LOAD_FULL;
 	out->load_age_ms = peer ? now_ms - peer->last_seen_ms : -1;
+	if (peer && load.total < PACKET_LOAD_FULL)
+		out->sent_load = peer->load - peer->reported_load;
 	out->cross_zone_load = load.cross_zone;
 	out->total_load = load.total;
-	if (load.total < PACKET_LOAD_FULL)
-		out->sent_load =
-			load.total - load.cross_zone - out->reported_load;
-	else if (balancer->least_load_enabled ||
-		 !(candidate->flags & CANDIDATE_TAKES_NEW))
+	if (load.total >= PACKET_LOAD_FULL &&
+	    (balancer->least_load_enabled ||
+	     !(candidate->flags & CANDIDATE_TAKES_NEW)))
 		out->verdict = ruled_out_by(balancer, candidate, out,
 					    load.max_age_ms, now_ms);
 }
--- a/tests/unit/test_where.c
+++ b/tests/unit/test_where.c
@@ -241,6 +241,12 @@
 
 			g_assert_cmpint(verdict_letters[candidate->verdict], ==,
 					strchr("bs", letter) ? 'e' : letter);
+			if (candidate->verdict == CANDIDATE_ELIGIBLE)
+				g_assert_cmpuint(
+					candidate->total_load, ==,
+					cases[i].loads[number] +
+						candidate->sent_load +
+						candidate->cross_zone_load);
 			g_assert_cmpint(candidate->cross_zone_load > 0, ==,
 					letter == 'b');
 			g_assert_cmpint(candidate->suspect, ==, letter == 's');
