--- a/admin/admin.c
+++ b/admin/admin.c
@@ -10,6 +10,7 @@
 
 #include "page.h"
 
+#define HEAD_MAX_BYTES 256
 #define REASON_MAX_BYTES 64
 #define PORTS_MAX_BYTES (4 * ENDPOINT_TEXT_MAX)
 #define LEAVE_PATH "/v1/leave"
@@ -25,10 +26,16 @@
 static int respond(struct mg_connection *conn, int code, const char *type,
 		   struct str body)
 {
-	mg_printf(conn,
-		  "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
-		  "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-		  code, mg_get_response_code_text(conn, code), type, body.len);
+	/* CivetWeb gives handlers about 12 KiB of stack: too little for
+	 * mg_printf(). */
+	char head[HEAD_MAX_BYTES];
+	int len = snprintf(head, sizeof(head),
+			   "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
+			   "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+			   code, mg_get_response_code_text(conn, code), type,
+			   body.len);
+
+	mg_write(conn, head, (size_t)len);
 	mg_write(conn, body.data, body.len);
 	return code;
 }
@@ -119,6 +126,31 @@
 	return respond_json(conn, HTTP_OK, admin_chain_json(user, &key));
 }
 
+/* Copies the parameter @name of @query to @out of ADMIN_ADDRESS_MAX. A value
+ * that doesn't fit becomes "?", which is no address, instead of a missing one.
+ */
+static void get_address(const char *query, const char *name, char *out)
+{
+	const char *text = query ? query : "";
+
+	*out = '\0';
+	if (mg_get_var(text, strlen(text), name, out, ADMIN_ADDRESS_MAX) == -2)
+		memcpy(out, "?", 2);
+}
+
+static int handle_where(struct mg_connection *conn, void *user)
+{
+	const char *query = mg_get_request_info(conn)->query_string;
+	char to[ADMIN_ADDRESS_MAX], from[ADMIN_ADDRESS_MAX];
+	json_t *root;
+	int code;
+
+	get_address(query, "to", to);
+	get_address(query, "from", from);
+	root = admin_where_json(user, to, from, &code);
+	return respond_json(conn, code, root);
+}
+
 static int handle_page(struct mg_connection *conn, void *user)
 {
 	(void)user;
@@ -188,6 +220,7 @@
 	{"/v1/status$", handle_status},
 	{"/v1/overview$", handle_overview},
 	{"/v1/chain$", handle_chain},
+	{"/v1/where$", handle_where},
 	{LEAVE_PATH "$", handle_leave},
 };
 
