Balancers treat nearly equal work left as equal

Cause: with several balancers all select the server that reported the least load until the next report. In a storm of reopened feeds the work left differs by 10%, and a request of a more urgent kind finds many of its kind before it.

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -40,6 +40,8 @@
 #define BALANCERS_MAX 22
 /* Candidates of a connection where there are several balancers. */
 #define CANDIDATES 8
+/* Difference of the work left that balancers ignore, as in balancer.c. */
+#define EQUAL_LOAD_RANGE (PACKET_LOAD_SCALE / 30)
 /* Of requests with a heavy tail this share takes this many times as long. */
 #define TAIL_SHARE 0.03
 #define TAIL_FACTOR 7
@@ -245,28 +247,37 @@
 }
 
 /* The least loaded of the servers, or of CANDIDATES random ones if there are
- * several balancers, as known to @balancer. */
+ * several balancers, as known to @balancer; -1 if none of them is there. With
+ * the work left, several balancers select the first one with hardly more. */
 static int least_loaded(struct simulation *simulation, int balancer,
 			int64_t now_ms)
 {
 	const struct pattern *pattern = simulation->pattern;
-	int n = pattern->n_balancers ? CANDIDATES : pattern->n_servers;
-	int best = -1;
+	bool several = pattern->n_balancers;
+	int n = several ? CANDIDATES : pattern->n_servers, best = -1;
+	double loads[SERVERS_MAX];
+	int candidates[SERVERS_MAX];
 
 	for (int i = 0; i < n; i++) {
-		int server = pattern->n_balancers
-				     ? g_rand_int_range(simulation->rand, 0,
+		int server = several ? g_rand_int_range(simulation->rand, 0,
 							pattern->n_servers)
 				     : i;
 
-		if (is_absent(pattern, server, now_ms))
-			continue;
-		if (best < 0 ||
-		    simulation->servers[server].reported_load[balancer] <
-			    simulation->servers[best].reported_load[balancer])
-			best = server;
+		candidates[i] = server;
+		loads[i] = is_absent(pattern, server, now_ms)
+				   ? INFINITY
+				   : simulation->servers[server]
+					     .reported_load[balancer];
+		if (isfinite(loads[i]) && (best < 0 || loads[i] < loads[best]))
+			best = i;
 	}
-	return best;
+	if (best < 0)
+		return -1;
+	for (int i = 0;
+	     several && simulation->policy == POLICY_WORK && i < best; i++)
+		if (loads[i] <= loads[best] + EQUAL_LOAD_RANGE)
+			return candidates[i];
+	return candidates[best];
 }
 
 static int choose_server(struct simulation *simulation, int64_t now_ms)
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -20,6 +20,12 @@
 /* The same in requests and slots, for loads that are the work left. */
 #define CROSS_ZONE_REQUESTS (1.0 / 3)
 #define CROSS_ZONE_SLOTS 5
+/*
+ * Loads that are the work left and differ by less count as equal: the other
+ * balancers change them by more until the next report. The first one in the
+ * chain is selected, so that not all balancers select the same one.
+ */
+#define EQUAL_LOAD_RANGE (PACKET_LOAD_SCALE / 30)
 /* Load added to a server for each connection that was sent to it since its last
  * load report: one request at a server with a few slots. */
 #define NEW_CONNECTION_LOAD (PACKET_LOAD_SCALE / 32)
@@ -212,31 +218,49 @@
 		       : load + CROSS_ZONE_LOAD;
 }
 
-/* Index of the least loaded of the candidates whose last load report is not
- * older than report_max_age_ms(). */
+/* Load of candidate @i for the comparison with others: PACKET_LOAD_FULL if it
+ * is older than report_max_age_ms() or the candidate accepts nothing new. */
+static uint32_t comparable_load(const struct balancer *balancer,
+				const struct candidate *candidate,
+				bool same_zone, int64_t now_ms)
+{
+	uint32_t load;
+
+	if (!(candidate->flags & CANDIDATE_TAKES_NEW))
+		return PACKET_LOAD_FULL;
+	load = peer_load_get_fresh(&balancer->loads, candidate->member_id,
+				   report_max_age_ms(balancer), now_ms);
+	return same_zone ? load : cross_zone_load(balancer, load);
+}
+
+/* Index of the candidate with the least load. */
 static uint8_t least_loaded(struct balancer *balancer,
 			    const struct service_view *service,
 			    const struct packet_header *header, int64_t now_ms)
 {
 	uint8_t best = first_accepting_position(header);
-	uint32_t best_load = PACKET_LOAD_FULL;
+	uint32_t loads[CHAIN_MAX], best_load = PACKET_LOAD_FULL;
+	bool same_zone[CHAIN_MAX];
 
 	for (uint8_t i = 0; i < header->n_candidates; i++) {
 		const struct candidate *candidate = &header->candidates[i];
-		uint32_t load;
 
-		if (!(candidate->flags & CANDIDATE_TAKES_NEW))
-			continue;
-		load = peer_load_get_fresh(&balancer->loads,
-					   candidate->member_id,
-					   report_max_age_ms(balancer), now_ms);
-		if (!is_same_zone(balancer, service, candidate->member_id))
-			load = cross_zone_load(balancer, load);
-		if (load >= best_load)
+		same_zone[i] =
+			is_same_zone(balancer, service, candidate->member_id);
+		loads[i] = comparable_load(balancer, candidate, same_zone[i],
+					   now_ms);
+		if (loads[i] >= best_load)
 			continue;
 		best = i;
-		best_load = load;
+		best_load = loads[i];
 	}
+	if (best_load >= PACKET_LOAD_SCALE || !balancer->by_work ||
+	    balancer->view->n_balancers <= 1)
+		return best;
+	for (uint8_t i = 0; i < best; i++)
+		if (same_zone[i] == same_zone[best] &&
+		    loads[i] <= best_load + EQUAL_LOAD_RANGE)
+			return i;
 	return best;
 }
 
