--- a/tests/unit/test_manifest.c
+++ b/tests/unit/test_manifest.c
@@ -270,6 +270,8 @@
 	 {"service: unknown field"}},
 	{"{" REQUIRED_SETTINGS ",\"seeds\":[\"127.0.0.1:1\",\"nobody\",3]}",
 	 {"seeds[1]: found nobody", "seeds[2]: found no string"}},
+	{"{" REQUIRED_SETTINGS ",\"placement\":\"hash\"}",
+	 {"placement: found \"hash\", allowed is \"requests\", \"work\""}},
 	{"{" REQUIRED_SETTINGS ",\"log_level\":\"loud\"}",
 	 {"log_level: found \"loud\", allowed is \"debug\""}},
 };
