Late waiting SYNs count a quarter of the work left

Cause: after an outage all queues are long, but SYNs that can't meet their objective are served after new ones, except in every fourth turn. Counted in full, they kept new SYNs away from servers that would have served them in time.

Change: agents count the late waiting SYNs when a load report may be due; the work left counts each as a quarter. Tests of work_left(), of placement by work in a cluster, and of the cost model's counts at the end of each search test.

Unit tests cost and search pass.

--- a/admit/waiting_syns.c
+++ b/admit/waiting_syns.c
@@ -9,8 +9,6 @@
 #define ATTEMPT_TIMEOUT_MS 1400
 /* Time for the rejection to reach the caller before its timeout. */
 #define REJECTION_DELAY_MS 50
-/* One in this many calls of waiting_syns_pop() takes the oldest SYN. */
-#define OLDEST_INTERVAL 4
 
 void waiting_syns_init(struct waiting_syns *syns)
 {
@@ -89,7 +87,7 @@
 
 	if (!syns->n)
 		return false;
-	if (++syns->pops % OLDEST_INTERVAL == 0) {
+	if (++syns->pops % WAITING_OLDEST_INTERVAL == 0) {
 		remove_entry(syns, oldest_index(syns), entry);
 		return true;
 	}
@@ -111,6 +109,16 @@
 	return true;
 }
 
+uint32_t waiting_syns_count_late(const struct waiting_syns *syns,
+				 int64_t now_ms, int64_t service_ms)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < syns->n; i++)
+		n += !meets_objective(&syns->entries[i], now_ms, service_ms);
+	return n;
+}
+
 bool waiting_syns_pop_expired(struct waiting_syns *syns, int64_t now_ms,
 			      struct waiting *entry)
 {
--- a/admit/work_left.c
+++ b/admit/work_left.c
@@ -4,6 +4,7 @@
 #include <math.h>
 
 #include "tarragonflow/admit/admit.h"
+#include "tarragonflow/admit/waiting_syns.h"
 #include "tarragonflow/net/packet.h"
 
 /* Load above ADMIT_LOAD_SLOTS_FULL. */
@@ -11,11 +12,15 @@
 /* Requests per slot, less one, that take half of LOAD_ABOVE: 20 and 40 requests
  * per slot then differ by more than 5,000. */
 #define HALF_RANGE 12.0
+/* A SYN that can no longer meet its objective is served after the others,
+ * except for the turns of the oldest. */
+#define LATE_SYN_WEIGHT (1.0 / WAITING_OLDEST_INTERVAL)
 
 double work_left(const struct cost *cost, uint32_t slots, int64_t now_ms)
 {
 	double mean_ms = cost_mean_ms(cost);
-	double now = cost->n_uncounted, expected = 0;
+	double now = cost->n_uncounted, expected = 0, waiting = 0,
+	       n_waiting = 0, late;
 
 	for (size_t i = 0; i < cost->n_running; i++)
 		now += cost_request_remaining_ms(cost, &cost->running[i],
@@ -25,13 +30,17 @@
 		const struct cost_kind *kind = &cost->kinds[i];
 
 		if (kind->waiting)
-			now += kind->waiting * cost_expected_ms(cost, i) /
-			       mean_ms;
-		expected += kind->waiting;
+			waiting += kind->waiting * cost_expected_ms(cost, i) /
+				   mean_ms;
+		n_waiting += kind->waiting;
 		if (kind->open)
 			expected += kind->open * cost_busy_share(cost, i);
 	}
-	return (now + expected) / 2 / MAX(slots, 1);
+	late = MIN(cost->late, n_waiting) * (1 - LATE_SYN_WEIGHT);
+	if (n_waiting)
+		waiting *= (n_waiting - late) / n_waiting;
+	return (now + waiting + expected + n_waiting - late) / 2 /
+	       MAX(slots, 1);
 }
 
 uint16_t work_left_encode(double per_slot)
--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -219,6 +219,8 @@
 					   now_ms);
 		if (now_ms - server->reported_ms < report_interval_ms(pattern))
 			continue;
+		server->admit.cost.late = waiting_syns_count_late(
+			&server->admission_queue, now_ms, MEAN_SERVICE_MS);
 		for (int j = 0; j < MAX(pattern->n_balancers, 1); j++)
 			server->reported_load[j] =
 				admit_load(&server->admit, now_ms);
--- a/flow/agent_load_report.c
+++ b/flow/agent_load_report.c
@@ -273,9 +273,14 @@
 			     struct packet_sink *sink)
 {
 	const struct service_view *service = agent->service;
-	uint16_t load = agent_own_load(agent, now_ms);
+	uint16_t load;
 	const struct candidate *self;
 
+	if (now_ms >= agent->next_load_report_ms)
+		agent->admit.cost.late = waiting_syns_count_late(
+			&agent->waiting_syns, now_ms,
+			(int64_t)cost_mean_ms(&agent->admit.cost));
+	load = agent_own_load(agent, now_ms);
 	/*
 	 * Where balancers get load reports, an agent whose reports are missing
 	 * counts as unreachable. So agents in a zone that is out of service
--- a/include/tarragonflow/admit/cost.h
+++ b/include/tarragonflow/admit/cost.h
@@ -65,6 +65,9 @@
 	size_t n_running;
 	/** Running requests beyond COST_RUNNING_MAX. */
 	uint32_t n_uncounted;
+	/** Waiting SYNs that can no longer meet their objective, when last
+	 * counted. */
+	uint32_t late;
 };
 
 void cost_init(struct cost *cost);
--- a/include/tarragonflow/admit/waiting_syns.h
+++ b/include/tarragonflow/admit/waiting_syns.h
@@ -14,12 +14,15 @@
  * and all responses are late. This queue first serves the SYNs whose requests
  * can still meet the objective, by priority of their route, then by age, the
  * oldest first. SYNs that are too late for their objective get the remaining
- * slots. To prevent their starvation, one in OLDEST_INTERVAL calls of
+ * slots. To prevent their starvation, one in WAITING_OLDEST_INTERVAL calls of
  * waiting_syns_pop() takes the oldest SYN. SYNs that cannot be served before
  * their caller's timeout are rejected immediately. Pure functions: the current
  * time is a parameter.
  */
 
+/** One in this many calls of waiting_syns_pop() takes the oldest SYN. */
+#define WAITING_OLDEST_INTERVAL 4
+
 /** Maximum number of waiting SYNs. */
 #define WAITING_ENTRIES_MAX 256
 
@@ -72,6 +75,11 @@
 bool waiting_syns_pop(struct waiting_syns *syns, int64_t now_ms,
 		      int64_t service_ms, struct waiting *entry);
 
+/** Number of SYNs that can no longer meet their objective. @service_ms is the
+ * server's usual response time. */
+uint32_t waiting_syns_count_late(const struct waiting_syns *syns,
+				 int64_t now_ms, int64_t service_ms);
+
 /** Removes a SYN whose caller is about to time out and writes it to @entry.
  * False when there is none. */
 bool waiting_syns_pop_expired(struct waiting_syns *syns, int64_t now_ms,
--- a/tests/unit/test_cost.c
+++ b/tests/unit/test_cost.c
@@ -134,6 +134,41 @@
 	assert_near(cost_busy_share(&cost, single), 0.9, 0.1);
 }
 
+/* Guards against a load that ignores how long requests have run, or which SYNs
+ * wait. */
+static void test_work_left(void)
+{
+	static const struct {
+		const char *name;
+		int running, waiting;
+		uint32_t late;
+		/** Age of the running requests, ms, and expected result. */
+		int64_t age_ms;
+		double per_slot;
+	} cases[] = {
+		{"idle", 0, 0, 0, 0, 0},
+		{"two just started", 2, 0, 0, 0, 0.25},
+		{"two that have run for long", 2, 0, 0, 200, 1},
+		{"two of six without a slot", 6, 0, 0, 0, 0.75},
+		{"waiting SYNs", 0, 4, 0, 0, 1},
+		{"late SYNs count a quarter", 0, 4, 4, 0, 0.25},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cost cost;
+
+		g_test_message("%s", cases[i].name);
+		cost_init(&cost);
+		for (int j = 0; j < cases[i].running; j++)
+			cost_start_request(&cost, 0, SLOTS, 1000);
+		for (int j = 0; j < cases[i].waiting; j++)
+			cost_adjust_waiting(&cost, 0, 1);
+		cost.late = cases[i].late;
+		assert_near(work_left(&cost, SLOTS, 1000 + cases[i].age_ms),
+			    cases[i].per_slot, 0.01);
+	}
+}
+
 /* Guards against loads that don't distinguish overloaded servers. */
 static void test_load(void)
 {
@@ -172,6 +207,7 @@
 	g_test_add_func("/cost/expected-work", test_expected_work);
 	g_test_add_func("/cost/running-requests", test_running_requests);
 	g_test_add_func("/cost/busy-share", test_busy_share);
+	g_test_add_func("/cost/work-left", test_work_left);
 	g_test_add_func("/cost/load", test_load);
 	return g_test_run();
 }
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -435,10 +435,26 @@
 	cluster_init_services(cluster, n, first_b, TEST_AGENTS_MAX);
 }
 
+/* The cost model counts the same connections and waiting SYNs as admission:
+ * guards against a way of opening or closing that one of them misses. */
+static void check_cost_model(const struct admit *admit)
+{
+	uint32_t open = 0, waiting = 0;
+
+	for (int i = 0; i < COST_KINDS; i++) {
+		open += admit->cost.kinds[i].open;
+		waiting += admit->cost.kinds[i].waiting;
+	}
+	g_assert_cmpuint(open, ==, admit->open);
+	g_assert_cmpuint(waiting, ==, admit->waiting);
+}
+
 static void cluster_finish(struct cluster *cluster)
 {
-	for (unsigned int i = 1; i <= cluster->n; i++)
+	for (unsigned int i = 1; i <= cluster->n; i++) {
+		check_cost_model(&cluster->hosts[i].agent.admit);
 		agent_finish(&cluster->hosts[i].agent);
+	}
 	g_queue_clear_full(&cluster->datagrams, g_free);
 	view_finish(&cluster->view);
 	roster_finish(&cluster->roster);
@@ -1828,6 +1844,35 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * With placement by work left, guards against one server getting all SYNs until
+ * the next load report, and against a server whose requests have run for long
+ * getting as many as the others.
+ */
+static void test_placement_by_work(void)
+{
+	struct cluster cluster;
+	unsigned int opened[5] = {0};
+	struct admit *busy;
+
+	cluster_init(&cluster, 4, 5);
+	balancer_place_by_work(&cluster.balancer);
+	for (unsigned int i = 1; i <= 4; i++)
+		cluster.hosts[i].agent.admit.by_work = true;
+	busy = &cluster.hosts[1].agent.admit;
+	for (int i = 0; i < 3; i++)
+		admit_start_request(busy, 0, cluster.now_ms);
+	advance_time(&cluster, 200);
+	for (uint16_t port = 1; port <= 18; port++) {
+		open_connection(&cluster, port);
+		opened[owner_of(&cluster, port)]++;
+	}
+	g_assert_cmpuint(opened[1], <=, 2);
+	for (unsigned int i = 2; i <= 4; i++)
+		g_assert_cmpuint(opened[i], >=, 4);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against RSTs on open connections: a SYN waits at a busy agent, and a
  * retransmission of it is forwarded and opened elsewhere. The end of the wait
@@ -2407,5 +2452,6 @@
 	g_test_add_func("/search/first-report-of-other-service",
 			test_first_report_of_other_service);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
+	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
 }
