--- a/route/balancer.c
+++ b/route/balancer.c
@@ -20,6 +20,12 @@
 /* The same in requests and slots, for loads that are the work left. */
 #define CROSS_ZONE_REQUESTS (1.0 / 3)
 #define CROSS_ZONE_SLOTS 5
+/*
+ * Loads that are the work left and differ by less count as equal: the other
+ * balancers change them by more until the next report. The first one in the
+ * chain is selected, so that not all balancers select the same one.
+ */
+#define EQUAL_LOAD_RANGE (PACKET_LOAD_SCALE / 30)
 /* Load added to a server for each connection that was sent to it since its last
  * load report: one request at a server with a few slots. */
 #define NEW_CONNECTION_LOAD (PACKET_LOAD_SCALE / 32)
@@ -233,7 +239,12 @@
 	return load;
 }
 
-/* The least loaded of the candidates whose load is known and not full. */
+/*
+ * The least loaded of the candidates whose load is known and not full.
+ * Balancers that share the load with others treat nearly equal loads in one
+ * zone as equal and take the first in the chain, which differs between
+ * connections.
+ */
 static struct syn_target least_loaded(const struct balancer *balancer,
 				      const struct service_view *service,
 				      const struct packet_header *header,
@@ -241,17 +252,29 @@
 {
 	struct syn_target best = {first_accepting_position(header),
 				  SYN_NO_LOAD_KNOWN};
-	uint32_t best_load = PACKET_LOAD_FULL;
+	uint32_t loads[CHAIN_MAX], best_load = PACKET_LOAD_FULL;
+	bool same_zone[CHAIN_MAX];
 
 	for (uint8_t i = 0; i < header->n_candidates; i++) {
-		struct candidate_load load = balancer_candidate_load(
-			balancer, service, &header->candidates[i], now_ms);
-
-		if (load.total >= best_load)
+		const struct candidate *candidate = &header->candidates[i];
+
+		same_zone[i] =
+			is_same_zone(balancer, service, candidate->member_id);
+		loads[i] = balancer_candidate_load(balancer, service, candidate,
+						   now_ms)
+				   .total;
+		if (loads[i] >= best_load)
 			continue;
 		best = (struct syn_target){i, SYN_LEAST_LOADED};
-		best_load = load.total;
+		best_load = loads[i];
 	}
+	if (best_load >= PACKET_LOAD_SCALE || !balancer->by_work ||
+	    balancer->view->n_balancers <= 1)
+		return best;
+	for (uint8_t i = 0; i < best.position; i++)
+		if (same_zone[i] == same_zone[best.position] &&
+		    loads[i] <= best_load + EQUAL_LOAD_RANGE)
+			return (struct syn_target){i, SYN_LEAST_LOADED};
 	return best;
 }
 
