--- a/flow/agent.c
+++ b/flow/agent.c
@@ -257,8 +257,7 @@
 static bool server_answers(const struct agent *agent, int64_t now_ms)
 {
 	return !server_watch_refuses(&agent->server) ||
-	       now_ms - agent->server.last_sign_of_life_ms <
-		       AGENT_SERVER_CHECK_MS;
+	       now_ms - agent->server.last_answer_ms < AGENT_SERVER_CHECK_MS;
 }
 
 /*
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -206,11 +206,12 @@
 		return;
 	}
 	agent->awaiting_response_since_ms = CLOCK_NEVER;
-	server_watch_record_packet(&agent->server, now_ms);
 	if (packet.returned) {
+		server_watch_record_returned(&agent->server, now_ms);
 		handle_returned(agent, &packet, now_ms, sink);
 		return;
 	}
+	server_watch_record_packet(&agent->server, now_ms);
 	flow_key_reverse(&key, &packet.key);
 	flow = flow_table_find(&agent->flows, &key);
 	if (!flow)
--- a/flow/server_watch.c
+++ b/flow/server_watch.c
@@ -12,6 +12,7 @@
 	watch->reports_expected = reports_expected;
 	watch->lease_ms = lease_ms;
 	watch->last_sign_of_life_ms = INT64_MIN / 2;
+	watch->last_answer_ms = INT64_MIN / 2;
 	watch->refused_since_ms = CLOCK_NEVER;
 }
 
@@ -44,8 +45,14 @@
 	return change;
 }
 
+void server_watch_record_returned(struct server_watch *watch, int64_t now_ms)
+{
+	watch->last_answer_ms = now_ms;
+}
+
 void server_watch_record_packet(struct server_watch *watch, int64_t now_ms)
 {
+	watch->last_answer_ms = now_ms;
 	watch->last_sign_of_life_ms = now_ms;
 	watch->refused_since_ms = CLOCK_NEVER;
 }
--- a/include/tarragonflow/flow/server_watch.h
+++ b/include/tarragonflow/flow/server_watch.h
@@ -18,9 +18,12 @@
 	struct server_report report;
 	/** When `report` arrived, ms. */
 	int64_t report_received_ms;
-	/** When the last report arrived, or packet that the server sent or
-	 * returned, ms. */
+	/** When the last report arrived, or packet of a connection that the
+	 * server has, ms. */
 	int64_t last_sign_of_life_ms;
+	/** When the last packet arrived that the server sent or returned, ms.
+	 * Packets may be returned on behalf of a server that has ended. */
+	int64_t last_answer_ms;
 	/** Start of the first check since then in which the server refused a
 	 * connection, ms; CLOCK_NEVER: none. */
 	int64_t refused_since_ms;
@@ -50,7 +53,10 @@
 				       const struct server_report *report,
 				       int64_t now_ms);
 
-/** Records that a packet arrived that the server sent or returned. */
+/** Records that the server returned a packet. */
+void server_watch_record_returned(struct server_watch *watch, int64_t now_ms);
+
+/** Records that a packet of a connection that the server has arrived. */
 void server_watch_record_packet(struct server_watch *watch, int64_t now_ms);
 
 /** Records that the server refused a connection in a check that began at
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1557,6 +1557,10 @@
 		send_from_caller(&cluster, 78, FLAG_ACK, 100);
 		g_assert_cmpuint(cluster.resets_to_callers, ==,
 				 cases[n_case].resets);
+		/* Returned packets don't keep a server that has ended from
+		 * being recognized as such. */
+		advance_time(&cluster, AGENT_SERVER_CHECK_MS);
+		g_assert_true(refuse_server_check(&cluster, 2, 0));
 		cluster_finish(&cluster);
 	}
 }
