Waiting SYNs by work: margin, fairness by priority, refusal without a turn

Under lasting overload the queue served the oldest SYN whose objective leaves the mean service time, so about half of these missed it, and one turn in four went to a SYN that was late long ago. A new SYN was judged by the whole queue, also by SYNs that it precedes.

With by_work (setting `placement` = "work", off until it exists) a SYN is in time while its objective leaves 150% of the mean service time, the earliest deadline of the most urgent priority goes first, and one turn in four goes to the priority that has had none for longest. The expected wait counts the time until a slot is free and the SYNs that are served before. Late SYNs are refused when SYNs in time had all turns for as long as their callers still wait.

--- a/admit/waiting_syns.c
+++ b/admit/waiting_syns.c
@@ -11,11 +11,20 @@
 #define REJECTION_DELAY_MS 50
 /* One in this many calls of waiting_syns_pop() takes the oldest SYN. */
 #define OLDEST_INTERVAL 4
+/* With by_work, a SYN is in time when its objective leaves this much of the
+ * mean service time. With 100% nearly half of the requests that start at the
+ * last moment miss their objective; above 150% more are given up than saved at
+ * 110% load (bench overload). */
+#define SERVICE_MARGIN_PERCENT 150
 
-void waiting_syns_init(struct waiting_syns *syns)
+void waiting_syns_init(struct waiting_syns *syns, bool by_work)
 {
 	syns->n = 0;
 	syns->pops = 0;
+	memset(syns->last_pops, 0, sizeof(syns->last_pops));
+	syns->by_work = by_work;
+	syns->in_time_since_ms = CLOCK_NEVER;
+	syns->in_time_last_ms = CLOCK_NEVER;
 }
 
 bool waiting_syns_contains(const struct waiting_syns *syns, uint64_t id)
@@ -81,20 +90,14 @@
 	return best;
 }
 
-bool waiting_syns_pop(struct waiting_syns *syns, int64_t now_ms,
-		      int64_t service_ms, struct waiting *entry)
+/* Index of the next SYN in the order without by_work. */
+static size_t next_by_requests(const struct waiting_syns *syns, int64_t now_ms,
+			       int64_t service_ms)
 {
 	size_t best = 0;
-	bool best_meets_objective;
-
-	if (!syns->n)
-		return false;
-	if (++syns->pops % OLDEST_INTERVAL == 0) {
-		remove_entry(syns, oldest_index(syns), entry);
-		return true;
-	}
-	best_meets_objective =
+	bool best_meets_objective =
 		meets_objective(&syns->entries[0], now_ms, service_ms);
+
 	for (size_t i = 1; i < syns->n; i++) {
 		bool entry_meets_objective =
 			meets_objective(&syns->entries[i], now_ms, service_ms);
@@ -107,39 +110,182 @@
 		best = i;
 		best_meets_objective = entry_meets_objective;
 	}
-	remove_entry(syns, best, entry);
+	return best;
+}
+
+static int64_t expiry_ms(const struct waiting *entry)
+{
+	return entry->sent_ms + ATTEMPT_TIMEOUT_MS - REJECTION_DELAY_MS;
+}
+
+/* When the request is to be done: by its objective or the caller's timeout. */
+static int64_t deadline_ms(const struct waiting *entry)
+{
+	if (!entry->objective_ms)
+		return expiry_ms(entry);
+	return MIN(entry->sent_ms + entry->objective_ms, expiry_ms(entry));
+}
+
+static bool is_late(const struct waiting *entry, int64_t now_ms,
+		    int64_t service_ms)
+{
+	int64_t margin_ms = service_ms * SERVICE_MARGIN_PERCENT / 100;
+
+	/* With slow services a SYN would be late as soon as it arrives. */
+	if (entry->objective_ms)
+		margin_ms = MIN(margin_ms, entry->objective_ms / 2);
+	return now_ms + margin_ms > deadline_ms(entry);
+}
+
+/* Whether @a is served before @b with by_work: what is in time first, then by
+ * priority, then by deadline; late SYNs by age. A fairness turn is for the
+ * priority that has had no turn for longest, also when its SYNs are late. */
+static bool precedes(const struct waiting_syns *syns, const struct waiting *a,
+		     const struct waiting *b, bool is_fairness_turn,
+		     int64_t now_ms, int64_t service_ms)
+{
+	unsigned int a_last = syns->last_pops[a->priority % WAITING_PRIORITIES];
+	unsigned int b_last = syns->last_pops[b->priority % WAITING_PRIORITIES];
+	bool a_is_late = is_late(a, now_ms, service_ms);
+
+	if (is_fairness_turn && a_last != b_last)
+		return syns->pops - a_last > syns->pops - b_last;
+	if (a_is_late != is_late(b, now_ms, service_ms))
+		return !a_is_late;
+	if (!is_fairness_turn && a->priority != b->priority)
+		return a->priority < b->priority;
+	return a_is_late ? a->sent_ms < b->sent_ms
+			 : deadline_ms(a) < deadline_ms(b);
+}
+
+static size_t next_by_work(const struct waiting_syns *syns,
+			   bool is_fairness_turn, int64_t now_ms,
+			   int64_t service_ms)
+{
+	size_t best = 0;
+
+	for (size_t i = 1; i < syns->n; i++)
+		if (precedes(syns, &syns->entries[i], &syns->entries[best],
+			     is_fairness_turn, now_ms, service_ms))
+			best = i;
+	return best;
+}
+
+/* Tracks since when only SYNs in time have been taken. */
+static void record_turn(struct waiting_syns *syns, bool took_late,
+			int64_t now_ms)
+{
+	if (took_late || !syns->n) {
+		syns->in_time_since_ms = CLOCK_NEVER;
+		return;
+	}
+	syns->in_time_since_ms = MIN(syns->in_time_since_ms, now_ms);
+	syns->in_time_last_ms = now_ms;
+}
+
+bool waiting_syns_pop(struct waiting_syns *syns, int64_t now_ms,
+		      int64_t service_ms, struct waiting *entry)
+{
+	bool is_fairness_turn;
+	size_t next;
+
+	if (!syns->n)
+		return false;
+	is_fairness_turn = ++syns->pops % OLDEST_INTERVAL == 0;
+	if (syns->by_work)
+		next = next_by_work(syns, is_fairness_turn, now_ms, service_ms);
+	else if (is_fairness_turn)
+		next = oldest_index(syns);
+	else
+		next = next_by_requests(syns, now_ms, service_ms);
+	remove_entry(syns, next, entry);
+	syns->last_pops[entry->priority % WAITING_PRIORITIES] = syns->pops;
+	record_turn(syns, is_late(entry, now_ms, service_ms), now_ms);
 	return true;
 }
 
+bool waiting_is_expired(const struct waiting *entry, int64_t now_ms)
+{
+	return now_ms >= expiry_ms(entry);
+}
+
+int64_t waiting_time_left_ms(int64_t sent_ms, int64_t now_ms)
+{
+	return sent_ms + ATTEMPT_TIMEOUT_MS - REJECTION_DELAY_MS - now_ms;
+}
+
+/*
+ * Whether the late @entry will get no turn, as far as the past shows: SYNs in
+ * time have had all turns for as long as its caller still waits. When an
+ * overload begins the oldest are refused first, so the queue isn't refused as a
+ * whole.
+ */
+static bool gets_no_turn(const struct waiting_syns *syns,
+			 const struct waiting *entry, int64_t now_ms,
+			 int64_t service_ms)
+{
+	return syns->by_work && syns->in_time_since_ms != CLOCK_NEVER &&
+	       is_late(entry, now_ms, service_ms) &&
+	       syns->in_time_last_ms - syns->in_time_since_ms >=
+		       waiting_time_left_ms(entry->sent_ms, now_ms);
+}
+
 bool waiting_syns_pop_expired(struct waiting_syns *syns, int64_t now_ms,
-			      struct waiting *entry)
+			      int64_t service_ms, struct waiting *entry)
 {
-	size_t i;
+	size_t oldest;
 
 	if (!syns->n)
 		return false;
-	i = oldest_index(syns);
-	if (now_ms <
-	    syns->entries[i].sent_ms + ATTEMPT_TIMEOUT_MS - REJECTION_DELAY_MS)
-		return false;
-	remove_entry(syns, i, entry);
-	return true;
+	oldest = oldest_index(syns);
+	if (waiting_is_expired(&syns->entries[oldest], now_ms)) {
+		remove_entry(syns, oldest, entry);
+		return true;
+	}
+	for (size_t i = 0; i < syns->n; i++)
+		if (gets_no_turn(syns, &syns->entries[i], now_ms, service_ms)) {
+			remove_entry(syns, i, entry);
+			return true;
+		}
+	return false;
+}
+
+static int64_t turns_ms(size_t turns, const struct waiting_service *service)
+{
+	return (int64_t)turns * service->service_ms / MAX(service->slots, 1);
+}
+
+int64_t waiting_syns_expected_wait_ms(const struct waiting_syns *syns,
+				      const struct waiting *entry,
+				      int64_t now_ms,
+				      const struct waiting_service *service)
+{
+	size_t before = 0;
+
+	for (size_t i = 0; i < syns->n; i++)
+		before += !precedes(syns, entry, &syns->entries[i], false,
+				    now_ms, service->service_ms);
+	/* The fairness turns between go to any of the others. */
+	before = MIN(syns->n, before + before / (OLDEST_INTERVAL - 1));
+	return service->slot_wait_ms + turns_ms(before, service);
 }
 
-bool waiting_syns_would_expire(const struct waiting_syns *syns, int64_t sent_ms,
-			       int64_t now_ms, int64_t service_ms,
-			       uint32_t slots)
+bool waiting_syns_would_expire(const struct waiting_syns *syns,
+			       const struct waiting *entry, int64_t now_ms,
+			       const struct waiting_service *service)
 {
-	int64_t wait_ms = (int64_t)(syns->n + 1) * service_ms / MAX(slots, 1);
+	int64_t left_ms = waiting_time_left_ms(entry->sent_ms, now_ms);
 
-	return now_ms + wait_ms >=
-	       sent_ms + ATTEMPT_TIMEOUT_MS - REJECTION_DELAY_MS;
+	if (!syns->by_work)
+		return turns_ms(syns->n + 1, service) >= left_ms;
+	return gets_no_turn(syns, entry, now_ms, service->service_ms) ||
+	       waiting_syns_expected_wait_ms(syns, entry, now_ms, service) >=
+		       left_ms;
 }
 
 int64_t waiting_syns_next_deadline(const struct waiting_syns *syns)
 {
 	if (!syns->n)
 		return CLOCK_NEVER;
-	return syns->entries[oldest_index(syns)].sent_ms + ATTEMPT_TIMEOUT_MS -
-	       REJECTION_DELAY_MS;
+	return expiry_ms(&syns->entries[oldest_index(syns)]);
 }
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -64,6 +64,7 @@
 			identity->seed);
 	admit_init(&agent->admit, identity->connections, identity->slots,
 		   now_ms);
+	waiting_syns_init(&agent->waiting_syns, identity->by_work);
 }
 
 void agent_finish(struct agent *agent)
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -182,6 +182,23 @@
 	return mean > 0 ? (int64_t)mean : DEFAULT_RESPONSE_MS;
 }
 
+/* Requests beyond the server's slots each delay the next free slot by the time
+ * until one of the running ones ends. */
+static struct waiting_service expected_service(const struct agent *agent)
+{
+	const struct admit *admit = &agent->admit;
+	struct waiting_service service = {
+		.service_ms = expected_response_ms(agent),
+		.slots = admit->slots_max,
+	};
+
+	if (admit->running >= admit->slots_max)
+		service.slot_wait_ms =
+			(int64_t)(admit->running - admit->slots_max + 1) *
+			service.service_ms / admit->slots_max;
+	return service;
+}
+
 uint64_t agent_attempt_id(const struct inner_packet *packet)
 {
 	return flow_key_hash(&packet->key, packet->seq);
@@ -196,6 +213,7 @@
 {
 	const struct route_view *route =
 		view_find_route(agent->view, &packet->key);
+	const struct waiting_service service = expected_service(agent);
 	struct waiting entry = {
 		.id = agent_attempt_id(packet),
 		.sent_ms = now_ms - packet->sent_ago_ms,
@@ -206,12 +224,11 @@
 		return false;
 	if (waiting_syns_contains(&agent->waiting_syns, entry.id))
 		return true;
-	if (waiting_syns_would_expire(&agent->waiting_syns, entry.sent_ms,
-				      now_ms, expected_response_ms(agent),
-				      agent->admit.slots_max))
-		return false;
 	entry.objective_ms = route->objective_ms;
 	entry.priority = route->priority;
+	if (waiting_syns_would_expire(&agent->waiting_syns, &entry, now_ms,
+				      &service))
+		return false;
 	memcpy(entry.data, packet->data, packet->len);
 	if (!waiting_syns_add(&agent->waiting_syns, &entry))
 		return false;
@@ -278,7 +295,8 @@
 {
 	struct waiting entry;
 
-	while (waiting_syns_pop_expired(&agent->waiting_syns, now_ms, &entry))
+	while (waiting_syns_pop_expired(&agent->waiting_syns, now_ms,
+					expected_response_ms(agent), &entry))
 		finish_waiting_syn(agent, &entry, true, now_ms, sink);
 	/* When the server accepts no new connections, all waiting SYNs are
 	 * removed: open_connection() forwards them to other agents. */
--- a/include/tarragonflow/admit/waiting_syns.h
+++ b/include/tarragonflow/admit/waiting_syns.h
@@ -18,6 +18,11 @@
  * waiting_syns_pop() takes the oldest SYN. SYNs that cannot be served before
  * their caller's timeout are rejected immediately. Pure functions: the current
  * time is a parameter.
+ *
+ * With `by_work`, a SYN counts as in time only with a margin for the variance
+ * of service times, one in OLDEST_INTERVAL calls takes the earliest deadline of
+ * all priorities, and late SYNs that get no turn are refused; see
+ * docs/design/overload.md.
  */
 
 /** Maximum number of waiting SYNs. */
@@ -26,6 +31,9 @@
 /** Largest packet with a SYN that can wait, bytes. */
 #define WAITING_PACKET_BYTES_MAX 64
 
+/** Priorities that take their fairness turns separately. */
+#define WAITING_PRIORITIES 8
+
 /** A SYN in the queue. */
 struct waiting {
 	/** Identifies the caller's connection attempt; equal for all
@@ -50,9 +58,28 @@
 	size_t n;
 	/** Number of calls of waiting_syns_pop() that returned an entry. */
 	unsigned int pops;
+	/** Value of `pops` when a SYN of a priority, modulo WAITING_PRIORITIES,
+	 * was last taken. */
+	unsigned int last_pops[WAITING_PRIORITIES];
+	/** Setting `placement` = "work". */
+	bool by_work;
+	/** First and last of the latest calls of waiting_syns_pop() that all
+	 * took a SYN in time and left others waiting, ms; CLOCK_NEVER: the last
+	 * call was none of these. */
+	int64_t in_time_since_ms, in_time_last_ms;
+};
+
+/** The server's speed, for expected waits. */
+struct waiting_service {
+	/** Expected time until a slot is free, ms; 0: one is free. */
+	int64_t slot_wait_ms;
+	/** Expected service time of a request, ms. */
+	int64_t service_ms;
+	/** Requests that the server runs concurrently. */
+	uint32_t slots;
 };
 
-void waiting_syns_init(struct waiting_syns *syns);
+void waiting_syns_init(struct waiting_syns *syns, bool by_work);
 
 /** Whether the SYN of the connection attempt @id is in the queue. */
 bool waiting_syns_contains(const struct waiting_syns *syns, uint64_t id);
@@ -72,19 +99,37 @@
 bool waiting_syns_pop(struct waiting_syns *syns, int64_t now_ms,
 		      int64_t service_ms, struct waiting *entry);
 
-/** Removes a SYN whose caller is about to time out and writes it to @entry.
- * False when there is none. */
+/**
+ * Removes a SYN that is to be refused and writes it to @entry. False when there
+ * is none. Its caller is about to time out; or, with `by_work`, it is late and
+ * only SYNs in time have been taken for as long as its caller still waits.
+ */
 bool waiting_syns_pop_expired(struct waiting_syns *syns, int64_t now_ms,
-			      struct waiting *entry);
+			      int64_t service_ms, struct waiting *entry);
+
+/** Whether the caller of @entry is about to time out. */
+bool waiting_is_expired(const struct waiting *entry, int64_t now_ms);
+
+/** Time until a request must have started for a caller that sent its SYN at
+ * @sent_ms, ms. */
+int64_t waiting_time_left_ms(int64_t sent_ms, int64_t now_ms);
+
+/**
+ * Expected wait of @entry if it is added now, ms: until a slot is free, and
+ * for the SYNs that the order of waiting_syns_pop() takes before it.
+ */
+int64_t waiting_syns_expected_wait_ms(const struct waiting_syns *syns,
+				      const struct waiting *entry,
+				      int64_t now_ms,
+				      const struct waiting_service *service);
 
 /**
- * Whether one more SYN, whose first copy was sent at @sent_ms, would wait until
- * its caller times out, when the server runs @slots requests concurrently that
- * take @service_ms each.
+ * Whether @entry would wait until its caller times out. Without `by_work` all
+ * waiting SYNs count as served before it.
  */
-bool waiting_syns_would_expire(const struct waiting_syns *syns, int64_t sent_ms,
-			       int64_t now_ms, int64_t service_ms,
-			       uint32_t slots);
+bool waiting_syns_would_expire(const struct waiting_syns *syns,
+			       const struct waiting *entry, int64_t now_ms,
+			       const struct waiting_service *service);
 
 /** When the next SYN expires, see waiting_syns_pop_expired(), ms; CLOCK_NEVER
  * when the queue is empty. */
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -128,6 +128,9 @@
 	int64_t report_interval_ms;
 	/** Balancers choose servers by load and get load reports. */
 	bool reports_load_to_balancers;
+	/** SYNs wait and are refused by the work ahead of them: setting
+	 * `placement` = "work". */
+	bool by_work;
 };
 
 void agent_init(struct agent *agent, const struct agent_identity *identity,
--- a/tests/unit/test_waiting.c
+++ b/tests/unit/test_waiting.c
@@ -33,7 +33,7 @@
 {
 	struct waiting_syns syns;
 
-	waiting_syns_init(&syns);
+	waiting_syns_init(&syns, false);
 	add(&syns, 1, 0, 200, 1);   /* cannot meet its objective */
 	add(&syns, 2, 400, 200, 2); /* can still meet it */
 	add(&syns, 3, 420, 200, 1); /* can still meet it, most urgent */
@@ -52,7 +52,7 @@
 	struct waiting_syns syns;
 	unsigned int pops = 0;
 
-	waiting_syns_init(&syns);
+	waiting_syns_init(&syns, false);
 	add(&syns, 1, 0, 200, 2);
 	for (uint64_t id = 2; pops < 10; id++, pops++) {
 		add(&syns, id, 500, 200, 1);
@@ -69,15 +69,18 @@
 	struct waiting_syns syns;
 	struct waiting entry;
 
-	waiting_syns_init(&syns);
+	waiting_syns_init(&syns, false);
 	g_assert_cmpint(waiting_syns_next_deadline(&syns), ==, CLOCK_NEVER);
 	add(&syns, 1, 1000, 200, 1);
 	add(&syns, 2, 900, 200, 1);
 	g_assert_cmpint(waiting_syns_next_deadline(&syns), ==, 2250);
-	g_assert_false(waiting_syns_pop_expired(&syns, 2249, &entry));
-	g_assert_true(waiting_syns_pop_expired(&syns, 2250, &entry));
+	g_assert_false(
+		waiting_syns_pop_expired(&syns, 2249, RESPONSE_MS, &entry));
+	g_assert_true(
+		waiting_syns_pop_expired(&syns, 2250, RESPONSE_MS, &entry));
 	g_assert_cmpuint(entry.id, ==, 2);
-	g_assert_false(waiting_syns_pop_expired(&syns, 2250, &entry));
+	g_assert_false(
+		waiting_syns_pop_expired(&syns, 2250, RESPONSE_MS, &entry));
 	g_assert_true(waiting_syns_contains(&syns, 1));
 	g_assert_false(waiting_syns_contains(&syns, 2));
 }
@@ -86,8 +89,9 @@
 {
 	struct waiting_syns syns;
 	struct waiting entry = {.len = WAITING_PACKET_BYTES_MAX + 1};
+	struct waiting_service service = {0, RESPONSE_MS, 5};
 
-	waiting_syns_init(&syns);
+	waiting_syns_init(&syns, false);
 	g_assert_false(waiting_syns_add(&syns, &entry));
 	for (uint64_t id = 1; id <= WAITING_ENTRIES_MAX; id++)
 		add(&syns, id, 0, 0, 0);
@@ -95,8 +99,9 @@
 	g_assert_false(waiting_syns_add(&syns, &entry));
 	/* 256 other requests of 50 ms in 5 slots take 2.5 s, more than the
 	 * caller's timeout. */
-	g_assert_true(waiting_syns_would_expire(&syns, 0, 0, RESPONSE_MS, 5));
-	g_assert_false(waiting_syns_would_expire(&syns, 0, 0, RESPONSE_MS, 20));
+	g_assert_true(waiting_syns_would_expire(&syns, &entry, 0, &service));
+	service.slots = 20;
+	g_assert_false(waiting_syns_would_expire(&syns, &entry, 0, &service));
 }
 
 /** A request in the simulation of an overload. */
@@ -141,7 +146,7 @@
 			i < BACKLOG
 				? 200 + i * 10
 				: 1000 + (i - BACKLOG) * ARRIVAL_INTERVAL_MS;
-	waiting_syns_init(&syns);
+	waiting_syns_init(&syns, false);
 	for (int64_t now_ms = 1000; now_ms < 8000; now_ms++) {
 		struct waiting entry;
 
@@ -153,7 +158,8 @@
 			arrived++;
 		}
 		while (with_waiting_syns &&
-		       waiting_syns_pop_expired(&syns, now_ms, &entry))
+		       waiting_syns_pop_expired(&syns, now_ms, RESPONSE_MS,
+						&entry))
 			;
 		for (int i = 0; i < SLOTS; i++) {
 			int id = -1;
@@ -191,6 +197,94 @@
 	g_assert_cmpuint(waiting_syns, >=, (REQUESTS - BACKLOG) * 9 / 10);
 }
 
+/* Guards against starts that end just after the objective, and against a
+ * priority that gets nothing while a more urgent one fills the slots. */
+static void test_order_by_work(void)
+{
+	struct waiting_syns syns;
+
+	waiting_syns_init(&syns, true);
+	add(&syns, 1, 370, 200, 1); /* 70 ms left: late by the margin */
+	add(&syns, 2, 410, 200, 2);
+	add(&syns, 3, 440, 200, 1);
+	add(&syns, 4, 400, 300, 1);
+	add(&syns, 5, 450, 200, 2);
+	add(&syns, 6, 430, 300, 1);
+	g_assert_cmpuint(pop(&syns, 500), ==, 3);
+	g_assert_cmpuint(pop(&syns, 500), ==, 4);
+	g_assert_cmpuint(pop(&syns, 500), ==, 6);
+	g_assert_cmpuint(pop(&syns, 500), ==, 2);
+	g_assert_cmpuint(pop(&syns, 500), ==, 5);
+	g_assert_cmpuint(pop(&syns, 500), ==, 1);
+}
+
+/* Guards against the refusal of an urgent SYN because of SYNs that it precedes.
+ */
+static void test_wait_by_work(void)
+{
+	const struct waiting_service service = {30, RESPONSE_MS, 2};
+	const struct waiting urgent = {.objective_ms = 300, .priority = 1};
+	const struct waiting other = {.objective_ms = 300, .priority = 3};
+	struct waiting_syns syns;
+
+	waiting_syns_init(&syns, true);
+	for (uint64_t id = 1; id <= 60; id++)
+		add(&syns, id, 0, 300, 2);
+	g_assert_cmpint(
+		waiting_syns_expected_wait_ms(&syns, &urgent, 0, &service), ==,
+		service.slot_wait_ms);
+	g_assert_false(waiting_syns_would_expire(&syns, &urgent, 0, &service));
+	g_assert_true(waiting_syns_would_expire(&syns, &other, 0, &service));
+}
+
+/*
+ * Arrivals of an urgent kind alone are 150% of capacity for 4 s; a second kind
+ * adds 20 requests a second. Guards against a kind without service for a
+ * second, callers that wait in vain until their timeout, and the refusal of
+ * many at once: the queue holds up to 100.
+ */
+static void test_lasting_overload(void)
+{
+	struct waiting_syns syns;
+	int64_t slot_free_ms[SLOTS] = {0}, max_refused_age_ms = 0;
+	unsigned int served[2][4] = {{0}}, max_refused = 0;
+
+	waiting_syns_init(&syns, true);
+	for (int64_t now_ms = 0; now_ms < 4000; now_ms++) {
+		struct waiting entry;
+		unsigned int refused = 0;
+
+		if (now_ms * 180 / 1000 != (now_ms + 1) * 180 / 1000)
+			add(&syns, (uint64_t)now_ms + 1, now_ms, 300, 1);
+		if (now_ms % 50 == 0)
+			add(&syns, (uint64_t)now_ms + 10001, now_ms, 250, 2);
+		while (now_ms % 10 == 0 &&
+		       waiting_syns_pop_expired(&syns, now_ms, RESPONSE_MS,
+						&entry)) {
+			refused++;
+			if (now_ms >= 2000)
+				max_refused_age_ms =
+					MAX(max_refused_age_ms,
+					    now_ms - entry.sent_ms);
+		}
+		max_refused = MAX(max_refused, refused);
+		for (int i = 0; i < SLOTS; i++) {
+			if (slot_free_ms[i] > now_ms ||
+			    !waiting_syns_pop(&syns, now_ms, RESPONSE_MS,
+					      &entry))
+				continue;
+			slot_free_ms[i] = now_ms + RESPONSE_MS;
+			served[entry.priority - 1][now_ms / 1000]++;
+		}
+	}
+	for (int second = 0; second < 4; second++) {
+		g_assert_cmpuint(served[0][second], >=, 60);
+		g_assert_cmpuint(served[1][second], >=, 1);
+	}
+	g_assert_cmpuint(max_refused, <=, 25);
+	g_assert_cmpint(max_refused_age_ms, <=, 500);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -200,5 +294,8 @@
 	g_test_add_func("/waiting/bounds", test_queue_limits);
 	g_test_add_func("/waiting/backlog-after-outage",
 			test_backlog_after_outage);
+	g_test_add_func("/waiting/order-by-work", test_order_by_work);
+	g_test_add_func("/waiting/wait-by-work", test_wait_by_work);
+	g_test_add_func("/waiting/lasting-overload", test_lasting_overload);
 	return g_test_run();
 }
