Agent: a SYN that no server can run in time is refused at once

A SYN whose wait would exceed its caller's attempt was forwarded to the next agent, which found the same, and so on through the whole service.

With by_work it goes to a candidate whose fresh load allows it, at most twice, or to one that accepts nothing at the moment (cold, restarted); else its caller gets a RST (refuse_no_server_in_time). Not refused: a retransmission, as the first copy may be open elsewhere; it is forwarded through one chain at most; a SYN that met a cold server or was in the queue of a server that has ended. The expected wait of a candidate at the greatest load is its lower bound.

Test search/hopeless-syn, 20 servers: 19 agents forwarded the SYN before, 2 now.

--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -22,6 +22,12 @@
 /* Load added to a peer for each SYN offloaded to it, until it reports its load.
  */
 #define OFFLOADED_SYN_LOAD (ADMIT_LOAD_SLOTS_FULL / 8)
+/* A SYN with a hopeless wait is forwarded to a server of known load while fewer
+ * agents than this have forwarded it: loads are up to a heartbeat interval old,
+ * and one wrong expectation may be corrected. */
+#define HOPELESS_SYN_HOPS_MAX 2
+/* Expected response time of a peer's server while none has been reported. */
+#define DEFAULT_RESPONSE_MS 50
 
 static void count(struct agent *agent, enum counter_id id)
 {
@@ -571,6 +577,80 @@
 	return true;
 }
 
+/* Expected wait for a slot at the server of @member_id that reports @load, ms.
+ * The greatest load only says that the wait isn't shorter. */
+static int64_t peer_wait_ms(const struct agent *agent, uint32_t member_id,
+			    uint16_t load, int64_t now_ms)
+{
+	int64_t service_ms = peer_load_response_ms(
+		&agent->peers, member_id, PEER_LOAD_MAX_AGE_MS, now_ms);
+
+	if (!service_ms)
+		service_ms = DEFAULT_RESPONSE_MS;
+	return (load - ADMIT_LOAD_SLOTS_FULL) * service_ms /
+	       ADMIT_LOAD_SLOTS_FULL;
+}
+
+/*
+ * Index of the candidate for a SYN that can't run here in @time_left_ms, see
+ * agent_forward_syn_in_time(), or NO_CANDIDATE. A candidate that reports no
+ * load accepts nothing at the moment: it may be cold or have restarted. One
+ * without reports is ignored.
+ */
+static int candidate_in_time(struct agent *agent,
+			     const struct packet_header *header,
+			     int64_t time_left_ms, int64_t now_ms)
+{
+	bool passed_on = PACKET_HOP_BUDGET - header->hops_left >=
+			 HOPELESS_SYN_HOPS_MAX;
+	int best = NO_CANDIDATE, closed = NO_CANDIDATE;
+	uint16_t best_load = PACKET_LOAD_FULL;
+
+	for (int i = 0; i < header->n_candidates; i++) {
+		const struct candidate *candidate = &header->candidates[i];
+		uint16_t load;
+
+		if (i == header->position || is_visited(header, i) ||
+		    candidate->flags != CANDIDATE_TAKES_NEW ||
+		    !is_reachable(agent, header, i, now_ms))
+			continue;
+		load = peer_load_get(&agent->peers, candidate->member_id,
+				     now_ms);
+		if (load == PACKET_LOAD_FULL)
+			closed = i;
+		else if (!passed_on && load < best_load &&
+			 peer_wait_ms(agent, candidate->member_id, load,
+				      now_ms) < time_left_ms) {
+			best = i;
+			best_load = load;
+		}
+	}
+	return best == NO_CANDIDATE ? closed : best;
+}
+
+bool agent_forward_syn_in_time(struct agent *agent,
+			       struct packet_header *header,
+			       const struct inner_packet *packet,
+			       int64_t time_left_ms, int64_t now_ms,
+			       struct packet_sink *sink)
+{
+	int next = candidate_in_time(agent, header, time_left_ms, now_ms);
+
+	header->visited |= (uint8_t)(1U << header->position);
+	if (next == NO_CANDIDATE && packet->sent_ago_ms)
+		next = next_reachable_candidate(agent, header, now_ms);
+	if (next == NO_CANDIDATE)
+		return false;
+	header->from = header->position;
+	peer_load_add(&agent->peers, header->candidates[next].member_id,
+		      OFFLOADED_SYN_LOAD);
+	count(agent, COUNTER_REFUSE_EXPECTED_WAIT);
+	agent_record_decision(agent, DECISION_OPEN_FORWARDED, packet, 0,
+			      "wait-hopeless", sink);
+	forward_to(agent, header, next, packet, now_ms, sink);
+	return true;
+}
+
 void agent_send_owner_hint(struct agent *agent,
 			   const struct packet_header *header,
 			   const struct inner_packet *packet,
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -244,6 +244,50 @@
 	       (agent->waiting_syns.n || admit_is_busy(&agent->admit, now_ms));
 }
 
+/*
+ * Whether a SYN that can't run at any candidate in time may be refused. Not if
+ * another agent may have opened the connection of an earlier copy, if this
+ * agent may know too few candidates, or if a server is cold or was down, as
+ * that one may accept a retransmission.
+ */
+static bool may_refuse_syn(const struct agent *agent,
+			   const struct packet_header *header,
+			   const struct inner_packet *packet)
+{
+	return !packet->sent_ago_ms && !header->warming &&
+	       (uint64_t)agent->view->config_revision >=
+		       header->config_revision;
+}
+
+/*
+ * Handles a SYN that can't run here before its caller times out, with
+ * by_work: forwards it to a candidate where it can, else refuses its caller.
+ */
+static void handle_hopeless_syn(struct agent *agent,
+				struct packet_header *header,
+				const struct inner_packet *packet,
+				int64_t now_ms, struct packet_sink *sink)
+{
+	int64_t sent_ms = now_ms - packet->sent_ago_ms;
+
+	header->warming |= now_ms < agent->admit.cold_until_ms;
+	if (agent_forward_syn_in_time(agent, header, packet,
+				      waiting_time_left_ms(sent_ms, now_ms),
+				      now_ms, sink))
+		return;
+	if (may_refuse_syn(agent, header, packet)) {
+		agent_count(agent, COUNTER_REFUSE_NO_SERVER_IN_TIME);
+		agent_record_decision(agent, DECISION_OPEN_REFUSED, packet, 0,
+				      "no-server-in-time", sink);
+		agent_reset_caller(agent, packet, sink);
+		return;
+	}
+	agent_count(agent, header->warming ? COUNTER_DROP_OPEN_WARMING
+					   : COUNTER_DROP_OPEN_UNCERTAIN);
+	agent_record_decision(agent, DECISION_SEARCH_ENDED, packet, 0,
+			      header->warming ? "warming" : "unsure", sink);
+}
+
 void agent_handle_syn(struct agent *agent, struct packet_header *header,
 		      const struct inner_packet *packet, int64_t now_ms,
 		      struct packet_sink *sink)
@@ -258,6 +302,11 @@
 					      packet, 0, NULL, sink);
 			return;
 		}
+		if (agent->waiting_syns.by_work) {
+			handle_hopeless_syn(agent, header, packet, now_ms,
+					    sink);
+			return;
+		}
 		agent_count(agent, COUNTER_REFUSE_EXPECTED_WAIT);
 		agent_record_decision(agent, DECISION_OPEN_FORWARDED, packet, 0,
 				      "wait-hopeless", sink);
@@ -267,10 +316,23 @@
 	open_connection(agent, header, packet, now_ms, sink);
 }
 
-/* Opens the connection of a SYN that has waited. If the wait has @expired, the
- * caller gets a RST. */
+/* Resets the caller of a SYN whose wait has ended without a free slot. */
+static void refuse_waiting_syn(struct agent *agent, const struct waiting *entry,
+			       const struct inner_packet *packet,
+			       int64_t now_ms, struct packet_sink *sink)
+{
+	bool expired = waiting_is_expired(entry, now_ms);
+
+	agent_count(agent, expired ? COUNTER_REFUSE_WAIT_EXPIRED
+				   : COUNTER_REFUSE_NO_TURN);
+	agent_record_decision(agent, DECISION_OPEN_REFUSED, packet, 0,
+			      expired ? "waited-too-long" : "no-turn", sink);
+	agent_reset_caller(agent, packet, sink);
+}
+
+/* Opens the connection of a SYN that has waited, or refuses its caller. */
 static void finish_waiting_syn(struct agent *agent, const struct waiting *entry,
-			       bool expired, int64_t now_ms,
+			       bool refused, int64_t now_ms,
 			       struct packet_sink *sink)
 {
 	struct packet_header header;
@@ -280,12 +342,12 @@
 	histogram_record(&agent->syn_wait_times_ms, now_ms - entry->sent_ms);
 	if (!agent->format->parse(&packet, entry->data, entry->len))
 		return;
-	if (expired) {
-		agent_count(agent, COUNTER_REFUSE_WAIT_EXPIRED);
-		agent_record_decision(agent, DECISION_OPEN_REFUSED, &packet, 0,
-				      "waited-too-long", sink);
-		agent_reset_caller(agent, &packet, sink);
+	if (refused) {
+		refuse_waiting_syn(agent, entry, &packet, now_ms, sink);
 	} else if (agent_init_header(agent, &packet, &header)) {
+		/* When the server accepts none, the whole queue is forwarded:
+		 * the next agent doesn't refuse it in one moment. */
+		header.warming = agent->waiting_syns.by_work;
 		open_connection(agent, &header, &packet, now_ms, sink);
 	}
 }
--- a/include/tarragonflow/common/counter.h
+++ b/include/tarragonflow/common/counter.h
@@ -144,6 +144,8 @@
 	X(OPEN_QUEUED, "opens_waited")                                        \
 	X(OPEN_OFFLOADED, "opens_relieved")                                   \
 	X(REFUSE_EXPECTED_WAIT, "refuse_wait_hopeless")                       \
+	X(REFUSE_NO_TURN, "refuse_no_turn")                                   \
+	X(REFUSE_NO_SERVER_IN_TIME, "refuse_no_server_in_time")               \
 	X(REFUSE_WAIT_EXPIRED, "refuse_waited_too_long")                      \
 	X(PACKET_RELAYED, "packets_relayed")                                  \
 	X(PACKET_PACED, "packets_paced")                                      \
--- a/include/tarragonflow/flow/agent_route.h
+++ b/include/tarragonflow/flow/agent_route.h
@@ -29,6 +29,19 @@
 			const struct inner_packet *packet, int64_t now_ms,
 			struct packet_sink *sink);
 
+/**
+ * Forwards a SYN that would wait here until its caller times out in
+ * @time_left_ms. It goes to the candidate with the least known load, if that
+ * one is expected to run it in time; else to one that may be cold or have
+ * restarted; a retransmission to any of the chain, as one may have accepted an
+ * earlier copy. Returns false when there is none.
+ */
+bool agent_forward_syn_in_time(struct agent *agent,
+			       struct packet_header *header,
+			       const struct inner_packet *packet,
+			       int64_t time_left_ms, int64_t now_ms,
+			       struct packet_sink *sink);
+
 /**
  * Forwards a SYN that would have to wait at this agent to a candidate whose
  * latest load report shows free slots. Returns false without such a candidate.
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -494,6 +494,19 @@
 	deliver_datagrams(cluster);
 }
 
+/* A SYN that was transmitted @earlier_copies times before. */
+static void send_syn_copy(struct cluster *cluster, uint16_t port,
+			  uint32_t earlier_copies)
+{
+	uint8_t out[PACKET_MAX];
+	size_t len = make_packet(out, true, port, FLAG_SYN, 0);
+
+	put_u32(out + 23, earlier_copies);
+	balancer_handle_packet(&cluster->balancer, out, len, cluster->now_ms,
+			       &cluster->balancer_sink);
+	deliver_datagrams(cluster);
+}
+
 static void open_connection(struct cluster *cluster, uint16_t port)
 {
 	send_from_caller(cluster, port, FLAG_SYN, 0);
@@ -1857,6 +1870,123 @@
 	cluster_finish(&cluster);
 }
 
+/* Counts SYNs that agents forwarded to one another. */
+static unsigned int count_forwarded_syns(const struct cluster *cluster)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 1; i <= cluster->n; i++)
+		n += (unsigned int)counter_get(&cluster->hosts[i].counters,
+					       COUNTER_OPEN_FORWARDED);
+	return n;
+}
+
+/* A cluster in which no server can run a SYN within a caller's timeout: the
+ * running requests take 4 s. */
+static void cluster_init_overloaded(struct cluster *cluster, unsigned int n,
+				    bool by_work)
+{
+	cluster_init(cluster, n, n + 1);
+	for (unsigned int i = 1; i <= n; i++) {
+		struct agent *agent = &cluster->hosts[i].agent;
+
+		waiting_syns_init(&agent->waiting_syns, by_work);
+		agent->admit.running = 400;
+	}
+	advance_time(cluster, 200);
+}
+
+/*
+ * Guards against SYNs that travel through all agents although each finds the
+ * same: by work, a caller is refused after two of them, and it gets one RST. A
+ * retransmission isn't refused, as the first copy may be open elsewhere.
+ */
+static void test_hopeless_syn(void)
+{
+	struct cluster cluster;
+	unsigned int forwarded[2];
+
+	for (int by_work = 0; by_work < 2; by_work++) {
+		cluster_init_overloaded(&cluster, 20, by_work);
+		for (unsigned int i = 1; !by_work && i <= cluster.n; i++)
+			for (uint64_t id = 1; id <= WAITING_ENTRIES_MAX; id++)
+				waiting_syns_add(
+					&cluster.hosts[i].agent.waiting_syns,
+					&(struct waiting){
+						.id = id,
+						.sent_ms = cluster.now_ms});
+		send_from_caller(&cluster, 1, FLAG_SYN, 0);
+		forwarded[by_work] = count_forwarded_syns(&cluster);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+		if (by_work) {
+			send_syn_copy(&cluster, 2, 1);
+			g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+			g_assert_cmpuint(count_forwarded_syns(&cluster), ==,
+					 forwarded[1] + CHAIN_MAX - 1);
+		}
+		cluster_finish(&cluster);
+	}
+	g_test_message("forwarded %u times before, %u by work", forwarded[0],
+		       forwarded[1]);
+	g_assert_cmpuint(forwarded[0], >=, 19);
+	g_assert_cmpuint(forwarded[1], <=, 2);
+}
+
+/* Guards against refusals while a server is down for a moment, where the
+ * retransmitted SYN is opened, or while all are cold. */
+static void test_hopeless_syn_cold_server(void)
+{
+	struct cluster cluster;
+	struct admit *cold;
+
+	cluster_init_overloaded(&cluster, 4, true);
+	cold = &cluster.hosts[2].agent.admit;
+	cold->running = 0;
+	cold->down_until_ms = cluster.now_ms + 400;
+	advance_time(&cluster, 200);
+	send_from_caller(&cluster, 1, FLAG_SYN, 0);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	advance_time(&cluster, 400);
+	send_syn_copy(&cluster, 1, 2);
+	g_assert_cmpuint(owner_of(&cluster, 1), ==, 2);
+	for (unsigned int i = 1; i <= cluster.n; i++) {
+		cluster.hosts[i].agent.admit.cold_until_ms =
+			cluster.now_ms + 1000;
+		cluster.hosts[i].agent.admit.running = 400;
+	}
+	send_from_caller(&cluster, 2, FLAG_SYN, 0);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	cluster_finish(&cluster);
+}
+
+/* Guards against refusals although a known server is in time, and against one
+ * moment in which a whole queue is refused, when its server ends. */
+static void test_hopeless_syn_elsewhere(void)
+{
+	struct cluster cluster;
+	struct agent *first, *second;
+
+	cluster_init_overloaded(&cluster, 6, true);
+	first = &cluster.hosts[3].agent;
+	second = &cluster.hosts[5].agent;
+	first->admit.running = 7;
+	second->admit.running = 12;
+	advance_time(&cluster, 200);
+	for (uint16_t port = 1; port <= 4; port++)
+		send_from_caller(&cluster, port, FLAG_SYN, 0);
+	g_assert_cmpuint(first->waiting_syns.n, ==, 4);
+	/* The balancer doesn't know this yet. */
+	first->admit.running = 400;
+	send_from_caller(&cluster, 5, FLAG_SYN, 0);
+	g_assert_cmpuint(second->waiting_syns.n, ==, 1);
+	second->admit.running = 400;
+	agent_drain(first);
+	advance_time(&cluster, 200);
+	g_assert_cmpuint(first->waiting_syns.n, ==, 0);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	cluster_finish(&cluster);
+}
+
 /*
  * An agent whose load reports are missing gets no SYNs. A retransmitted SYN,
  * whose first copy went to such an agent, goes to another one.
@@ -2391,6 +2521,11 @@
 	g_test_add_func("/search/syn-retransmitted", test_syn_retransmitted);
 	g_test_add_func("/search/waiting-syn-opened-elsewhere",
 			test_waiting_syn_opened_elsewhere);
+	g_test_add_func("/search/hopeless-syn", test_hopeless_syn);
+	g_test_add_func("/search/hopeless-syn-cold-server",
+			test_hopeless_syn_cold_server);
+	g_test_add_func("/search/hopeless-syn-elsewhere",
+			test_hopeless_syn_elsewhere);
 	g_test_add_func("/search/unreachable-agent", test_unreachable_agent);
 	g_test_add_func("/search/one-way-link", test_one_way_link);
 	g_test_add_func("/search/search-through-third-agent",
