Waiting SYNs: no refusal without a turn while a copy may be open elsewhere

A waiting SYN was refused once it was late and had no turn, after 0.25 s, while its retransmission of 200 ms may have reached another agent, which opened the connection; the RST would end it. The queue now records the copies that arrive, and refuses a SYN before its caller times out only if the latest one that is due has arrived here.

--- a/admit/waiting_syns.c
+++ b/admit/waiting_syns.c
@@ -7,6 +7,9 @@
 
 /* Callers time out a connection attempt 1400 ms after its first SYN. */
 #define ATTEMPT_TIMEOUT_MS 1400
+/* Callers retransmit a SYN this long after its first copy. */
+#define FIRST_RETRANSMISSION_MS 200
+#define LAST_RETRANSMISSION_MS 600
 /* Time for the rejection to reach the caller before its timeout. */
 #define REJECTION_DELAY_MS 50
 /* One in this many calls of waiting_syns_pop() takes the oldest SYN. */
@@ -27,11 +30,17 @@
 	syns->in_time_last_ms = CLOCK_NEVER;
 }
 
-bool waiting_syns_contains(const struct waiting_syns *syns, uint64_t id)
+bool waiting_syns_record_copy(struct waiting_syns *syns, uint64_t id,
+			      int64_t copy_age_ms)
 {
-	for (size_t i = 0; i < syns->n; i++)
-		if (syns->entries[i].id == id)
-			return true;
+	for (size_t i = 0; i < syns->n; i++) {
+		struct waiting *entry = &syns->entries[i];
+
+		if (entry->id != id)
+			continue;
+		entry->copy_age_ms = MAX(entry->copy_age_ms, copy_age_ms);
+		return true;
+	}
 	return false;
 }
 
@@ -214,6 +223,18 @@
 	return sent_ms + ATTEMPT_TIMEOUT_MS - REJECTION_DELAY_MS - now_ms;
 }
 
+/* Whether the latest copy that the caller of @entry has sent arrived here.
+ * Otherwise another agent may have opened the connection. */
+static bool has_latest_copy(const struct waiting *entry, int64_t now_ms)
+{
+	int64_t age_ms = now_ms - entry->sent_ms;
+
+	if (age_ms >= LAST_RETRANSMISSION_MS)
+		return entry->copy_age_ms >= LAST_RETRANSMISSION_MS;
+	return age_ms < FIRST_RETRANSMISSION_MS ||
+	       entry->copy_age_ms >= FIRST_RETRANSMISSION_MS;
+}
+
 /*
  * Whether the late @entry will get no turn, as far as the past shows: SYNs in
  * time have had all turns for as long as its caller still waits. When an
@@ -243,7 +264,8 @@
 		return true;
 	}
 	for (size_t i = 0; i < syns->n; i++)
-		if (gets_no_turn(syns, &syns->entries[i], now_ms, service_ms)) {
+		if (gets_no_turn(syns, &syns->entries[i], now_ms, service_ms) &&
+		    has_latest_copy(&syns->entries[i], now_ms)) {
 			remove_entry(syns, i, entry);
 			return true;
 		}
--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -336,6 +336,8 @@
 	struct waiting entry = {
 		.id = (uint64_t)simulation->n_requests,
 		.sent_ms = now_ms,
+		/* Copies are not simulated: as if all arrive here. */
+		.copy_age_ms = ATTEMPT_TIMEOUT_MS,
 		.objective_ms = OBJECTIVE_MS,
 		.priority = 1,
 	};
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -217,12 +217,14 @@
 	struct waiting entry = {
 		.id = agent_attempt_id(packet),
 		.sent_ms = now_ms - packet->sent_ago_ms,
+		.copy_age_ms = packet->sent_ago_ms,
 		.len = (uint16_t)packet->len,
 	};
 
 	if (!route || packet->len > WAITING_PACKET_BYTES_MAX)
 		return false;
-	if (waiting_syns_contains(&agent->waiting_syns, entry.id))
+	if (waiting_syns_record_copy(&agent->waiting_syns, entry.id,
+				     packet->sent_ago_ms))
 		return true;
 	entry.objective_ms = route->objective_ms;
 	entry.priority = route->priority;
--- a/include/tarragonflow/admit/waiting_syns.h
+++ b/include/tarragonflow/admit/waiting_syns.h
@@ -44,6 +44,9 @@
 	int64_t sent_ms;
 	/** Response time objective, counted from sent_ms, ms; 0: not set. */
 	int64_t objective_ms;
+	/** Estimated age of the SYN when its latest copy was sent that arrived
+	 * here, ms; 0: only the first copy has arrived. */
+	int64_t copy_age_ms;
 	/** Priority of the route; 0 is the most urgent. */
 	uint16_t priority;
 	/** The packet, and its length in bytes. */
@@ -81,8 +84,10 @@
 
 void waiting_syns_init(struct waiting_syns *syns, bool by_work);
 
-/** Whether the SYN of the connection attempt @id is in the queue. */
-bool waiting_syns_contains(const struct waiting_syns *syns, uint64_t id);
+/** Records that a copy of the SYN of the connection attempt @id has arrived,
+ * sent @copy_age_ms after the first one. False when it is not in the queue. */
+bool waiting_syns_record_copy(struct waiting_syns *syns, uint64_t id,
+			      int64_t copy_age_ms);
 
 /** Removes the SYN of the connection attempt @id. False when it is not in the
  * queue. */
@@ -102,7 +107,9 @@
 /**
  * Removes a SYN that is to be refused and writes it to @entry. False when there
  * is none. Its caller is about to time out; or, with `by_work`, it is late and
- * only SYNs in time have been taken for as long as its caller still waits.
+ * only SYNs in time have been taken for as long as its caller still waits, and
+ * the copies that its caller has sent have arrived here, so that none of them
+ * has been accepted elsewhere.
  */
 bool waiting_syns_pop_expired(struct waiting_syns *syns, int64_t now_ms,
 			      int64_t service_ms, struct waiting *entry);
--- a/tests/unit/test_waiting.c
+++ b/tests/unit/test_waiting.c
@@ -81,8 +81,8 @@
 	g_assert_cmpuint(entry.id, ==, 2);
 	g_assert_false(
 		waiting_syns_pop_expired(&syns, 2250, RESPONSE_MS, &entry));
-	g_assert_true(waiting_syns_contains(&syns, 1));
-	g_assert_false(waiting_syns_contains(&syns, 2));
+	g_assert_true(waiting_syns_record_copy(&syns, 1, 0));
+	g_assert_false(waiting_syns_record_copy(&syns, 2, 0));
 }
 
 static void test_queue_limits(void)
@@ -240,14 +240,15 @@
 /*
  * Arrivals of an urgent kind alone are 150% of capacity for 4 s; a second kind
  * adds 20 requests a second. Guards against a kind without service for a
- * second, callers that wait in vain until their timeout, and the refusal of
- * many at once: the queue holds up to 100.
+ * second, callers that wait in vain until their timeout, the refusal of many at
+ * once (the queue holds up to 100), and the refusal of callers whose
+ * retransmissions may have been accepted elsewhere.
  */
 static void test_lasting_overload(void)
 {
 	struct waiting_syns syns;
 	int64_t slot_free_ms[SLOTS] = {0}, max_refused_age_ms = 0;
-	unsigned int served[2][4] = {{0}}, max_refused = 0;
+	unsigned int served[2][4] = {{0}}, max_refused = 0, without_copy = 0;
 
 	waiting_syns_init(&syns, true);
 	for (int64_t now_ms = 0; now_ms < 4000; now_ms++) {
@@ -258,11 +259,20 @@
 			add(&syns, (uint64_t)now_ms + 1, now_ms, 300, 1);
 		if (now_ms % 50 == 0)
 			add(&syns, (uint64_t)now_ms + 10001, now_ms, 250, 2);
+		/* Copies of SYNs with odd ids don't arrive here. */
+		for (size_t i = 0; i < syns.n; i++)
+			if (syns.entries[i].id % 2 == 0)
+				waiting_syns_record_copy(
+					&syns, syns.entries[i].id,
+					now_ms - syns.entries[i].sent_ms);
 		while (now_ms % 10 == 0 &&
 		       waiting_syns_pop_expired(&syns, now_ms, RESPONSE_MS,
 						&entry)) {
 			refused++;
-			if (now_ms >= 2000)
+			without_copy += entry.id % 2 &&
+					now_ms - entry.sent_ms >= 200 &&
+					!waiting_is_expired(&entry, now_ms);
+			if (now_ms >= 2000 && entry.id % 2 == 0)
 				max_refused_age_ms =
 					MAX(max_refused_age_ms,
 					    now_ms - entry.sent_ms);
@@ -281,6 +291,7 @@
 		g_assert_cmpuint(served[0][second], >=, 60);
 		g_assert_cmpuint(served[1][second], >=, 1);
 	}
+	g_assert_cmpuint(without_copy, ==, 0);
 	g_assert_cmpuint(max_refused, <=, 25);
 	g_assert_cmpint(max_refused_age_ms, <=, 500);
 }
