--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -491,7 +491,8 @@
 	uint32_t slots = (uint32_t)simulation->pattern->slots;
 
 	admit_init(admit, CONNECTION_LIMIT, slots, now_ms);
-	waiting_syns_init(&simulation->servers[i].admission_queue);
+	waiting_syns_init(&simulation->servers[i].admission_queue,
+			  simulation->policy == POLICY_WORK);
 	admit_apply_report(admit, slots, 0, 0, now_ms);
 	admit->by_work = simulation->policy == POLICY_WORK;
 }
@@ -562,7 +563,7 @@
 {
 	int64_t *response_times_ms = g_new(int64_t, REQUESTS_MAX);
 	int n_in_time[KINDS] = {0}, n_sent[KINDS] = {0};
-	size_t n_served = 0;
+	size_t n_served = 0, p99_index;
 
 	for (int i = 0; i < simulation->n_requests; i++) {
 		const struct request *request = &simulation->requests[i];
@@ -576,7 +577,8 @@
 	}
 	qsort(response_times_ms, n_served, sizeof(*response_times_ms),
 	      compare_ms);
-	result->p99_ms = (double)response_times_ms[n_served * 99 / 100];
+	p99_index = n_served * 99 / 100;
+	result->p99_ms = (double)response_times_ms[p99_index];
 	result->in_time = 100.0 *
 			  (n_in_time[KIND_SINGLE] + n_in_time[KIND_FEED]) /
 			  simulation->n_requests;
--- a/bench/main.c
+++ b/bench/main.c
@@ -10,10 +10,12 @@
  * environment variable BENCH_JSON. Exits with 1 when a bound does not hold.
  */
 static const struct bench_group *const groups[] = {
-	&bench_order,	   &bench_churn,    &bench_chains,   &bench_balance,
-	&bench_admit,	   &bench_route,    &bench_packets,  &bench_pipeline,
-	&bench_flows,	   &bench_ring,	    &bench_startup,  &bench_release,
-	&bench_membership, &bench_platform, &bench_overload,
+	&bench_order,	       &bench_churn,	&bench_chains,
+	&bench_balance,	       &bench_admit,	&bench_route,
+	&bench_packets,	       &bench_pipeline, &bench_flows,
+	&bench_ring,	       &bench_startup,	&bench_release,
+	&bench_membership,     &bench_platform, &bench_overload,
+	&bench_overload_kinds,
 };
 
 static bool group_selected(int argc, char **argv, const char *name)
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -63,6 +63,7 @@
 	admit_init(&agent->admit, identity->connections, identity->slots,
 		   now_ms);
 	agent->admit.by_work = identity->place_by_work;
+	waiting_syns_init(&agent->waiting_syns, identity->place_by_work);
 }
 
 void agent_finish(struct agent *agent)
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -1,6 +1,7 @@
 #include "tarragonflow/flow/agent_syn.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #include "tarragonflow/flow/agent_flow.h"
@@ -184,6 +185,26 @@
 	return mean > 0 ? (int64_t)mean : DEFAULT_RESPONSE_MS;
 }
 
+/* The speed of the server for a SYN of @kind; by_work, as the cost model
+ * expects it. */
+static struct waiting_service expected_service(const struct agent *agent,
+					       uint8_t kind, int64_t now_ms)
+{
+	const struct admit *admit = &agent->admit;
+	struct waiting_service service = {
+		.service_ms = expected_response_ms(agent),
+		.slots = admit->slots_max,
+	};
+
+	if (!agent->waiting_syns.by_work)
+		return service;
+	service.service_ms =
+		(int64_t)ceil(cost_expected_ms(&admit->cost, kind));
+	service.slot_wait_ms = (int64_t)cost_slot_wait_ms(
+		&admit->cost, admit->slots_max, now_ms);
+	return service;
+}
+
 uint64_t agent_attempt_id(const struct inner_packet *packet)
 {
 	return flow_key_hash(&packet->key, packet->seq);
@@ -198,6 +219,9 @@
 {
 	const struct route_view *route =
 		view_find_route(agent->view, &packet->key);
+	uint8_t kind = agent_kind_of(agent, &packet->key);
+	const struct waiting_service service =
+		expected_service(agent, kind, now_ms);
 	struct waiting entry = {
 		.id = agent_attempt_id(packet),
 		.sent_ms = now_ms - packet->sent_ago_ms,
@@ -208,17 +232,17 @@
 		return false;
 	if (waiting_syns_contains(&agent->waiting_syns, entry.id))
 		return true;
-	if (waiting_syns_would_expire(&agent->waiting_syns, entry.sent_ms,
-				      now_ms, expected_response_ms(agent),
-				      agent->admit.slots_max))
-		return false;
 	entry.objective_ms = route->objective_ms;
 	entry.priority = route->priority;
+	if (agent->waiting_syns.by_work)
+		entry.service_ms = service.service_ms;
+	if (waiting_syns_would_expire(&agent->waiting_syns, &entry, now_ms,
+				      &service))
+		return false;
 	memcpy(entry.data, packet->data, packet->len);
 	if (!waiting_syns_add(&agent->waiting_syns, &entry))
 		return false;
-	admit_adjust_waiting(&agent->admit, agent_kind_of(agent, &packet->key),
-			     1);
+	admit_adjust_waiting(&agent->admit, kind, 1);
 	agent_count(agent, COUNTER_OPEN_QUEUED);
 	return true;
 }
@@ -230,6 +254,50 @@
 	       (agent->waiting_syns.n || admit_is_busy(&agent->admit, now_ms));
 }
 
+/*
+ * Whether a SYN that can't run at any candidate in time may be refused. Not if
+ * another agent may have opened the connection of an earlier copy, if this
+ * agent may know too few candidates, or if a server is cold or was down, as
+ * that one may accept a retransmission.
+ */
+static bool may_refuse_syn(const struct agent *agent,
+			   const struct packet_header *header,
+			   const struct inner_packet *packet)
+{
+	return !packet->sent_ago_ms && !header->warming &&
+	       (uint64_t)agent->view->config_revision >=
+		       header->config_revision;
+}
+
+/*
+ * Handles a SYN that can't run here before its caller times out, with
+ * by_work: forwards it to a candidate where it can, else refuses its caller.
+ */
+static void handle_hopeless_syn(struct agent *agent,
+				struct packet_header *header,
+				const struct inner_packet *packet,
+				int64_t now_ms, struct packet_sink *sink)
+{
+	int64_t sent_ms = now_ms - packet->sent_ago_ms;
+
+	header->warming |= now_ms < agent->admit.cold_until_ms;
+	if (agent_forward_syn_in_time(agent, header, packet,
+				      waiting_time_left_ms(sent_ms, now_ms),
+				      now_ms, sink))
+		return;
+	if (may_refuse_syn(agent, header, packet)) {
+		agent_count(agent, COUNTER_REFUSE_NO_SERVER_IN_TIME);
+		agent_record_decision(agent, DECISION_OPEN_REFUSED, packet, 0,
+				      "no-server-in-time", sink);
+		agent_reset_caller(agent, packet, sink);
+		return;
+	}
+	agent_count(agent, header->warming ? COUNTER_DROP_OPEN_WARMING
+					   : COUNTER_DROP_OPEN_UNCERTAIN);
+	agent_record_decision(agent, DECISION_SEARCH_ENDED, packet, 0,
+			      header->warming ? "warming" : "unsure", sink);
+}
+
 void agent_handle_syn(struct agent *agent, struct packet_header *header,
 		      const struct inner_packet *packet, int64_t now_ms,
 		      struct packet_sink *sink)
@@ -244,6 +312,11 @@
 					      packet, 0, NULL, sink);
 			return;
 		}
+		if (agent->waiting_syns.by_work) {
+			handle_hopeless_syn(agent, header, packet, now_ms,
+					    sink);
+			return;
+		}
 		agent_count(agent, COUNTER_REFUSE_EXPECTED_WAIT);
 		agent_record_decision(agent, DECISION_OPEN_FORWARDED, packet, 0,
 				      "wait-hopeless", sink);
@@ -275,6 +348,9 @@
 				      "waited-too-long", sink);
 		agent_reset_caller(agent, &packet, sink);
 	} else if (agent_init_header(agent, &packet, &header)) {
+		/* When the server accepts none, the whole queue is forwarded:
+		 * the next agent doesn't refuse it in one moment. */
+		header.warming = agent->waiting_syns.by_work;
 		open_connection(agent, &header, &packet, now_ms, sink);
 	}
 }
--- a/tests/unit/test_cost.c
+++ b/tests/unit/test_cost.c
@@ -166,12 +166,38 @@
 			 PACKET_LOAD_FULL);
 }
 
+/* Guards against a wait that counts only requests: the time until a slot is
+ * free follows from the age of the running requests and from those queued. */
+static void test_slot_wait(void)
+{
+	struct cost cost;
+	uint8_t kind;
+	int64_t now_ms;
+
+	cost_init(&cost);
+	kind = cost_find_kind(&cost, KEY, 0);
+	now_ms = serve(&cost, kind, 200, 40, 1000);
+	for (int i = 0; i < SLOTS - 1; i++)
+		cost_start_request(&cost, kind, SLOTS, now_ms);
+	assert_near(cost_slot_wait_ms(&cost, SLOTS, now_ms), 0, 0);
+	cost_start_request(&cost, kind, SLOTS, now_ms);
+	assert_near(cost_slot_wait_ms(&cost, SLOTS, now_ms), 10, 1);
+	assert_near(cost_slot_wait_ms(&cost, SLOTS, now_ms + 20), 5, 1);
+	for (int i = 0; i < SLOTS; i++)
+		cost_start_request(&cost, kind, SLOTS, now_ms);
+	assert_near(cost_slot_wait_ms(&cost, SLOTS, now_ms), 50, 2);
+	cost_forget_running(&cost);
+	cost.n_uncounted = 2 * SLOTS;
+	assert_near(cost_slot_wait_ms(&cost, SLOTS, now_ms), 50, 2);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/cost/expected-work", test_expected_work);
 	g_test_add_func("/cost/running-requests", test_running_requests);
 	g_test_add_func("/cost/busy-share", test_busy_share);
+	g_test_add_func("/cost/slot-wait", test_slot_wait);
 	g_test_add_func("/cost/load", test_load);
 	return g_test_run();
 }
