--- a/admit/cost.c
+++ b/admit/cost.c
@@ -248,6 +248,35 @@
 	return MIN(remaining_ms, timeout_ms - waited_ms);
 }
 
+/* The slots become free as if remaining times were distributed exponentially:
+ * the first one after the inverse of the sum of their rates. */
+double cost_slot_wait_ms(const struct cost *cost, uint32_t slots,
+			 int64_t now_ms)
+{
+	double mean_ms = cost_mean_ms(cost), rate = 0, queued_ms = 0;
+	uint32_t in_use = 0, uncounted_in_use;
+
+	for (size_t i = 0; i < cost->n_running; i++) {
+		const struct cost_request *request = &cost->running[i];
+		double remaining_ms =
+			cost_request_remaining_ms(cost, request, now_ms);
+
+		if (request->has_slot) {
+			in_use++;
+			rate += 1 / MAX(remaining_ms, 1);
+		} else {
+			queued_ms += remaining_ms;
+		}
+	}
+	uncounted_in_use =
+		MIN(cost->n_uncounted, slots > in_use ? slots - in_use : 0);
+	if (!slots || in_use + uncounted_in_use < slots)
+		return 0;
+	rate += uncounted_in_use / mean_ms;
+	queued_ms += (cost->n_uncounted - uncounted_in_use) * mean_ms;
+	return 1 / rate + queued_ms / slots;
+}
+
 double cost_busy_share(const struct cost *cost, uint8_t kind)
 {
 	const struct cost_kind *observed = &cost->kinds[kind];
--- a/include/tarragonflow/admit/cost.h
+++ b/include/tarragonflow/admit/cost.h
@@ -116,6 +116,14 @@
 				 const struct cost_request *request,
 				 int64_t now_ms);
 
+/**
+ * Expected time until a server with @slots slots has a free one for a request
+ * that arrives now, ms; 0: one is free. Running requests without a slot get one
+ * before it.
+ */
+double cost_slot_wait_ms(const struct cost *cost, uint32_t slots,
+			 int64_t now_ms);
+
 /** Expected share of the open time of a connection of @kind in which a request
  * runs, 0 to 1. */
 double cost_busy_share(const struct cost *cost, uint8_t kind);
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -137,7 +137,9 @@
 	int64_t report_interval_ms;
 	/** Balancers choose servers by load and get load reports. */
 	bool reports_load_to_balancers;
-	/** The load is the work left, see admit.by_work. */
+	/** Setting `placement` = "work": the load is the work left, see
+	 * admit.by_work, and SYNs wait and are refused by the work ahead of
+	 * them, see waiting_syns.by_work. */
 	bool place_by_work;
 };
 
