--- a/include/tarragonflow/admit/waiting_syns.h
+++ b/include/tarragonflow/admit/waiting_syns.h
@@ -20,7 +20,7 @@
  * time is a parameter.
  *
  * With `by_work`, a SYN counts as in time only with a margin for the variance
- * of service times, and one in OLDEST_INTERVAL calls takes a SYN of the
+ * of service times, and one in WAITING_OLDEST_INTERVAL calls takes a SYN of the
  * priority that has had no turn for longest; see docs/design/overload.md.
  */
 
