--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -41,7 +41,7 @@
 /* Candidates of a connection where there are several balancers. */
 #define CANDIDATES 8
 /* Difference of the work left that balancers ignore, as in balancer.c. */
-#define EQUAL_LOAD_RANGE (PACKET_LOAD_SCALE / 30)
+#define EQUAL_LOAD_RANGE 2000.0
 /* Of requests with a heavy tail this share takes this many times as long. */
 #define TAIL_SHARE 0.03
 #define TAIL_FACTOR 7
@@ -575,7 +575,7 @@
 {
 	int64_t *response_times_ms = g_new(int64_t, REQUESTS_MAX);
 	int n_in_time[KINDS] = {0}, n_sent[KINDS] = {0};
-	size_t n_served = 0;
+	size_t n_served = 0, p99_index;
 
 	for (int i = 0; i < simulation->n_requests; i++) {
 		const struct request *request = &simulation->requests[i];
@@ -589,7 +589,8 @@
 	}
 	qsort(response_times_ms, n_served, sizeof(*response_times_ms),
 	      compare_ms);
-	result->p99_ms = (double)response_times_ms[n_served * 99 / 100];
+	p99_index = n_served * 99 / 100;
+	result->p99_ms = (double)response_times_ms[p99_index];
 	result->in_time = 100.0 *
 			  (n_in_time[KIND_SINGLE] + n_in_time[KIND_FEED]) /
 			  simulation->n_requests;
