--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -41,7 +41,7 @@
 /* Candidates of a connection where there are several balancers. */
 #define CANDIDATES 8
 /* Difference of the work left that balancers ignore, as in balancer.c. */
-#define EQUAL_LOAD_RANGE (PACKET_LOAD_SCALE / 30)
+#define EQUAL_LOAD_RANGE 2000.0
 /* Of requests with a heavy tail this share takes this many times as long. */
 #define TAIL_SHARE 0.03
 #define TAIL_FACTOR 7
