Searches that can't be conclusive end after 64 hops again

With agents unreachable, searches can't lead to a RST and still visited all 204 agents at each copy. 240 hops hold only for searches that can be conclusive.

/search/doubtful-search-is-short fails without the limit.

--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -93,8 +93,11 @@
 		       struct packet_sink *sink)
 {
 	const struct candidate *next = &header->candidates[i];
+	bool doubtful = header->doubt && !inner_opens_connection(packet) &&
+			header->hops_left <=
+				PACKET_HOP_BUDGET - PACKET_DOUBTFUL_HOPS;
 
-	if (!header->hops_left) {
+	if (!header->hops_left || doubtful) {
 		count(agent, COUNTER_DROP_HOP_BUDGET);
 		agent_record_decision(agent, DECISION_SEARCH_ENDED, packet,
 				      next->member_id, "hop-limit", sink);
--- a/include/tarragonflow/net/packet.h
+++ b/include/tarragonflow/net/packet.h
@@ -23,6 +23,13 @@
  */
 #define PACKET_HOP_BUDGET 240
 
+/**
+ * Hops after which a search that is already inconclusive ends: it can't lead to
+ * a RST, and in a service of 200 agents, some of them unreachable, searches of
+ * 240 hops doubled the bytes between zones.
+ */
+#define PACKET_DOUBTFUL_HOPS 64
+
 /** Largest `resolves` that the header can carry. */
 #define PACKET_RESOLVES_MAX 15
 
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -553,6 +553,18 @@
 	return n;
 }
 
+/* Packets other than SYNs that agents have forwarded. */
+static unsigned int count_forwarded(struct cluster *cluster)
+{
+	unsigned int n = 0;
+
+	for (unsigned int i = 1; i <= cluster->n; i++)
+		n += (unsigned int)counter_get(
+			&cluster->hosts[i].counters,
+			COUNTER_PACKET_FORWARDED_BY_AGENT);
+	return n;
+}
+
 /* Packets from a balancer without owner hints reach each connection's owner. */
 static void test_other_balancer(void)
 {
@@ -1170,6 +1182,32 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against: searches that can't be conclusive visit all agents of a large
+ * service, at every copy of a packet.
+ */
+static void test_doubtful_search_is_short(void)
+{
+	struct cluster cluster;
+	unsigned int before, hops;
+
+	cluster_init(&cluster, 204, 164);
+	advance_time(&cluster, 700);
+	/* The servers of these agents may have the connection. */
+	for (unsigned int i = 1; i <= 163; i += 4) {
+		agent_finish(&cluster.hosts[i].agent);
+		start_agent(&cluster, i);
+		refuse_server_check(&cluster, i, 0);
+		cluster.hosts[i].server_running = false;
+	}
+	before = count_forwarded(&cluster);
+	send_from_caller(&cluster, 99, FLAG_ACK, 100);
+	hops = count_forwarded(&cluster) - before;
+	g_assert_cmpuint(hops, <=, 64);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: each server that returns a query restarts the search of a
  * large service, which then ends at the limit of hops, and no caller is reset.
@@ -2654,6 +2692,8 @@
 	g_test_add_func("/search/many-members", test_many_members);
 	g_test_add_data_func("/search/large-service", GUINT_TO_POINTER(0),
 			     test_large_service);
+	g_test_add_func("/search/doubtful-search-is-short",
+			test_doubtful_search_is_short);
 	g_test_add_func("/search/large-service-queries",
 			test_large_service_queries);
 	g_test_add_data_func("/search/large-service-70", GUINT_TO_POINTER(1),
