An agent that stops opens no connection after a report of its server

A report with the state ready ended the refusal of new connections that a stop had begun, until the packet thread's next tick: SYNs that were handled in between were delivered in the last 500 ms of the process, and its successor did not know the connections.

Found by reading. /search/report-while-stopping accepted one SYN before the change, none after it.

--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2670,6 +2670,23 @@
 			ZONE_ORDER_CUT);
 }
 
+/* A report of the server must not make an agent that stops accept connections
+ * again: they would not be among those that it has saved. */
+static void test_report_while_stopping(void)
+{
+	struct cluster cluster;
+	unsigned int accepted;
+
+	cluster_init(&cluster, 1, 2);
+	advance_time(&cluster, 200);
+	agent_drain(&cluster.hosts[1].agent);
+	send_server_report(&cluster, 1, "first", SERVER_READY, 2);
+	accepted = cluster.hosts[1].accepted_syns;
+	open_connection(&cluster, 1);
+	g_assert_cmpuint(cluster.hosts[1].accepted_syns, ==, accepted);
+	cluster_finish(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -2733,6 +2750,8 @@
 	g_test_add_func("/search/service-changed", test_service_changed);
 	g_test_add_func("/search/owner-reports-another-service",
 			test_owner_reports_another_service);
+	g_test_add_func("/search/report-while-stopping",
+			test_report_while_stopping);
 	g_test_add_func("/search/zone-order", test_zone_order_states);
 	g_test_add_func("/search/zone-order-heartbeats",
 			test_zone_order_heartbeats);
