Agents that stop save their connections for their next process

Cause: an agent that starts has no record of its server's connections and asks the server. In a zone out of service it may not, so it forwards the packets, and the agents of other zones, restarted as well, ask theirs. Trace: side-tas-a-3 gets all packets of 100.64.0.12:1035 straight from the balancer, logs search-doubted reason=zone-out for each, and other agents log server-returned.

Change: an agent that stops saves its flow table in the store, as its last act before it exits; the next process reads it, and replaces it by an empty checkpoint of its own before the table counts as complete. Only agents with flow_lifetime_s do so.

--- a/flow/handover.c
+++ b/flow/handover.c
@@ -61,6 +61,23 @@
 	g_free(records);
 }
 
+int64_t handover_incomplete_ms(const struct agent *agent, int64_t now_ms)
+{
+	if (agent->table_incomplete_until_ms <= now_ms)
+		return 0;
+	return agent->table_incomplete_until_ms - now_ms;
+}
+
+void handover_confirm(struct agent *agent, int64_t incomplete_ms,
+		      int64_t now_ms)
+{
+	/* A full table may have had no room for all of the connections. */
+	if (agent->flows.used == agent->flows.max_used)
+		return;
+	agent->table_incomplete_until_ms =
+		MIN(agent->table_incomplete_until_ms, now_ms + incomplete_ms);
+}
+
 static bool record_is_well_formed(const Handover__FlowRecord *record)
 {
 	return record->address.len == sizeof(struct ip_addr) &&
@@ -74,6 +91,9 @@
 static bool message_is_importable(const struct agent *agent,
 				  const Handover__Handover *message)
 {
+	if (agent->server.has_report &&
+	    agent->server.report.state == SERVER_GONE)
+		return false;
 	if (message->service_id != agent->service_id ||
 	    message->member_id != agent->member_id)
 		return false;
--- a/include/tarragonflow/flow/handover.h
+++ b/include/tarragonflow/flow/handover.h
@@ -17,12 +17,25 @@
 void handover_export(const struct agent *agent, int64_t now_ms,
 		     struct strbuf *out);
 
+/**
+ * How long the server may still have connections that @agent has not exported,
+ * ms: those that an earlier process opened.
+ */
+int64_t handover_incomplete_ms(const struct agent *agent, int64_t now_ms);
+
 /**
  * Imports the state that the predecessor exported. Connections that are already
  * in the flow table are not changed. Returns false, with nothing imported, when
- * @data is malformed or of another agent or service.
+ * @data is malformed or of another agent or service, or the server has ended.
  */
 bool handover_import(struct agent *agent, const uint8_t *data, size_t len,
 		     int64_t now_ms);
 
+/**
+ * Records that the state that was imported is that of the direct predecessor:
+ * the flow table may lack connections of the server for @incomplete_ms only.
+ */
+void handover_confirm(struct agent *agent, int64_t incomplete_ms,
+		      int64_t now_ms);
+
 #endif
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -62,6 +62,9 @@
 	const struct adapter *adapter;
 	/** Server reports (struct server_report) for the packet thread. */
 	struct ring server_reports;
+	/** Connections of the predecessor (struct inherited_flows) for the
+	 * packet thread. */
+	struct ring inherited_flows;
 	/** State of the backend server according to its server reports. */
 	struct server_watch server_watch;
 	/** Holds back server reports that contradict `server_watch`. */
@@ -85,6 +88,18 @@
 	_Atomic bool leaving;
 };
 
+/** Connections of an agent's predecessor, for the packet thread. */
+struct inherited_flows {
+	/** Written by handover_export(); may be empty. */
+	struct strbuf flows;
+	/** The predecessor's connections are complete with those passed so far,
+	 * but the server may have others for incomplete_ms. */
+	bool complete;
+	int64_t incomplete_ms;
+};
+
+void inherited_flows_free(struct inherited_flows *inherited);
+
 /** Opens the control sockets; node_start() starts the threads. */
 enum status_code node_init(struct node *node, const struct settings *settings,
 			   const struct adapter *adapter,
--- a/include/tarragonflow/node/packet_worker.h
+++ b/include/tarragonflow/node/packet_worker.h
@@ -17,6 +17,8 @@
 	struct packet_sink sink;
 	struct node *node;
 	pthread_t thread;
+	/** The thread was started and has not been joined. */
+	bool running;
 	struct view *view;
 	/** When the thread last ran, and when it last resumed after a pause. */
 	int64_t last_run_ms, last_resume_ms;
@@ -52,6 +54,8 @@
 	_Atomic bool log_connections;
 	/** Set to make the agent refuse new connections. */
 	_Atomic bool drain;
+	/** Agents: connections of the predecessor were imported. */
+	bool imported;
 };
 
 /**
--- /dev/null
+++ b/node/checkpoint_worker.c
@@ -0,0 +1,259 @@
+#include "tarragonflow/node/checkpoint_worker.h"
+
+#include <glib.h>
+#include <poll.h>
+#include <stdio.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "tarragonflow/common/log.h"
+#include "tarragonflow/store/call_policy.h"
+
+#define CALL_TIMEOUT_SHORT_MS 600
+/* A claim without connections to take over is not urgent. It is delayed by up
+ * to this time, as all agents of a deployment may start at the same moment. */
+#define CLAIM_SPREAD_MS 4000
+
+/* Names of the writes of one process, part of their tokens. */
+#define WRITE_CLAIM 'c'
+#define WRITE_SAVE 's'
+
+static void set_value(struct checkpoint_worker *worker, char write,
+		      const struct checkpoint *checkpoint)
+{
+	char token[STORE_TOKEN_MAX];
+	struct strbuf value;
+
+	snprintf(token, sizeof(token), "%016llx%c",
+		 (unsigned long long)worker->node->instance, write);
+	strbuf_init(&value);
+	checkpoint_format(checkpoint, &value);
+	object_replacement_set(&worker->object, token, strbuf_str(&value));
+	strbuf_finish(&value);
+}
+
+static void set_claim(struct checkpoint_worker *worker)
+{
+	struct checkpoint claim;
+
+	checkpoint_init(&claim);
+	claim.instance = worker->node->instance;
+	set_value(worker, WRITE_CLAIM, &claim);
+	checkpoint_finish(&claim);
+}
+
+/* Queues a copy of @flows, if not NULL, for the packet thread. */
+static void push_inherited(struct node *node, const struct strbuf *flows,
+			   bool complete, int64_t incomplete_ms)
+{
+	struct inherited_flows *inherited = g_new0(struct inherited_flows, 1);
+
+	strbuf_init(&inherited->flows);
+	if (flows)
+		strbuf_add(&inherited->flows, flows->data, flows->len);
+	inherited->complete = complete;
+	inherited->incomplete_ms = incomplete_ms;
+	if (ring_push(&node->inherited_flows, inherited)) {
+		node_wake(node->packet_wake_fd);
+		return;
+	}
+	inherited_flows_free(inherited);
+	counter_inc(&node->counters, COUNTER_DROP_RING_FULL);
+}
+
+/* Passes the connections that were read to the packet thread, if they are
+ * usable. */
+static void take_over(struct checkpoint_worker *worker,
+		      const struct store_result *result)
+{
+	struct checkpoint checkpoint;
+
+	checkpoint_init(&checkpoint);
+	if (checkpoint_parse(&checkpoint,
+			     strbuf_str(&result->objects[0].value)) &&
+	    checkpoint.instance != worker->node->instance &&
+	    checkpoint_is_fresh(&checkpoint, result->epoch, clock_wall_ms())) {
+		worker->found = true;
+		worker->incomplete_ms = checkpoint.incomplete_ms;
+		push_inherited(worker->node, &checkpoint.connections, false, 0);
+	}
+	checkpoint_finish(&checkpoint);
+}
+
+/* Makes the next call. Returns the time to wait before the one after it, ms. */
+static int64_t make_call(struct checkpoint_worker *worker, int64_t timeout_ms,
+			 struct store_result *result)
+{
+	struct object_store *store = &worker->http.store;
+	struct store_request request;
+
+	object_replacement_next_call(&worker->object, &request);
+	request.timeout_ms = timeout_ms;
+	store->call(store, &request, result);
+	store_request_finish(&request);
+	return object_replacement_handle_result(&worker->object, result,
+						random_next(&worker->random));
+}
+
+/* Waits for @ms, or until the thread is to stop. */
+static void wait_or_stop(struct checkpoint_worker *worker, int64_t ms)
+{
+	struct pollfd fd = {.fd = worker->stop_fd, .events = POLLIN};
+
+	if (ms)
+		poll(&fd, 1, (int)ms);
+}
+
+static int64_t claim_delay_ms(struct checkpoint_worker *worker)
+{
+	return (int64_t)random_below(&worker->random, CLAIM_SPREAD_MS);
+}
+
+static void *restore_thread(void *arg)
+{
+	struct checkpoint_worker *worker = arg;
+	struct store_result result;
+	bool delayed = false;
+	int64_t wait_ms;
+
+	set_claim(worker);
+	while (!atomic_load(&worker->stop) && !worker->object.done) {
+		wait_ms = make_call(
+			worker, read_timeout_ms(random_next(&worker->random)),
+			&result);
+		if (result.op == STORE_OP_GET && result.n_objects)
+			take_over(worker, &result);
+		if (worker->object.version >= 0 && !worker->found && !delayed) {
+			delayed = true;
+			wait_ms = claim_delay_ms(worker);
+		}
+		store_result_finish(&result);
+		if (!worker->object.done)
+			wait_or_stop(worker, wait_ms);
+	}
+	if (worker->object.done && worker->found)
+		push_inherited(worker->node, NULL, true, worker->incomplete_ms);
+	return NULL;
+}
+
+static void init_http(struct checkpoint_worker *worker)
+{
+	http_store_init(&worker->http, worker->node->settings->platform.data,
+			worker->node->adapter->dialect,
+			&worker->node->counters);
+}
+
+enum status_code checkpoint_worker_start(struct checkpoint_worker *worker,
+					 struct node *node,
+					 struct status *status)
+{
+	const struct settings *settings = node->settings;
+	char key[STORE_KEY_MAX];
+
+	worker->node = node;
+	worker->found = false;
+	atomic_init(&worker->stop, false);
+	worker->stop_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	random_init(&worker->random,
+		    node->instance ^ member_id(&settings->name));
+	checkpoint_key(key, &settings->deployment, &settings->name);
+	object_replacement_init(&worker->object, key);
+	init_http(worker);
+	worker->started =
+		!pthread_create(&worker->thread, NULL, restore_thread, worker);
+	if (!worker->started)
+		return status_set(status, STATUS_INTERNAL,
+				  "cannot start the checkpoint thread");
+	return STATUS_OK;
+}
+
+/* Ends the thread. Calls can be made again after it. */
+static void end_thread(struct checkpoint_worker *worker)
+{
+	if (!worker->started)
+		return;
+	atomic_store(&worker->stop, true);
+	http_store_cancel(&worker->http);
+	node_wake(worker->stop_fd);
+	pthread_join(worker->thread, NULL);
+	worker->started = false;
+	http_store_finish(&worker->http);
+	init_http(worker);
+}
+
+/* Makes calls until the object has the value or the deadline has passed. */
+static void replace_object(struct checkpoint_worker *worker,
+			   int64_t deadline_ms)
+{
+	const struct clock *clock = &worker->node->clock;
+	struct store_result result;
+	int64_t left_ms, wait_ms;
+
+	while (!worker->object.done &&
+	       (left_ms = deadline_ms - clock_now(clock)) > 0) {
+		wait_ms = make_call(worker, MIN(left_ms, CALL_TIMEOUT_SHORT_MS),
+				    &result);
+		store_result_finish(&result);
+		clock_sleep(
+			MIN(wait_ms, MAX(deadline_ms - clock_now(clock), 0)));
+	}
+}
+
+void checkpoint_worker_prepare_save(struct checkpoint_worker *worker,
+				    int64_t timeout_ms)
+{
+	end_thread(worker);
+	/* Version and epoch of the store are known once it has been read. */
+	if (worker->object.version < 0)
+		replace_object(worker,
+			       clock_now(&worker->node->clock) + timeout_ms);
+}
+
+void checkpoint_worker_save(struct checkpoint_worker *worker,
+			    const struct strbuf *connections,
+			    int64_t incomplete_ms, int64_t timeout_ms)
+{
+	int64_t deadline_ms = clock_now(&worker->node->clock) + timeout_ms;
+	struct checkpoint checkpoint;
+
+	checkpoint_init(&checkpoint);
+	checkpoint.instance = worker->node->instance;
+	checkpoint.saved_ms = clock_wall_ms();
+	checkpoint.epoch = worker->object.epoch;
+	checkpoint.incomplete_ms = incomplete_ms;
+	strbuf_add(&checkpoint.connections, connections->data,
+		   connections->len);
+	set_value(worker, WRITE_SAVE, &checkpoint);
+	checkpoint_finish(&checkpoint);
+	replace_object(worker, deadline_ms);
+	log_event(worker->object.done ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+		  "checkpoint", "saved=%d bytes=%zu", worker->object.done,
+		  worker->object.value.len);
+}
+
+void checkpoint_worker_delete(struct checkpoint_worker *worker)
+{
+	struct object_store *store = &worker->http.store;
+	struct store_request request;
+	struct store_result result;
+
+	if (worker->object.version <= 0)
+		return;
+	store_request_init(&request, STORE_OP_DELETE, worker->object.key);
+	request.version = worker->object.version;
+	request.timeout_ms = CALL_TIMEOUT_SHORT_MS;
+	store->call(store, &request, &result);
+	if (result.status.code != STATUS_OK)
+		log_event(LOG_LEVEL_WARN, "checkpoint",
+			  "deleted=0 reason=\"%s\"", result.status.message);
+	store_request_finish(&request);
+	store_result_finish(&result);
+}
+
+void checkpoint_worker_finish(struct checkpoint_worker *worker)
+{
+	end_thread(worker);
+	http_store_finish(&worker->http);
+	object_replacement_finish(&worker->object);
+	close(worker->stop_fd);
+}
--- a/node/node.c
+++ b/node/node.c
@@ -289,6 +289,7 @@
 	node->settings = settings;
 	node->adapter = adapter;
 	ring_init(&node->server_reports, RING_SIZE);
+	ring_init(&node->inherited_flows, RING_SIZE);
 	server_watch_init(&node->server_watch, awaits_report,
 			  settings->report_lease_ms);
 	report_gate_init(&node->report_gate, &settings->service,
@@ -366,8 +367,15 @@
 	return pull_server_start(&node->pull_server, status);
 }
 
+void inherited_flows_free(struct inherited_flows *inherited)
+{
+	strbuf_finish(&inherited->flows);
+	g_free(inherited);
+}
+
 static void free_ring_items(struct node *node)
 {
+	struct inherited_flows *inherited;
 	struct server_report *report;
 	struct view *view;
 
@@ -377,6 +385,8 @@
 		view_free(view);
 	while ((report = ring_pop(&node->server_reports)))
 		g_free(report);
+	while ((inherited = ring_pop(&node->inherited_flows)))
+		inherited_flows_free(inherited);
 }
 
 void node_finish(struct node *node)
@@ -396,6 +406,7 @@
 	ring_finish(&node->views);
 	ring_finish(&node->retired_views);
 	ring_finish(&node->server_reports);
+	ring_finish(&node->inherited_flows);
 	control_finish(&node->control);
 	close(node->control_fd);
 	close(node->control_wake_fd);
--- a/node/packet_worker.c
+++ b/node/packet_worker.c
@@ -230,6 +230,37 @@
 	}
 }
 
+static void import_flows(struct packet_worker *worker, struct str flows)
+{
+	if (!flows.len)
+		return;
+	worker->imported =
+		handover_import(&worker->agent, (const uint8_t *)flows.data,
+				flows.len, clock_now(&worker->node->clock));
+	if (worker->imported)
+		log_event(LOG_LEVEL_INFO, "inherited", "connections=%u",
+			  agent_connection_count(&worker->agent));
+	else
+		log_event(LOG_LEVEL_WARN, "inherited-nothing",
+			  "reason=malformed");
+}
+
+/* Takes over the connections of the predecessor that were read from the store.
+ */
+static void handle_inherited_flows(struct packet_worker *worker)
+{
+	struct inherited_flows *inherited;
+
+	while ((inherited = ring_pop(&worker->node->inherited_flows))) {
+		import_flows(worker, strbuf_str(&inherited->flows));
+		if (inherited->complete && worker->imported)
+			handover_confirm(&worker->agent,
+					 inherited->incomplete_ms,
+					 clock_now(&worker->node->clock));
+		inherited_flows_free(inherited);
+	}
+}
+
 static void handle_server_refusal(struct packet_worker *worker)
 {
 	int64_t began_ms = node_server_refusal(worker->node);
@@ -428,6 +459,7 @@
 		apply_new_views(worker);
 		apply_new_keys(worker);
 		handle_server_reports(worker);
+		handle_inherited_flows(worker);
 		if (stale)
 			drop_datagrams(worker, buf);
 		else if (fds[0].revents)
@@ -489,19 +521,6 @@
 	return STATUS_OK;
 }
 
-static void import_flows(struct packet_worker *worker, struct str flows)
-{
-	if (!flows.len)
-		return;
-	if (handover_import(&worker->agent, (const uint8_t *)flows.data,
-			    flows.len, clock_now(&worker->node->clock)))
-		log_event(LOG_LEVEL_INFO, "inherited", "connections=%u",
-			  agent_connection_count(&worker->agent));
-	else
-		log_event(LOG_LEVEL_WARN, "inherited-nothing",
-			  "reason=malformed");
-}
-
 static void init_peer_output(struct packet_worker *worker)
 {
 	const struct settings *settings = worker->node->settings;
@@ -560,7 +579,9 @@
 					   &node->settings->zone);
 	if (node->settings->placement == PLACEMENT_WORK)
 		balancer_place_by_work(&worker->balancer);
-	if (pthread_create(&worker->thread, NULL, packet_thread, worker))
+	worker->running =
+		!pthread_create(&worker->thread, NULL, packet_thread, worker);
+	if (!worker->running)
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the packet thread");
 	return STATUS_OK;
@@ -584,7 +605,9 @@
 {
 	atomic_store(&worker->node->stop, true);
 	node_wake(worker->node->packet_wake_fd);
-	pthread_join(worker->thread, NULL);
+	if (worker->running)
+		pthread_join(worker->thread, NULL);
+	worker->running = false;
 }
 
 void packet_worker_finish(struct packet_worker *worker)
--- a/tarragonflow/commands/agent.c
+++ b/tarragonflow/commands/agent.c
@@ -1,5 +1,6 @@
 #include "run_role.h"
 
+#include <glib.h>
 #include <unistd.h>
 
 #include "tarragonflow/common/log.h"
@@ -9,6 +10,8 @@
 #define DRAIN_POLL_MS 100
 /* Time for the announced state to reach the peers. */
 #define ANNOUNCE_WAIT_MS 500
+/* Longest time to save the connections. No packets are handled meanwhile. */
+#define SAVE_TIMEOUT_MS 500
 
 /*
  * Sends the connections to the successor and exits at once: the successor can't
@@ -52,6 +55,43 @@
 		clock_sleep(ANNOUNCE_WAIT_MS);
 }
 
+/* Saves the connections for the next process, if their server goes on. They
+ * must not change any more, so packets are no longer handled. */
+static void save_connections(struct role *role)
+{
+	struct agent *agent = &role->packet_worker.agent;
+	int64_t now_ms;
+	struct strbuf flows;
+
+	if (node_server_ended(&role->node)) {
+		checkpoint_worker_delete(&role->checkpoint_worker);
+		return;
+	}
+	packet_worker_stop(&role->packet_worker);
+	now_ms = clock_now(&role->node.clock);
+	strbuf_init(&flows);
+	handover_export(agent, now_ms, &flows);
+	checkpoint_worker_save(&role->checkpoint_worker, &flows,
+			       handover_incomplete_ms(agent, now_ms),
+			       SAVE_TIMEOUT_MS);
+	strbuf_finish(&flows);
+}
+
+/*
+ * Connections that outlive the agent process can't be reached until the next
+ * one runs, so the agent doesn't wait for them to end.
+ */
+static void leave_connections(struct role *role, int64_t deadline_ms)
+{
+	int64_t announced_ms = clock_now(&role->node.clock) + ANNOUNCE_WAIT_MS;
+
+	checkpoint_worker_prepare_save(&role->checkpoint_worker,
+				       ANNOUNCE_WAIT_MS);
+	clock_sleep(MAX(announced_ms - clock_now(&role->node.clock), 0));
+	wait_for_server_end(role, deadline_ms);
+	save_connections(role);
+}
+
 static void agent_leave(struct role *role)
 {
 	int64_t deadline_ms = clock_now(&role->node.clock) +
@@ -62,15 +102,11 @@
 	node_leave(&role->node, node_server_ended(&role->node)
 					? MEMBER_LEFT
 					: MEMBER_DRAINING);
-	clock_sleep(ANNOUNCE_WAIT_MS);
-	/*
-	 * Connections that outlive the agent cannot be reached until the next
-	 * agent runs, so this agent doesn't wait for them to end.
-	 */
 	if (role->settings.flow_lifetime_ms) {
-		wait_for_server_end(role, deadline_ms);
+		leave_connections(role, deadline_ms);
 		return;
 	}
+	clock_sleep(ANNOUNCE_WAIT_MS);
 	while (atomic_load(&role->node.open_connections) &&
 	       clock_now(&role->node.clock) < deadline_ms) {
 		hand_over_if_requested(role);
--- a/tarragonflow/commands/run_role.c
+++ b/tarragonflow/commands/run_role.c
@@ -34,8 +34,13 @@
 				    void (*leave)(struct role *role),
 				    struct status *status)
 {
+	bool has_checkpoint = role->settings.flow_lifetime_ms;
 	struct admin admin;
 
+	if (has_checkpoint &&
+	    checkpoint_worker_start(&role->checkpoint_worker, &role->node,
+				    status) != STATUS_OK)
+		return status->code;
 	if (packet_worker_start(&role->packet_worker, &role->node,
 				strbuf_str(&role->predecessor_flows),
 				status) != STATUS_OK)
@@ -65,6 +70,8 @@
 	}
 	if (role->settings.handover.port)
 		handover_listener_finish(&role->handover_listener);
+	if (has_checkpoint)
+		checkpoint_worker_finish(&role->checkpoint_worker);
 	admin_finish(&admin);
 	packet_worker_finish(&role->packet_worker);
 	node_finish(&role->node);
--- a/tarragonflow/commands/run_role.h
+++ b/tarragonflow/commands/run_role.h
@@ -2,6 +2,7 @@
 #define TARRAGONFLOW_RUN_ROLE_H
 
 #include "tarragonflow/commands/command.h"
+#include "tarragonflow/node/checkpoint_worker.h"
 #include "tarragonflow/node/handover_listener.h"
 #include "tarragonflow/node/packet_worker.h"
 
@@ -14,6 +15,8 @@
 	struct packet_worker packet_worker;
 	/** Only used by agents with the setting `handover`. */
 	struct handover_listener handover_listener;
+	/** Only used by agents with the setting `flow_lifetime_s`. */
+	struct checkpoint_worker checkpoint_worker;
 	/** Serialized connections from a predecessor; empty without one. */
 	struct strbuf predecessor_flows;
 };
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -8,6 +8,7 @@
 #include "tarragonflow/common/log.h"
 
 #include "tarragonflow/flow/agent.h"
+#include "tarragonflow/flow/handover.h"
 #include "tarragonflow/flow/agent_mark.h"
 #include "tarragonflow/flow/agent_load_report.h"
 #include "tarragonflow/flow/agent_route.h"
@@ -2670,6 +2671,110 @@
 			ZONE_ORDER_CUT);
 }
 
+/** What happens while all agents restart with the connections of their
+ * predecessors. */
+struct inherited_case {
+	const char *name;
+	void (*set_up)(struct cluster *cluster);
+	/** The owner's server gets the caller's packet. */
+	bool delivered;
+};
+
+static void set_up_route_moved(struct cluster *cluster)
+{
+	set_manifest(cluster, 2, "{\"name\":\"a\"},{\"name\":\"b\"}", "b");
+	make_views(cluster, true);
+}
+
+/* Restarts an agent as planned: the next process takes over the connections and
+ * confirms them. */
+static void restart_with_connections(struct cluster *cluster, unsigned int i)
+{
+	struct agent *agent = &cluster->hosts[i].agent;
+	int64_t incomplete_ms = handover_incomplete_ms(agent, cluster->now_ms);
+	struct strbuf flows;
+
+	strbuf_init(&flows);
+	handover_export(agent, cluster->now_ms, &flows);
+	agent_finish(agent);
+	start_agent(cluster, i);
+	g_assert_true(handover_import(agent, (const uint8_t *)flows.data,
+				      flows.len, cluster->now_ms));
+	handover_confirm(agent, incomplete_ms, cluster->now_ms);
+	send_server_report(cluster, i, "first", SERVER_READY, 5);
+	strbuf_finish(&flows);
+}
+
+/*
+ * Agents that have restarted as planned know the connections of their servers.
+ * Guards against packets of an open connection that reach other servers, as the
+ * search queries them, while the owner's zone is out of service or its route
+ * has moved.
+ */
+static void test_inherited_connections(void)
+{
+	static const struct inherited_case cases[] = {
+		{"nothing", set_up_nothing, true},
+		{"zone out of service", set_up_zone_out_by_order, false},
+		{"route moved", set_up_route_moved, true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cluster cluster;
+		unsigned int delivered;
+		uint16_t port = 1;
+
+		cluster_init(&cluster, 7, 6);
+		advance_time(&cluster, 200);
+		while (open_connection(&cluster, port),
+		       owner_of(&cluster, port) != 3)
+			port++;
+		for (unsigned int j = 1; j <= cluster.n; j++)
+			restart_with_connections(&cluster, j);
+		cases[i].set_up(&cluster);
+		advance_time(&cluster, 200);
+		delivered = cluster.hosts[3].delivered;
+		for (int j = 0; j < 10; j++) {
+			clear_hints(&cluster);
+			send_from_caller(&cluster, port, FLAG_ACK, 100);
+			advance_time(&cluster, 200);
+		}
+		if (cluster.hosts[3].delivered - delivered !=
+		    (cases[i].delivered ? 10 : 0))
+			g_error("%s: %u packets delivered", cases[i].name,
+				cluster.hosts[3].delivered - delivered);
+		g_assert_cmpuint(count_rejected_packets(&cluster), ==, 0);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+		cluster_finish(&cluster);
+	}
+}
+
+/* Connections that the predecessor may have lacked stay doubtful: the caller of
+ * one must not get a RST while its server lives. */
+static void test_inherited_incomplete_table(void)
+{
+	struct cluster cluster;
+	uint16_t port = 1;
+
+	cluster_init(&cluster, 3, 4);
+	advance_time(&cluster, 200);
+	while (open_connection(&cluster, port), owner_of(&cluster, port) != 3)
+		port++;
+	agent_finish(&cluster.hosts[3].agent);
+	start_agent(&cluster, 3);
+	advance_time(&cluster, 1000);
+	restart_with_connections(&cluster, 3);
+	set_up_zone_out_by_order(&cluster);
+	advance_time(&cluster, 200);
+	send_from_caller(&cluster, port, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	advance_time(&cluster, FLOW_LIFETIME_MS);
+	send_server_report(&cluster, 3, "first", SERVER_READY, 9);
+	send_from_caller(&cluster, port, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	cluster_finish(&cluster);
+}
+
 /* A report of the server must not make an agent that stops accept connections
  * again: they would not be among those that it has saved. */
 static void test_report_while_stopping(void)
@@ -2750,6 +2855,10 @@
 	g_test_add_func("/search/service-changed", test_service_changed);
 	g_test_add_func("/search/owner-reports-another-service",
 			test_owner_reports_another_service);
+	g_test_add_func("/search/inherited-connections",
+			test_inherited_connections);
+	g_test_add_func("/search/inherited-incomplete-table",
+			test_inherited_incomplete_table);
 	g_test_add_func("/search/report-while-stopping",
 			test_report_while_stopping);
 	g_test_add_func("/search/zone-order", test_zone_order_states);
