A stop of an agent doesn't wait for a store that doesn't respond

The agent handled no packets while it tried to save its connections, for up to 500 ms. It now reads the checkpoint before, while it still serves, and saves nothing when there was no response.

--- a/include/tarragonflow/node/checkpoint_worker.h
+++ b/include/tarragonflow/node/checkpoint_worker.h
@@ -35,16 +35,17 @@
 					 struct status *status);
 
 /**
- * Ends the thread, and makes the calls, for at most @timeout_ms, without which
- * the connections couldn't be saved by a single one.
+ * Ends the thread and reads the checkpoint, so that one write can save the
+ * connections. Blocks for at most @timeout_ms.
  */
 void checkpoint_worker_prepare_save(struct checkpoint_worker *worker,
 				    int64_t timeout_ms);
 
 /**
  * Saves @connections, written by handover_export(); the server may have others
- * for @incomplete_ms. Call checkpoint_worker_prepare_save() first. Blocks for
- * at most @timeout_ms.
+ * for @incomplete_ms. Blocks for at most @timeout_ms. Makes no call if
+ * checkpoint_worker_prepare_save() could not read the checkpoint, since packets
+ * are not handled meanwhile.
  */
 void checkpoint_worker_save(struct checkpoint_worker *worker,
 			    const struct strbuf *connections,
--- a/include/tarragonflow/store/object_replacement.h
+++ b/include/tarragonflow/store/object_replacement.h
@@ -31,6 +31,9 @@
 void object_replacement_set(struct object_replacement *replacement,
 			    const char *token, struct str value);
 
+/** Makes the next call a read. */
+void object_replacement_read_again(struct object_replacement *replacement);
+
 /** Initializes the next call as @request; to be finished by the caller. */
 void object_replacement_next_call(const struct object_replacement *replacement,
 				  struct store_request *request);
--- a/node/checkpoint_worker.c
+++ b/node/checkpoint_worker.c
@@ -181,32 +181,36 @@
 	init_http(worker);
 }
 
-/* Makes calls until the object has the value or the deadline has passed. */
-static void replace_object(struct checkpoint_worker *worker,
-			   int64_t deadline_ms)
+/* Makes one call and waits until the next one may be made. Returns false when
+ * the deadline has passed. */
+static bool make_call_in_time(struct checkpoint_worker *worker,
+			      int64_t deadline_ms)
 {
 	const struct clock *clock = &worker->node->clock;
+	int64_t left_ms = deadline_ms - clock_now(clock);
 	struct store_result result;
-	int64_t left_ms, wait_ms;
+	int64_t wait_ms;
 
-	while (!worker->object.done &&
-	       (left_ms = deadline_ms - clock_now(clock)) > 0) {
-		wait_ms = make_call(worker, MIN(left_ms, CALL_TIMEOUT_SHORT_MS),
-				    &result);
-		store_result_finish(&result);
-		clock_sleep(
-			MIN(wait_ms, MAX(deadline_ms - clock_now(clock), 0)));
-	}
+	if (left_ms <= 0)
+		return false;
+	wait_ms =
+		make_call(worker, MIN(left_ms, CALL_TIMEOUT_SHORT_MS), &result);
+	store_result_finish(&result);
+	left_ms = MAX(deadline_ms - clock_now(clock), 0);
+	clock_sleep(MIN(wait_ms, left_ms));
+	return true;
 }
 
 void checkpoint_worker_prepare_save(struct checkpoint_worker *worker,
 				    int64_t timeout_ms)
 {
+	int64_t deadline_ms = clock_now(&worker->node->clock) + timeout_ms;
+
 	end_thread(worker);
-	/* Version and epoch of the store are known once it has been read. */
-	if (worker->object.version < 0)
-		replace_object(worker,
-			       clock_now(&worker->node->clock) + timeout_ms);
+	object_replacement_read_again(&worker->object);
+	while (worker->object.version < 0 &&
+	       make_call_in_time(worker, deadline_ms))
+		;
 }
 
 void checkpoint_worker_save(struct checkpoint_worker *worker,
@@ -216,6 +220,11 @@
 	int64_t deadline_ms = clock_now(&worker->node->clock) + timeout_ms;
 	struct checkpoint checkpoint;
 
+	if (worker->object.version < 0) {
+		log_event(LOG_LEVEL_WARN, "checkpoint",
+			  "saved=0 reason=\"the store does not respond\"");
+		return;
+	}
 	checkpoint_init(&checkpoint);
 	checkpoint.instance = worker->node->instance;
 	checkpoint.saved_ms = clock_wall_ms();
@@ -225,7 +234,8 @@
 		   connections->len);
 	set_value(worker, WRITE_SAVE, &checkpoint);
 	checkpoint_finish(&checkpoint);
-	replace_object(worker, deadline_ms);
+	while (!worker->object.done && make_call_in_time(worker, deadline_ms))
+		;
 	log_event(worker->object.done ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
 		  "checkpoint", "saved=%d bytes=%zu", worker->object.done,
 		  worker->object.value.len);
--- a/store/object_replacement.c
+++ b/store/object_replacement.c
@@ -32,6 +32,12 @@
 	backoff_reset(&replacement->backoff);
 }
 
+void object_replacement_read_again(struct object_replacement *replacement)
+{
+	replacement->version = VERSION_UNKNOWN;
+	replacement->done = false;
+}
+
 void object_replacement_next_call(const struct object_replacement *replacement,
 				  struct store_request *request)
 {
