A returned query of another connection no longer resets an open one

What callers saw: an open connection was reset by an agent (reset-lost, reason=returned) that isn't its server's, while its server serves it.

Cause: a caller that gives up without a FIN leaves an open entry in an agent's flow table. When the port is used again and the new connection opens at another server, a search that queries the first server gets its packet returned. handle_returned() looked up the entry by addresses and ports only and took the new connection for the lost one.

Now the sequence numbers must fit the entry, as for packets of callers; otherwise the search goes on.

Evidence: /search/port-reused-and-queried failed before (1 reset instead of 0) and passes now.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -176,11 +176,7 @@
 		return match_syn(flow, packet);
 	if (flow->state == FLOW_HALF_OPEN)
 		return match_half_open(flow, packet);
-	if (!agent_seq_in_window(packet->seq, flow->caller_seq) ||
-	    ((packet->flags & TCP_ACK) &&
-	     !agent_seq_in_window(packet->ack, flow->server_seq)))
-		return MATCH_OTHER;
-	return MATCH_SAME;
+	return agent_flow_has_packet(flow, packet) ? MATCH_SAME : MATCH_OTHER;
 }
 
 static void handle_own_flow(struct agent *agent, struct flow *flow,
--- a/flow/agent_flow.c
+++ b/flow/agent_flow.c
@@ -93,6 +93,14 @@
 	return distance > -SEQ_WINDOW && distance < SEQ_WINDOW;
 }
 
+bool agent_flow_has_packet(const struct flow *flow,
+			   const struct inner_packet *packet)
+{
+	return agent_seq_in_window(packet->seq, flow->caller_seq) &&
+	       (!(packet->flags & TCP_ACK) ||
+		agent_seq_in_window(packet->ack, flow->server_seq));
+}
+
 void agent_seq_advance(uint32_t *next, uint32_t seq)
 {
 	if ((int32_t)(seq - *next) > 0)
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -152,8 +152,9 @@
 /*
  * Handles a packet that the server returned: a SYN that it did not accept or a
  * packet of a connection that it does not have. A connection that is open in
- * the flow table was lost by the server, and its caller gets a RST. Otherwise
- * the search continues from the state in the mark.
+ * the flow table was lost by the server, and its caller gets a RST. Otherwise,
+ * also when the packet is of a later connection from the same port, the search
+ * continues from the state in the mark.
  */
 static void handle_returned(struct agent *agent,
 			    const struct inner_packet *packet, int64_t now_ms,
@@ -168,7 +169,7 @@
 	agent_record_decision(agent, DECISION_SERVER_RETURNED, packet, 0, NULL,
 			      sink);
 	if (flow && !inner_opens_connection(packet) &&
-	    flow->state == FLOW_OPEN) {
+	    flow->state == FLOW_OPEN && agent_flow_has_packet(flow, packet)) {
 		agent_count(agent, COUNTER_RESET_CONNECTION_LOST);
 		agent_record_decision(agent, DECISION_RESET_LOST, packet, 0,
 				      "returned", sink);
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2598,6 +2598,89 @@
 	}
 }
 
+/* Distance of the sequence numbers of a caller's second connection from the
+ * same port. */
+#define REUSED_PORT_SEQ_OFFSET 0x40000000u
+
+/* A packet of a second connection from @port, whose sequence numbers are
+ * @offset ahead of those of send_from_caller(). */
+static void send_from_reused_port(struct cluster *cluster, uint16_t port,
+				  uint8_t flags, uint16_t payload,
+				  uint32_t offset)
+{
+	uint8_t out[PACKET_MAX];
+	size_t len = make_packet(out, true, port, flags, payload);
+
+	put_u32(out + 19, 1000 + !(flags & FLAG_SYN) + offset);
+	balancer_handle_packet(&cluster->balancer, out, len, cluster->now_ms,
+			       &cluster->balancer_sink);
+	deliver_datagrams(cluster);
+}
+
+/* Restarts the agent @i; its server has run for long. */
+static void restart_agent(struct cluster *cluster, unsigned int i,
+			  uint64_t sequence)
+{
+	agent_finish(&cluster->hosts[i].agent);
+	start_agent(cluster, i);
+	send_server_report(cluster, i, "first", SERVER_READY, sequence);
+}
+
+/*
+ * Opens a connection from @port, which its server then drops, and a second one
+ * from the same port at another server. The agents' tables are incomplete.
+ * Returns the second server.
+ */
+static unsigned int reuse_port_elsewhere(struct cluster *cluster, uint16_t port,
+					 uint32_t offset)
+{
+	unsigned int stale, owner;
+
+	for (unsigned int i = 1; i <= cluster->n; i++)
+		restart_agent(cluster, i, 40);
+	advance_time(cluster, 200);
+	open_connection(cluster, port);
+	stale = owner_of(cluster, port);
+	cluster->hosts[stale].n_connections = 0;
+	send_server_report(cluster, stale, "first", SERVER_DRAINING, 41);
+	advance_time(cluster, 200);
+	clear_hints(cluster);
+	send_from_reused_port(cluster, port, FLAG_SYN, 0, offset);
+	send_from_reused_port(cluster, port, FLAG_ACK, 0, offset);
+	owner = owner_of(cluster, port);
+	g_assert_cmpuint(owner, !=, 0);
+	g_assert_cmpuint(owner, !=, stale);
+	return owner;
+}
+
+/*
+ * Guards against a RST on an open connection because the server of an earlier
+ * one from the same port, which is still in the flow table, returns a query for
+ * it.
+ */
+static void test_port_reused_and_queried(void)
+{
+	struct cluster cluster;
+
+	for (uint16_t port = 1; port <= 20; port++) {
+		unsigned int owner, delivered;
+
+		cluster_init(&cluster, 3, 4);
+		owner = reuse_port_elsewhere(&cluster, port,
+					     REUSED_PORT_SEQ_OFFSET);
+		restart_agent(&cluster, owner, 42);
+		advance_time(&cluster, 200);
+		clear_hints(&cluster);
+		delivered = cluster.hosts[owner].delivered;
+		send_from_reused_port(&cluster, port, FLAG_ACK, 100,
+				      REUSED_PORT_SEQ_OFFSET);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+		g_assert_cmpuint(cluster.hosts[owner].delivered, ==,
+				 delivered + 1);
+		cluster_finish(&cluster);
+	}
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -2765,6 +2848,8 @@
 			test_successor_keeps_incomplete_table);
 	g_test_add_func("/search/first-report-of-other-service",
 			test_first_report_of_other_service);
+	g_test_add_func("/search/port-reused-and-queried",
+			test_port_reused_and_queried);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
