The end of a server no longer resets a later connection from the same port

What callers saw: an open connection was reset by an agent whose server had ended (reset-lost, reason=server-ended), while its own server lives.

Cause: after the end of a server its agent answers packets of the lost connections with a RST until they have been silent for 10 s. It looked them up by addresses and ports only, so a new connection from a port that was used again was reset when one of its packets came by in a search.

Now the sequence numbers must fit the lost connection.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -324,7 +324,8 @@
 		return;
 	}
 	if (flow && (flow->state_bits & FLOW_LOST) &&
-	    !inner_opens_connection(packet)) {
+	    !inner_opens_connection(packet) &&
+	    agent_flow_has_packet(flow, packet)) {
 		agent_count(agent, COUNTER_RESET_CONNECTION_LOST);
 		agent_record_decision(agent, DECISION_RESET_LOST, packet, 0,
 				      "server-ended", sink);
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2681,6 +2681,46 @@
 	}
 }
 
+/*
+ * Guards against a RST on an open connection because the server of an earlier
+ * one from the same port has ended.
+ */
+static void test_port_reused_after_server_ended(void)
+{
+	struct cluster cluster;
+
+	for (uint16_t port = 1; port <= 20; port++) {
+		unsigned int ended, owner, delivered, resets;
+
+		cluster_init(&cluster, 3, 4);
+		advance_time(&cluster, 200);
+		open_connection(&cluster, port);
+		ended = owner_of(&cluster, port);
+		cluster.hosts[ended].n_connections = 0;
+		end_server(&cluster, ended);
+		for (unsigned int i = 1; i <= 3; i++)
+			if (i != ended)
+				send_server_report(&cluster, i, "first",
+						   SERVER_READY, 9);
+		advance_time(&cluster, 200);
+		resets = cluster.resets_to_callers;
+		send_from_reused_port(&cluster, port, FLAG_SYN, 0,
+				      REUSED_PORT_SEQ_OFFSET);
+		send_from_reused_port(&cluster, port, FLAG_ACK, 0,
+				      REUSED_PORT_SEQ_OFFSET);
+		owner = owner_of(&cluster, port);
+		g_assert_cmpuint(owner, !=, 0);
+		clear_hints(&cluster);
+		delivered = cluster.hosts[owner].delivered;
+		send_from_reused_port(&cluster, port, FLAG_ACK, 100,
+				      REUSED_PORT_SEQ_OFFSET);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, resets);
+		g_assert_cmpuint(cluster.hosts[owner].delivered, ==,
+				 delivered + 1);
+		cluster_finish(&cluster);
+	}
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -2850,6 +2890,8 @@
 			test_first_report_of_other_service);
 	g_test_add_func("/search/port-reused-and-queried",
 			test_port_reused_and_queried);
+	g_test_add_func("/search/port-reused-after-server-ended",
+			test_port_reused_after_server_ended);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
