A SYN from a port that is used again opens a new connection

What callers saw: an open connection was reset by another agent (reset-no-owner) while its server serves it; or new connections from the port could not be opened.

Cause: a caller that gives up without a FIN leaves an open entry until the idle timeout. It took every SYN from the same port as its own and kept the old sequence numbers, so the packets after it counted as of another connection. While the agent's table was incomplete, queries to the server still delivered them and the connection opened; later each packet began a search that ended with a RST.

A SYN with another sequence number is now admitted like any other, and replaces the entry when it is delivered to the server. A SYN that waited while a copy of it opened the connection is dropped; it made a second entry.

The dropped copy is by reading only.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -140,13 +140,29 @@
 	MATCH_LOST_RACE,
 };
 
+/* Whether @packet, a SYN, is a copy of the one that opened @flow. That one is
+ * not known of a connection that an earlier process opened; its sequence number
+ * is near that of the caller's next packet. */
+static bool is_copy_of_syn(const struct flow *flow,
+			   const struct inner_packet *packet)
+{
+	return packet->seq == flow->syn_seq ||
+	       (flow->state == FLOW_OPEN && !flow->syn_seq &&
+		agent_seq_in_window(packet->seq, flow->caller_seq));
+}
+
+/*
+ * Another SYN than the one of an open connection shows that its caller has
+ * given up. It is admitted like any other, and the entry replaced only when it
+ * is delivered: a late SYN must not end the connection.
+ */
 static enum flow_match match_syn(const struct flow *flow,
 				 const struct inner_packet *packet)
 {
-	bool is_same_syn = packet->seq == flow->syn_seq;
+	bool is_same_syn = is_copy_of_syn(flow, packet);
 
 	if (flow->state == FLOW_OPEN)
-		return MATCH_SAME;
+		return is_same_syn ? MATCH_SAME : MATCH_OTHER;
 	if (!is_same_syn)
 		return MATCH_REOPENS;
 	return flow->state == FLOW_CLOSING ? MATCH_LATE_SYN : MATCH_SAME;
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -138,6 +138,24 @@
 	return admit_connection(&agent->admit, now_ms);
 }
 
+/*
+ * Removes the entry of an earlier connection from the same port, whose caller
+ * has given up without a FIN. The entry of the connection that a copy of
+ * @packet opened stays; returns true if there is one.
+ */
+static bool replace_earlier_flow(struct agent *agent,
+				 const struct inner_packet *packet)
+{
+	struct flow *flow = flow_table_find(&agent->flows, &packet->key);
+
+	if (!flow)
+		return false;
+	if (flow->syn_seq == packet->seq)
+		return true;
+	agent_flow_remove(agent, flow);
+	return false;
+}
+
 static void open_connection(struct agent *agent, struct packet_header *header,
 			    const struct inner_packet *packet, int64_t now_ms,
 			    struct packet_sink *sink)
@@ -154,6 +172,11 @@
 		agent_forward(agent, header, packet, now_ms, sink);
 		return;
 	}
+	if (replace_earlier_flow(agent, packet)) {
+		admit_remove_connection(&agent->admit);
+		agent_count(agent, COUNTER_DROP_LATE_OPEN);
+		return;
+	}
 	flow = flow_table_insert(&agent->flows, &packet->key);
 	if (!flow && evict_flow(agent, false, now_ms, sink))
 		flow = flow_table_insert(&agent->flows, &packet->key);
--- a/include/tarragonflow/flow/flow_table.h
+++ b/include/tarragonflow/flow/flow_table.h
@@ -59,7 +59,7 @@
 	/** Arrival of the SYN, later of the payload that the server has not
 	 * responded to (FLOW_AWAITING_RESPONSE). */
 	uint32_t pending_since_ms;
-	/** Sequence number of the caller's SYN. */
+	/** Sequence number of the caller's SYN; 0: not known. */
 	uint32_t syn_seq;
 	/** Next sequence numbers expected from the caller and the server. */
 	uint32_t caller_seq, server_seq;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2721,6 +2721,41 @@
 	}
 }
 
+/*
+ * Guards against a stale entry that takes the SYN of a new connection from the
+ * same port as its own: the new connection opened by a query to the server
+ * while the table was incomplete, and was reset later.
+ */
+static void test_port_reused_at_same_server(void)
+{
+	struct cluster cluster;
+	unsigned int owner, delivered;
+
+	cluster_init(&cluster, 3, 4);
+	for (unsigned int i = 1; i <= 3; i++)
+		restart_agent(&cluster, i, 40);
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	owner = owner_of(&cluster, 1);
+	/* The caller gives up without a FIN, later the server does. */
+	cluster.hosts[owner].n_connections = 0;
+	advance_time(&cluster, FLOW_LIFETIME_MS / 2);
+	send_server_report(&cluster, owner, "first", SERVER_READY, 80);
+	advance_time(&cluster, 200);
+	send_from_reused_port(&cluster, 1, FLAG_SYN, 0, REUSED_PORT_SEQ_OFFSET);
+	g_assert_cmpuint(owner_of(&cluster, 1), ==, owner);
+	send_from_reused_port(&cluster, 1, FLAG_ACK, 100,
+			      REUSED_PORT_SEQ_OFFSET);
+	g_assert_cmpuint(cluster.hosts[owner].delivered, >, 0);
+	advance_time(&cluster, FLOW_LIFETIME_MS / 2);
+	delivered = cluster.hosts[owner].delivered;
+	send_from_reused_port(&cluster, 1, FLAG_ACK, 100,
+			      REUSED_PORT_SEQ_OFFSET);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	g_assert_cmpuint(cluster.hosts[owner].delivered, ==, delivered + 1);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -2892,6 +2927,8 @@
 			test_port_reused_and_queried);
 	g_test_add_func("/search/port-reused-after-server-ended",
 			test_port_reused_after_server_ended);
+	g_test_add_func("/search/port-reused-at-same-server",
+			test_port_reused_at_same_server);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
