Sequence window of a connection as wide as its packet format needs

What callers saw: an open connection was reset by an agent that isn't its server's (reset-lost, reason=returned), while its server serves it.

The window belongs to the packet format now.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -143,12 +143,12 @@
 /* Whether @packet, a SYN, is a copy of the one that opened @flow. That one is
  * not known of a connection that an earlier process opened; its sequence number
  * is near that of the caller's next packet. */
-static bool is_copy_of_syn(const struct flow *flow,
+static bool is_copy_of_syn(const struct agent *agent, const struct flow *flow,
 			   const struct inner_packet *packet)
 {
 	return packet->seq == flow->syn_seq ||
 	       (flow->state == FLOW_OPEN && !flow->syn_seq &&
-		agent_seq_in_window(packet->seq, flow->caller_seq));
+		agent_seq_in_window(agent, packet->seq, flow->caller_seq));
 }
 
 /*
@@ -156,10 +156,11 @@
  * given up. It is admitted like any other, and the entry replaced only when it
  * is delivered: a late SYN must not end the connection.
  */
-static enum flow_match match_syn(const struct flow *flow,
+static enum flow_match match_syn(const struct agent *agent,
+				 const struct flow *flow,
 				 const struct inner_packet *packet)
 {
-	bool is_same_syn = is_copy_of_syn(flow, packet);
+	bool is_same_syn = is_copy_of_syn(agent, flow, packet);
 
 	if (flow->state == FLOW_OPEN)
 		return is_same_syn ? MATCH_SAME : MATCH_OTHER;
@@ -185,14 +186,16 @@
 	return packet->seq == flow->caller_seq ? MATCH_LOST_RACE : MATCH_OTHER;
 }
 
-static enum flow_match match_packet_to_flow(const struct flow *flow,
+static enum flow_match match_packet_to_flow(const struct agent *agent,
+					    const struct flow *flow,
 					    const struct inner_packet *packet)
 {
 	if (inner_opens_connection(packet))
-		return match_syn(flow, packet);
+		return match_syn(agent, flow, packet);
 	if (flow->state == FLOW_HALF_OPEN)
 		return match_half_open(flow, packet);
-	return agent_flow_has_packet(flow, packet) ? MATCH_SAME : MATCH_OTHER;
+	return agent_flow_has_packet(agent, flow, packet) ? MATCH_SAME
+							  : MATCH_OTHER;
 }
 
 static void handle_own_flow(struct agent *agent, struct flow *flow,
@@ -323,7 +326,7 @@
 			const struct inner_packet *packet, int64_t now_ms,
 			struct packet_sink *sink)
 {
-	if (flow && agent_seq_in_window(packet->seq, flow->server_seq))
+	if (flow && agent_seq_in_window(agent, packet->seq, flow->server_seq))
 		agent_deliver(agent, header, packet, now_ms, sink);
 	else
 		agent_forward(agent, header, packet, now_ms, sink);
@@ -341,14 +344,15 @@
 	}
 	if (flow && (flow->state_bits & FLOW_LOST) &&
 	    !inner_opens_connection(packet) &&
-	    agent_flow_has_packet(flow, packet)) {
+	    agent_flow_has_packet(agent, flow, packet)) {
 		agent_count(agent, COUNTER_RESET_CONNECTION_LOST);
 		agent_record_decision(agent, DECISION_RESET_LOST, packet, 0,
 				      "server-ended", sink);
 		agent_reset_caller(agent, packet, sink);
 		return;
 	}
-	switch (flow ? match_packet_to_flow(flow, packet) : MATCH_OTHER) {
+	switch (flow ? match_packet_to_flow(agent, flow, packet)
+		     : MATCH_OTHER) {
 	case MATCH_SAME:
 		handle_own_flow(agent, flow, header, packet, now_ms, sink);
 		return;
@@ -388,7 +392,7 @@
 		handle_flow(agent, header, packet, now_ms, sink);
 		return;
 	}
-	if (flow && match_packet_to_flow(flow, packet) != MATCH_OTHER) {
+	if (flow && match_packet_to_flow(agent, flow, packet) != MATCH_OTHER) {
 		agent_count(agent, COUNTER_DROP_ZONE_CUT);
 		return;
 	}
--- a/flow/agent_flow.c
+++ b/flow/agent_flow.c
@@ -2,9 +2,6 @@
 
 #include <xxhash.h>
 
-/* Maximum distance of a packet's sequence number from the expected one, bytes.
- */
-#define SEQ_WINDOW (1 << 26)
 #define RST_BUFFER_BYTES 64
 
 void agent_count(struct agent *agent, enum counter_id id)
@@ -86,19 +83,20 @@
 	return packet->flags & (TCP_SYN | TCP_FIN) ? next + 1 : next;
 }
 
-bool agent_seq_in_window(uint32_t a, uint32_t b)
+bool agent_seq_in_window(const struct agent *agent, uint32_t a, uint32_t b)
 {
 	int32_t distance = (int32_t)(a - b);
 
-	return distance > -SEQ_WINDOW && distance < SEQ_WINDOW;
+	return distance > -agent->format->seq_window &&
+	       distance < agent->format->seq_window;
 }
 
-bool agent_flow_has_packet(const struct flow *flow,
+bool agent_flow_has_packet(const struct agent *agent, const struct flow *flow,
 			   const struct inner_packet *packet)
 {
-	return agent_seq_in_window(packet->seq, flow->caller_seq) &&
+	return agent_seq_in_window(agent, packet->seq, flow->caller_seq) &&
 	       (!(packet->flags & TCP_ACK) ||
-		agent_seq_in_window(packet->ack, flow->server_seq));
+		agent_seq_in_window(agent, packet->ack, flow->server_seq));
 }
 
 void agent_seq_advance(uint32_t *next, uint32_t seq)
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -169,7 +169,8 @@
 	agent_record_decision(agent, DECISION_SERVER_RETURNED, packet, 0, NULL,
 			      sink);
 	if (flow && !inner_opens_connection(packet) &&
-	    flow->state == FLOW_OPEN && agent_flow_has_packet(flow, packet)) {
+	    flow->state == FLOW_OPEN &&
+	    agent_flow_has_packet(agent, flow, packet)) {
 		agent_count(agent, COUNTER_RESET_CONNECTION_LOST);
 		agent_record_decision(agent, DECISION_RESET_LOST, packet, 0,
 				      "returned", sink);
--- a/include/tarragonflow/flow/agent_flow.h
+++ b/include/tarragonflow/flow/agent_flow.h
@@ -62,14 +62,14 @@
  * Whether @a and @b are so close that they may be sequence numbers of the same
  * connection.
  */
-bool agent_seq_in_window(uint32_t a, uint32_t b);
+bool agent_seq_in_window(const struct agent *agent, uint32_t a, uint32_t b);
 
 /**
  * Whether the sequence numbers of @packet, which is no SYN, show that it
  * belongs to @flow, an open or closed connection, and not to another one from
  * the same address and port.
  */
-bool agent_flow_has_packet(const struct flow *flow,
+bool agent_flow_has_packet(const struct agent *agent, const struct flow *flow,
 			   const struct inner_packet *packet);
 
 /** Sets @next to @seq if @seq is later. */
--- a/include/tarragonflow/net/packet_format.h
+++ b/include/tarragonflow/net/packet_format.h
@@ -25,6 +25,11 @@
 	 * backend servers return no packets.
 	 */
 	void (*clear_returned)(uint8_t *data);
+	/**
+	 * Packets whose sequence numbers differ by less may be of the same
+	 * connection, bytes: what it can carry while a packet is delayed.
+	 */
+	int32_t seq_window;
 	/** Whether agents may send resets to backend servers. */
 	bool can_reset_servers;
 };
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2756,6 +2756,33 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against an entry that takes packets of a later connection from the
+ * same port for its own because their sequence numbers happen to be near.
+ */
+static void test_port_reused_with_near_sequence(void)
+{
+	static const uint32_t offsets[] = {1 << 21, 1 << 25, -(1u << 21)};
+	struct cluster cluster;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(offsets); i++)
+		for (uint16_t port = 1; port <= 10; port++) {
+			unsigned int owner, delivered;
+
+			cluster_init(&cluster, 3, 4);
+			owner = reuse_port_elsewhere(&cluster, port,
+						     offsets[i]);
+			clear_hints(&cluster);
+			delivered = cluster.hosts[owner].delivered;
+			send_from_reused_port(&cluster, port, FLAG_ACK, 100,
+					      offsets[i]);
+			g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+			g_assert_cmpuint(cluster.hosts[owner].delivered, ==,
+					 delivered + 1);
+			cluster_finish(&cluster);
+		}
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -2929,6 +2956,8 @@
 			test_port_reused_after_server_ended);
 	g_test_add_func("/search/port-reused-at-same-server",
 			test_port_reused_at_same_server);
+	g_test_add_func("/search/port-reused-with-near-sequence",
+			test_port_reused_with_near_sequence);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
