A returned packet takes up only the search that queried with it

What callers saw: a SYN was refused (no-room) while another server had room.

Cause: the record of a query that the server answers stays. It was found by addresses and ports, so a SYN from a port that was used again, which the server returned, continued the search of the earlier connection: all agents had been visited, and its configuration might be an old one.

Queries are recorded by connection and sequence number now. This also keeps packets of two connections from the same port from taking each other's search.

--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -181,8 +181,7 @@
 	}
 	if (flow && flow->state == FLOW_HALF_OPEN)
 		agent_flow_remove(agent, flow);
-	if (!server_queries_take(&agent->server_queries, &packet->key,
-				 &header) &&
+	if (!server_queries_take(&agent->server_queries, packet, &header) &&
 	    !agent_read_mark(agent, packet, &header))
 		return;
 	memcpy(copy, packet->data, packet->len);
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -43,7 +43,7 @@
 {
 	header->position = (uint8_t)position;
 	header->asking = true;
-	server_queries_add(&agent->server_queries, &packet->key, header);
+	server_queries_add(&agent->server_queries, packet, header);
 	agent_count(agent, COUNTER_PACKET_OFFERED_TO_SERVER);
 	agent_deliver(agent, header, packet, now_ms, sink);
 }
--- a/include/tarragonflow/flow/server_queries.h
+++ b/include/tarragonflow/flow/server_queries.h
@@ -18,8 +18,9 @@
 #define SERVER_QUERIES 256
 
 struct server_query {
-	/** Hash of the connection's key; 0: the entry is free. */
-	uint64_t flow_hash;
+	/** Hash of the packet's connection and sequence number; 0: the entry is
+	 * free. */
+	uint64_t packet_hash;
 	struct packet_header header;
 };
 
@@ -27,15 +28,18 @@
 	struct server_query entries[SERVER_QUERIES];
 };
 
-/** Records that the packet of @key is delivered to the server with @header. */
+/** Records that @packet is delivered to the server with @header. */
 void server_queries_add(struct server_queries *queries,
-			const struct flow_key *key,
+			const struct inner_packet *packet,
 			const struct packet_header *header);
 
-/** Removes the query for @key and writes its header to @header. False if there
- * is none. */
+/**
+ * Removes the query with @packet and writes its header to @header. False if
+ * there is none. The entry of a query that the server answers stays, so it must
+ * not count for a later connection from the same port.
+ */
 bool server_queries_take(struct server_queries *queries,
-			 const struct flow_key *key,
+			 const struct inner_packet *packet,
 			 struct packet_header *header);
 
 #endif
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2783,6 +2783,35 @@
 		}
 }
 
+/*
+ * Guards against a SYN that is refused although another server has room,
+ * because it took up the search of an earlier connection from the same port,
+ * which had been to all agents.
+ */
+static void test_returned_syn_after_query(void)
+{
+	struct cluster cluster;
+	unsigned int owner;
+
+	cluster_init(&cluster, 3, 4);
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	owner = owner_of(&cluster, 1);
+	for (unsigned int i = 1; i <= 3; i++)
+		restart_agent(&cluster, i, 40);
+	advance_time(&cluster, 200);
+	clear_hints(&cluster);
+	/* Found by queries. */
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.hosts[owner].delivered, >, 0);
+	cluster.hosts[owner].n_connections = 0;
+	cluster.hosts[owner].server_full = true;
+	send_from_reused_port(&cluster, 1, FLAG_SYN, 0, REUSED_PORT_SEQ_OFFSET);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	g_assert_cmpuint(owner_of(&cluster, 1), !=, 0);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -2958,6 +2987,8 @@
 			test_port_reused_at_same_server);
 	g_test_add_func("/search/port-reused-with-near-sequence",
 			test_port_reused_with_near_sequence);
+	g_test_add_func("/search/returned-syn-after-query",
+			test_returned_syn_after_query);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
