A change of the configuration during a query makes a search inconclusive

What callers saw: an open connection was reset by an agent of another service (reset-no-owner) while its server serves it.

Cause: an agent compares the configuration of a search with its own when it receives the packet, but not when its server returns it. If the configuration changed between, the search went on by the new one, which may leave out the service that the route leads to now, and still counted as conclusive at this agent.

The configurations are compared again when the packet is returned. A query whose record was overwritten is continued by its mark, which does not carry the configuration; that case remains.

Evidence: /search/configuration-changed-during-query failed before (1 reset instead of 0) and passes now.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -517,10 +517,7 @@
 		agent_count(agent, COUNTER_DROP_MALFORMED_HEADER);
 		return;
 	}
-	/* With a different configuration the sender may have searched other
-	 * services than this agent would, so the search is inconclusive. */
-	header.doubt |= header.config_revision !=
-			(uint64_t)agent->view->config_revision;
+	agent_compare_configuration(agent, &header);
 	if (!is_addressed_to_agent(agent, &header)) {
 		handle_misaddressed(agent, &header, data + header_len,
 				    len - header_len, now_ms, sink);
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -45,6 +45,13 @@
 	header->doubt = true;
 }
 
+void agent_compare_configuration(const struct agent *agent,
+				 struct packet_header *header)
+{
+	header->doubt |= header->config_revision !=
+			 (uint64_t)agent->view->config_revision;
+}
+
 static bool is_visited(const struct packet_header *header, int i)
 {
 	return header->visited & (1U << i);
--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -184,6 +184,8 @@
 	if (!server_queries_take(&agent->server_queries, packet, &header) &&
 	    !agent_read_mark(agent, packet, &header))
 		return;
+	/* The configuration may have changed while the server had it. */
+	agent_compare_configuration(agent, &header);
 	memcpy(copy, packet->data, packet->len);
 	agent->format->clear_returned(copy);
 	original.data = copy;
--- a/include/tarragonflow/flow/agent_route.h
+++ b/include/tarragonflow/flow/agent_route.h
@@ -29,6 +29,14 @@
 			const struct inner_packet *packet, uint32_t member_id,
 			const char *reason, struct packet_sink *sink);
 
+/**
+ * Marks the search in @header as inconclusive if it began with another
+ * configuration than this agent has: by that one it may have been through other
+ * services than this agent would search.
+ */
+void agent_compare_configuration(const struct agent *agent,
+				 struct packet_header *header);
+
 /**
  * Forwards a SYN to a candidate with clearly less load, or a retransmission to
  * the candidate that received the first copy. Returns false when this agent is
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -65,6 +65,10 @@
 	bool server_running;
 	/** The server returns all SYNs. */
 	bool server_full;
+	/** The server keeps a packet that it returns in `late` instead. */
+	bool returns_late;
+	uint8_t late[PACKET_MAX];
+	size_t late_len;
 	/** The agent process is running. */
 	bool agent_running;
 	/** Datagrams from the balancer to this agent are lost. */
@@ -218,6 +222,11 @@
 	host->rejected_packets += !opens_connection;
 	memcpy(copy, inner, len);
 	copy[16] |= FLAG_RETURNED;
+	if (host->returns_late) {
+		memcpy(host->late, copy, len);
+		host->late_len = len;
+		return;
+	}
 	agent_handle_server(&host->agent, copy, len, host->cluster->now_ms,
 			    &host->sink);
 }
@@ -2812,6 +2821,41 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against a search that counts as conclusive although the configuration
+ * has changed while a server had the packet: by the new one, the search leaves
+ * out the service of the new route, which has the connection.
+ */
+static void test_configuration_changed_during_query(void)
+{
+	static const char *const services = "{\"name\":\"a\"},{\"name\":\"b\"}";
+	struct cluster cluster;
+
+	cluster_init(&cluster, 4, 2);
+	advance_time(&cluster, 700);
+	set_manifest(&cluster, 2, services, "b");
+	make_views(&cluster, true);
+	open_connection(&cluster, 1);
+	g_assert_cmpuint(owner_of(&cluster, 1), >=, 2);
+	set_manifest(&cluster, 3, services, "a");
+	make_views(&cluster, true);
+	restart_agent(&cluster, 1, 40);
+	advance_time(&cluster, 700);
+	clear_hints(&cluster);
+	cluster.hosts[1].returns_late = true;
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.hosts[1].late_len, >, 0);
+	cluster.hosts[1].returns_late = false;
+	set_manifest(&cluster, 4, services, "b");
+	make_views(&cluster, true);
+	agent_handle_server(&cluster.hosts[1].agent, cluster.hosts[1].late,
+			    cluster.hosts[1].late_len, cluster.now_ms,
+			    &cluster.hosts[1].sink);
+	deliver_datagrams(&cluster);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -2989,6 +3033,8 @@
 			test_port_reused_with_near_sequence);
 	g_test_add_func("/search/returned-syn-after-query",
 			test_returned_syn_after_query);
+	g_test_add_func("/search/configuration-changed-during-query",
+			test_configuration_changed_during_query);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
