Load reports of an unknown agent make a search inconclusive

What callers saw: an open connection was reset by an agent of its service (reset-no-owner) while its server serves it.

Cause: only the time since this process learned of a member showed that a roster may lack others. An agent that has just joined, or that a roster takes for one that has left, gets connections from balancers that know it; a packet that reaches a balancer and agents that don't begins a search that leaves it out and counts as conclusive.

Its load reports reach the agents before that, as it knows them. A search that ends within three intervals after such a report is inconclusive now, with the reason unlisted-agent. An agent whose server has ended reports until it exits, so resets of its connections by others come up to half a second later.

Evidence: /search/owner-missing-in-views failed before (1 reset instead of 0) and passes now.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -48,6 +48,7 @@
 	agent->report_interval_ms = identity->report_interval_ms;
 	agent->awaiting_response_since_ms = CLOCK_NEVER;
 	agent->unconfirmed_until_ms = CLOCK_NEVER;
+	agent->unlisted_agent_seen_ms = INT64_MIN / 2;
 	server_watch_init(&agent->server, identity->server_reports,
 			  identity->report_lease_ms);
 	agent->zone = identity->zone;
--- a/flow/agent_load_report.c
+++ b/flow/agent_load_report.c
@@ -47,6 +47,17 @@
 	return agent->admit.connections_max <= SMALL_SERVER_CONNECTIONS;
 }
 
+/* Whether the agent with @member_id is in the view, in the service that
+ * @header names. */
+static bool is_listed(const struct agent *agent,
+		      const struct packet_header *header, uint32_t member_id)
+{
+	const struct service_view *service =
+		view_find_service(agent->view, header->service_id);
+
+	return service && view_find_member(service, member_id);
+}
+
 void agent_record_peer_load(struct agent *agent,
 			    const struct packet_header *header, int64_t now_ms)
 {
@@ -58,6 +69,8 @@
 	if (member_id == agent->member_id)
 		return;
 	peer_load_update(&agent->peers, member_id, header->load, now_ms);
+	if (header->kind == PACKET_LOAD && !is_listed(agent, header, member_id))
+		agent->unlisted_agent_seen_ms = now_ms;
 	if (header->kind == PACKET_LOAD)
 		peer_load_record_received(&agent->peers, member_id,
 					  header->received);
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -399,6 +399,16 @@
 	return false;
 }
 
+/* Whether load reports arrive of an agent that is not in the view: it has just
+ * joined or changed its service, or the roster takes it for one that has left.
+ * It may have any connection. */
+static bool has_unlisted_agent(const struct agent *agent, int64_t now_ms)
+{
+	return now_ms - agent->unlisted_agent_seen_ms <
+	       AGENT_MISSED_LOAD_REPORTS_MAX *
+		       agent->view->peer_heartbeat_interval_ms;
+}
+
 /*
  * Replaces a chain whose candidates have all received the packet by the next
  * one from this agent's view. Returns false when the search of the service ends
@@ -408,7 +418,8 @@
 static bool resolve_chain_again(struct agent *agent,
 				struct packet_header *header,
 				const struct inner_packet *packet,
-				bool *all_queried, struct packet_sink *sink)
+				bool *all_queried, int64_t now_ms,
+				struct packet_sink *sink)
 {
 	*all_queried = false;
 	if (!agent->service || header->service_id != agent->service_id) {
@@ -428,6 +439,9 @@
 		if (!agent->view->roster_complete)
 			agent_doubt_search(agent, header, packet, 0,
 					   "roster-incomplete", sink);
+		if (has_unlisted_agent(agent, now_ms))
+			agent_doubt_search(agent, header, packet, 0,
+					   "unlisted-agent", sink);
 		if (view_excludes_members(agent->view))
 			agent_doubt_search(agent, header, packet, 0, "zone-out",
 					   sink);
@@ -476,7 +490,8 @@
 	if (next == NO_CANDIDATE && !is_syn)
 		next = next_unsure_candidate(header);
 	if (next == NO_CANDIDATE &&
-	    (resolve_chain_again(agent, header, packet, &all_queried, sink) ||
+	    (resolve_chain_again(agent, header, packet, &all_queried, now_ms,
+				 sink) ||
 	     start_search_in_next_service(agent, header, packet, sink))) {
 		next = next_candidate(agent, header, is_syn, now_ms);
 		if (next == NO_CANDIDATE)
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -77,6 +77,9 @@
 	struct server_queries server_queries;
 	/** Load and reachability of other agents. */
 	struct peer_loads peers;
+	/** When the last load report arrived of an agent that is not in the
+	 * view, ms. */
+	int64_t unlisted_agent_seen_ms;
 	/** Packets received from each process, for load reports to it. */
 	struct sender_count senders[AGENT_SENDERS];
 	struct name zone;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2856,6 +2856,56 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against a RST on an open connection because the view of the agents
+ * that are searched lacks its owner, although the owner's load reports arrive:
+ * it has just joined, or the rosters take it for one that has left.
+ */
+static void test_owner_missing_in_views(void)
+{
+	struct cluster cluster;
+	struct host *owner;
+	struct view full, lacking;
+	uint16_t port = 1;
+	unsigned int delivered;
+
+	cluster_init(&cluster, 4, 5);
+	advance_time(&cluster, 700);
+	while (open_connection(&cluster, port), owner_of(&cluster, port) != 4)
+		port++;
+	owner = &cluster.hosts[4];
+	full = cluster.view;
+	add_member(&cluster, 4, MEMBER_LEFT);
+	view_init_with_orders(&lacking, &cluster.manifest, &cluster.roster,
+			      &cluster.orders, cluster.now_ms);
+	lacking.roster_complete = true;
+	cluster.view = lacking;
+	set_views(&cluster);
+	agent_set_view(&owner->agent, &full);
+	clear_hints(&cluster);
+	for (int i = 0; i < 100; i++) {
+		advance_time(&cluster, 50);
+		send_from_caller(&cluster, port, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	}
+	/* The rosters are corrected. */
+	cluster.view = full;
+	set_views(&cluster);
+	delivered = owner->delivered;
+	send_from_caller(&cluster, port, FLAG_ACK, 100);
+	g_assert_cmpuint(owner->delivered, ==, delivered + 1);
+	/* The agent has left: its last report is a while ago. */
+	cluster.view = lacking;
+	set_views(&cluster);
+	owner->agent_running = false;
+	advance_time(&cluster, 1000);
+	clear_hints(&cluster);
+	send_from_caller(&cluster, port, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	view_finish(&full);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -3035,6 +3085,8 @@
 			test_returned_syn_after_query);
 	g_test_add_func("/search/configuration-changed-during-query",
 			test_configuration_changed_during_query);
+	g_test_add_func("/search/owner-missing-in-views",
+			test_owner_missing_in_views);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
