A server's report no longer ends the draining of a stopping agent

What callers saw: a connection that was opened in the last 500 ms of an agent was without an agent until the next one ran.

Cause: each report in the state ready ended the draining until the next round of the packet thread, so one batch of SYNs per report could still be delivered. Not a cause of resets: the next agent's table counts as incomplete, and it queries its server.

Evidence: /search/report-while-draining failed before (1 SYN accepted instead of 0) and passes now.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -799,7 +799,7 @@
 			view_find_service(agent->view, agent->service_id);
 	admit_apply_report(&agent->admit, report->slots, report->warmup_left_ms,
 			   cold_per_s(agent), now_ms);
-	if (report->state == SERVER_READY)
+	if (report->state == SERVER_READY && !agent->drains)
 		admit_undrain(&agent->admit);
 	else
 		admit_drain(&agent->admit);
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2906,6 +2906,21 @@
 	cluster_finish(&cluster);
 }
 
+/* Guards against a stopping agent that opens connections after its server's
+ * next report, and leaves them without an agent. */
+static void test_report_while_draining(void)
+{
+	struct cluster cluster;
+
+	cluster_init(&cluster, 1, 2);
+	advance_time(&cluster, 200);
+	agent_drain(&cluster.hosts[1].agent);
+	send_server_report(&cluster, 1, "first", SERVER_READY, 2);
+	send_from_caller(&cluster, 1, FLAG_SYN, 0);
+	g_assert_cmpuint(cluster.hosts[1].accepted_syns, ==, 0);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -3087,6 +3102,8 @@
 			test_configuration_changed_during_query);
 	g_test_add_func("/search/owner-missing-in-views",
 			test_owner_missing_in_views);
+	g_test_add_func("/search/report-while-draining",
+			test_report_while_draining);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
