The end of a wait no longer resets a connection opened elsewhere

What callers saw: an open connection was reset by an agent (open-refused, waited-too-long) at most 1.35 s after its SYN, while its server serves it.

Cause: a SYN waits at a busy agent. Its balancer stops, so another one, which has no owner hint, gets the retransmission and sends it to another agent, which opens the connection. The first agent doesn't know, and refused the caller at the end of the wait.

A waiting SYN records which of its three copies have come to the agent. If one is missing, another agent may have it, and the wait ends without a RST; the caller times out 50 ms later.

Evidence: /search/waiting-syn-opened-by-other-balancer failed before (1 reset instead of 0) and passes now; it also checks that a wait that all copies came to ends with a RST.

--- a/admit/waiting_syns.c
+++ b/admit/waiting_syns.c
@@ -7,6 +7,11 @@
 
 /* Callers time out a connection attempt 1400 ms after its first SYN. */
 #define ATTEMPT_TIMEOUT_MS 1400
+/* Callers send copies of a SYN 200 ms and 600 ms after it; times in between
+ * tell them apart. */
+#define SECOND_COPY_MS 100
+#define THIRD_COPY_MS 400
+#define ALL_COPIES 7
 /* Time for the rejection to reach the caller before its timeout. */
 #define REJECTION_DELAY_MS 50
 /* With by_work, a SYN is in time when its objective leaves this much of the
@@ -25,12 +30,23 @@
 	syns->by_work = by_work;
 }
 
-bool waiting_syns_contains(const struct waiting_syns *syns, uint64_t id)
+struct waiting *waiting_syns_find(struct waiting_syns *syns, uint64_t id)
 {
 	for (size_t i = 0; i < syns->n; i++)
 		if (syns->entries[i].id == id)
-			return true;
-	return false;
+			return &syns->entries[i];
+	return NULL;
+}
+
+void waiting_record_copy(struct waiting *entry, uint16_t sent_ago_ms)
+{
+	entry->copies |= (uint8_t)(1U << ((sent_ago_ms >= SECOND_COPY_MS) +
+					  (sent_ago_ms >= THIRD_COPY_MS)));
+}
+
+bool waiting_has_all_copies(const struct waiting *entry)
+{
+	return entry->copies == ALL_COPIES;
 }
 
 bool waiting_syns_add(struct waiting_syns *syns, const struct waiting *entry)
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -245,6 +245,8 @@
 	uint8_t kind = agent_kind_of(agent, &packet->key);
 	const struct waiting_service service =
 		expected_service(agent, kind, now_ms);
+	struct waiting *earlier_copy = waiting_syns_find(
+		&agent->waiting_syns, agent_attempt_id(packet));
 	struct waiting entry = {
 		.id = agent_attempt_id(packet),
 		.sent_ms = now_ms - packet->sent_ago_ms,
@@ -253,8 +255,11 @@
 
 	if (!route || packet->len > WAITING_PACKET_BYTES_MAX)
 		return false;
-	if (waiting_syns_contains(&agent->waiting_syns, entry.id))
+	if (earlier_copy) {
+		waiting_record_copy(earlier_copy, packet->sent_ago_ms);
 		return true;
+	}
+	waiting_record_copy(&entry, packet->sent_ago_ms);
 	entry.objective_ms = route->objective_ms;
 	entry.priority = route->priority;
 	if (agent->waiting_syns.by_work)
@@ -349,8 +354,29 @@
 	open_connection(agent, header, packet, now_ms, sink);
 }
 
-/* Opens the connection of a SYN that has waited. If the wait has @expired, the
- * caller gets a RST. */
+/*
+ * Ends the wait of a SYN whose caller is about to time out. The caller gets a
+ * RST unless another agent may have opened the connection: one that a balancer
+ * without an owner hint has sent a copy to.
+ */
+static void end_wait(struct agent *agent, const struct waiting *entry,
+		     const struct inner_packet *packet,
+		     struct packet_sink *sink)
+{
+	if (!waiting_has_all_copies(entry)) {
+		agent_count(agent, COUNTER_DROP_OPEN_UNCERTAIN);
+		agent_record_decision(agent, DECISION_SEARCH_ENDED, packet, 0,
+				      "unsure", sink);
+		return;
+	}
+	agent_count(agent, COUNTER_REFUSE_WAIT_EXPIRED);
+	agent_record_decision(agent, DECISION_OPEN_REFUSED, packet, 0,
+			      "waited-too-long", sink);
+	agent_reset_caller(agent, packet, sink);
+}
+
+/* Opens the connection of a SYN that has waited, or ends its wait if it has
+ * @expired. */
 static void finish_waiting_syn(struct agent *agent, const struct waiting *entry,
 			       bool expired, int64_t now_ms,
 			       struct packet_sink *sink)
@@ -366,10 +392,7 @@
 	admit_adjust_waiting(&agent->admit, agent_kind_of(agent, &packet.key),
 			     -1);
 	if (expired) {
-		agent_count(agent, COUNTER_REFUSE_WAIT_EXPIRED);
-		agent_record_decision(agent, DECISION_OPEN_REFUSED, &packet, 0,
-				      "waited-too-long", sink);
-		agent_reset_caller(agent, &packet, sink);
+		end_wait(agent, entry, &packet, sink);
 	} else if (agent_init_header(agent, &packet, &header)) {
 		/* When the server accepts none, the whole queue is forwarded:
 		 * the next agent doesn't refuse it in one moment. */
--- a/include/tarragonflow/admit/waiting_syns.h
+++ b/include/tarragonflow/admit/waiting_syns.h
@@ -49,6 +49,9 @@
 	/** With `by_work`, expected service time of the request, ms; 0: that of
 	 * any request. */
 	int64_t service_ms;
+	/** The copies of the SYN that have arrived, as bits; see
+	 * waiting_record_copy(). */
+	uint8_t copies;
 	/** Priority of the route; 0 is the most urgent. */
 	uint16_t priority;
 	/** The packet, and its length in bytes. */
@@ -82,8 +85,18 @@
 
 void waiting_syns_init(struct waiting_syns *syns, bool by_work);
 
-/** Whether the SYN of the connection attempt @id is in the queue. */
-bool waiting_syns_contains(const struct waiting_syns *syns, uint64_t id);
+/** The SYN of the connection attempt @id in the queue, or NULL. */
+struct waiting *waiting_syns_find(struct waiting_syns *syns, uint64_t id);
+
+/** Records that a copy of the SYN has arrived that was sent @sent_ago_ms after
+ * the first one. */
+void waiting_record_copy(struct waiting *entry, uint16_t sent_ago_ms);
+
+/**
+ * Whether all copies of the SYN have arrived that its caller sends before it
+ * times out. If not, another agent may have got one and opened the connection.
+ */
+bool waiting_has_all_copies(const struct waiting *entry);
 
 /** Removes the SYN of the connection attempt @id. False when it is not in the
  * queue. */
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2921,6 +2921,49 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against RSTs on open connections: a SYN waits at a busy agent, and
+ * another balancer sends a retransmission to another agent, where it is opened.
+ * Only a wait that all copies have come to ends with a RST.
+ */
+static void test_waiting_syn_opened_by_other_balancer(void)
+{
+	struct cluster cluster;
+	unsigned int waits_at;
+
+	for (int opened_elsewhere = 0; opened_elsewhere < 2;
+	     opened_elsewhere++) {
+		cluster_init(&cluster, 2, 3);
+		advance_time(&cluster, 200);
+		cluster.hosts[1].agent.admit.running = 20;
+		cluster.hosts[2].agent.admit.running = 20;
+		advance_time(&cluster, 200);
+		send_syn_copy(&cluster, 1, 0);
+		waits_at = cluster.hosts[1].agent.waiting_syns.n ? 1 : 2;
+		advance_time(&cluster, 200);
+		if (opened_elsewhere) {
+			cluster.hosts[3 - waits_at].agent.admit.running = 0;
+			advance_time(&cluster, 100);
+			clear_hints(&cluster);
+		}
+		send_syn_copy(&cluster, 1, 1);
+		if (opened_elsewhere)
+			send_from_caller(&cluster, 1, FLAG_ACK, 100);
+		else
+			advance_time(&cluster, 400);
+		if (!opened_elsewhere)
+			send_syn_copy(&cluster, 1, 2);
+		g_assert_cmpuint(owner_of(&cluster, 1), ==,
+				 opened_elsewhere ? 3 - waits_at : 0);
+		advance_time(&cluster, 1300);
+		g_assert_cmpuint(cluster.hosts[waits_at].agent.admit.waiting,
+				 ==, 0);
+		g_assert_cmpuint(cluster.resets_to_callers, ==,
+				 !opened_elsewhere);
+		cluster_finish(&cluster);
+	}
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -3104,6 +3147,8 @@
 			test_owner_missing_in_views);
 	g_test_add_func("/search/report-while-draining",
 			test_report_while_draining);
+	g_test_add_func("/search/waiting-syn-opened-by-other-balancer",
+			test_waiting_syn_opened_by_other_balancer);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
--- a/tests/unit/test_waiting.c
+++ b/tests/unit/test_waiting.c
@@ -78,8 +78,8 @@
 	g_assert_true(waiting_syns_pop_expired(&syns, 2250, &entry));
 	g_assert_cmpuint(entry.id, ==, 2);
 	g_assert_false(waiting_syns_pop_expired(&syns, 2250, &entry));
-	g_assert_true(waiting_syns_contains(&syns, 1));
-	g_assert_false(waiting_syns_contains(&syns, 2));
+	g_assert_nonnull(waiting_syns_find(&syns, 1));
+	g_assert_null(waiting_syns_find(&syns, 2));
 }
 
 static void test_queue_limits(void)
