The end of a server resets only callers that were active lately

What callers saw: an open connection was reset by an agent whose server had ended (reset-lost, reason=server-ended), while its own server lives.

Cause: an agent whose server has ended sends a RST to the callers of all open entries. Entries of callers that gave up without a FIN stay until the idle timeout, so the port may have a connection elsewhere by then.

Callers that were silent for more than 10 s get their RST with their next packet now, by the entry, which lingers for 10 s from the end of the server on; attempts and retransmissions of callers that still wait are less than 2 s apart.

Evidence: /search/port-reused-before-server-ended failed before (1 reset instead of 0) and passes now; it also checks that the first caller gets its RST. Whether callers check the sequence number of such a RST isn't known here.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -18,6 +18,12 @@
 #define TABLE_MIN_FLOWS 48
 #define CLOSED_FLOW_LINGER_MS 10000
 #define HALF_OPEN_TIMEOUT_MS 30000
+/*
+ * Callers of lost connections that have been silent for longer get their RST
+ * only with their next packet. They wait for no response, and may have given up
+ * and opened another connection from the same port elsewhere.
+ */
+#define RESET_SILENCE_MAX_MS 10000
 #define DEFAULT_IDLE_TIMEOUT_MS 3600000
 #define EXPIRY_SLOTS_PER_TICK 512
 /* A SYN that is retransmitted later than this counts as one that the server did
@@ -588,13 +594,17 @@
 	agent_reset_caller(agent, &last, sink);
 }
 
-static void end_flow(struct agent *agent, struct flow *flow,
+static void end_flow(struct agent *agent, struct flow *flow, int64_t now_ms,
 		     struct packet_sink *sink)
 {
-	if (flow->state != FLOW_CLOSING)
-		flow->state_bits |= FLOW_LOST;
-	if (flow->state == FLOW_OPEN)
+	if (flow->state == FLOW_CLOSING)
+		return;
+	if (flow->state == FLOW_OPEN &&
+	    agent_flow_age(flow, now_ms) < RESET_SILENCE_MAX_MS)
 		reset_caller_of_flow(agent, flow, sink);
+	flow->state_bits |= FLOW_LOST;
+	/* The entry lingers for the caller's next packet. */
+	flow->last_packet_ms = (uint32_t)now_ms;
 	agent_flow_close(agent, flow);
 }
 
@@ -610,13 +620,14 @@
 }
 
 /* Closes all connections and resets their callers. */
-static void end_all_flows(struct agent *agent, struct packet_sink *sink)
+static void end_all_flows(struct agent *agent, int64_t now_ms,
+			  struct packet_sink *sink)
 {
 	struct flow_table *flows = &agent->flows;
 
 	for (uint32_t i = 0; i <= flows->mask; i++)
 		if (flows->slots[i].state != FLOW_FREE)
-			end_flow(agent, &flows->slots[i], sink);
+			end_flow(agent, &flows->slots[i], now_ms, sink);
 	agent->unconfirmed_until_ms = CLOCK_NEVER;
 	agent->table_incomplete_until_ms = INT64_MIN;
 	forget_server(agent);
@@ -658,7 +669,7 @@
 	for (uint32_t i = 0; i <= flows->mask; i++)
 		if (flows->slots[i].state == FLOW_OPEN &&
 		    (flows->slots[i].state_bits & FLOW_UNCONFIRMED))
-			end_flow(agent, &flows->slots[i], sink);
+			end_flow(agent, &flows->slots[i], now_ms, sink);
 }
 
 void agent_tick(struct agent *agent, int64_t now_ms, struct packet_sink *sink)
@@ -737,7 +748,7 @@
 		return false;
 	server->has_report = true;
 	server->report.state = SERVER_GONE;
-	end_all_flows(agent, sink);
+	end_all_flows(agent, now_ms, sink);
 	admit_drain(&agent->admit);
 	return true;
 }
@@ -782,7 +793,7 @@
 		if (service_id(&report->service) == agent->service_id)
 			suspect_open_flows(agent, now_ms);
 		else
-			end_all_flows(agent, sink);
+			end_all_flows(agent, now_ms, sink);
 		break;
 	case SERVER_UNCHANGED:
 		break;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2964,6 +2964,32 @@
 	}
 }
 
+/*
+ * Guards against a RST on an open connection because the server of an earlier
+ * one from the same port, whose caller gave up long ago, ends.
+ */
+static void test_port_reused_before_server_ended(void)
+{
+	struct cluster cluster;
+	unsigned int stale = 0;
+
+	cluster_init(&cluster, 3, 4);
+	reuse_port_elsewhere(&cluster, 1, REUSED_PORT_SEQ_OFFSET);
+	for (unsigned int i = 1; i <= 3; i++)
+		if (cluster.hosts[i].agent.admit.draining)
+			stale = i;
+	advance_time(&cluster, 15000);
+	send_server_report(&cluster, stale, "first", SERVER_DRAINING, 60);
+	end_server(&cluster, stale);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	/* The first caller is still there: it gets its RST now. */
+	clear_hints(&cluster);
+	advance_time(&cluster, 1000);
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -3149,6 +3175,8 @@
 			test_report_while_draining);
 	g_test_add_func("/search/waiting-syn-opened-by-other-balancer",
 			test_waiting_syn_opened_by_other_balancer);
+	g_test_add_func("/search/port-reused-before-server-ended",
+			test_port_reused_before_server_ended);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
