A server that was wrongly taken for ended is queried again

What callers saw: open connections were reset for as long as they live (reset-no-owner) although their server serves them and reports.

Cause: an agent that starts and is refused twice by its server takes it for ended, and its flow table counts as complete. The server's next report opened it to new connections, but the table stayed complete, without the connections of the agent's previous process.

When a report shows that the server started before it refused, it has not ended: its table is incomplete again, and entries of connections that were closed then are removed, so that the server is asked about them. Reports without a start time decide as before.

Evidence: /search/report-of-server-taken-for-ended (the server didn't get the packet) and silent-connection-after-false-end (1 reset instead of 0) failed before and pass now.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -50,7 +50,8 @@
 	agent->counters = counters;
 	agent->format = identity->format ? identity->format : &packet_format_ip;
 	agent->reports_load_to_balancers = identity->reports_load_to_balancers;
-	agent->table_incomplete_until_ms = now_ms + identity->flow_lifetime_ms;
+	agent->flow_lifetime_ms = identity->flow_lifetime_ms;
+	agent->table_incomplete_until_ms = now_ms + agent->flow_lifetime_ms;
 	agent->report_interval_ms = identity->report_interval_ms;
 	agent->awaiting_response_since_ms = CLOCK_NEVER;
 	agent->unconfirmed_until_ms = CLOCK_NEVER;
@@ -746,6 +747,7 @@
 	if (!server_watch_shows_end(server, owes_response(agent, now_ms),
 				    silence_limit_ms(agent), now_ms))
 		return false;
+	agent->server_refused_ms = server->refused_since_ms;
 	server->has_report = true;
 	server->report.state = SERVER_GONE;
 	end_all_flows(agent, now_ms, sink);
@@ -778,11 +780,39 @@
 	       report->age_ms < agent->report_interval_ms / 2;
 }
 
+/* The server has not ended: it is queried again about connections, also about
+ * those that were closed. */
+static void forget_end(struct agent *agent, int64_t now_ms)
+{
+	struct flow_table *flows = &agent->flows;
+
+	agent->table_incomplete_until_ms = now_ms + agent->flow_lifetime_ms;
+	/* Removing an entry may move a later one into its slot. */
+	for (uint32_t i = 0; i <= flows->mask; i++)
+		while (flows->slots[i].state == FLOW_CLOSING &&
+		       (flows->slots[i].state_bits & FLOW_LOST))
+			agent_flow_remove(agent, &flows->slots[i]);
+}
+
+/*
+ * Whether @report shows that a server that was taken for ended has run all the
+ * while: it started before it refused connections. It has connections that were
+ * closed here or opened before this process started.
+ */
+static bool shows_false_end(const struct agent *agent,
+			    const struct server_report *report, int64_t now_ms)
+{
+	return agent->server.report.state == SERVER_GONE &&
+	       !server_report_is_last(report) && report->age_ms >= 0 &&
+	       now_ms - report->age_ms < agent->server_refused_ms;
+}
+
 void agent_handle_server_report(struct agent *agent,
 				const struct server_report *report,
 				int64_t now_ms, struct packet_sink *sink)
 {
 	bool is_first_report = !agent->server.has_report;
+	bool is_false_end = shows_false_end(agent, report, now_ms);
 
 	switch (server_watch_update(&agent->server, report, now_ms)) {
 	case SERVER_REPORT_OUTDATED:
@@ -800,6 +830,8 @@
 	}
 	if (is_first_report && is_first_of_server(agent, report))
 		agent->table_incomplete_until_ms = now_ms;
+	if (is_false_end)
+		forget_end(agent, now_ms);
 	if (report->state == SERVER_ENDING) {
 		admit_drain(&agent->admit);
 		return;
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -63,6 +63,10 @@
 	int64_t next_server_check_ms;
 	/** Until this time `flows` may lack connections of the server, ms. */
 	int64_t table_incomplete_until_ms;
+	/** Longest life of a connection, ms; see struct agent_identity. */
+	int64_t flow_lifetime_ms;
+	/** In state SERVER_GONE: the first refusal that showed the end, ms. */
+	int64_t server_refused_ms;
 	/** Time between two server reports, ms; 0: unknown. */
 	int64_t report_interval_ms;
 	/** agent_drain() was called. */
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -2990,6 +2990,73 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against RSTs on open connections for as long as they live after an
+ * agent that started took its server for ended: a report shows that the server
+ * has run since before that.
+ */
+static void test_report_of_server_taken_for_ended(void)
+{
+	static const struct {
+		/** Time since the server's start; negative: not reported. */
+		int64_t age_ms;
+		/** The server is queried about connections. */
+		bool queried;
+	} cases[] = {
+		{30000, true},
+		{SERVER_CHECK_MS + REPORT_INTERVAL_MS + 10, true},
+		/* It has started since. */
+		{REPORT_INTERVAL_MS, false},
+		{0, false},
+		{-1, false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cluster cluster;
+		unsigned int delivered;
+
+		cluster_init(&cluster, 1, 2);
+		advance_time(&cluster, 200);
+		open_connection(&cluster, 1);
+		agent_finish(&cluster.hosts[1].agent);
+		start_agent(&cluster, 1);
+		refuse_server_check(&cluster, 1, 0);
+		advance_time(&cluster, SERVER_CHECK_MS);
+		g_assert_true(refuse_server_check(&cluster, 1, 0));
+		advance_time(&cluster, REPORT_INTERVAL_MS);
+		send_aged_report(&cluster, 1, "first", SERVER_READY, 40,
+				 cases[i].age_ms);
+		delivered = cluster.hosts[1].delivered;
+		send_from_caller(&cluster, 1, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.hosts[1].delivered, ==,
+				 delivered + cases[i].queried);
+		g_assert_cmpuint(cluster.resets_to_callers, ==,
+				 !cases[i].queried);
+		cluster_finish(&cluster);
+	}
+}
+
+/* Guards against a RST on a connection that was silent while its server was
+ * taken for ended, and continues after that server's next report. */
+static void test_silent_connection_after_false_end(void)
+{
+	struct cluster cluster;
+	unsigned int delivered;
+
+	cluster_init(&cluster, 1, 2);
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	advance_time(&cluster, 12000);
+	end_server(&cluster, 1);
+	cluster.hosts[1].server_running = true;
+	send_aged_report(&cluster, 1, "first", SERVER_READY, 40, 30000);
+	delivered = cluster.hosts[1].delivered;
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	g_assert_cmpuint(cluster.hosts[1].delivered, ==, delivered + 1);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -3177,6 +3244,10 @@
 			test_waiting_syn_opened_by_other_balancer);
 	g_test_add_func("/search/port-reused-before-server-ended",
 			test_port_reused_before_server_ended);
+	g_test_add_func("/search/report-of-server-taken-for-ended",
+			test_report_of_server_taken_for_ended);
+	g_test_add_func("/search/silent-connection-after-false-end",
+			test_silent_connection_after_false_end);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
