--- a/flow/agent.c
+++ b/flow/agent.c
@@ -18,6 +18,12 @@
 #define TABLE_MIN_FLOWS 48
 #define CLOSED_FLOW_LINGER_MS 10000
 #define HALF_OPEN_TIMEOUT_MS 30000
+/*
+ * Callers of lost connections that have been silent for longer get their RST
+ * only with their next packet. They wait for no response, and may have given up
+ * and opened another connection from the same port elsewhere.
+ */
+#define RESET_SILENCE_MAX_MS 10000
 #define DEFAULT_IDLE_TIMEOUT_MS 3600000
 #define EXPIRY_SLOTS_PER_TICK 512
 /* A SYN that is retransmitted later than this counts as one that the server did
@@ -44,10 +50,12 @@
 	agent->counters = counters;
 	agent->format = identity->format ? identity->format : &packet_format_ip;
 	agent->reports_load_to_balancers = identity->reports_load_to_balancers;
-	agent->table_incomplete_until_ms = now_ms + identity->flow_lifetime_ms;
+	agent->flow_lifetime_ms = identity->flow_lifetime_ms;
+	agent->table_incomplete_until_ms = now_ms + agent->flow_lifetime_ms;
 	agent->report_interval_ms = identity->report_interval_ms;
 	agent->awaiting_response_since_ms = CLOCK_NEVER;
 	agent->unconfirmed_until_ms = CLOCK_NEVER;
+	agent->unlisted_agent_seen_ms = INT64_MIN / 2;
 	server_watch_init(&agent->server, identity->server_reports,
 			  identity->report_lease_ms);
 	agent->zone = identity->zone;
@@ -140,13 +148,30 @@
 	MATCH_LOST_RACE,
 };
 
-static enum flow_match match_syn(const struct flow *flow,
+/* Whether @packet, a SYN, is a copy of the one that opened @flow. That one is
+ * not known of a connection that an earlier process opened; its sequence number
+ * is near that of the caller's next packet. */
+static bool is_copy_of_syn(const struct agent *agent, const struct flow *flow,
+			   const struct inner_packet *packet)
+{
+	return packet->seq == flow->syn_seq ||
+	       (flow->state == FLOW_OPEN && !flow->syn_seq &&
+		agent_seq_in_window(agent, packet->seq, flow->caller_seq));
+}
+
+/*
+ * Another SYN than the one of an open connection shows that its caller has
+ * given up. It is admitted like any other, and the entry replaced only when it
+ * is delivered: a late SYN must not end the connection.
+ */
+static enum flow_match match_syn(const struct agent *agent,
+				 const struct flow *flow,
 				 const struct inner_packet *packet)
 {
-	bool is_same_syn = packet->seq == flow->syn_seq;
+	bool is_same_syn = is_copy_of_syn(agent, flow, packet);
 
 	if (flow->state == FLOW_OPEN)
-		return MATCH_SAME;
+		return is_same_syn ? MATCH_SAME : MATCH_OTHER;
 	if (!is_same_syn)
 		return MATCH_REOPENS;
 	return flow->state == FLOW_CLOSING ? MATCH_LATE_SYN : MATCH_SAME;
@@ -169,18 +194,16 @@
 	return packet->seq == flow->caller_seq ? MATCH_LOST_RACE : MATCH_OTHER;
 }
 
-static enum flow_match match_packet_to_flow(const struct flow *flow,
+static enum flow_match match_packet_to_flow(const struct agent *agent,
+					    const struct flow *flow,
 					    const struct inner_packet *packet)
 {
 	if (inner_opens_connection(packet))
-		return match_syn(flow, packet);
+		return match_syn(agent, flow, packet);
 	if (flow->state == FLOW_HALF_OPEN)
 		return match_half_open(flow, packet);
-	if (!agent_seq_in_window(packet->seq, flow->caller_seq) ||
-	    ((packet->flags & TCP_ACK) &&
-	     !agent_seq_in_window(packet->ack, flow->server_seq)))
-		return MATCH_OTHER;
-	return MATCH_SAME;
+	return agent_flow_has_packet(agent, flow, packet) ? MATCH_SAME
+							  : MATCH_OTHER;
 }
 
 static void handle_own_flow(struct agent *agent, struct flow *flow,
@@ -311,7 +334,7 @@
 			const struct inner_packet *packet, int64_t now_ms,
 			struct packet_sink *sink)
 {
-	if (flow && agent_seq_in_window(packet->seq, flow->server_seq))
+	if (flow && agent_seq_in_window(agent, packet->seq, flow->server_seq))
 		agent_deliver(agent, header, packet, now_ms, sink);
 	else
 		agent_forward(agent, header, packet, now_ms, sink);
@@ -328,14 +351,16 @@
 		return;
 	}
 	if (flow && (flow->state_bits & FLOW_LOST) &&
-	    !inner_opens_connection(packet)) {
+	    !inner_opens_connection(packet) &&
+	    agent_flow_has_packet(agent, flow, packet)) {
 		agent_count(agent, COUNTER_RESET_CONNECTION_LOST);
 		agent_record_decision(agent, DECISION_RESET_LOST, packet, 0,
 				      "server-ended", sink);
 		agent_reset_caller(agent, packet, sink);
 		return;
 	}
-	switch (flow ? match_packet_to_flow(flow, packet) : MATCH_OTHER) {
+	switch (flow ? match_packet_to_flow(agent, flow, packet)
+		     : MATCH_OTHER) {
 	case MATCH_SAME:
 		handle_own_flow(agent, flow, header, packet, now_ms, sink);
 		return;
@@ -375,7 +400,7 @@
 		handle_flow(agent, header, packet, now_ms, sink);
 		return;
 	}
-	if (flow && match_packet_to_flow(flow, packet) != MATCH_OTHER) {
+	if (flow && match_packet_to_flow(agent, flow, packet) != MATCH_OTHER) {
 		agent_count(agent, COUNTER_DROP_ZONE_CUT);
 		return;
 	}
@@ -500,10 +525,7 @@
 		agent_count(agent, COUNTER_DROP_MALFORMED_HEADER);
 		return;
 	}
-	/* With a different configuration the sender may have searched other
-	 * services than this agent would, so the search is inconclusive. */
-	header.doubt |= header.config_revision !=
-			(uint64_t)agent->view->config_revision;
+	agent_compare_configuration(agent, &header);
 	if (!is_addressed_to_agent(agent, &header)) {
 		handle_misaddressed(agent, &header, data + header_len,
 				    len - header_len, now_ms, sink);
@@ -573,13 +595,17 @@
 	agent_reset_caller(agent, &last, sink);
 }
 
-static void end_flow(struct agent *agent, struct flow *flow,
+static void end_flow(struct agent *agent, struct flow *flow, int64_t now_ms,
 		     struct packet_sink *sink)
 {
-	if (flow->state != FLOW_CLOSING)
-		flow->state_bits |= FLOW_LOST;
-	if (flow->state == FLOW_OPEN)
+	if (flow->state == FLOW_CLOSING)
+		return;
+	if (flow->state == FLOW_OPEN &&
+	    agent_flow_age(flow, now_ms) < RESET_SILENCE_MAX_MS)
 		reset_caller_of_flow(agent, flow, sink);
+	flow->state_bits |= FLOW_LOST;
+	/* The entry lingers for the caller's next packet. */
+	flow->last_packet_ms = (uint32_t)now_ms;
 	agent_flow_close(agent, flow);
 }
 
@@ -595,13 +621,14 @@
 }
 
 /* Closes all connections and resets their callers. */
-static void end_all_flows(struct agent *agent, struct packet_sink *sink)
+static void end_all_flows(struct agent *agent, int64_t now_ms,
+			  struct packet_sink *sink)
 {
 	struct flow_table *flows = &agent->flows;
 
 	for (uint32_t i = 0; i <= flows->mask; i++)
 		if (flows->slots[i].state != FLOW_FREE)
-			end_flow(agent, &flows->slots[i], sink);
+			end_flow(agent, &flows->slots[i], now_ms, sink);
 	agent->unconfirmed_until_ms = CLOCK_NEVER;
 	agent->table_incomplete_until_ms = INT64_MIN;
 	forget_server(agent);
@@ -643,7 +670,7 @@
 	for (uint32_t i = 0; i <= flows->mask; i++)
 		if (flows->slots[i].state == FLOW_OPEN &&
 		    (flows->slots[i].state_bits & FLOW_UNCONFIRMED))
-			end_flow(agent, &flows->slots[i], sink);
+			end_flow(agent, &flows->slots[i], now_ms, sink);
 }
 
 void agent_tick(struct agent *agent, int64_t now_ms, struct packet_sink *sink)
@@ -720,9 +747,10 @@
 	if (!server_watch_shows_end(server, owes_response(agent, now_ms),
 				    silence_limit_ms(agent), now_ms))
 		return false;
+	agent->server_refused_ms = server->refused_since_ms;
 	server->has_report = true;
 	server->report.state = SERVER_GONE;
-	end_all_flows(agent, sink);
+	end_all_flows(agent, now_ms, sink);
 	admit_drain(&agent->admit);
 	return true;
 }
@@ -752,11 +780,39 @@
 	       report->age_ms < agent->report_interval_ms / 2;
 }
 
+/* The server has not ended: it is queried again about connections, also about
+ * those that were closed. */
+static void forget_end(struct agent *agent, int64_t now_ms)
+{
+	struct flow_table *flows = &agent->flows;
+
+	agent->table_incomplete_until_ms = now_ms + agent->flow_lifetime_ms;
+	/* Removing an entry may move a later one into its slot. */
+	for (uint32_t i = 0; i <= flows->mask; i++)
+		while (flows->slots[i].state == FLOW_CLOSING &&
+		       (flows->slots[i].state_bits & FLOW_LOST))
+			agent_flow_remove(agent, &flows->slots[i]);
+}
+
+/*
+ * Whether @report shows that a server that was taken for ended has run all the
+ * while: it started before it refused connections. It has connections that were
+ * closed here or opened before this process started.
+ */
+static bool shows_false_end(const struct agent *agent,
+			    const struct server_report *report, int64_t now_ms)
+{
+	return agent->server.report.state == SERVER_GONE &&
+	       !server_report_is_last(report) && report->age_ms >= 0 &&
+	       now_ms - report->age_ms < agent->server_refused_ms;
+}
+
 void agent_handle_server_report(struct agent *agent,
 				const struct server_report *report,
 				int64_t now_ms, struct packet_sink *sink)
 {
 	bool is_first_report = !agent->server.has_report;
+	bool is_false_end = shows_false_end(agent, report, now_ms);
 
 	switch (server_watch_update(&agent->server, report, now_ms)) {
 	case SERVER_REPORT_OUTDATED:
@@ -767,13 +823,15 @@
 		if (service_id(&report->service) == agent->service_id)
 			suspect_open_flows(agent, now_ms);
 		else
-			end_all_flows(agent, sink);
+			end_all_flows(agent, now_ms, sink);
 		break;
 	case SERVER_UNCHANGED:
 		break;
 	}
 	if (is_first_report && is_first_of_server(agent, report))
 		agent->table_incomplete_until_ms = now_ms;
+	if (is_false_end)
+		forget_end(agent, now_ms);
 	if (report->state == SERVER_ENDING) {
 		admit_drain(&agent->admit);
 		return;
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -43,7 +43,7 @@
 {
 	header->position = (uint8_t)position;
 	header->asking = true;
-	server_queries_add(&agent->server_queries, &packet->key, header);
+	server_queries_add(&agent->server_queries, packet, header);
 	agent_count(agent, COUNTER_PACKET_OFFERED_TO_SERVER);
 	agent_deliver(agent, header, packet, now_ms, sink);
 }
@@ -138,6 +138,24 @@
 	return admit_connection(&agent->admit, now_ms);
 }
 
+/*
+ * Removes the entry of an earlier connection from the same port, whose caller
+ * has given up without a FIN. The entry of the connection that a copy of
+ * @packet opened stays; returns true if there is one.
+ */
+static bool replace_earlier_flow(struct agent *agent,
+				 const struct inner_packet *packet)
+{
+	struct flow *flow = flow_table_find(&agent->flows, &packet->key);
+
+	if (!flow)
+		return false;
+	if (flow->syn_seq == packet->seq)
+		return true;
+	agent_flow_remove(agent, flow);
+	return false;
+}
+
 static void open_connection(struct agent *agent, struct packet_header *header,
 			    const struct inner_packet *packet, int64_t now_ms,
 			    struct packet_sink *sink)
@@ -154,6 +172,11 @@
 		agent_forward(agent, header, packet, now_ms, sink);
 		return;
 	}
+	if (replace_earlier_flow(agent, packet)) {
+		admit_remove_connection(&agent->admit);
+		agent_count(agent, COUNTER_DROP_LATE_OPEN);
+		return;
+	}
 	flow = flow_table_insert(&agent->flows, &packet->key);
 	if (!flow && evict_flow(agent, false, now_ms, sink))
 		flow = flow_table_insert(&agent->flows, &packet->key);
@@ -222,6 +245,8 @@
 	uint8_t kind = agent_kind_of(agent, &packet->key);
 	const struct waiting_service service =
 		expected_service(agent, kind, now_ms);
+	struct waiting *earlier_copy = waiting_syns_find(
+		&agent->waiting_syns, agent_attempt_id(packet));
 	struct waiting entry = {
 		.id = agent_attempt_id(packet),
 		.sent_ms = now_ms - packet->sent_ago_ms,
@@ -230,8 +255,11 @@
 
 	if (!route || packet->len > WAITING_PACKET_BYTES_MAX)
 		return false;
-	if (waiting_syns_contains(&agent->waiting_syns, entry.id))
+	if (earlier_copy) {
+		waiting_record_copy(earlier_copy, packet->sent_ago_ms);
 		return true;
+	}
+	waiting_record_copy(&entry, packet->sent_ago_ms);
 	entry.objective_ms = route->objective_ms;
 	entry.priority = route->priority;
 	if (agent->waiting_syns.by_work)
@@ -326,8 +354,29 @@
 	open_connection(agent, header, packet, now_ms, sink);
 }
 
-/* Opens the connection of a SYN that has waited. If the wait has @expired, the
- * caller gets a RST. */
+/*
+ * Ends the wait of a SYN whose caller is about to time out. The caller gets a
+ * RST unless another agent may have opened the connection: one that a balancer
+ * without an owner hint has sent a copy to.
+ */
+static void end_wait(struct agent *agent, const struct waiting *entry,
+		     const struct inner_packet *packet,
+		     struct packet_sink *sink)
+{
+	if (!waiting_has_all_copies(entry)) {
+		agent_count(agent, COUNTER_DROP_OPEN_UNCERTAIN);
+		agent_record_decision(agent, DECISION_SEARCH_ENDED, packet, 0,
+				      "unsure", sink);
+		return;
+	}
+	agent_count(agent, COUNTER_REFUSE_WAIT_EXPIRED);
+	agent_record_decision(agent, DECISION_OPEN_REFUSED, packet, 0,
+			      "waited-too-long", sink);
+	agent_reset_caller(agent, packet, sink);
+}
+
+/* Opens the connection of a SYN that has waited, or ends its wait if it has
+ * @expired. */
 static void finish_waiting_syn(struct agent *agent, const struct waiting *entry,
 			       bool expired, int64_t now_ms,
 			       struct packet_sink *sink)
@@ -343,10 +392,7 @@
 	admit_adjust_waiting(&agent->admit, agent_kind_of(agent, &packet.key),
 			     -1);
 	if (expired) {
-		agent_count(agent, COUNTER_REFUSE_WAIT_EXPIRED);
-		agent_record_decision(agent, DECISION_OPEN_REFUSED, &packet, 0,
-				      "waited-too-long", sink);
-		agent_reset_caller(agent, &packet, sink);
+		end_wait(agent, entry, &packet, sink);
 	} else if (agent_init_header(agent, &packet, &header)) {
 		/* When the server accepts none, the whole queue is forwarded:
 		 * the next agent doesn't refuse it in one moment. */
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -63,6 +63,10 @@
 	int64_t next_server_check_ms;
 	/** Until this time `flows` may lack connections of the server, ms. */
 	int64_t table_incomplete_until_ms;
+	/** Longest life of a connection, ms; see struct agent_identity. */
+	int64_t flow_lifetime_ms;
+	/** In state SERVER_GONE: the first refusal that showed the end, ms. */
+	int64_t server_refused_ms;
 	/** Time between two server reports, ms; 0: unknown. */
 	int64_t report_interval_ms;
 	/** agent_drain() was called. */
@@ -77,6 +81,9 @@
 	struct server_queries server_queries;
 	/** Load and reachability of other agents. */
 	struct peer_loads peers;
+	/** When the last load report arrived of an agent that is not in the
+	 * view, ms. */
+	int64_t unlisted_agent_seen_ms;
 	/** Packets received from each process, for load reports to it. */
 	struct sender_count senders[AGENT_SENDERS];
 	struct name zone;
