Searches are inconclusive for 1.5 intervals after a report of an unknown agent

Three intervals were longer than needed: an agent that runs reports in each. Callers of connections whose servers had ended waited longer for a RST after a loss of power.

--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -29,6 +29,11 @@
 #define HOPELESS_SYN_HOPS_MAX 2
 /* Expected response time of a peer's server while none has been reported. */
 #define DEFAULT_RESPONSE_MS 50
+/* Time after a load report of an agent that is not in the view for which
+ * searches are inconclusive, in percent of the interval between such reports.
+ * With three intervals more callers of ended servers waited out their deadline.
+ */
+#define UNLISTED_INTERVALS_PERCENT 150
 
 static void count(struct agent *agent, enum counter_id id)
 {
@@ -405,8 +410,8 @@
 static bool has_unlisted_agent(const struct agent *agent, int64_t now_ms)
 {
 	return now_ms - agent->unlisted_agent_seen_ms <
-	       AGENT_MISSED_LOAD_REPORTS_MAX *
-		       agent->view->peer_heartbeat_interval_ms;
+	       agent->view->peer_heartbeat_interval_ms *
+		       UNLISTED_INTERVALS_PERCENT / 100;
 }
 
 /*
