Test: RST on a connection of an agent that just joined

An agent that had no server counts as left. When its server starts, a balancer that knows this opens a connection there, while other processes still have the agent as left. If the next packet comes through such a balancer, the search doesn't include the owner, and nothing in it is inconclusive: the caller gets a RST although its server lives.

The test fails on this code, with and without one agent that knows the owner.

--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1435,6 +1435,59 @@
 	}
 }
 
+/*
+ * Guards against a RST on an open connection while the return of its agent
+ * spreads: the agent had no server and counted as left, its server starts, a
+ * balancer that knows this opens a connection there, and the next packet comes
+ * through another balancer that doesn't know it yet.
+ */
+static void test_owner_joined_unknown(void)
+{
+	static const bool first_agent_knows[] = {false, true};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(first_agent_knows); i++) {
+		struct cluster cluster;
+		struct roster roster;
+		struct view earlier_view;
+		struct host *owner;
+		unsigned int delivered;
+		uint16_t port = 1;
+
+		cluster_init(&cluster, 3, 4);
+		owner = &cluster.hosts[3];
+		roster_init(&roster);
+		for (size_t j = 0; j < cluster.roster.n; j++)
+			roster_merge(&roster, &cluster.roster.members[j],
+				     cluster.now_ms);
+		add_member(&cluster, 3, MEMBER_LEFT);
+		view_init(&earlier_view, &cluster.manifest, &cluster.roster);
+		earlier_view.roster_complete = true;
+		roster_finish(&cluster.roster);
+		cluster.roster = roster;
+		if (!first_agent_knows[i])
+			agent_set_view(&cluster.hosts[1].agent, &earlier_view);
+		agent_set_view(&cluster.hosts[2].agent, &earlier_view);
+		/* Load reports arrive before the balancer sends a SYN. */
+		advance_time(&cluster, 200);
+		while (open_connection(&cluster, port),
+		       owner_of(&cluster, port) != 3)
+			port++;
+		balancer_set_view(&cluster.balancer, &earlier_view);
+		clear_hints(&cluster);
+		send_from_caller(&cluster, port, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+		/* The retransmission, when the agent is known. */
+		set_views(&cluster);
+		advance_time(&cluster, 200);
+		delivered = owner->delivered;
+		send_from_caller(&cluster, port, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+		g_assert_cmpuint(owner->delivered, ==, delivered + 1);
+		view_finish(&earlier_view);
+		cluster_finish(&cluster);
+	}
+}
+
 /* A server that announces its end keeps its connections until it has ended. */
 static void test_reset_before_server_ended(void)
 {
@@ -3293,6 +3346,8 @@
 	g_test_add_func("/search/returned-syn", test_returned_syn);
 	g_test_add_func("/search/opens-by-server-state",
 			test_opens_by_server_state);
+	g_test_add_func("/search/owner-joined-unknown",
+			test_owner_joined_unknown);
 	g_test_add_func("/search/successor-reports-early",
 			test_successor_reports_early);
 	g_test_add_func("/search/reset-before-server-ended",
