The end of a server doesn't reset connections that it never accepted

What callers saw: an open connection was reset by an agent whose server had ended (reset-lost, reason=server-ended), while its own server lives.

Cause: the end of a server marks all entries as lost, also those whose SYN it had not answered. The caller's next copy opens the connection at another server, and a search that passes the first agent gets a RST there, for 10 s.

Such an entry is removed now; a copy of the SYN is forwarded like any other.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -600,6 +600,12 @@
 {
 	if (flow->state == FLOW_CLOSING)
 		return;
+	/* Another server may accept, or have accepted, a copy of its SYN. */
+	if (flow->state == FLOW_HALF_OPEN &&
+	    !(flow->state_bits & FLOW_SYN_ACK_SEEN)) {
+		agent_flow_remove(agent, flow);
+		return;
+	}
 	if (flow->state == FLOW_OPEN &&
 	    agent_flow_age(flow, now_ms) < RESET_SILENCE_MAX_MS)
 		reset_caller_of_flow(agent, flow, sink);
@@ -626,8 +632,10 @@
 {
 	struct flow_table *flows = &agent->flows;
 
+	/* Removing an entry may move a later one into its slot. */
 	for (uint32_t i = 0; i <= flows->mask; i++)
-		if (flows->slots[i].state != FLOW_FREE)
+		while (flows->slots[i].state != FLOW_FREE &&
+		       flows->slots[i].state != FLOW_CLOSING)
 			end_flow(agent, &flows->slots[i], now_ms, sink);
 	agent->unconfirmed_until_ms = CLOCK_NEVER;
 	agent->table_incomplete_until_ms = INT64_MIN;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1488,6 +1488,46 @@
 	}
 }
 
+/*
+ * Guards against a RST on an open connection by the agent of a server that got
+ * an earlier copy of its SYN and ended before it accepted the connection.
+ */
+static void test_syn_at_ended_server(void)
+{
+	struct cluster cluster;
+	struct host *ended;
+	uint16_t port = 0;
+
+	cluster_init(&cluster, 2, 3);
+	ended = &cluster.hosts[1];
+	advance_time(&cluster, 200);
+	ended->server_running = false;
+	while (ended->agent.flows.used < 5) {
+		advance_time(&cluster, 20);
+		send_from_caller(&cluster, ++port, FLAG_SYN, 0);
+	}
+	advance_time(&cluster, SERVER_CHECK_MS);
+	g_assert_true(refuse_server_check(&cluster, 1, 0));
+	advance_time(&cluster, 200);
+	clear_hints(&cluster);
+	for (uint16_t i = 1; i <= port; i++)
+		send_syn_copy(&cluster, i, 1);
+	for (uint16_t i = 1; i <= port; i++) {
+		g_assert_cmpuint(owner_of(&cluster, i), ==, 2);
+		send_from_caller(&cluster, i, FLAG_ACK, 0);
+	}
+	/* Another server starts there, so searches pass its agent. */
+	ended->server_running = true;
+	send_server_report(&cluster, 1, "second", SERVER_READY, 1);
+	advance_time(&cluster, 200);
+	for (uint16_t i = 1; i <= port; i++) {
+		clear_hints(&cluster);
+		send_from_caller(&cluster, i, FLAG_ACK, 100);
+	}
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	cluster_finish(&cluster);
+}
+
 /* A server that announces its end keeps its connections until it has ended. */
 static void test_reset_before_server_ended(void)
 {
@@ -3348,6 +3388,8 @@
 			test_opens_by_server_state);
 	g_test_add_func("/search/owner-joined-unknown",
 			test_owner_joined_unknown);
+	g_test_add_func("/search/syn-at-ended-server",
+			test_syn_at_ended_server);
 	g_test_add_func("/search/successor-reports-early",
 			test_successor_reports_early);
 	g_test_add_func("/search/reset-before-server-ended",
