--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -6,6 +6,7 @@
 
 #include "tarragonflow/common/clock.h"
 #include "tarragonflow/common/log.h"
+#include "tarragonflow/common/random.h"
 
 #include "tarragonflow/flow/agent.h"
 #include "tarragonflow/flow/agent_mark.h"
@@ -3081,6 +3082,533 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Random days of 120 s: configurations that move the route, agents that restart
+ * in turn, servers that are replaced, zones that are evacuated, balancers
+ * without hints, views that lag, callers that give up without a word and use
+ * their ports again. Times in ms.
+ */
+#define DAY_MS 120000
+#define DAY_SEEDS 12
+#define DAY_STEP_MS 10
+#define DAY_AGENTS 8
+#define DAY_FIRST_B 6
+#define DAY_PORTS 120
+#define DAY_VIEWS_MAX 4000
+#define DAY_VIEW_LAG_MS 1500
+/* Time until a port is used again: longer than an ended server's agent resets
+ * callers that were silent. */
+#define DAY_PORT_REST_MS 11000
+#define DAY_SERVER_REST_MS 2200
+
+/** A caller's connection, or attempt to open one. */
+struct day_caller {
+	enum { CALLER_IDLE, CALLER_OPENING, CALLER_OPEN } state;
+	/** First sequence numbers of caller and server; 0: no SYN-ACK yet. */
+	uint32_t seq, server_seq;
+	/** The server that has the connection. */
+	unsigned int owner;
+	unsigned int syns_sent;
+	int64_t started_ms, opened_ms, next_ms;
+};
+
+/** A server's end of the connections from each port. */
+struct day_connection {
+	bool exists;
+	uint32_t caller_seq, seq;
+};
+
+struct day_server {
+	bool runs, draining;
+	unsigned int number;
+	uint64_t sequence;
+	int64_t born_ms, end_ms, next_start_ms, next_report_ms;
+	struct day_connection connections[DAY_PORTS];
+};
+
+struct day {
+	struct cluster cluster;
+	struct random random;
+	struct day_caller callers[DAY_PORTS];
+	struct day_server servers[DAY_AGENTS + 1];
+	struct member members[DAY_AGENTS + 1];
+	/** When an agent that has been told to stop does so, and when it starts
+	 * again; 0: it runs on. */
+	int64_t stop_ms[DAY_AGENTS + 1], start_ms[DAY_AGENTS + 1];
+	struct view *views[DAY_VIEWS_MAX];
+	size_t n_views;
+	/** The view of each agent and, at 0, the balancer; the next one is due
+	 * at next_view_ms. */
+	size_t view_index[DAY_AGENTS + 1];
+	int64_t next_view_ms[DAY_AGENTS + 1];
+	struct zone_order order;
+	unsigned int n_opened, n_resets;
+};
+
+/* The day of the world that is running. */
+static struct day *day;
+
+static int64_t day_random(int64_t n)
+{
+	return (int64_t)random_below(&day->random, (size_t)n);
+}
+
+static size_t make_day_packet(uint8_t *out, bool from_caller, uint16_t port,
+			      uint8_t flags, uint16_t payload, uint32_t seq,
+			      uint32_t ack)
+{
+	size_t len = make_packet(out, from_caller, port, flags, payload);
+
+	put_u32(out + 19, seq);
+	put_u32(out + 23, ack);
+	return len;
+}
+
+static void day_server_sends(struct host *host, uint16_t port, uint8_t flags,
+			     uint16_t payload, uint32_t seq, uint32_t ack)
+{
+	uint8_t out[PACKET_MAX];
+	size_t len =
+		make_day_packet(out, false, port, flags, payload, seq, ack);
+
+	if (host->agent_running)
+		agent_handle_server(&host->agent, out, len,
+				    host->cluster->now_ms, &host->sink);
+}
+
+/* The caller's handshake is complete: its connection is open. */
+static void day_record_open(unsigned int i, uint16_t port, uint32_t caller_seq)
+{
+	struct day_caller *caller = &day->callers[port];
+
+	if (caller->state != CALLER_OPENING || caller->seq != caller_seq)
+		return;
+	caller->state = CALLER_OPEN;
+	caller->owner = i;
+	caller->opened_ms = day->cluster.now_ms;
+	day->n_opened++;
+}
+
+/* False: the server does not have the connection of @packet. */
+static bool day_server_takes(struct host *host,
+			     const struct inner_packet *packet)
+{
+	unsigned int i = (unsigned int)(host - day->cluster.hosts);
+	uint16_t port = packet->key.src_port;
+	struct day_connection *connection = &day->servers[i].connections[port];
+
+	if (!day->servers[i].runs)
+		return false;
+	if (inner_opens_connection(packet)) {
+		if (!connection->exists ||
+		    connection->caller_seq != packet->seq)
+			*connection = (struct day_connection){
+				true, packet->seq,
+				(uint32_t)random_next(&day->random)};
+		day_server_sends(host, port, FLAG_SYN | FLAG_ACK, 0,
+				 connection->seq, packet->seq + 1);
+		return true;
+	}
+	if (!connection->exists)
+		return false;
+	/* Packets of another connection from the port are dropped. */
+	if (packet->seq != connection->caller_seq + 1 ||
+	    packet->ack != connection->seq + 1)
+		return true;
+	day_record_open(i, port, connection->caller_seq);
+	day_server_sends(host, port, FLAG_ACK, packet->payload_len ? 10 : 0,
+			 connection->seq + 1,
+			 packet->seq + packet->payload_len);
+	return true;
+}
+
+static void day_to_server(struct packet_sink *sink, const uint8_t *inner,
+			  size_t len)
+{
+	struct host *host = (struct host *)sink;
+	struct inner_packet packet;
+	uint8_t copy[PACKET_MAX];
+
+	g_assert_true(packet_format_platform.parse(&packet, inner, len));
+	if (day_server_takes(host, &packet))
+		return;
+	memcpy(copy, inner, len);
+	copy[16] |= FLAG_RETURNED;
+	agent_handle_server(&host->agent, copy, len, host->cluster->now_ms,
+			    &host->sink);
+}
+
+static bool day_server_has(const struct day_caller *caller, uint16_t port)
+{
+	const struct day_server *server = &day->servers[caller->owner];
+	const struct day_connection *connection = &server->connections[port];
+
+	return server->runs && connection->exists &&
+	       connection->caller_seq == caller->seq;
+}
+
+static void day_end_caller(struct day_caller *caller)
+{
+	*caller = (struct day_caller){
+		.next_ms = day->cluster.now_ms + DAY_PORT_REST_MS +
+			   day_random(4000),
+	};
+}
+
+static void day_to_fabric(struct packet_sink *sink, const uint8_t *inner,
+			  size_t len)
+{
+	struct inner_packet packet;
+	struct day_caller *caller;
+
+	(void)sink;
+	g_assert_true(packet_format_platform.parse(&packet, inner, len));
+	caller = &day->callers[packet.key.dst_port];
+	if (packet.flags & TCP_RST) {
+		if (caller->state == CALLER_OPEN &&
+		    day_server_has(caller, packet.key.dst_port))
+			day->n_resets++;
+		else if (caller->state != CALLER_IDLE)
+			day_end_caller(caller);
+	} else if ((packet.flags & TCP_SYN) && !caller->server_seq &&
+		   packet.ack == caller->seq + 1) {
+		caller->server_seq = packet.seq;
+		caller->next_ms = day->cluster.now_ms;
+	}
+}
+
+static void day_caller_sends(uint16_t port, uint8_t flags, uint16_t payload,
+			     uint32_t seq, uint32_t ack)
+{
+	struct cluster *cluster = &day->cluster;
+	uint8_t out[PACKET_MAX];
+	size_t len = make_day_packet(out, true, port, flags, payload, seq, ack);
+
+	balancer_handle_packet(&cluster->balancer, out, len, cluster->now_ms,
+			       &cluster->balancer_sink);
+	deliver_datagrams(cluster);
+}
+
+static void day_step_opening(struct day_caller *caller, uint16_t port)
+{
+	static const int64_t syn_ms[] = {0, 200, 600, 1400};
+	int64_t age_ms = day->cluster.now_ms - caller->started_ms;
+
+	if (age_ms >= 1400 && (!caller->server_seq || age_ms >= 3000)) {
+		day_end_caller(caller);
+	} else if (caller->server_seq) {
+		if (day->cluster.now_ms < caller->next_ms)
+			return;
+		caller->next_ms = day->cluster.now_ms + 200;
+		day_caller_sends(port, FLAG_ACK, 100, caller->seq + 1,
+				 caller->server_seq + 1);
+	} else if (caller->syns_sent < 3 &&
+		   age_ms >= syn_ms[caller->syns_sent]) {
+		day_caller_sends(port, FLAG_SYN, 0, caller->seq,
+				 caller->syns_sent++);
+	}
+}
+
+static void day_step_open(struct day_caller *caller, uint16_t port)
+{
+	struct day_server *server = &day->servers[caller->owner];
+
+	if (!day_server_has(caller, port)) {
+		day_end_caller(caller);
+	} else if (day->cluster.now_ms - caller->opened_ms > 50000 ||
+		   !day_random(1000) ||
+		   (server->draining && !day_random(100))) {
+		/* The caller gives up; its server does so soon or late. */
+		server->connections[port].exists = day_random(2);
+		day_end_caller(caller);
+	} else if (day->cluster.now_ms >= caller->next_ms) {
+		caller->next_ms = day->cluster.now_ms + 200 + day_random(6000);
+		day_caller_sends(port, FLAG_ACK, 100, caller->seq + 1,
+				 caller->server_seq + 1);
+	}
+}
+
+static void day_step_caller(uint16_t port)
+{
+	struct day_caller *caller = &day->callers[port];
+
+	if (caller->state == CALLER_OPENING) {
+		day_step_opening(caller, port);
+	} else if (caller->state == CALLER_OPEN) {
+		day_step_open(caller, port);
+	} else if (day->cluster.now_ms >= caller->next_ms && !day_random(40)) {
+		*caller = (struct day_caller){
+			.state = CALLER_OPENING,
+			.seq = (uint32_t)random_next(&day->random) | 1,
+			.started_ms = day->cluster.now_ms,
+		};
+	}
+}
+
+/* A new view, which reaches each process after a time of its own. */
+static void day_add_view(void)
+{
+	struct cluster *cluster = &day->cluster;
+	struct view *view = g_new(struct view, 1);
+
+	g_assert_cmpuint(day->n_views, <, DAY_VIEWS_MAX);
+	view_init_with_orders(view, &cluster->manifest, &cluster->roster,
+			      &cluster->orders, cluster->now_ms);
+	view->roster_complete = true;
+	day->views[day->n_views++] = view;
+	for (unsigned int i = 0; i <= DAY_AGENTS; i++)
+		if (day->next_view_ms[i] <= cluster->now_ms)
+			day->next_view_ms[i] =
+				cluster->now_ms + day_random(DAY_VIEW_LAG_MS);
+}
+
+static void day_set_view(unsigned int i)
+{
+	struct cluster *cluster = &day->cluster;
+	const struct view *view = day->views[day->view_index[i]];
+
+	if (i)
+		agent_set_view(&cluster->hosts[i].agent, view);
+	else
+		balancer_set_view(&cluster->balancer, view);
+}
+
+static void day_update_views(void)
+{
+	for (unsigned int i = 0; i <= DAY_AGENTS; i++) {
+		if (day->view_index[i] == day->n_views - 1 ||
+		    day->cluster.now_ms < day->next_view_ms[i])
+			continue;
+		day->view_index[i] = day->n_views - 1;
+		day_set_view(i);
+	}
+}
+
+static void day_set_member(unsigned int i, enum member_state state)
+{
+	day->members[i].state = state;
+	day->members[i].sequence++;
+	roster_merge(&day->cluster.roster, &day->members[i],
+		     day->cluster.now_ms);
+	day_add_view();
+}
+
+static enum server_state day_server_state(const struct day_server *server)
+{
+	return server->draining ? SERVER_DRAINING : SERVER_READY;
+}
+
+static void day_send_report(unsigned int i, enum server_state state)
+{
+	struct cluster *cluster = &day->cluster;
+	struct day_server *server = &day->servers[i];
+	struct server_report report = {
+		.state = state,
+		.started_ms = (uint64_t)server->born_ms,
+		.age_ms = cluster->now_ms - server->born_ms,
+		.sequence = server->sequence++,
+		.slots = 5,
+	};
+
+	if (!cluster->hosts[i].agent_running)
+		return;
+	snprintf(report.id, sizeof(report.id), "server-%u", server->number);
+	if (state != SERVER_ENDING)
+		name_set(&report.service, service_of_agent(cluster, i));
+	agent_handle_server_report(&cluster->hosts[i].agent, &report,
+				   cluster->now_ms, &cluster->hosts[i].sink);
+}
+
+/* Stops the agent, which announces it 500 ms before, and starts it again. */
+static void day_step_agent(unsigned int i)
+{
+	struct cluster *cluster = &day->cluster;
+	struct host *host = &cluster->hosts[i];
+
+	if (day->stop_ms[i] && cluster->now_ms >= day->stop_ms[i]) {
+		day->stop_ms[i] = 0;
+		day->start_ms[i] = cluster->now_ms + 500 + day_random(1500);
+		host->agent_running = false;
+	}
+	if (day->start_ms[i] && cluster->now_ms >= day->start_ms[i]) {
+		day->start_ms[i] = 0;
+		agent_finish(&host->agent);
+		start_agent(cluster, i);
+		day_set_view(i);
+		day->members[i].instance++;
+		day_set_member(i, MEMBER_DRAINING);
+	}
+}
+
+static void day_step_server(unsigned int i)
+{
+	struct cluster *cluster = &day->cluster;
+	struct host *host = &cluster->hosts[i];
+	struct day_server *server = &day->servers[i];
+	enum member_state state = server->draining ? MEMBER_DRAINING
+						   : MEMBER_ACTIVE;
+
+	if (server->draining && cluster->now_ms >= server->end_ms) {
+		day_send_report(i, SERVER_ENDING);
+		*server = (struct day_server){
+			.number = server->number + 1,
+			.next_start_ms = cluster->now_ms + DAY_SERVER_REST_MS +
+					 day_random(3000),
+		};
+	}
+	if (!server->runs && cluster->now_ms >= server->next_start_ms &&
+	    host->agent.server.report.state == SERVER_GONE) {
+		server->runs = true;
+		server->born_ms = cluster->now_ms;
+	}
+	if (server->runs && cluster->now_ms >= server->next_report_ms) {
+		server->next_report_ms =
+			cluster->now_ms + REPORT_INTERVAL_MS + day_random(40);
+		day_send_report(i, day_server_state(server));
+		if (host->agent_running && !day->stop_ms[i] &&
+		    day->members[i].state != state)
+			day_set_member(i, state);
+	}
+	if (!host->agent_running)
+		return;
+	if (agent_server_check_due(&host->agent, cluster->now_ms) &&
+	    !server->runs && refuse_server_check(cluster, i, 1))
+		day_set_member(i, MEMBER_LEFT);
+	agent_tick(&host->agent, cluster->now_ms, &host->sink);
+}
+
+static void day_change_configuration(void)
+{
+	static const char *const services[] = {
+		"{\"name\":\"a\"},{\"name\":\"b\"}",
+		"{\"name\":\"b\"},{\"name\":\"a\"}",
+	};
+
+	set_manifest(&day->cluster, (int)day->cluster.manifest.release + 1,
+		     services[day_random(2)], day_random(3) ? "a" : "b");
+	day_add_view();
+}
+
+/* Evacuates a zone, or takes that back. */
+static void day_order_zone(void)
+{
+	struct zone_order *order = &day->order;
+
+	order->version++;
+	order->out = !order->out;
+	order->cut_ms = day->cluster.now_ms + 3000;
+	if (order->out)
+		name_set(&order->zone,
+			 str_from(day_random(2) ? "odd" : "even"));
+	zone_orders_merge(&day->cluster.orders, order);
+	day_add_view();
+}
+
+static void day_stop_agent(unsigned int i)
+{
+	if (!day->cluster.hosts[i].agent_running || day->stop_ms[i])
+		return;
+	agent_drain(&day->cluster.hosts[i].agent);
+	day_set_member(i, MEMBER_DRAINING);
+	day->stop_ms[i] = day->cluster.now_ms + 500;
+}
+
+static void day_replace_server(unsigned int i)
+{
+	struct day_server *server = &day->servers[i];
+
+	if (!server->runs || server->draining)
+		return;
+	server->draining = true;
+	server->end_ms = day->cluster.now_ms + 3000 + day_random(3000);
+	server->next_report_ms = day->cluster.now_ms;
+}
+
+/* Changes that begin now; each has a mean time between two of its kind. */
+static void day_step_changes(void)
+{
+	if (!day_random(2000 / DAY_STEP_MS))
+		day_change_configuration();
+	if (!day_random(6000 / DAY_STEP_MS))
+		day_order_zone();
+	/* A cut takes effect when the view is computed. */
+	if (day->cluster.now_ms % 1000 == 0)
+		day_add_view();
+	if (!day_random(2500 / DAY_STEP_MS))
+		day_stop_agent(1 + (unsigned int)day_random(DAY_AGENTS));
+	if (!day_random(5000 / DAY_STEP_MS))
+		day_replace_server(1 + (unsigned int)day_random(DAY_AGENTS));
+	if (!day_random(2500 / DAY_STEP_MS))
+		clear_hints(&day->cluster);
+}
+
+static void day_init(uint64_t seed)
+{
+	struct cluster *cluster = &day->cluster;
+
+	cluster_init(cluster, DAY_AGENTS, DAY_FIRST_B);
+	random_init(&day->random, seed);
+	for (unsigned int i = 1; i <= DAY_AGENTS; i++) {
+		struct host *host = &cluster->hosts[i];
+
+		host->sink.to_server = day_to_server;
+		host->sink.to_fabric = day_to_fabric;
+		day->members[i] = *roster_find(
+			&cluster->roster,
+			&(struct name){.len = 7,
+				       .data = {'a', 'g', 'e', 'n', 't', '-',
+						(char)('0' + i)}});
+		day->servers[i].next_start_ms = cluster->now_ms;
+	}
+	day_add_view();
+	for (unsigned int i = 0; i <= DAY_AGENTS; i++)
+		day_set_view(i);
+}
+
+static void day_finish(void)
+{
+	set_views(&day->cluster);
+	cluster_finish(&day->cluster);
+	for (size_t i = 0; i < day->n_views; i++) {
+		view_finish(day->views[i]);
+		g_free(day->views[i]);
+	}
+	g_free(day);
+}
+
+/*
+ * Guards against RSTs on open connections whose servers live, on days with many
+ * planned changes at once.
+ */
+static void test_long_days(void)
+{
+	for (uint64_t seed = 1; seed <= DAY_SEEDS; seed++) {
+		int64_t end_ms;
+
+		day = g_new0(struct day, 1);
+		day_init(seed);
+		end_ms = day->cluster.now_ms + DAY_MS;
+		while (day->cluster.now_ms < end_ms) {
+			day->cluster.now_ms += DAY_STEP_MS;
+			day_update_views();
+			day_step_changes();
+			for (unsigned int i = 1; i <= DAY_AGENTS; i++) {
+				day_step_agent(i);
+				day_step_server(i);
+			}
+			deliver_datagrams(&day->cluster);
+			for (uint16_t port = 0; port < DAY_PORTS; port++)
+				day_step_caller(port);
+		}
+		g_test_message("seed %u: %u opened, %u reset",
+			       (unsigned int)seed, day->n_opened,
+			       day->n_resets);
+		g_assert_cmpuint(day->n_opened, >, 300);
+		g_assert_cmpuint(day->n_resets, ==, 0);
+		day_finish();
+	}
+}
+
 static void test_zone_orders_merge(void)
 {
 	/* Successive orders on one zone: whether each takes the zone out of
@@ -3248,6 +3776,7 @@
 			test_report_of_server_taken_for_ended);
 	g_test_add_func("/search/silent-connection-after-false-end",
 			test_silent_connection_after_false_end);
+	g_test_add_func("/search/long-days", test_long_days);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
