A server that may run beside the known one is no successor

Callers saw their open connections reset, and the server got no new ones: another server with the wrong address reported here every 770 ms, half an interval after each report of the known server, of which one was lost.

Cause: two reports in a row while the known server is overdue were enough, and a report of the known server cleared what had been held back. So a server that had contradicted it all along counted as its successor after one lost report.

A successor starts after the known server has ended. One whose start isn't after the known server's last report, or isn't known, may run beside it. It is now accepted only with its fourth report in a row, half an interval or more apart, when the lease is over and three reports of the known server are missing (3.5 intervals): one or two may be lost, and a pause of this process counts as one. A real successor whose start doesn't show it, as after a step of the clock, is accepted with its fifth report at the latest; all others as before. Several servers are held back at a time: two that reported in turn replaced each other, and neither was ever accepted.

--- a/flow/report_gate.c
+++ b/flow/report_gate.c
@@ -5,6 +5,11 @@
 /* Time without a report after which the known server is overdue, in percent of
  * the interval between reports. */
 #define OVERDUE_INTERVALS_PERCENT 150
+/* The same, and the number of reports that have to be repeated, for a server
+ * that may have run beside the known one: after three reports of the known
+ * server are missing in a row. One or two may be lost. */
+#define REPLACED_INTERVALS_PERCENT 350
+#define REPLACED_REPORTS 4
 /* Reports that may be missing beyond those that the time since the last one
  * explains, such as numbers used up by failed calls. */
 #define SEQUENCE_SLACK 20
@@ -24,16 +29,33 @@
 	return known->has_report && known->report.id[0];
 }
 
+static bool is_silent_for(const struct report_gate *gate,
+			  const struct server_watch *known,
+			  int64_t intervals_percent, int64_t now_ms)
+{
+	return now_ms - known->report_received_ms >=
+	       gate->report_interval_ms * intervals_percent / 100;
+}
+
 static bool is_overdue(const struct report_gate *gate,
 		       const struct server_watch *known, int64_t now_ms)
 {
-	int64_t age_ms = now_ms - known->report_received_ms;
-
 	if (!server_watch_report_valid(known, now_ms))
 		return true;
 	return gate->report_interval_ms &&
-	       age_ms >= gate->report_interval_ms * OVERDUE_INTERVALS_PERCENT /
-				 100;
+	       is_silent_for(gate, known, OVERDUE_INTERVALS_PERCENT, now_ms);
+}
+
+/*
+ * Whether the server of @report has started before the last report of the known
+ * one arrived, or may have, as its age isn't known. A successor starts after
+ * the known server has ended.
+ */
+static bool may_run_beside(const struct server_watch *known,
+			   const struct server_report *report, int64_t now_ms)
+{
+	return report->age_ms < 0 ||
+	       report->age_ms >= now_ms - known->report_received_ms;
 }
 
 static bool names_other_service(const struct report_gate *gate,
@@ -91,45 +113,96 @@
 	       !server_report_is_outdated(report, &known->report);
 }
 
-/* Whether @report is of the same server as the one that was held back. */
-static bool is_of_held_server(const struct report_gate *gate,
-			      const struct server_report *report)
+/* The earlier reports of the server of @report that were held back, or NULL. */
+static struct held_reports *find_held(struct report_gate *gate,
+				      const struct server_report *report)
 {
-	const struct server_report *held = &gate->held;
+	for (size_t i = 0; i < REPORT_GATE_HELD_MAX; i++) {
+		struct held_reports *held = &gate->held[i];
+		const struct server_report *last = &held->last;
+
+		if (held->n && !server_report_shows_restart(report, last) &&
+		    report->started_ms == last->started_ms &&
+		    name_equal(&report->service, &last->service))
+			return held;
+	}
+	return NULL;
+}
 
-	return gate->has_held && !server_report_shows_restart(report, held) &&
-	       report->started_ms == held->started_ms &&
-	       name_equal(&report->service, &held->service);
+/* Whether @report repeats those in @held, and not a moment after them, as in
+ * the queue after a pause of this process. */
+static bool is_repetition(const struct report_gate *gate,
+			  const struct held_reports *held,
+			  const struct server_report *report, int64_t now_ms)
+{
+	return report->sequence > held->last.sequence &&
+	       now_ms - held->last_ms >= gate->report_interval_ms / 2;
 }
 
-static bool is_repeated(const struct report_gate *gate,
-			const struct server_watch *known,
-			const struct server_report *report, int64_t now_ms)
+/* Whether the known server has been silent for long enough to be replaced by
+ * the server of @report, of which @n_held reports were held back. */
+static bool is_replaceable(const struct report_gate *gate,
+			   const struct server_watch *known, uint32_t n_held,
+			   const struct server_report *report, int64_t now_ms)
 {
-	return is_of_held_server(gate, report) &&
-	       report->sequence > gate->held.sequence &&
-	       now_ms - gate->held_ms >= gate->report_interval_ms / 2 &&
-	       (!is_known(known) || is_overdue(gate, known, now_ms));
+	if (!is_known(known))
+		return true;
+	if (!may_run_beside(known, report, now_ms))
+		return is_overdue(gate, known, now_ms);
+	return n_held + 1 >= REPLACED_REPORTS &&
+	       !server_watch_report_valid(known, now_ms) &&
+	       is_silent_for(gate, known, REPLACED_INTERVALS_PERCENT, now_ms);
 }
 
 static bool accept_report(struct report_gate *gate,
 			  const struct server_report *report)
 {
-	gate->has_held = false;
+	memset(gate->held, 0, sizeof(gate->held));
 	gate->service = report->service;
 	return true;
 }
 
-/* Keeps the first report of a server, so that the time between it and a
- * repetition counts. */
-static void hold(struct report_gate *gate, const struct server_report *report,
+static struct held_reports *oldest_held(struct report_gate *gate)
+{
+	struct held_reports *oldest = &gate->held[0];
+
+	for (size_t i = 0; i < REPORT_GATE_HELD_MAX; i++) {
+		if (!gate->held[i].n)
+			return &gate->held[i];
+		if (gate->held[i].last_ms < oldest->last_ms)
+			oldest = &gate->held[i];
+	}
+	return oldest;
+}
+
+static void hold(struct held_reports *held, const struct server_report *report,
 		 int64_t now_ms)
 {
-	if (is_of_held_server(gate, report))
-		return;
-	gate->has_held = true;
-	gate->held = *report;
-	gate->held_ms = now_ms;
+	held->n++;
+	held->last = *report;
+	held->last_ms = now_ms;
+}
+
+/* Holds back a contradicting @report. Returns true if it is accepted instead.
+ */
+static bool is_confirmed(struct report_gate *gate,
+			 const struct server_watch *known,
+			 const struct server_report *report, int64_t now_ms)
+{
+	struct held_reports *held = find_held(gate, report);
+
+	if (!held) {
+		held = oldest_held(gate);
+		held->n = 0;
+		hold(held, report, now_ms);
+		return false;
+	}
+	if (!is_repetition(gate, held, report, now_ms))
+		return false;
+	if (is_replaceable(gate, known, held->n, report, now_ms))
+		return true;
+	hold(held, report, now_ms);
+	return false;
 }
 
 bool report_gate_accepts(struct report_gate *gate,
@@ -143,10 +216,6 @@
 	if (!report_gate_contradiction(gate, known, report, now_ms) ||
 	    is_plausible(gate, known, report))
 		return accept_report(gate, report);
-	if (is_repeated(gate, known, report, now_ms)) {
-		report->confirmed = true;
-		return accept_report(gate, report);
-	}
-	hold(gate, report, now_ms);
-	return false;
+	report->confirmed = is_confirmed(gate, known, report, now_ms);
+	return report->confirmed && accept_report(gate, report);
 }
--- a/include/tarragonflow/flow/report_gate.h
+++ b/include/tarragonflow/flow/report_gate.h
@@ -3,6 +3,19 @@
 
 #include "tarragonflow/flow/server_watch.h"
 
+/** Servers whose reports are held back at the same time: a successor and
+ * others that report here by mistake. */
+#define REPORT_GATE_HELD_MAX 4
+
+/** Reports of one server that were held back since a report was accepted, each
+ * at least half an interval after the one before. */
+struct held_reports {
+	uint32_t n;
+	/** The last one, and when it arrived, ms. */
+	struct server_report last;
+	int64_t last_ms;
+};
+
 /**
  * Holds back server reports that contradict the known server at an address: of
  * another server, of another start, with another service, or with a number that
@@ -11,18 +24,17 @@
  * accepted when the known server has ended, or a successor's after the known
  * one has announced its end; else when it is repeated while the known server is
  * overdue. The silence alone isn't enough, because this process may have been
- * paused. Pure functions.
+ * paused. A server that by its start time may have run beside the known one has
+ * to repeat its report while three reports of the known server are missing in a
+ * row: one or two may be lost, and it may report all the time. Pure functions.
  */
 struct report_gate {
 	/** Service of the last accepted report, first that of the settings. */
 	struct name service;
 	/** Time between two server reports, ms; 0: unknown. */
 	int64_t report_interval_ms;
-	/** The first report that was held back, of the server that reported
-	 * last without being accepted, and when it arrived, ms. */
-	bool has_held;
-	struct server_report held;
-	int64_t held_ms;
+	/** The servers that reported last without being accepted. */
+	struct held_reports held[REPORT_GATE_HELD_MAX];
 };
 
 void report_gate_init(struct report_gate *gate, const struct name *service,
--- a/tests/processes/play.py
+++ b/tests/processes/play.py
@@ -32,6 +32,8 @@
 SETTLE_S = 7.0          # every roster is complete by now
 TROUBLE_AFTER_S = 1.0
 WATCH_S = 2.5
+# Time between reports after which a replaced server has to be known.
+REPLACED_AFTER_INTERVALS = 3
 # Plays at a time on this machine; each has some 15 processes. With seven at a
 # time beside other load, too few connections opened and they couldn't run.
 PLAYS_AT_A_TIME = 3
@@ -125,6 +127,27 @@
         await asyncio.sleep(0.02)
 
 
+async def other_server_reports_here_too(world, target):
+    """Another server, which has the wrong address, reports half an interval
+    after each report of this one, and one report of this one is lost."""
+    target.tasks[0].cancel()
+    name = "i-%08x" % random.getrandbits(32)
+    next_at = world.now()
+    for n in range(1, 9):
+        if n == 5:
+            target.sequence += 1
+            target.record("heartbeat %d is lost", target.sequence)
+        else:
+            await target.beat()
+        next_at += target.beat_s / 2
+        await asyncio.sleep(next_at - world.now())
+        await call(target, "heartbeat", name, service="assessing", sequence=n,
+                   born=target.born + 1000)
+        next_at += target.beat_s / 2
+        await asyncio.sleep(next_at - world.now())
+    target.tasks[0] = asyncio.create_task(target.beats())
+
+
 async def own_id_number_ahead(world, target):
     await call(target, "heartbeat", sequence=target.sequence + 100000)
 
@@ -171,6 +194,17 @@
     await asyncio.sleep(4)
 
 
+async def replaced_without_notice(world, target):
+    """The server crashes, and another one of its service starts at its address
+    at once. It has to get new connections soon."""
+    target.crash()
+    await asyncio.sleep(0.02)   # its sockets are closed by now
+    successor = world.add_target(target.machine, work_ms=WORK_MS)
+    await successor.start()
+    await asyncio.sleep(REPLACED_AFTER_INTERVALS * successor.beat_s)
+    await check_accepts(world, successor, (world.host_ip(1), 443))
+
+
 async def ends(target, lives_on_s, listener_closed=False):
     """A planned end: draining, deregistration, and the process goes on for a
     while before it ends."""
@@ -247,8 +281,9 @@
     known_service_later_start, own_service_other_id,
     own_service_earlier_start, other_id_deregisters,
     own_id_deregisters_later_start, known_service_twice, own_id_number_ahead,
-    other_id_is_first_to_deregister, other_id_is_first_to_report,
-    known_service_after_pause, deregisters_and_lives_50_ms,
+    other_server_reports_here_too, other_id_is_first_to_deregister,
+    other_id_is_first_to_report, known_service_after_pause,
+    replaced_without_notice, deregisters_and_lives_50_ms,
     deregisters_and_lives_1_s, deregisters_and_lives_4_s,
     closes_listener_and_lives_1_s, agent_stops_after_deregistration,
     agent_killed_while_listener_is_closed,
