A server whose zone returns counts as cold until its next report

What was seen: a zone that an operator's order took out returns, its server turned cold 0.1 s after its last heartbeat.

Cause: the end of the warm-up is set by reports only, and when the zone of a server that sends reports returned, agent_set_view() did nothing. So a report from the time of the evacuation went on to count as what the server says.

Now the server counts as cold from the return until a report arrives, and gets at most cold_per_s new connections a second. Where cold_per_s is 0 nothing changes; a warm server is slowed until its next heartbeat only.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -6,6 +6,7 @@
 
 #include "tarragonflow/admit/slowness.h"
 #include "tarragonflow/admit/work_left.h"
+#include "tarragonflow/common/clock.h"
 #include "tarragonflow/net/packet.h"
 
 /* A response is slow above this multiple of the usual response time, plus some
@@ -88,6 +89,11 @@
 	admit->slow_factor = 1;
 }
 
+static int64_t cold_open_interval_ms(int64_t cold_per_s)
+{
+	return cold_per_s ? (MS_PER_S + cold_per_s - 1) / cold_per_s : 0;
+}
+
 void admit_apply_report(struct admit *admit, uint32_t slots,
 			int64_t warmup_left_ms, int64_t cold_per_s,
 			int64_t now_ms)
@@ -96,8 +102,15 @@
 	admit->slots_max = MAX(slots, 1);
 	admit->limit = admit->connections_max;
 	admit->cold_until_ms = now_ms + warmup_left_ms;
-	admit->cold_open_interval_ms =
-		cold_per_s ? (MS_PER_S + cold_per_s - 1) / cold_per_s : 0;
+	admit->cold_open_interval_ms = cold_open_interval_ms(cold_per_s);
+}
+
+void admit_suspect_cold(struct admit *admit, int64_t cold_per_s)
+{
+	if (!admit->has_server_report || !cold_per_s)
+		return;
+	admit->cold_until_ms = CLOCK_NEVER;
+	admit->cold_open_interval_ms = cold_open_interval_ms(cold_per_s);
 }
 
 void admit_adjust_running(struct admit *admit, int change, int64_t now_ms)
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -71,6 +71,11 @@
 	flow_table_finish(&agent->flows);
 }
 
+static int64_t cold_per_s(const struct agent *agent)
+{
+	return agent->service ? agent->service->service.cold_per_s : 0;
+}
+
 /*
  * When the zone leaves or enters service, the agent of a server that sends no
  * server reports drops all connections and treats its server as cold.
@@ -79,12 +84,14 @@
 {
 	if (agent->zone_in_service == in_service)
 		return;
-	/* Servers that send server reports keep their connections. */
+	agent->zone_in_service = in_service;
+	/* Servers that send server reports keep their connections. They may
+	 * have turned cold since their last report. */
 	if (agent->server.reports_expected) {
-		agent->zone_in_service = in_service;
+		if (in_service)
+			admit_suspect_cold(&agent->admit, cold_per_s(agent));
 		return;
 	}
-	agent->zone_in_service = in_service;
 	flow_table_clear(&agent->flows);
 	cost_forget_running(&agent->admit.cost);
 	cost_forget_open(&agent->admit.cost);
@@ -97,16 +104,17 @@
 void agent_set_view(struct agent *agent, const struct view *view)
 {
 	bool in_service = view_zone_in_service(view, &agent->zone);
+	bool is_first_view = !agent->view;
 
+	agent->view = view;
+	agent->service = view_find_service(view, agent->service_id);
 	/* The first view does not change the state of the zone. */
-	if (agent->view)
+	if (!is_first_view)
 		apply_zone_state(agent, in_service);
 	agent->zone_in_service = in_service;
 	agent->zone_order = view_zone_order_state(view, &agent->zone);
-	agent->view = view;
 	peer_loads_set_heartbeat_interval(&agent->peers,
 					  view->peer_heartbeat_interval_ms);
-	agent->service = view_find_service(view, agent->service_id);
 	if (!agent->service || agent->service->retired)
 		return;
 	agent->idle_timeout_ms = agent->service->service.idle_timeout_s * 1000;
@@ -727,11 +735,6 @@
 	return true;
 }
 
-static int64_t cold_per_s(const struct agent *agent)
-{
-	return agent->service ? agent->service->service.cold_per_s : 0;
-}
-
 /*
  * Whether @report is certainly the first one since the server's start, so that
  * no earlier agent process has opened connections there. Servers may count from
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -82,7 +82,8 @@
 	 * on the counts of signals: it is connections_max, and while the server
 	 * is cold new connections are limited in rate. */
 	bool has_server_report;
-	/** End of the server's warm-up by its last report, ms. */
+	/** End of the server's warm-up by its last report, ms; CLOCK_NEVER: not
+	 * known before the next one, see admit_suspect_cold(). */
 	int64_t cold_until_ms;
 	/** Shortest time between new connections to a cold server, ms; 0: no
 	 * limit. */
@@ -143,6 +144,13 @@
 			int64_t warmup_left_ms, int64_t cold_per_s,
 			int64_t now_ms);
 
+/**
+ * Treats a server that sends server reports as cold until its next one: it may
+ * have turned cold since the last. No change if cold servers have no limit of
+ * new connections (@cold_per_s 0).
+ */
+void admit_suspect_cold(struct admit *admit, int64_t cold_per_s);
+
 /**
  * Whether all slots of the server are in use, including by the requests that
  * are expected on connections opened a moment ago. Always false for a server
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1853,6 +1853,72 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against: a zone returns to service, its server has turned cold since
+ * its last report and gets the load of a warm one.
+ */
+static void test_zone_returns_cold(void)
+{
+	/* After the return a SYN arrives every 10 ms, and how many of 70 are
+	 * opened. */
+	static const struct {
+		const char *name;
+		int cold_per_s;
+		/* A report follows the return, and the warm-up time in it. */
+		bool reports;
+		int64_t warmup_left_ms;
+		unsigned int opened;
+	} cases[] = {
+		{"no report since", 8, false, 0, 6},
+		{"no limit of a cold server", 0, false, 0, 70},
+		{"reported as warm", 8, true, 0, 70},
+		{"reported as cold", 8, true, 2000, 6},
+	};
+	struct server_report report = {
+		.id = "first", .state = SERVER_READY, .slots = 5, .age_ms = -1};
+	struct zone_order order;
+	struct cluster cluster;
+	struct agent *agent;
+	char services[64];
+
+	name_set(&report.service, str_from("a"));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_test_message("%s", cases[i].name);
+		cluster_init(&cluster, 1, 2);
+		agent = &cluster.hosts[1].agent;
+		snprintf(services, sizeof(services),
+			 "{\"name\":\"a\",\"cold_per_s\":%d}",
+			 cases[i].cold_per_s);
+		set_manifest(&cluster, 2, services, "a");
+		order_odd_zone_out_of_service(&cluster);
+		make_views(&cluster, true);
+		advance_time(&cluster, 1000);
+		report.sequence = 3;
+		report.warmup_left_ms = 0;
+		agent_handle_server_report(agent, &report, cluster.now_ms,
+					   &cluster.hosts[1].sink);
+		advance_time(&cluster, 100);
+		memset(&order, 0, sizeof(order));
+		name_set(&order.zone, str_from("odd"));
+		order.version = 6;
+		zone_orders_merge(&cluster.orders, &order);
+		make_views(&cluster, true);
+		report.sequence = 4;
+		report.warmup_left_ms = cases[i].warmup_left_ms;
+		if (cases[i].reports)
+			agent_handle_server_report(agent, &report,
+						   cluster.now_ms,
+						   &cluster.hosts[1].sink);
+		for (uint16_t port = 1; port <= 70; port++) {
+			send_from_caller(&cluster, port, FLAG_SYN, 0);
+			advance_time(&cluster, 10);
+		}
+		g_assert_cmpuint(cluster.hosts[1].accepted_syns, ==,
+				 cases[i].opened);
+		cluster_finish(&cluster);
+	}
+}
+
 /* Agents in a zone that is out of service by an order still send heartbeats. */
 static void test_zone_order_heartbeats(void)
 {
@@ -2799,6 +2865,7 @@
 	g_test_add_func("/search/owner-reports-another-service",
 			test_owner_reports_another_service);
 	g_test_add_func("/search/zone-order", test_zone_order_states);
+	g_test_add_func("/search/zone-returns-cold", test_zone_returns_cold);
 	g_test_add_func("/search/zone-order-heartbeats",
 			test_zone_order_heartbeats);
 	g_test_add_func("/search/zone-order-searched",
