The limit of a cold server follows the configuration, not only its reports

Cause: the limit was computed when a report arrived, from the view of that moment; without a view it was 0, no limit. Now each view sets it as well.

/search/cold-report-before-limit fails on the code before in both cases: 70 of 70 connections opened in 0.7 s where 6 are asked.

--- a/admit/admit.c
+++ b/admit/admit.c
@@ -89,9 +89,10 @@
 	admit->slow_factor = 1;
 }
 
-static int64_t cold_open_interval_ms(int64_t cold_per_s)
+void admit_limit_cold_opens(struct admit *admit, int64_t cold_per_s)
 {
-	return cold_per_s ? (MS_PER_S + cold_per_s - 1) / cold_per_s : 0;
+	admit->cold_open_interval_ms =
+		cold_per_s ? (MS_PER_S + cold_per_s - 1) / cold_per_s : 0;
 }
 
 void admit_apply_report(struct admit *admit, uint32_t slots,
@@ -102,15 +103,13 @@
 	admit->slots_max = MAX(slots, 1);
 	admit->limit = admit->connections_max;
 	admit->cold_until_ms = now_ms + warmup_left_ms;
-	admit->cold_open_interval_ms = cold_open_interval_ms(cold_per_s);
+	admit_limit_cold_opens(admit, cold_per_s);
 }
 
-void admit_suspect_cold(struct admit *admit, int64_t cold_per_s)
+void admit_suspect_cold(struct admit *admit)
 {
-	if (!admit->has_server_report || !cold_per_s)
-		return;
-	admit->cold_until_ms = CLOCK_NEVER;
-	admit->cold_open_interval_ms = cold_open_interval_ms(cold_per_s);
+	if (admit->has_server_report && admit->cold_open_interval_ms)
+		admit->cold_until_ms = CLOCK_NEVER;
 }
 
 void admit_adjust_running(struct admit *admit, int change, int64_t now_ms)
--- a/flow/agent.c
+++ b/flow/agent.c
@@ -89,7 +89,7 @@
 	 * have turned cold since their last report. */
 	if (agent->server.reports_expected) {
 		if (in_service)
-			admit_suspect_cold(&agent->admit, cold_per_s(agent));
+			admit_suspect_cold(&agent->admit);
 		return;
 	}
 	flow_table_clear(&agent->flows);
@@ -108,6 +108,7 @@
 
 	agent->view = view;
 	agent->service = view_find_service(view, agent->service_id);
+	admit_limit_cold_opens(&agent->admit, cold_per_s(agent));
 	/* The first view does not change the state of the zone. */
 	if (!is_first_view)
 		apply_zone_state(agent, in_service);
--- a/include/tarragonflow/admit/admit.h
+++ b/include/tarragonflow/admit/admit.h
@@ -144,12 +144,16 @@
 			int64_t warmup_left_ms, int64_t cold_per_s,
 			int64_t now_ms);
 
+/** Sets how many new connections per second a cold server gets at most, also
+ * for a server that is cold by an earlier report; 0: no limit. */
+void admit_limit_cold_opens(struct admit *admit, int64_t cold_per_s);
+
 /**
  * Treats a server that sends server reports as cold until its next one: it may
  * have turned cold since the last. No change if cold servers have no limit of
- * new connections (@cold_per_s 0).
+ * new connections.
  */
-void admit_suspect_cold(struct admit *admit, int64_t cold_per_s);
+void admit_suspect_cold(struct admit *admit);
 
 /**
  * Whether all slots of the server are in use, including by the requests that
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1919,6 +1919,45 @@
 	}
 }
 
+/* Guards against: a cold server gets the load of a warm one, as its report came
+ * before the configuration that limits it. */
+static void test_cold_report_before_limit(void)
+{
+	struct server_report report = {.id = "first",
+				       .state = SERVER_READY,
+				       .sequence = 2,
+				       .slots = 5,
+				       .age_ms = -1,
+				       .warmup_left_ms = 2000};
+	struct cluster cluster;
+	struct agent *agent;
+
+	name_set(&report.service, str_from("a"));
+	/* The report comes before the agent's first view, or before the view
+	 * with the limit. */
+	for (int starts = 0; starts < 2; starts++) {
+		cluster_init(&cluster, 1, 2);
+		agent = &cluster.hosts[1].agent;
+		if (starts) {
+			agent_finish(agent);
+			cluster.has_view = false;
+			start_agent(&cluster, 1);
+			cluster.has_view = true;
+		}
+		agent_handle_server_report(agent, &report, cluster.now_ms,
+					   &cluster.hosts[1].sink);
+		set_manifest(&cluster, 2, "{\"name\":\"a\",\"cold_per_s\":8}",
+			     "a");
+		make_views(&cluster, true);
+		for (uint16_t port = 1; port <= 70; port++) {
+			send_from_caller(&cluster, port, FLAG_SYN, 0);
+			advance_time(&cluster, 10);
+		}
+		g_assert_cmpuint(cluster.hosts[1].accepted_syns, ==, 6);
+		cluster_finish(&cluster);
+	}
+}
+
 /* Agents in a zone that is out of service by an order still send heartbeats. */
 static void test_zone_order_heartbeats(void)
 {
@@ -2866,6 +2905,8 @@
 			test_owner_reports_another_service);
 	g_test_add_func("/search/zone-order", test_zone_order_states);
 	g_test_add_func("/search/zone-returns-cold", test_zone_returns_cold);
+	g_test_add_func("/search/cold-report-before-limit",
+			test_cold_report_before_limit);
 	g_test_add_func("/search/zone-order-heartbeats",
 			test_zone_order_heartbeats);
 	g_test_add_func("/search/zone-order-searched",
