--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1957,6 +1957,111 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against: a zone returns to service, its server has turned cold since
+ * its last report and gets the load of a warm one.
+ */
+static void test_zone_returns_cold(void)
+{
+	/* After the return a SYN arrives every 10 ms, and how many of 70 are
+	 * opened. */
+	static const struct {
+		const char *name;
+		int cold_per_s;
+		/* A report follows the return, and the warm-up time in it. */
+		bool reports;
+		int64_t warmup_left_ms;
+		unsigned int opened;
+	} cases[] = {
+		{"no report since", 8, false, 0, 6},
+		{"no limit of a cold server", 0, false, 0, 70},
+		{"reported as warm", 8, true, 0, 70},
+		{"reported as cold", 8, true, 2000, 6},
+	};
+	struct server_report report = {
+		.id = "first", .state = SERVER_READY, .slots = 5, .age_ms = -1};
+	struct zone_order order;
+	struct cluster cluster;
+	struct agent *agent;
+	char services[64];
+
+	name_set(&report.service, str_from("a"));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_test_message("%s", cases[i].name);
+		cluster_init(&cluster, 1, 2);
+		agent = &cluster.hosts[1].agent;
+		snprintf(services, sizeof(services),
+			 "{\"name\":\"a\",\"cold_per_s\":%d}",
+			 cases[i].cold_per_s);
+		set_manifest(&cluster, 2, services, "a");
+		order_odd_zone_out_of_service(&cluster);
+		make_views(&cluster, true);
+		advance_time(&cluster, 1000);
+		report.sequence = 3;
+		report.warmup_left_ms = 0;
+		agent_handle_server_report(agent, &report, cluster.now_ms,
+					   &cluster.hosts[1].sink);
+		advance_time(&cluster, 100);
+		memset(&order, 0, sizeof(order));
+		name_set(&order.zone, str_from("odd"));
+		order.version = 6;
+		zone_orders_merge(&cluster.orders, &order);
+		make_views(&cluster, true);
+		report.sequence = 4;
+		report.warmup_left_ms = cases[i].warmup_left_ms;
+		if (cases[i].reports)
+			agent_handle_server_report(agent, &report,
+						   cluster.now_ms,
+						   &cluster.hosts[1].sink);
+		for (uint16_t port = 1; port <= 70; port++) {
+			send_from_caller(&cluster, port, FLAG_SYN, 0);
+			advance_time(&cluster, 10);
+		}
+		g_assert_cmpuint(cluster.hosts[1].accepted_syns, ==,
+				 cases[i].opened);
+		cluster_finish(&cluster);
+	}
+}
+
+/* Guards against: a cold server gets the load of a warm one, as its report came
+ * before the configuration that limits it. */
+static void test_cold_report_before_limit(void)
+{
+	struct server_report report = {.id = "first",
+				       .state = SERVER_READY,
+				       .sequence = 2,
+				       .slots = 5,
+				       .age_ms = -1,
+				       .warmup_left_ms = 2000};
+	struct cluster cluster;
+	struct agent *agent;
+
+	name_set(&report.service, str_from("a"));
+	/* The report comes before the agent's first view, or before the view
+	 * with the limit. */
+	for (int starts = 0; starts < 2; starts++) {
+		cluster_init(&cluster, 1, 2);
+		agent = &cluster.hosts[1].agent;
+		if (starts) {
+			agent_finish(agent);
+			cluster.has_view = false;
+			start_agent(&cluster, 1);
+			cluster.has_view = true;
+		}
+		agent_handle_server_report(agent, &report, cluster.now_ms,
+					   &cluster.hosts[1].sink);
+		set_manifest(&cluster, 2, "{\"name\":\"a\",\"cold_per_s\":8}",
+			     "a");
+		make_views(&cluster, true);
+		for (uint16_t port = 1; port <= 70; port++) {
+			send_from_caller(&cluster, port, FLAG_SYN, 0);
+			advance_time(&cluster, 10);
+		}
+		g_assert_cmpuint(cluster.hosts[1].accepted_syns, ==, 6);
+		cluster_finish(&cluster);
+	}
+}
+
 /* Agents in a zone that is out of service by an order still send heartbeats. */
 static void test_zone_order_heartbeats(void)
 {
@@ -2551,11 +2656,12 @@
 		const char *id, *service;
 		uint64_t started_ms, sequence;
 		bool accepted;
+		int64_t age_ms;
 	};
 	static const struct {
 		const char *name;
 		enum server_state known_state;
-		struct arrival arrivals[6];
+		struct arrival arrivals[7];
 	} cases[] = {
 		{"other service, own id",
 		 SERVER_READY,
@@ -2586,6 +2692,69 @@
 		 {{400, "x", "assessing", 80000, 1, false},
 		  {1170, "x", "assessing", 80000, 2, true},
 		  {1940, "x", "assessing", 80000, 3, true}}},
+		{"other server all the time, one report missing",
+		 SERVER_READY,
+		 {{385, "x", "assessing", 80000, 1, false, 10385},
+		  {770, "b", "orders", 20000, 6, true},
+		  {1155, "x", "assessing", 80000, 2, false, 11155},
+		  {1925, "x", "assessing", 80000, 3, false, 11925},
+		  {2310, "b", "orders", 20000, 8, true},
+		  {2695, "x", "assessing", 80000, 4, false, 12695}}},
+		{"other server all the time, two reports missing",
+		 SERVER_READY,
+		 {{385, "x", "orders", 80000, 1, false, 10385},
+		  {770, "b", "orders", 20000, 6, true},
+		  {1155, "x", "orders", 80000, 2, false, 11155},
+		  {1925, "x", "orders", 80000, 3, false, 11925},
+		  {2695, "x", "orders", 80000, 4, false, 12695},
+		  {3080, "b", "orders", 20000, 9, true}}},
+		{"other server all the time, started after the known one",
+		 SERVER_READY,
+		 {{385, "x", "assessing", 80000, 1, false, 285},
+		  {770, "b", "orders", 20000, 6, true},
+		  {1155, "x", "assessing", 80000, 2, false, 1055},
+		  {1925, "x", "assessing", 80000, 3, false, 1825},
+		  {2310, "b", "orders", 20000, 8, true}}},
+		{"other server all the time, age not known",
+		 SERVER_READY,
+		 {{385, "x", "assessing", 80000, 1, false, -1},
+		  {770, "b", "orders", 20000, 6, true},
+		  {1155, "x", "assessing", 80000, 2, false, -1},
+		  {1925, "x", "assessing", 80000, 3, false, -1},
+		  {2310, "b", "orders", 20000, 8, true}}},
+		{"other server twice in an interval, one report missing",
+		 SERVER_READY,
+		 {{10, "x", "assessing", 80000, 1, false, 10010},
+		  {395, "x", "assessing", 80000, 2, false, 10395},
+		  {780, "x", "assessing", 80000, 3, false, 10780},
+		  {1165, "x", "assessing", 80000, 4, false, 11165},
+		  {1535, "x", "assessing", 80000, 5, false, 11535},
+		  {1540, "b", "orders", 20000, 7, true}}},
+		{"other server all the time, after a pause of this process",
+		 SERVER_READY,
+		 {{385, "x", "assessing", 80000, 1, false, 10385},
+		  {3500, "x", "assessing", 80000, 2, false, 13500},
+		  {3500, "x", "assessing", 80000, 3, false, 13500},
+		  {3501, "b", "orders", 20000, 9, true}}},
+		{"known server silent, other clock",
+		 SERVER_READY,
+		 {{385, "x", "assessing", 80000, 1, false, 10385},
+		  {1155, "x", "assessing", 80000, 2, false, 11155},
+		  {1925, "x", "assessing", 80000, 3, false, 11925},
+		  {2695, "x", "assessing", 80000, 4, true, 12695},
+		  {3465, "x", "assessing", 80000, 5, true, 13465}}},
+		{"known server silent, successor started since",
+		 SERVER_READY,
+		 {{400, "x", "orders", 80000, 1, false, 100},
+		  {1170, "x", "orders", 80000, 2, true, 870}}},
+		{"successor beside another server that reports all the time",
+		 SERVER_READY,
+		 {{385, "x", "assessing", 80000, 1, false, 10385},
+		  {600, "c", "orders", 90000, 1, false, 100},
+		  {1155, "x", "assessing", 80000, 2, false, 11155},
+		  {1370, "c", "orders", 90000, 2, true, 870},
+		  {1925, "x", "assessing", 80000, 3, false, 11925},
+		  {2140, "c", "orders", 90000, 3, true, 1640}}},
 		{"two in a moment",
 		 SERVER_READY,
 		 {{100, "x", "assessing", 80000, 1, false},
@@ -2658,6 +2827,7 @@
 			struct server_report report = {
 				.started_ms = arrival->started_ms,
 				.sequence = arrival->sequence,
+				.age_ms = arrival->age_ms,
 				.state = SERVER_READY,
 			};
 
@@ -3946,6 +4116,9 @@
 	g_test_add_func("/search/report-while-stopping",
 			test_report_while_stopping);
 	g_test_add_func("/search/zone-order", test_zone_order_states);
+	g_test_add_func("/search/zone-returns-cold", test_zone_returns_cold);
+	g_test_add_func("/search/cold-report-before-limit",
+			test_cold_report_before_limit);
 	g_test_add_func("/search/zone-order-heartbeats",
 			test_zone_order_heartbeats);
 	g_test_add_func("/search/zone-order-searched",
