Known red: a zone is evacuated while agents are rolled

Rolled agents no longer know their servers' connections. The plays share the start of the processes.

--- a/tests/processes/play.py
+++ b/tests/processes/play.py
@@ -11,6 +11,7 @@
 import os
 import random
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -19,7 +20,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "..", "review", "lib"))
 
-from world import CouldNotRun, config, route, run  # noqa: E402
+from world import BOUNDS, CouldNotRun, config, route, run  # noqa: E402
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 SERVICES = ("orders", "assessing")
@@ -32,6 +33,12 @@
 SETTLE_S = 7.0          # every roster is complete by now
 TROUBLE_AFTER_S = 1.0
 WATCH_S = 2.5
+# The rest is for cases in which agents are rolled.
+ROLL_GAP_S = 0.7        # a rolled agent gets its server's heartbeat meanwhile
+IDLE_TIMEOUT_MS = 30000     # above the length of a roll
+REQUEST_BYTES = 6000    # six packets
+OUT_OF_SERVICE_S = 3.0  # more than reorder_ms
+SERVED_AGAIN_S = 5.0
 # Plays at a time on this machine; each has some 15 processes. With seven at a
 # time beside other load, too few connections opened and they couldn't run.
 PLAYS_AT_A_TIME = 3
@@ -240,6 +247,107 @@
     await asyncio.sleep(4)
 
 
+class Arrivals:
+    """Times at which packets of open connections reach their own server and
+    other ones."""
+
+    def __init__(self, world):
+        self.world, self.seen = world, {}
+        world.reach_hooks.append(self.reached)
+
+    def reached(self, target, key, packet):
+        owner = self.world.owners.get(key)
+        if owner:
+            own, others = self.seen.setdefault(key, ([], []))
+            (own if owner is target else others).append(self.world.now())
+
+    def check(self):
+        """Rule FLOW (b)."""
+        end, length = self.world.now(), BOUNDS["reorder_ms"] / 1000
+        for key, (own, others) in self.seen.items():
+            for start in others:
+                span = [[x for x in times if start <= x <= start + length]
+                        for times in (own, others)]
+                if start + length <= end and not span[0] and len(span[1]) > 2:
+                    self.world.broken(
+                        "FLOW", "within %.1f s %d packets of flow %s:%d reach "
+                        "other servers and none its own, which lives", length,
+                        len(span[1]), key[0], key[1])
+                    break
+        self.world.record("packets of open connections that reached other "
+                          "servers: %d", sum(len(others) for _, others in
+                                             self.seen.values()))
+
+
+async def open_connections(world, where):
+    """Long connections with one request served; they stay idle then."""
+    flows = []
+    for _ in range(FLOWS_A_ZONE):
+        for zone in ZONES:
+            for _ in range(OPEN_TRIES):
+                flow = world.hosts[zone][0].open(where)
+                if await flow.connect() and await flow.request(
+                        world.request_id(), 100, DEADLINE_S) == "served":
+                    flows.append(flow)
+                    break
+    world.record("connections open: %d", len(flows))
+    if len(flows) < FLOWS_A_ZONE * len(ZONES):
+        raise CouldNotRun("too few connections open")
+    return flows
+
+
+async def roll(world, machines):
+    """Stops the agents as planned and starts them again, one after the
+    other."""
+    for machine in machines if world.trouble else ():
+        machine.signal(signal.SIGTERM)
+        try:
+            await asyncio.to_thread(machine.process.wait, BOUNDS["grace_s"])
+        except subprocess.TimeoutExpired:
+            machine.kill()
+        machine.start()
+        await asyncio.sleep(ROLL_GAP_S)
+
+
+def send_on(world, flows, deadline_s):
+    """Sends one request on each connection; @return has its result."""
+    return [asyncio.create_task(flow.request(
+        world.request_id(), REQUEST_BYTES, deadline_s)) for flow in flows]
+
+
+async def check_served(world, flows, requests):
+    results = await asyncio.gather(*requests)
+    for flow, result in zip(flows, results):
+        if result != "served":
+            world.broken("FLOW", "the connection %s:%d isn't served though "
+                         "its server lives: %s", flow.key[0], flow.key[1],
+                         result)
+
+
+async def zone_evacuated_while_agents_are_rolled(world, where):
+    """Agents that no longer know their servers' connections are out of service
+    by an order: the servers of other zones must not get the packets, and the
+    connections go on when the zone is in service again."""
+    flows = await open_connections(world, where)
+    zone = ZONES[0]
+    in_zone = [f for f in flows if world.owners[f.key].machine.zone == zone]
+    if not in_zone:
+        raise CouldNotRun("no connection open in the zone")
+    arrivals = Arrivals(world)
+    await roll(world, [m for m in world.sides if m.zone == zone])
+    world.store.put("evacuations", zone, {})
+    out_at = world.now() + BOUNDS["evacuate_ms"] / 1000
+    await roll(world, [m for m in world.sides if m.zone != zone])
+    await asyncio.sleep(max(0, out_at - world.now()))
+    requests = send_on(world, flows, OUT_OF_SERVICE_S + SERVED_AGAIN_S)
+    await asyncio.sleep(OUT_OF_SERVICE_S)
+    world.record("connections of the zone: %d; requests that wait: %d",
+                 len(in_zone), sum(not r.done() for r in requests))
+    world.store.delete("evacuations", zone)
+    await check_served(world, flows, requests)
+    arrivals.check()
+
+
 CASES = {f.__name__: f for f in (
     unknown_service_own_id, unknown_service_other_id,
     unknown_service_later_start, known_service_own_id,
@@ -253,6 +361,10 @@
     closes_listener_and_lives_1_s, agent_stops_after_deregistration,
     agent_killed_while_listener_is_closed,
     successor_reports_while_it_lives)}
+# Cases with connections that are idle while agents are rolled, each with the
+# services of the agents in a zone.
+ROLLS = {f.__name__: (f, services) for f, services in (
+    (zone_evacuated_while_agents_are_rolled, SERVICES[:1] * 2),)}
 
 
 async def feed(world, host, where, until, results):
@@ -289,37 +401,54 @@
     world.store_ip, world.router_ip = world.net + ".0.1", world.net + ".0.2"
 
 
+async def start_world(world, number, binary, services, idle_timeout_ms=15000):
+    """Starts all processes, with an agent in each zone for each of @services;
+    @return is the address of the route."""
+    use_own_network(world, number)
+    for role in world.roles.values():
+        words = role["run"].split(" ")
+        role["run"] = " ".join([binary] + words[1:])
+    for zone in ZONES:
+        world.add_edge(zone)
+    for service in services:
+        for zone in ZONES:
+            world.add_side(zone, service)
+    where = (world.host_ip(1), 443)
+    world.store.put("config", "main", config(
+        7, [route("r-orders", where[0], "orders")],
+        idle_timeout_ms=idle_timeout_ms))
+    await world.start()
+    await asyncio.sleep(AGENTS_START_S)
+    for machine in world.sides:
+        await world.add_target(machine, work_ms=WORK_MS).start()
+    for zone in ZONES:
+        await world.add_host(zone)
+    await world.wait_ready()
+    await asyncio.sleep(SETTLE_S)
+
+    def reset(flow, owner, packet):
+        if owner:
+            world.broken("FLOW", "the client of flow %s:%d gets a reset "
+                         "that its target %s didn't send; the target "
+                         "lives and holds the flow", flow.key[0],
+                         flow.key[1], owner.id)
+
+    world.reset_hooks.append(reset)
+    return where
+
+
+def play_of_roll(number, binary, case, services):
+    async def play(world):
+        where = await start_world(world, number, binary, services,
+                                  IDLE_TIMEOUT_MS)
+        await case(world, where)
+
+    return play
+
+
 def play_of(number, trouble, binary):
     async def play(world):
-        use_own_network(world, number)
-        for role in world.roles.values():
-            words = role["run"].split(" ")
-            role["run"] = " ".join([binary] + words[1:])
-        for zone in ZONES:
-            world.add_edge(zone)
-        for service in SERVICES:
-            for zone in ZONES:
-                world.add_side(zone, service)
-        where = (world.host_ip(1), 443)
-        world.store.put("config", "main", config(
-            7, [route("r-orders", where[0], "orders")]))
-        await world.start()
-        await asyncio.sleep(AGENTS_START_S)
-        for machine in world.sides:
-            await world.add_target(machine, work_ms=WORK_MS).start()
-        for zone in ZONES:
-            await world.add_host(zone)
-        await world.wait_ready()
-        await asyncio.sleep(SETTLE_S)
-
-        def reset(flow, owner, packet):
-            if owner:
-                world.broken("FLOW", "the client of flow %s:%d gets a reset "
-                             "that its target %s didn't send; the target "
-                             "lives and holds the flow", flow.key[0],
-                             flow.key[1], owner.id)
-
-        world.reset_hooks.append(reset)
+        where = await start_world(world, number, binary, SERVICES)
         end, results, tasks = [float("inf")], {}, []
         for _ in range(FLOWS_A_ZONE):
             for zone in ZONES:
@@ -368,8 +497,10 @@
                                                           name)
     os.makedirs(folder, exist_ok=True)
     print("record in " + os.path.abspath(folder))
-    run(folder, "FLOW", play_of(list(CASES).index(name), CASES[name],
-                                os.path.abspath(binary)))
+    number = [*CASES, *ROLLS].index(name)
+    binary = os.path.abspath(binary)
+    run(folder, "FLOW", play_of_roll(number, binary, *ROLLS[name])
+        if name in ROLLS else play_of(number, CASES[name], binary))
 
 
 main()
