--- a/tests/processes/play.py
+++ b/tests/processes/play.py
@@ -36,6 +36,7 @@
 # The rest is for cases in which agents are rolled.
 ROLL_GAP_S = 0.7        # a rolled agent gets its server's heartbeat meanwhile
 IDLE_TIMEOUT_MS = 30000     # above the length of a roll
+ROUTE_MOVED_S = 3.2     # more than config_apply_ms
 REQUEST_BYTES = 6000    # six packets
 OUT_OF_SERVICE_S = 3.0  # more than reorder_ms
 SERVED_AGAIN_S = 5.0
@@ -348,6 +349,20 @@
     arrivals.check()
 
 
+async def agents_rolled_after_route_moved(world, where):
+    """A configuration moves the route to another service, then the agents are
+    rolled: open connections stay where they are."""
+    flows = await open_connections(world, where)
+    arrivals = Arrivals(world)
+    world.store.put("config", "main", config(
+        9, [route("r-orders", where[0], SERVICES[1])],
+        idle_timeout_ms=IDLE_TIMEOUT_MS))
+    await asyncio.sleep(ROUTE_MOVED_S)
+    await roll(world, world.sides)      # the old service's agents first
+    await check_served(world, flows, send_on(world, flows, SERVED_AGAIN_S))
+    arrivals.check()
+
+
 CASES = {f.__name__: f for f in (
     unknown_service_own_id, unknown_service_other_id,
     unknown_service_later_start, known_service_own_id,
@@ -364,7 +379,8 @@
 # Cases with connections that are idle while agents are rolled, each with the
 # services of the agents in a zone.
 ROLLS = {f.__name__: (f, services) for f, services in (
-    (zone_evacuated_while_agents_are_rolled, SERVICES[:1] * 2),)}
+    (zone_evacuated_while_agents_are_rolled, SERVICES[:1] * 2),
+    (agents_rolled_after_route_moved, SERVICES))}
 
 
 async def feed(world, host, where, until, results):
