--- a/tests/processes/play.py
+++ b/tests/processes/play.py
@@ -40,6 +40,7 @@
 REQUEST_BYTES = 6000    # six packets
 OUT_OF_SERVICE_S = 3.0  # more than reorder_ms
 SERVED_AGAIN_S = 5.0
+SLOW_STORE_S = 0.2
 # Plays at a time on this machine; each has some 15 processes. With seven at a
 # time beside other load, too few connections opened and they couldn't run.
 PLAYS_AT_A_TIME = 3
@@ -363,6 +364,16 @@
     arrivals.check()
 
 
+async def agents_rolled_while_store_is_slow(world, where):
+    """Each call to the store takes long while agents are rolled."""
+    flows = await open_connections(world, where)
+    arrivals = Arrivals(world)
+    world.store.answer_s = SLOW_STORE_S
+    await roll(world, world.sides)
+    await check_served(world, flows, send_on(world, flows, SERVED_AGAIN_S))
+    arrivals.check()
+
+
 CASES = {f.__name__: f for f in (
     unknown_service_own_id, unknown_service_other_id,
     unknown_service_later_start, known_service_own_id,
@@ -380,7 +391,8 @@
 # services of the agents in a zone.
 ROLLS = {f.__name__: (f, services) for f, services in (
     (zone_evacuated_while_agents_are_rolled, SERVICES[:1] * 2),
-    (agents_rolled_after_route_moved, SERVICES))}
+    (agents_rolled_after_route_moved, SERVICES),
+    (agents_rolled_while_store_is_slow, SERVICES[:1] * 2))}
 
 
 async def feed(world, host, where, until, results):
