--- a/tests/processes/play.py
+++ b/tests/processes/play.py
@@ -423,16 +423,17 @@
                      "connections", target.id)
 
 
-def use_own_network(world, number):
-    """Cases that run at the same time have different addresses."""
-    world.net = "127.%d" % (20 + number)
+def use_own_network(world, turn):
+    """Plays that run at the same time have different addresses, those of other
+    working copies too; none that World draws."""
+    world.net = "127.%d" % (251 + turn)
     world.store_ip, world.router_ip = world.net + ".0.1", world.net + ".0.2"
 
 
-async def start_world(world, number, binary, services, idle_timeout_ms=15000):
+async def start_world(world, turn, binary, services, idle_timeout_ms=15000):
     """Starts all processes, with an agent in each zone for each of @services;
     @return is the address of the route."""
-    use_own_network(world, number)
+    use_own_network(world, turn)
     for role in world.roles.values():
         words = role["run"].split(" ")
         role["run"] = " ".join([binary] + words[1:])
@@ -465,18 +466,18 @@
     return where
 
 
-def play_of_roll(number, binary, case, services):
+def play_of_roll(turn, binary, case, services):
     async def play(world):
-        where = await start_world(world, number, binary, services,
+        where = await start_world(world, turn, binary, services,
                                   IDLE_TIMEOUT_MS)
         await case(world, where)
 
     return play
 
 
-def play_of(number, trouble, binary):
+def play_of(turn, trouble, binary):
     async def play(world):
-        where = await start_world(world, number, binary, SERVICES)
+        where = await start_world(world, turn, binary, SERVICES)
         end, results, tasks = [float("inf")], {}, []
         for _ in range(FLOWS_A_ZONE):
             for zone in ZONES:
@@ -504,15 +505,16 @@
 
 
 def wait_for_turn():
-    """Returns an open file whose lock is held until this process ends."""
+    """@return is the turn's number and an open file whose lock is held until
+    this process ends."""
     files = [open(os.path.join(tempfile.gettempdir(),
                                "tarragonflow-play-%d.lock" % n), "w")
              for n in range(PLAYS_AT_A_TIME)]
     while True:
-        for file in files:
+        for turn, file in enumerate(files):
             try:
                 fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                return file
+                return turn, file
             except BlockingIOError:
                 pass
         time.sleep(0.2)
@@ -520,15 +522,14 @@
 
 def main():
     binary, name = sys.argv[1:]
-    turn = wait_for_turn()  # noqa: F841
+    turn, lock = wait_for_turn()  # noqa: F841
     folder = os.environ.get("RECORD_DIR") or os.path.join("process-records",
                                                           name)
     os.makedirs(folder, exist_ok=True)
     print("record in " + os.path.abspath(folder))
-    number = [*CASES, *ROLLS].index(name)
     binary = os.path.abspath(binary)
-    run(folder, "FLOW", play_of_roll(number, binary, *ROLLS[name])
-        if name in ROLLS else play_of(number, CASES[name], binary))
+    run(folder, "FLOW", play_of_roll(turn, binary, *ROLLS[name])
+        if name in ROLLS else play_of(turn, CASES[name], binary))
 
 
 main()
