--- a/flow/agent_server.c
+++ b/flow/agent_server.c
@@ -152,8 +152,9 @@
 /*
  * Handles a packet that the server returned: a SYN that it did not accept or a
  * packet of a connection that it does not have. A connection that is open in
- * the flow table was lost by the server, and its caller gets a RST. Otherwise
- * the search continues from the state in the mark.
+ * the flow table was lost by the server, and its caller gets a RST. Otherwise,
+ * also when the packet is of a later connection from the same port, the search
+ * continues from the state in the mark.
  */
 static void handle_returned(struct agent *agent,
 			    const struct inner_packet *packet, int64_t now_ms,
@@ -168,7 +169,8 @@
 	agent_record_decision(agent, DECISION_SERVER_RETURNED, packet, 0, NULL,
 			      sink);
 	if (flow && !inner_opens_connection(packet) &&
-	    flow->state == FLOW_OPEN) {
+	    flow->state == FLOW_OPEN &&
+	    agent_flow_has_packet(agent, flow, packet)) {
 		agent_count(agent, COUNTER_RESET_CONNECTION_LOST);
 		agent_record_decision(agent, DECISION_RESET_LOST, packet, 0,
 				      "returned", sink);
@@ -179,10 +181,11 @@
 	}
 	if (flow && flow->state == FLOW_HALF_OPEN)
 		agent_flow_remove(agent, flow);
-	if (!server_queries_take(&agent->server_queries, &packet->key,
-				 &header) &&
+	if (!server_queries_take(&agent->server_queries, packet, &header) &&
 	    !agent_read_mark(agent, packet, &header))
 		return;
+	/* The configuration may have changed while the server had it. */
+	agent_compare_configuration(agent, &header);
 	memcpy(copy, packet->data, packet->len);
 	agent->format->clear_returned(copy);
 	original.data = copy;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -66,6 +66,10 @@
 	bool server_running;
 	/** The server returns all SYNs. */
 	bool server_full;
+	/** The server keeps a packet that it returns in `late` instead. */
+	bool returns_late;
+	uint8_t late[PACKET_MAX];
+	size_t late_len;
 	/** The agent process is running. */
 	bool agent_running;
 	/** Datagrams from the balancer to this agent are lost. */
@@ -219,6 +223,11 @@
 	host->rejected_packets += !opens_connection;
 	memcpy(copy, inner, len);
 	copy[16] |= FLAG_RETURNED;
+	if (host->returns_late) {
+		memcpy(host->late, copy, len);
+		host->late_len = len;
+		return;
+	}
 	agent_handle_server(&host->agent, copy, len, host->cluster->now_ms,
 			    &host->sink);
 }
@@ -2599,6 +2608,456 @@
 	}
 }
 
+/* Distance of the sequence numbers of a caller's second connection from the
+ * same port. */
+#define REUSED_PORT_SEQ_OFFSET 0x40000000u
+
+/* A packet of a second connection from @port, whose sequence numbers are
+ * @offset ahead of those of send_from_caller(). */
+static void send_from_reused_port(struct cluster *cluster, uint16_t port,
+				  uint8_t flags, uint16_t payload,
+				  uint32_t offset)
+{
+	uint8_t out[PACKET_MAX];
+	size_t len = make_packet(out, true, port, flags, payload);
+
+	put_u32(out + 19, 1000 + !(flags & FLAG_SYN) + offset);
+	balancer_handle_packet(&cluster->balancer, out, len, cluster->now_ms,
+			       &cluster->balancer_sink);
+	deliver_datagrams(cluster);
+}
+
+/* Restarts the agent @i; its server has run for long. */
+static void restart_agent(struct cluster *cluster, unsigned int i,
+			  uint64_t sequence)
+{
+	agent_finish(&cluster->hosts[i].agent);
+	start_agent(cluster, i);
+	send_server_report(cluster, i, "first", SERVER_READY, sequence);
+}
+
+/*
+ * Opens a connection from @port, which its server then drops, and a second one
+ * from the same port at another server. The agents' tables are incomplete.
+ * Returns the second server.
+ */
+static unsigned int reuse_port_elsewhere(struct cluster *cluster, uint16_t port,
+					 uint32_t offset)
+{
+	unsigned int stale, owner;
+
+	for (unsigned int i = 1; i <= cluster->n; i++)
+		restart_agent(cluster, i, 40);
+	advance_time(cluster, 200);
+	open_connection(cluster, port);
+	stale = owner_of(cluster, port);
+	cluster->hosts[stale].n_connections = 0;
+	send_server_report(cluster, stale, "first", SERVER_DRAINING, 41);
+	advance_time(cluster, 200);
+	clear_hints(cluster);
+	send_from_reused_port(cluster, port, FLAG_SYN, 0, offset);
+	send_from_reused_port(cluster, port, FLAG_ACK, 0, offset);
+	owner = owner_of(cluster, port);
+	g_assert_cmpuint(owner, !=, 0);
+	g_assert_cmpuint(owner, !=, stale);
+	return owner;
+}
+
+/*
+ * Guards against a RST on an open connection because the server of an earlier
+ * one from the same port, which is still in the flow table, returns a query for
+ * it.
+ */
+static void test_port_reused_and_queried(void)
+{
+	struct cluster cluster;
+
+	for (uint16_t port = 1; port <= 20; port++) {
+		unsigned int owner, delivered;
+
+		cluster_init(&cluster, 3, 4);
+		owner = reuse_port_elsewhere(&cluster, port,
+					     REUSED_PORT_SEQ_OFFSET);
+		restart_agent(&cluster, owner, 42);
+		advance_time(&cluster, 200);
+		clear_hints(&cluster);
+		delivered = cluster.hosts[owner].delivered;
+		send_from_reused_port(&cluster, port, FLAG_ACK, 100,
+				      REUSED_PORT_SEQ_OFFSET);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+		g_assert_cmpuint(cluster.hosts[owner].delivered, ==,
+				 delivered + 1);
+		cluster_finish(&cluster);
+	}
+}
+
+/*
+ * Guards against a RST on an open connection because the server of an earlier
+ * one from the same port has ended.
+ */
+static void test_port_reused_after_server_ended(void)
+{
+	struct cluster cluster;
+
+	for (uint16_t port = 1; port <= 20; port++) {
+		unsigned int ended, owner, delivered, resets;
+
+		cluster_init(&cluster, 3, 4);
+		advance_time(&cluster, 200);
+		open_connection(&cluster, port);
+		ended = owner_of(&cluster, port);
+		cluster.hosts[ended].n_connections = 0;
+		end_server(&cluster, ended);
+		for (unsigned int i = 1; i <= 3; i++)
+			if (i != ended)
+				send_server_report(&cluster, i, "first",
+						   SERVER_READY, 9);
+		advance_time(&cluster, 200);
+		resets = cluster.resets_to_callers;
+		send_from_reused_port(&cluster, port, FLAG_SYN, 0,
+				      REUSED_PORT_SEQ_OFFSET);
+		send_from_reused_port(&cluster, port, FLAG_ACK, 0,
+				      REUSED_PORT_SEQ_OFFSET);
+		owner = owner_of(&cluster, port);
+		g_assert_cmpuint(owner, !=, 0);
+		clear_hints(&cluster);
+		delivered = cluster.hosts[owner].delivered;
+		send_from_reused_port(&cluster, port, FLAG_ACK, 100,
+				      REUSED_PORT_SEQ_OFFSET);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, resets);
+		g_assert_cmpuint(cluster.hosts[owner].delivered, ==,
+				 delivered + 1);
+		cluster_finish(&cluster);
+	}
+}
+
+/*
+ * Guards against a stale entry that takes the SYN of a new connection from the
+ * same port as its own: the new connection opened by a query to the server
+ * while the table was incomplete, and was reset later.
+ */
+static void test_port_reused_at_same_server(void)
+{
+	struct cluster cluster;
+	unsigned int owner, delivered;
+
+	cluster_init(&cluster, 3, 4);
+	for (unsigned int i = 1; i <= 3; i++)
+		restart_agent(&cluster, i, 40);
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	owner = owner_of(&cluster, 1);
+	/* The caller gives up without a FIN, later the server does. */
+	cluster.hosts[owner].n_connections = 0;
+	advance_time(&cluster, FLOW_LIFETIME_MS / 2);
+	send_server_report(&cluster, owner, "first", SERVER_READY, 80);
+	advance_time(&cluster, 200);
+	send_from_reused_port(&cluster, 1, FLAG_SYN, 0, REUSED_PORT_SEQ_OFFSET);
+	g_assert_cmpuint(owner_of(&cluster, 1), ==, owner);
+	send_from_reused_port(&cluster, 1, FLAG_ACK, 100,
+			      REUSED_PORT_SEQ_OFFSET);
+	g_assert_cmpuint(cluster.hosts[owner].delivered, >, 0);
+	advance_time(&cluster, FLOW_LIFETIME_MS / 2);
+	delivered = cluster.hosts[owner].delivered;
+	send_from_reused_port(&cluster, 1, FLAG_ACK, 100,
+			      REUSED_PORT_SEQ_OFFSET);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	g_assert_cmpuint(cluster.hosts[owner].delivered, ==, delivered + 1);
+	cluster_finish(&cluster);
+}
+
+/*
+ * Guards against an entry that takes packets of a later connection from the
+ * same port for its own because their sequence numbers happen to be near.
+ */
+static void test_port_reused_with_near_sequence(void)
+{
+	static const uint32_t offsets[] = {1 << 21, 1 << 25, -(1u << 21)};
+	struct cluster cluster;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(offsets); i++)
+		for (uint16_t port = 1; port <= 10; port++) {
+			unsigned int owner, delivered;
+
+			cluster_init(&cluster, 3, 4);
+			owner = reuse_port_elsewhere(&cluster, port,
+						     offsets[i]);
+			clear_hints(&cluster);
+			delivered = cluster.hosts[owner].delivered;
+			send_from_reused_port(&cluster, port, FLAG_ACK, 100,
+					      offsets[i]);
+			g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+			g_assert_cmpuint(cluster.hosts[owner].delivered, ==,
+					 delivered + 1);
+			cluster_finish(&cluster);
+		}
+}
+
+/*
+ * Guards against a SYN that is refused although another server has room,
+ * because it took up the search of an earlier connection from the same port,
+ * which had been to all agents.
+ */
+static void test_returned_syn_after_query(void)
+{
+	struct cluster cluster;
+	unsigned int owner;
+
+	cluster_init(&cluster, 3, 4);
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	owner = owner_of(&cluster, 1);
+	for (unsigned int i = 1; i <= 3; i++)
+		restart_agent(&cluster, i, 40);
+	advance_time(&cluster, 200);
+	clear_hints(&cluster);
+	/* Found by queries. */
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.hosts[owner].delivered, >, 0);
+	cluster.hosts[owner].n_connections = 0;
+	cluster.hosts[owner].server_full = true;
+	send_from_reused_port(&cluster, 1, FLAG_SYN, 0, REUSED_PORT_SEQ_OFFSET);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	g_assert_cmpuint(owner_of(&cluster, 1), !=, 0);
+	cluster_finish(&cluster);
+}
+
+/*
+ * Guards against a search that counts as conclusive although the configuration
+ * has changed while a server had the packet: by the new one, the search leaves
+ * out the service of the new route, which has the connection.
+ */
+static void test_configuration_changed_during_query(void)
+{
+	static const char *const services = "{\"name\":\"a\"},{\"name\":\"b\"}";
+	struct cluster cluster;
+
+	cluster_init(&cluster, 4, 2);
+	advance_time(&cluster, 700);
+	set_manifest(&cluster, 2, services, "b");
+	make_views(&cluster, true);
+	open_connection(&cluster, 1);
+	g_assert_cmpuint(owner_of(&cluster, 1), >=, 2);
+	set_manifest(&cluster, 3, services, "a");
+	make_views(&cluster, true);
+	restart_agent(&cluster, 1, 40);
+	advance_time(&cluster, 700);
+	clear_hints(&cluster);
+	cluster.hosts[1].returns_late = true;
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.hosts[1].late_len, >, 0);
+	cluster.hosts[1].returns_late = false;
+	set_manifest(&cluster, 4, services, "b");
+	make_views(&cluster, true);
+	agent_handle_server(&cluster.hosts[1].agent, cluster.hosts[1].late,
+			    cluster.hosts[1].late_len, cluster.now_ms,
+			    &cluster.hosts[1].sink);
+	deliver_datagrams(&cluster);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	cluster_finish(&cluster);
+}
+
+/*
+ * Guards against a RST on an open connection because the view of the agents
+ * that are searched lacks its owner, although the owner's load reports arrive:
+ * it has just joined, or the rosters take it for one that has left.
+ */
+static void test_owner_missing_in_views(void)
+{
+	struct cluster cluster;
+	struct host *owner;
+	struct view full, lacking;
+	uint16_t port = 1;
+	unsigned int delivered;
+
+	cluster_init(&cluster, 4, 5);
+	advance_time(&cluster, 700);
+	while (open_connection(&cluster, port), owner_of(&cluster, port) != 4)
+		port++;
+	owner = &cluster.hosts[4];
+	full = cluster.view;
+	add_member(&cluster, 4, MEMBER_LEFT);
+	view_init_with_orders(&lacking, &cluster.manifest, &cluster.roster,
+			      &cluster.orders, cluster.now_ms);
+	lacking.roster_complete = true;
+	cluster.view = lacking;
+	set_views(&cluster);
+	agent_set_view(&owner->agent, &full);
+	clear_hints(&cluster);
+	for (int i = 0; i < 100; i++) {
+		advance_time(&cluster, 50);
+		send_from_caller(&cluster, port, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	}
+	/* The rosters are corrected. */
+	cluster.view = full;
+	set_views(&cluster);
+	delivered = owner->delivered;
+	send_from_caller(&cluster, port, FLAG_ACK, 100);
+	g_assert_cmpuint(owner->delivered, ==, delivered + 1);
+	/* The agent has left: its last report is a while ago. */
+	cluster.view = lacking;
+	set_views(&cluster);
+	owner->agent_running = false;
+	advance_time(&cluster, 1000);
+	clear_hints(&cluster);
+	send_from_caller(&cluster, port, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	view_finish(&full);
+	cluster_finish(&cluster);
+}
+
+/* Guards against a stopping agent that opens connections after its server's
+ * next report, and leaves them without an agent. */
+static void test_report_while_draining(void)
+{
+	struct cluster cluster;
+
+	cluster_init(&cluster, 1, 2);
+	advance_time(&cluster, 200);
+	agent_drain(&cluster.hosts[1].agent);
+	send_server_report(&cluster, 1, "first", SERVER_READY, 2);
+	send_from_caller(&cluster, 1, FLAG_SYN, 0);
+	g_assert_cmpuint(cluster.hosts[1].accepted_syns, ==, 0);
+	cluster_finish(&cluster);
+}
+
+/*
+ * Guards against RSTs on open connections: a SYN waits at a busy agent, and
+ * another balancer sends a retransmission to another agent, where it is opened.
+ * Only a wait that all copies have come to ends with a RST.
+ */
+static void test_waiting_syn_opened_by_other_balancer(void)
+{
+	struct cluster cluster;
+	unsigned int waits_at;
+
+	for (int opened_elsewhere = 0; opened_elsewhere < 2;
+	     opened_elsewhere++) {
+		cluster_init(&cluster, 2, 3);
+		advance_time(&cluster, 200);
+		cluster.hosts[1].agent.admit.running = 20;
+		cluster.hosts[2].agent.admit.running = 20;
+		advance_time(&cluster, 200);
+		send_syn_copy(&cluster, 1, 0);
+		waits_at = cluster.hosts[1].agent.waiting_syns.n ? 1 : 2;
+		advance_time(&cluster, 200);
+		if (opened_elsewhere) {
+			cluster.hosts[3 - waits_at].agent.admit.running = 0;
+			advance_time(&cluster, 100);
+			clear_hints(&cluster);
+		}
+		send_syn_copy(&cluster, 1, 1);
+		if (opened_elsewhere)
+			send_from_caller(&cluster, 1, FLAG_ACK, 100);
+		else
+			advance_time(&cluster, 400);
+		if (!opened_elsewhere)
+			send_syn_copy(&cluster, 1, 2);
+		g_assert_cmpuint(owner_of(&cluster, 1), ==,
+				 opened_elsewhere ? 3 - waits_at : 0);
+		advance_time(&cluster, 1300);
+		g_assert_cmpuint(cluster.hosts[waits_at].agent.admit.waiting,
+				 ==, 0);
+		g_assert_cmpuint(cluster.resets_to_callers, ==,
+				 !opened_elsewhere);
+		cluster_finish(&cluster);
+	}
+}
+
+/*
+ * Guards against a RST on an open connection because the server of an earlier
+ * one from the same port, whose caller gave up long ago, ends.
+ */
+static void test_port_reused_before_server_ended(void)
+{
+	struct cluster cluster;
+	unsigned int stale = 0;
+
+	cluster_init(&cluster, 3, 4);
+	reuse_port_elsewhere(&cluster, 1, REUSED_PORT_SEQ_OFFSET);
+	for (unsigned int i = 1; i <= 3; i++)
+		if (cluster.hosts[i].agent.admit.draining)
+			stale = i;
+	advance_time(&cluster, 15000);
+	send_server_report(&cluster, stale, "first", SERVER_DRAINING, 60);
+	end_server(&cluster, stale);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	/* The first caller is still there: it gets its RST now. */
+	clear_hints(&cluster);
+	advance_time(&cluster, 1000);
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	cluster_finish(&cluster);
+}
+
+/*
+ * Guards against RSTs on open connections for as long as they live after an
+ * agent that started took its server for ended: a report shows that the server
+ * has run since before that.
+ */
+static void test_report_of_server_taken_for_ended(void)
+{
+	static const struct {
+		/** Time since the server's start; negative: not reported. */
+		int64_t age_ms;
+		/** The server is queried about connections. */
+		bool queried;
+	} cases[] = {
+		{30000, true},
+		{SERVER_CHECK_MS + REPORT_INTERVAL_MS + 10, true},
+		/* It has started since. */
+		{REPORT_INTERVAL_MS, false},
+		{0, false},
+		{-1, false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct cluster cluster;
+		unsigned int delivered;
+
+		cluster_init(&cluster, 1, 2);
+		advance_time(&cluster, 200);
+		open_connection(&cluster, 1);
+		agent_finish(&cluster.hosts[1].agent);
+		start_agent(&cluster, 1);
+		refuse_server_check(&cluster, 1, 0);
+		advance_time(&cluster, SERVER_CHECK_MS);
+		g_assert_true(refuse_server_check(&cluster, 1, 0));
+		advance_time(&cluster, REPORT_INTERVAL_MS);
+		send_aged_report(&cluster, 1, "first", SERVER_READY, 40,
+				 cases[i].age_ms);
+		delivered = cluster.hosts[1].delivered;
+		send_from_caller(&cluster, 1, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.hosts[1].delivered, ==,
+				 delivered + cases[i].queried);
+		g_assert_cmpuint(cluster.resets_to_callers, ==,
+				 !cases[i].queried);
+		cluster_finish(&cluster);
+	}
+}
+
+/* Guards against a RST on a connection that was silent while its server was
+ * taken for ended, and continues after that server's next report. */
+static void test_silent_connection_after_false_end(void)
+{
+	struct cluster cluster;
+	unsigned int delivered;
+
+	cluster_init(&cluster, 1, 2);
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	advance_time(&cluster, 12000);
+	end_server(&cluster, 1);
+	cluster.hosts[1].server_running = true;
+	send_aged_report(&cluster, 1, "first", SERVER_READY, 40, 30000);
+	delivered = cluster.hosts[1].delivered;
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	g_assert_cmpuint(cluster.hosts[1].delivered, ==, delivered + 1);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -2893,6 +3352,30 @@
 			test_successor_keeps_incomplete_table);
 	g_test_add_func("/search/first-report-of-other-service",
 			test_first_report_of_other_service);
+	g_test_add_func("/search/port-reused-and-queried",
+			test_port_reused_and_queried);
+	g_test_add_func("/search/port-reused-after-server-ended",
+			test_port_reused_after_server_ended);
+	g_test_add_func("/search/port-reused-at-same-server",
+			test_port_reused_at_same_server);
+	g_test_add_func("/search/port-reused-with-near-sequence",
+			test_port_reused_with_near_sequence);
+	g_test_add_func("/search/returned-syn-after-query",
+			test_returned_syn_after_query);
+	g_test_add_func("/search/configuration-changed-during-query",
+			test_configuration_changed_during_query);
+	g_test_add_func("/search/owner-missing-in-views",
+			test_owner_missing_in_views);
+	g_test_add_func("/search/report-while-draining",
+			test_report_while_draining);
+	g_test_add_func("/search/waiting-syn-opened-by-other-balancer",
+			test_waiting_syn_opened_by_other_balancer);
+	g_test_add_func("/search/port-reused-before-server-ended",
+			test_port_reused_before_server_ended);
+	g_test_add_func("/search/report-of-server-taken-for-ended",
+			test_report_of_server_taken_for_ended);
+	g_test_add_func("/search/silent-connection-after-false-end",
+			test_silent_connection_after_false_end);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
