Connections don't time out while their zone is out of service

What callers saw: an open connection to a server in a zone that was evacuated was reset by an agent of another zone (reset-no-owner).

Cause: an agent whose zone is out of service drops the packets of its connections, and did not count them as activity. After the idle timeout the entry was removed and the next packet began a search that found no owner.

Evidence: /search/entry-kept-while-zone-cut failed before (1 reset instead of 0) and passes now.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -394,13 +394,14 @@
 			    const struct inner_packet *packet, int64_t now_ms,
 			    struct packet_sink *sink)
 {
-	const struct flow *flow = flow_table_find(&agent->flows, &packet->key);
+	struct flow *flow = flow_table_find(&agent->flows, &packet->key);
 
 	if (flow && (flow->state_bits & FLOW_LOST)) {
 		handle_flow(agent, header, packet, now_ms, sink);
 		return;
 	}
 	if (flow && match_packet_to_flow(agent, flow, packet) != MATCH_OTHER) {
+		flow->last_packet_ms = (uint32_t)now_ms;
 		agent_count(agent, COUNTER_DROP_ZONE_CUT);
 		return;
 	}
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -3058,6 +3058,42 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against a RST on an open connection whose packets were dropped while
+ * its server's zone was out of service: its entry must not time out meanwhile.
+ */
+static void test_entry_kept_while_zone_cut(void)
+{
+	struct cluster cluster;
+	struct host *owner;
+	uint16_t port = 1;
+	unsigned int delivered;
+
+	cluster_init(&cluster, 4, 5);
+	set_manifest(&cluster, 2, "{\"name\":\"a\",\"idle_timeout_s\":10}",
+		     "a");
+	make_views(&cluster, true);
+	advance_time(&cluster, 200);
+	while (open_connection(&cluster, port),
+	       owner_of(&cluster, port) % 2 == 0)
+		port++;
+	owner = &cluster.hosts[owner_of(&cluster, port)];
+	order_odd_zone_out_of_service(&cluster);
+	make_views(&cluster, true);
+	for (int i = 0; i < 10; i++) {
+		advance_time(&cluster, 1600);
+		send_from_caller(&cluster, port, FLAG_ACK, 100);
+		g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	}
+	memset(&cluster.orders, 0, sizeof(cluster.orders));
+	make_views(&cluster, true);
+	advance_time(&cluster, 700);
+	delivered = owner->delivered;
+	send_from_caller(&cluster, port, FLAG_ACK, 100);
+	g_assert_cmpuint(owner->delivered, ==, delivered + 1);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against: a successor's report completes a table that lacks the
  * connections of the agent's previous process, and their callers are reset.
@@ -3777,6 +3813,8 @@
 	g_test_add_func("/search/silent-connection-after-false-end",
 			test_silent_connection_after_false_end);
 	g_test_add_func("/search/long-days", test_long_days);
+	g_test_add_func("/search/entry-kept-while-zone-cut",
+			test_entry_kept_while_zone_cut);
 	g_test_add_func("/search/zone-orders-merge", test_zone_orders_merge);
 	g_test_add_func("/search/placement-by-work", test_placement_by_work);
 	return g_test_run();
