Searches are inconclusive when the rosters of balancer and agents differ

What callers saw: an open connection was reset by an agent (reset-no-owner) while its server lives.

Cause: a new agent without a server counts as left until its server reports. A balancer that knows it opens connections there; when another one begins a search, agents that still have it as left go through their own list and count the search of the service as complete, and the last agent, which knows it, sends the RST.

Change: the header's field for the roster, which nobody read, holds a digest of the agents that have not left. An agent that ends the search of a service by its own list compares the digests.

Also: a lost connection in a zone out of service is told apart from a later one of the same port by its sequence numbers, as in service.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -405,7 +405,8 @@
 {
 	struct flow *flow = flow_table_find(&agent->flows, &packet->key);
 
-	if (flow && (flow->state_bits & FLOW_LOST)) {
+	if (flow && (flow->state_bits & FLOW_LOST) &&
+	    agent_flow_has_packet(agent, flow, packet)) {
 		handle_flow(agent, header, packet, now_ms, sink);
 		return;
 	}
--- a/flow/agent_load_report.c
+++ b/flow/agent_load_report.c
@@ -209,7 +209,7 @@
 	struct packet_header report = {
 		.service_id = agent->service_id,
 		.config_revision = (uint64_t)agent->view->config_revision,
-		.roster_version = agent->view->roster_version,
+		.agents_digest = agent->view->agents_digest,
 		.kind = PACKET_LOAD,
 		.n_candidates = 1,
 		.candidates = {*self},
--- a/flow/agent_mark.c
+++ b/flow/agent_mark.c
@@ -111,7 +111,7 @@
 	header->hops_left = PACKET_HOP_BUDGET - 1;
 	header->service_id = agent->service_id;
 	header->config_revision = (uint64_t)agent->view->config_revision;
-	header->roster_version = agent->view->roster_version;
+	header->agents_digest = agent->view->agents_digest;
 	header->from = PACKET_FROM_OUTSIDE;
 	header->placed = true;
 	header->bucket = view_bucket_of(agent->view, service, &packet->key);
--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -441,6 +441,9 @@
 	agent->chain_resolves_left--;
 	if (!view_resolve_chain(agent->service, header)) {
 		*all_queried = true;
+		if (header->agents_digest != agent->view->agents_digest)
+			agent_doubt_search(agent, header, packet, 0,
+					   "rosters-differ", sink);
 		if (!agent->view->roster_complete)
 			agent_doubt_search(agent, header, packet, 0,
 					   "roster-incomplete", sink);
@@ -767,7 +770,7 @@
 	struct packet_header hint = {
 		.service_id = agent->service_id,
 		.config_revision = (uint64_t)agent->view->config_revision,
-		.roster_version = agent->view->roster_version,
+		.agents_digest = agent->view->agents_digest,
 		.kind = PACKET_OWNER,
 		.from = 0,
 		.n_candidates = 1,
--- a/include/tarragonflow/net/packet.h
+++ b/include/tarragonflow/net/packet.h
@@ -82,8 +82,8 @@
 	uint32_t service_id;
 	/** Configuration revision of the sender. */
 	uint64_t config_revision;
-	/** Digest of the sender's roster. */
-	uint64_t roster_version;
+	/** The sender's view_agents_digest(). */
+	uint64_t agents_digest;
 	/** Remaining hops of PACKET_HOP_BUDGET. */
 	uint8_t hops_left;
 	/** Index of the candidate that the packet is addressed to. */
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -102,6 +102,11 @@
 struct view {
 	int64_t config_revision;
 	uint64_t roster_version;
+	/**
+	 * Equal in two views whose rosters have the same agents that have not
+	 * left. Views that differ may each lack the owner of a connection.
+	 */
+	uint64_t agents_digest;
 	/** Seed of the bucket hash. */
 	uint64_t seed;
 	/** First the n_configured services of the manifest, in its order, then
--- a/net/packet.c
+++ b/net/packet.c
@@ -77,7 +77,7 @@
 	*p++ = header->hops_left;
 	p = put_u32(p, header->service_id);
 	p = put_u64(p, header->config_revision);
-	p = put_u64(p, header->roster_version);
+	p = put_u64(p, header->agents_digest);
 	*p++ = (uint8_t)(header->position << NIBBLE_BITS |
 			 header->n_candidates);
 	*p++ = header->unsure;
@@ -133,7 +133,7 @@
 	header->hops_left = *p++;
 	header->service_id = get_u32(&p);
 	header->config_revision = get_u64(&p);
-	header->roster_version = get_u64(&p);
+	header->agents_digest = get_u64(&p);
 	header->position = *p >> NIBBLE_BITS;
 	header->n_candidates = *p++ & NIBBLE_MASK;
 	header->unsure = *p++;
--- a/route/balancer.c
+++ b/route/balancer.c
@@ -489,7 +489,7 @@
 
 	header.service_id = service->service.id;
 	header.config_revision = (uint64_t)view->config_revision;
-	header.roster_version = view->roster_version;
+	header.agents_digest = view->agents_digest;
 	header.hops_left = PACKET_HOP_BUDGET;
 	header.kind = PACKET_DATA;
 	header.visited = 0;
--- a/route/view.c
+++ b/route/view.c
@@ -177,6 +177,17 @@
 		      compare_agents);
 }
 
+/* Does not depend on the order, nor on states that views may lag in. */
+static uint64_t agent_list_digest(const struct agent_list *agents)
+{
+	uint64_t digest = 0;
+
+	for (size_t i = 0; i < agents->n; i++)
+		digest ^= XXH3_64bits(agents->members[i]->name.data,
+				      agents->members[i]->name.len);
+	return digest;
+}
+
 /* Index of the first agent whose service is not sorted before @service. */
 static size_t agent_list_lower_bound(const struct agent_list *agents,
 				     const struct name *service)
@@ -344,6 +355,7 @@
 	bool *configured;
 
 	agent_list_init(&agents, roster);
+	view->agents_digest = agent_list_digest(&agents);
 	configured = g_new0(bool, agents.n);
 	view->services =
 		g_new(struct service_view, manifest->n_services + agents.n);
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -92,7 +92,7 @@
 	memset(header, 0, sizeof(*header));
 	header->service_id = 0x01020304;
 	header->config_revision = 1ULL << 40;
-	header->roster_version = 9;
+	header->agents_digest = 9;
 	header->hops_left = PACKET_HOP_BUDGET;
 	header->position = 2;
 	header->n_candidates = 3;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -3171,6 +3171,47 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Only the balancer and the agents of the other service know an agent, whose
+ * load reports reach nobody. Guards against a RST on its connections: the
+ * agents of its service go through a list that lacks it, and the last agent of
+ * the search can't see that.
+ */
+static void test_owner_missing_in_views_of_service(void)
+{
+	struct cluster cluster;
+	struct view full, lacking;
+	uint16_t port = 1;
+
+	cluster_init(&cluster, 14, 13);
+	advance_time(&cluster, 700);
+	while (open_connection(&cluster, port), owner_of(&cluster, port) != 12)
+		port++;
+	/* A suspect member is in no chain of a large service. */
+	add_member(&cluster, 12, MEMBER_SUSPECT);
+	make_views(&cluster, true);
+	full = cluster.view;
+	add_member(&cluster, 12, MEMBER_LEFT);
+	view_init_with_orders(&lacking, &cluster.manifest, &cluster.roster,
+			      &cluster.orders, cluster.now_ms);
+	lacking.roster_complete = true;
+	for (unsigned int i = 1; i < 12; i++)
+		agent_set_view(&cluster.hosts[i].agent, &lacking);
+	cluster.hosts[12].agent_running = false;
+	advance_time(&cluster, 1000);
+	clear_hints(&cluster);
+	send_from_caller(&cluster, port, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	/* All know that the agent has left. */
+	cluster.view = lacking;
+	set_views(&cluster);
+	clear_hints(&cluster);
+	send_from_caller(&cluster, port, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	view_finish(&full);
+	cluster_finish(&cluster);
+}
+
 /* Guards against a stopping agent that opens connections after its server's
  * next report, and leaves them without an agent. */
 static void test_report_while_draining(void)
@@ -4198,6 +4239,8 @@
 			test_returned_syn_after_query);
 	g_test_add_func("/search/configuration-changed-during-query",
 			test_configuration_changed_during_query);
+	g_test_add_func("/search/owner-missing-in-views-of-service",
+			test_owner_missing_in_views_of_service);
 	g_test_add_func("/search/owner-missing-in-views",
 			test_owner_missing_in_views);
 	g_test_add_func("/search/report-while-draining",
