Test: RST after a chain was resolved from an incomplete roster

An agent that resolves a chain in the middle of a search doesn't make the search inconclusive when its roster is known to be incomplete; only the one that ends the search of the service does. Members that it lacks rank before the end of its chain, so the next agents skip them, and the search ends with a RST although the owner, whose server lives, wasn't asked.

The test fails on this code.

--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -1489,6 +1489,60 @@
 	}
 }
 
+/*
+ * Guards against a RST on an open connection when an agent that has just
+ * started resolves a chain in the middle of a search: its roster lacks the
+ * owner and is known to be incomplete. The next agents, whose rosters are
+ * complete, continue after that chain.
+ */
+static void test_resolved_from_incomplete_roster(void)
+{
+	struct cluster cluster;
+	struct packet_header header;
+	struct inner_packet packet;
+	struct roster roster;
+	struct view starting_view;
+	const struct service_view *service;
+	uint8_t syn[PACKET_MAX];
+	size_t len = make_packet(syn, true, 1, FLAG_SYN, 0);
+	unsigned int owner, delivered;
+
+	cluster_init(&cluster, 24, 25);
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	owner = owner_of(&cluster, 1);
+	roster_init(&roster);
+	for (size_t i = 0; i < cluster.roster.n; i++)
+		roster_merge(&roster, &cluster.roster.members[i],
+			     cluster.now_ms);
+	add_member(&cluster, owner, MEMBER_LEFT);
+	view_init(&starting_view, &cluster.manifest, &cluster.roster);
+	roster_finish(&cluster.roster);
+	cluster.roster = roster;
+	/* The balancer and the agents of its chain have just started. */
+	g_assert_true(packet_format_platform.parse(&packet, syn, len));
+	service = &starting_view.services[0];
+	view_fill_chain(service,
+			view_bucket_of(&starting_view, service, &packet.key),
+			&header);
+	for (int i = 0; i < header.n_candidates; i++)
+		agent_set_view(
+			&cluster.hosts[header.candidates[i].data.ip].agent,
+			&starting_view);
+	balancer_set_view(&cluster.balancer, &starting_view);
+	clear_hints(&cluster);
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	/* The retransmission, when the rosters are complete. */
+	set_views(&cluster);
+	delivered = cluster.hosts[owner].delivered;
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.hosts[owner].delivered, ==, delivered + 1);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	view_finish(&starting_view);
+	cluster_finish(&cluster);
+}
+
 /*
  * Guards against a RST on an open connection by the agent of a server that got
  * an earlier copy of its SYN and ended before it accepted the connection.
@@ -4163,6 +4217,8 @@
 			test_opens_by_server_state);
 	g_test_add_func("/search/owner-joined-unknown",
 			test_owner_joined_unknown);
+	g_test_add_func("/search/resolved-from-incomplete-roster",
+			test_resolved_from_incomplete_roster);
 	g_test_add_func("/search/syn-at-ended-server",
 			test_syn_at_ended_server);
 	g_test_add_func("/search/successor-reports-early",
