Chains resolved from an incomplete roster make the search inconclusive

The agents after it continue from that chain and skip the members that it lacks. /search/resolved-from-incomplete-roster passes.

--- a/flow/agent_route.c
+++ b/flow/agent_route.c
@@ -439,14 +439,16 @@
 		return false;
 	}
 	agent->chain_resolves_left--;
+	/* Other agents continue after the new chain, so they don't search for
+	 * members that it lacks either. */
+	if (!agent->view->roster_complete)
+		agent_doubt_search(agent, header, packet, 0,
+				   "roster-incomplete", sink);
+	if (header->agents_digest != agent->view->agents_digest)
+		agent_doubt_search(agent, header, packet, 0, "rosters-differ",
+				   sink);
 	if (!view_resolve_chain(agent->service, header)) {
 		*all_queried = true;
-		if (header->agents_digest != agent->view->agents_digest)
-			agent_doubt_search(agent, header, packet, 0,
-					   "rosters-differ", sink);
-		if (!agent->view->roster_complete)
-			agent_doubt_search(agent, header, packet, 0,
-					   "roster-incomplete", sink);
 		if (has_unlisted_agent(agent, now_ms))
 			agent_doubt_search(agent, header, packet, 0,
 					   "unlisted-agent", sink);
