Test: process that starts takes an old list of the roster for complete

A new agent joins as left, as its server hasn't started, and is active some 0.7 s later. The platform's copy of the roster has it as left for seconds more. A process that starts meanwhile takes the list for complete after 200 ms: only an unknown agent makes it incomplete, not the return of one that is listed as left.

--- a/tests/unit/test_control.c
+++ b/tests/unit/test_control.c
@@ -600,6 +600,38 @@
 	receive_member(fixture, name, MEMBER_AGENT, instance, now_ms);
 }
 
+/*
+ * Guards against RSTs on connections of agents that the platform's list, which
+ * may be seconds old, has as left: when one of them turns out to be running
+ * just after the start, others may be, too.
+ */
+static void test_roster_listed_as_left(void)
+{
+	struct fixture fixture;
+	struct member listed = {
+		.role = MEMBER_AGENT,
+		.state = MEMBER_LEFT,
+		.instance = 1,
+	};
+
+	fixture_init(&fixture, 7);
+	name_set(&listed.name, str_from("m1"));
+	name_set(&listed.zone, str_from("z"));
+	roster_merge(&fixture.control.roster, &listed, 1100);
+	name_set(&listed.name, str_from("m2"));
+	roster_merge(&fixture.control.roster, &listed, 1100);
+	fixture.control.platform.full_roster_received = true;
+	g_assert_true(control_roster_is_complete(&fixture.control, 1500));
+	receive_agent(&fixture, "m1", 1, 1600);
+	g_assert_false(control_roster_is_complete(&fixture.control, 1700));
+	g_assert_false(control_roster_is_complete(&fixture.control, 3500));
+	g_assert_true(control_roster_is_complete(&fixture.control, 3700));
+	/* Later the news of a join shows nothing about the list. */
+	receive_agent(&fixture, "m2", 1, 8000);
+	g_assert_true(control_roster_is_complete(&fixture.control, 8100));
+	control_finish(&fixture.control);
+}
+
 /*
  * While peers report unknown members, as when a large fleet starts at once, the
  * roster may be incomplete. Restarts of members in the roster do not count.
@@ -753,5 +785,7 @@
 	g_test_add_func("/control/roster-incomplete-after-restore",
 			test_roster_incomplete_after_restore);
 	g_test_add_func("/control/roster-growing", test_roster_growing);
+	g_test_add_func("/control/roster-listed-as-left",
+			test_roster_listed_as_left);
 	return g_test_run();
 }
