An agent listed as left that is running makes a new roster incomplete

Only within 5 s of the process's start, the time that a roster without a list takes: later the news of a join says nothing about the list. /control/roster-listed-as-left passes.

--- a/control/context.h
+++ b/control/context.h
@@ -3,6 +3,10 @@
 
 #include "tarragonflow/control/control.h"
 
+/** Time for anti-entropy to compare the roster with several peers after the
+ * start, ms. */
+#define CONTROL_ROSTER_COMPLETE_AFTER_MS 5000
+
 /** State of the control core while it handles one input. */
 struct control_context {
 	struct control *control;
--- a/control/control.c
+++ b/control/control.c
@@ -38,8 +38,6 @@
 #define PUSH_MS 4000
 #define PULL_RETRY_MS 150
 #define SKIPPED_LOG_LINES_PER_S 1
-/* Time for anti-entropy to compare the roster with several peers. */
-#define ROSTER_COMPLETE_AFTER_MS 5000
 /* Value of last_discovery_ms until a peer reports an unknown member. */
 #define NO_DISCOVERY_MS (INT64_MIN / 2)
 /* After a list from the platform: time for peers to report missing members. */
@@ -200,16 +198,17 @@
 	int64_t age_ms = now_ms - control->started_ms;
 	int64_t settle_ms = control->platform.full_roster_received
 				    ? LISTED_ROSTER_SETTLE_MS
-				    : ROSTER_COMPLETE_AFTER_MS;
+				    : CONTROL_ROSTER_COMPLETE_AFTER_MS;
 
 	/* While unknown members are still being reported, more may follow. */
 	if (now_ms - control->last_discovery_ms < settle_ms)
 		return false;
 	/* A restored copy may lack members until balancers write it again. */
-	return age_ms >= ROSTER_COMPLETE_AFTER_MS ||
+	return age_ms >= CONTROL_ROSTER_COMPLETE_AFTER_MS ||
 	       (control->platform.full_roster_received &&
-		!platform_sync_restored_within(
-			&control->platform, ROSTER_COMPLETE_AFTER_MS, now_ms) &&
+		!platform_sync_restored_within(&control->platform,
+					       CONTROL_ROSTER_COMPLETE_AFTER_MS,
+					       now_ms) &&
 		age_ms >= LISTED_ROSTER_COMPLETE_AFTER_MS);
 }
 
--- a/control/inbound.c
+++ b/control/inbound.c
@@ -139,13 +139,21 @@
 }
 
 /*
- * Whether an unknown member suggests that further agents are unknown. Once the
- * platform has listed the roster, only an unknown agent does.
+ * Whether @entry suggests that further agents are unknown: it is of an unknown
+ * member or, soon after the start, of one that the platform's list had as left.
+ * The list may be seconds old. Once the platform has listed the roster, only an
+ * agent does.
  */
 static bool suggests_unknown_agents(const struct control *control,
-				    const struct member *entry)
+				    const struct member *existing,
+				    const struct member *entry, int64_t now_ms)
 {
-	if (entry->state == MEMBER_LEFT)
+	bool returned = existing && existing->state == MEMBER_LEFT &&
+			member_is_newer(entry, existing) &&
+			now_ms - control->started_ms <
+				CONTROL_ROSTER_COMPLETE_AFTER_MS;
+
+	if (entry->state == MEMBER_LEFT || (existing && !returned))
 		return false;
 	return entry->role == MEMBER_AGENT ||
 	       !control->platform.full_roster_received;
@@ -167,7 +175,7 @@
 		return;
 	}
 	config_store_record_release(&control->config, entry->config_revision);
-	if (!existing && suggests_unknown_agents(control, entry))
+	if (suggests_unknown_agents(control, existing, entry, context->now_ms))
 		control->last_discovery_ms = context->now_ms;
 	change = roster_merge(&control->roster, entry, context->now_ms);
 	if (change == ROSTER_UNCHANGED) {
