Connections of a server's first moments aren't closed by its first report

The report of another server at the address made all open connections unconfirmed, also those that this server had accepted since its start; those on which it sent nothing for 250 ms were reset. A connection with a packet since the start that the report names is closed only when the server returns its packets.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -653,13 +653,28 @@
 	forget_server(agent);
 }
 
+/*
+ * Whether a packet of @flow has passed since the server of @report started. The
+ * server may have accepted the connection before its first report.
+ */
+static bool has_packet_since_start(const struct flow *flow,
+				   const struct server_report *report,
+				   int64_t now_ms)
+{
+	return report->age_ms >= 0 &&
+	       agent_flow_age(flow, now_ms) <= report->age_ms;
+}
+
 /*
  * Another server of the service has reported at this address. Its predecessor
  * may still be ending, so a connection is closed only when the server returns
  * its packets, or the predecessor sends nothing on any connection for some
- * time. It may have connections that are not in the flow table.
+ * time. It may have connections that are not in the flow table. A connection
+ * that may be the new server's isn't closed for silence.
  */
-static void suspect_open_flows(struct agent *agent, int64_t now_ms)
+static void suspect_open_flows(struct agent *agent,
+			       const struct server_report *report,
+			       int64_t now_ms)
 {
 	struct flow_table *flows = &agent->flows;
 
@@ -670,6 +685,8 @@
 		    (flow->state_bits & FLOW_UNCONFIRMED))
 			continue;
 		agent_flow_end_request(agent, flow, false, now_ms);
+		if (has_packet_since_start(flow, report, now_ms))
+			continue;
 		flow->state_bits |= FLOW_UNCONFIRMED | FLOW_OF_PREDECESSOR;
 		admit_suspect_connection(&agent->admit);
 		cost_adjust_open(&agent->admit.cost, flow->kind, -1, now_ms);
@@ -835,7 +852,7 @@
 		/* An address goes to another service only some time after its
 		 * last server has ended. */
 		if (service_id(&report->service) == agent->service_id)
-			suspect_open_flows(agent, now_ms);
+			suspect_open_flows(agent, report, now_ms);
 		else
 			end_all_flows(agent, now_ms, sink);
 		break;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -4173,6 +4173,34 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * Guards against RSTs on connections that a server accepted after its start and
+ * before its first report: the report of another server at the address closes
+ * the connections of its predecessor only.
+ */
+static void test_successor_opens_before_report(void)
+{
+	struct cluster cluster;
+	struct host *host;
+
+	cluster_init(&cluster, 1, 2);
+	host = &cluster.hosts[1];
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	/* The server ends, and the next one starts. */
+	host->n_connections = 0;
+	advance_time(&cluster, 100);
+	open_connection(&cluster, 2);
+	g_assert_true(server_has_connection(host, 2));
+	send_aged_report(&cluster, 1, "second", SERVER_READY, 1, 20);
+	advance_time(&cluster, SERVER_CHECK_MS + 50);
+	/* Only the predecessor's connection is lost. */
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	send_from_caller(&cluster, 2, FLAG_ACK, 100);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	cluster_finish(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -4223,6 +4251,8 @@
 			test_syn_at_ended_server);
 	g_test_add_func("/search/successor-reports-early",
 			test_successor_reports_early);
+	g_test_add_func("/search/successor-opens-before-report",
+			test_successor_opens_before_report);
 	g_test_add_func("/search/reset-before-server-ended",
 			test_reset_before_server_ended);
 	g_test_add_func("/search/reset-when-listener-closed",
