A checkpoint that another process has written since is read anew

What callers would see: an open connection is reset although its server lives.

Cause: the connections that an agent had read still counted as complete when its claim met that of another process: its predecessor's, which the store executed late. Those that the predecessor had opened were missing.

Evidence: /checkpoint-worker/late-claim-of-predecessor failed before and passes now.

--- a/node/checkpoint_worker.c
+++ b/node/checkpoint_worker.c
@@ -62,18 +62,23 @@
 }
 
 /* Passes the connections that were read to the packet thread, if they are
- * usable. */
+ * usable. Another process may have written the checkpoint since an earlier
+ * read: connections that were found then lack those that it has opened. */
 static void take_over(struct checkpoint_worker *worker,
 		      const struct store_result *result)
 {
 	struct checkpoint checkpoint;
+	bool readable;
 
 	checkpoint_init(&checkpoint);
-	if (checkpoint_parse(&checkpoint,
-			     strbuf_str(&result->objects[0].value)) &&
-	    checkpoint.instance != worker->node->instance &&
-	    checkpoint_is_fresh(&checkpoint, result->epoch, clock_wall_ms())) {
-		worker->found = true;
+	readable = checkpoint_parse(&checkpoint,
+				    strbuf_str(&result->objects[0].value));
+	if (!readable || checkpoint.instance != worker->node->instance)
+		worker->found = readable &&
+				checkpoint_is_fresh(&checkpoint, result->epoch,
+						    clock_wall_ms());
+	if (readable && worker->found &&
+	    checkpoint.instance != worker->node->instance) {
 		worker->incomplete_ms = checkpoint.incomplete_ms;
 		push_inherited(worker->node, &checkpoint.connections, false, 0);
 	}
