A checkpoint counts only for the process right after the one that saved it

What callers saw: open connections were reset though their servers lived, after agents had been restarted twice around an outage of the store.

Cause: a process whose claim isn't confirmed opens connections. When it ends without a save, the next one reads the checkpoint of the process before, claims it, and its table counts as complete.

Change: a checkpoint is used only by a process that started within 1.5 s of the save, and a process opens nothing in its first 1.5 s unless its claim is confirmed. So one that opens something unclaimed runs for longer than the checkpoint is valid. Claims are no longer spread over 4 s. An inherited connection without room in the table is remembered, so that the table doesn't count as complete later.

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -52,6 +52,7 @@
 	agent->reports_load_to_balancers = identity->reports_load_to_balancers;
 	agent->flow_lifetime_ms = identity->flow_lifetime_ms;
 	agent->table_incomplete_until_ms = now_ms + agent->flow_lifetime_ms;
+	agent->open_not_before_ms = now_ms + identity->open_delay_ms;
 	agent->report_interval_ms = identity->report_interval_ms;
 	agent->awaiting_response_since_ms = CLOCK_NEVER;
 	agent->unconfirmed_until_ms = CLOCK_NEVER;
@@ -136,6 +137,12 @@
 	admit_drain(&agent->admit);
 }
 
+bool agent_accepts_new(const struct agent *agent, int64_t now_ms)
+{
+	return now_ms >= agent->open_not_before_ms &&
+	       server_watch_accepts_new(&agent->server, now_ms);
+}
+
 uint32_t agent_connection_count(const struct agent *agent)
 {
 	return agent->admit.open + agent->admit.unconfirmed;
--- a/flow/agent_load_report.c
+++ b/flow/agent_load_report.c
@@ -25,8 +25,7 @@
 
 uint16_t agent_own_load(const struct agent *agent, int64_t now_ms)
 {
-	if (!server_watch_accepts_new(&agent->server, now_ms) ||
-	    !agent->zone_in_service)
+	if (!agent_accepts_new(agent, now_ms) || !agent->zone_in_service)
 		return PACKET_LOAD_FULL;
 	return admit_load(&agent->admit, now_ms);
 }
--- a/flow/agent_syn.c
+++ b/flow/agent_syn.c
@@ -128,7 +128,7 @@
 {
 	enum admit_verdict verdict;
 
-	if (!server_watch_accepts_new(&agent->server, now_ms))
+	if (!agent_accepts_new(agent, now_ms))
 		return ADMIT_NO_REPORT;
 	verdict = admit_connection(&agent->admit, now_ms);
 	if (verdict != ADMIT_FULL && verdict != ADMIT_COLD)
@@ -277,8 +277,8 @@
 
 static bool syn_must_wait(struct agent *agent, int64_t now_ms)
 {
-	return server_watch_accepts_new(&agent->server, now_ms) &&
-	       !agent->admit.draining && agent->server.reports_expected &&
+	return agent_accepts_new(agent, now_ms) && !agent->admit.draining &&
+	       agent->server.reports_expected &&
 	       (agent->waiting_syns.n || admit_is_busy(&agent->admit, now_ms));
 }
 
--- a/flow/checkpoint.c
+++ b/flow/checkpoint.c
@@ -104,9 +104,9 @@
 }
 
 bool checkpoint_is_fresh(const struct checkpoint *checkpoint, uint64_t epoch,
-			 int64_t wall_ms)
+			 int64_t started_ms)
 {
 	return checkpoint->saved_ms && checkpoint->epoch == epoch &&
-	       wall_ms >= checkpoint->saved_ms &&
-	       wall_ms - checkpoint->saved_ms <= CHECKPOINT_MAX_AGE_MS;
+	       started_ms >= checkpoint->saved_ms &&
+	       started_ms - checkpoint->saved_ms <= CHECKPOINT_MAX_AGE_MS;
 }
--- a/flow/handover.c
+++ b/flow/handover.c
@@ -71,8 +71,7 @@
 void handover_confirm(struct agent *agent, int64_t incomplete_ms,
 		      int64_t now_ms)
 {
-	/* A full table may have had no room for all of the connections. */
-	if (agent->flows.used == agent->flows.max_used)
+	if (agent->import_incomplete)
 		return;
 	agent->table_incomplete_until_ms =
 		MIN(agent->table_incomplete_until_ms, now_ms + incomplete_ms);
@@ -118,8 +117,10 @@
 	if (flow_table_find(&agent->flows, &key))
 		return;
 	flow = flow_table_insert(&agent->flows, &key);
-	if (!flow)
+	if (!flow) {
+		agent->import_incomplete = true;
 		return;
+	}
 	flow->state = (uint8_t)record->state;
 	/* The message does not contain when a payload without a response
 	 * arrived. */
--- a/include/tarragonflow/flow/agent.h
+++ b/include/tarragonflow/flow/agent.h
@@ -67,6 +67,11 @@
 	int64_t flow_lifetime_ms;
 	/** In state SERVER_GONE: the first refusal that showed the end, ms. */
 	int64_t server_refused_ms;
+	/** No connection is opened before this time, ms; INT64_MIN once the
+	 * checkpoint is claimed. */
+	int64_t open_not_before_ms;
+	/** Not all connections of the predecessor fitted into `flows`. */
+	bool import_incomplete;
 	/** Time between two server reports, ms; 0: unknown. */
 	int64_t report_interval_ms;
 	/** agent_drain() was called. */
@@ -140,6 +145,9 @@
 	 * outlive the agent process.
 	 */
 	int64_t flow_lifetime_ms;
+	/** Time from the start for which no connection is opened, unless the
+	 * checkpoint is claimed before, ms; see struct checkpoint. */
+	int64_t open_delay_ms;
 	/** Time between two server reports, ms; 0: unknown. */
 	int64_t report_interval_ms;
 	/** Balancers choose servers by load and get load reports. */
@@ -197,6 +205,9 @@
 /** When agent_tick() is to run next, ms. */
 int64_t agent_next_deadline(const struct agent *agent);
 
+/** Whether the agent may open connections at its server now. */
+bool agent_accepts_new(const struct agent *agent, int64_t now_ms);
+
 /** Number of connections open at the server. */
 uint32_t agent_connection_count(const struct agent *agent);
 
--- a/include/tarragonflow/flow/checkpoint.h
+++ b/include/tarragonflow/flow/checkpoint.h
@@ -11,12 +11,15 @@
  * query servers after a planned restart.
  *
  * Each process first replaces the checkpoint by an empty one of its own (the
- * claim). So the connections that a process finds are those of its direct
- * predecessor, and a save of the predecessor that takes effect late fails.
+ * claim). It opens no connection before, or not within CHECKPOINT_MAX_AGE_MS of
+ * its start, and uses only connections that were saved at most that long before
+ * its start. So a process that opened connections without a claim has no
+ * successor that takes an older checkpoint for complete.
  */
 
-/** Largest age of a checkpoint whose connections are used, ms. */
-#define CHECKPOINT_MAX_AGE_MS 30000
+/** Longest time from the save of connections to the start of a process that
+ * uses them, ms: that of a planned restart. */
+#define CHECKPOINT_MAX_AGE_MS 1500
 
 /** Contents of the checkpoint. */
 struct checkpoint {
@@ -49,11 +52,11 @@
 bool checkpoint_parse(struct checkpoint *checkpoint, struct str text);
 
 /**
- * Whether the connections may be used at @wall_ms by a process that has read
- * the checkpoint in @epoch of the store: a store that was restored may return
- * an older checkpoint.
+ * Whether the connections may be used by a process that started at @started_ms
+ * (wall clock) and has read the checkpoint in @epoch of the store: a store that
+ * was restored may return an older checkpoint.
  */
 bool checkpoint_is_fresh(const struct checkpoint *checkpoint, uint64_t epoch,
-			 int64_t wall_ms);
+			 int64_t started_ms);
 
 #endif
--- a/include/tarragonflow/node/node.h
+++ b/include/tarragonflow/node/node.h
@@ -92,6 +92,8 @@
 struct inherited_flows {
 	/** Written by handover_export(); may be empty. */
 	struct strbuf flows;
+	/** The checkpoint is claimed: connections may be opened. */
+	bool claimed;
 	/** The predecessor's connections are complete with those passed so far,
 	 * but the server may have others for incomplete_ms. */
 	bool complete;
--- a/node/checkpoint_worker.c
+++ b/node/checkpoint_worker.c
@@ -10,10 +10,6 @@
 #include "tarragonflow/store/call_policy.h"
 
 #define CALL_TIMEOUT_SHORT_MS 600
-/* A claim without connections to take over is not urgent. It is delayed by up
- * to this time, as all agents of a deployment may start at the same moment. */
-#define CLAIM_SPREAD_MS 4000
-
 /* Names of the writes of one process, part of their tokens. */
 #define WRITE_CLAIM 'c'
 #define WRITE_SAVE 's'
@@ -43,16 +39,18 @@
 }
 
 /* Queues a copy of @flows, if not NULL, for the packet thread. */
-static void push_inherited(struct node *node, const struct strbuf *flows,
-			   bool complete, int64_t incomplete_ms)
+static void push_inherited(struct checkpoint_worker *worker,
+			   const struct strbuf *flows, bool claimed)
 {
 	struct inherited_flows *inherited = g_new0(struct inherited_flows, 1);
+	struct node *node = worker->node;
 
 	strbuf_init(&inherited->flows);
 	if (flows)
 		strbuf_add(&inherited->flows, flows->data, flows->len);
-	inherited->complete = complete;
-	inherited->incomplete_ms = incomplete_ms;
+	inherited->claimed = claimed;
+	inherited->complete = claimed && worker->found;
+	inherited->incomplete_ms = worker->incomplete_ms;
 	if (ring_push(&node->inherited_flows, inherited)) {
 		node_wake(node->packet_wake_fd);
 		return;
@@ -67,6 +65,7 @@
 static void take_over(struct checkpoint_worker *worker,
 		      const struct store_result *result)
 {
+	int64_t started_ms = (int64_t)worker->node->instance;
 	struct checkpoint checkpoint;
 	bool readable;
 
@@ -76,11 +75,11 @@
 	if (!readable || checkpoint.instance != worker->node->instance)
 		worker->found = readable &&
 				checkpoint_is_fresh(&checkpoint, result->epoch,
-						    clock_wall_ms());
+						    started_ms);
 	if (readable && worker->found &&
 	    checkpoint.instance != worker->node->instance) {
 		worker->incomplete_ms = checkpoint.incomplete_ms;
-		push_inherited(worker->node, &checkpoint.connections, false, 0);
+		push_inherited(worker, &checkpoint.connections, false);
 	}
 	checkpoint_finish(&checkpoint);
 }
@@ -109,16 +108,10 @@
 		poll(&fd, 1, (int)ms);
 }
 
-static int64_t claim_delay_ms(struct checkpoint_worker *worker)
-{
-	return (int64_t)random_below(&worker->random, CLAIM_SPREAD_MS);
-}
-
-static void *restore_thread(void *arg)
+static void *claim_thread(void *arg)
 {
 	struct checkpoint_worker *worker = arg;
 	struct store_result result;
-	bool delayed = false;
 	int64_t wait_ms;
 
 	set_claim(worker);
@@ -128,16 +121,14 @@
 			&result);
 		if (result.op == STORE_OP_GET && result.n_objects)
 			take_over(worker, &result);
-		if (worker->object.version >= 0 && !worker->found && !delayed) {
-			delayed = true;
-			wait_ms = claim_delay_ms(worker);
-		}
+		else if (result.status.code == STATUS_NOT_FOUND)
+			worker->found = false;
 		store_result_finish(&result);
 		if (!worker->object.done)
 			wait_or_stop(worker, wait_ms);
 	}
-	if (worker->object.done && worker->found)
-		push_inherited(worker->node, NULL, true, worker->incomplete_ms);
+	if (worker->object.done)
+		push_inherited(worker, NULL, true);
 	return NULL;
 }
 
@@ -165,7 +156,7 @@
 	object_replacement_init(&worker->object, key);
 	init_http(worker);
 	worker->started =
-		!pthread_create(&worker->thread, NULL, restore_thread, worker);
+		!pthread_create(&worker->thread, NULL, claim_thread, worker);
 	if (!worker->started)
 		return status_set(status, STATUS_INTERNAL,
 				  "cannot start the checkpoint thread");
--- a/node/packet_worker.c
+++ b/node/packet_worker.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "tarragonflow/common/log.h"
+#include "tarragonflow/flow/checkpoint.h"
 #include "tarragonflow/flow/handover.h"
 #include "tarragonflow/net/mss.h"
 #include "tarragonflow/net/tun.h"
@@ -253,6 +254,8 @@
 
 	while ((inherited = ring_pop(&worker->node->inherited_flows))) {
 		import_flows(worker, strbuf_str(&inherited->flows));
+		if (inherited->claimed)
+			worker->agent.open_not_before_ms = INT64_MIN;
 		if (inherited->complete && worker->imported)
 			handover_confirm(&worker->agent,
 					 inherited->incomplete_ms,
@@ -499,6 +502,8 @@
 		.server_reports = worker->node->adapter->servers_report,
 		.report_lease_ms = settings->report_lease_ms,
 		.flow_lifetime_ms = settings->flow_lifetime_ms,
+		.open_delay_ms =
+			settings->flow_lifetime_ms ? CHECKPOINT_MAX_AGE_MS : 0,
 		.report_interval_ms = settings->report_interval_ms,
 		.reports_load_to_balancers =
 			worker->node->adapter->servers_report,
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -9,6 +9,7 @@
 #include "tarragonflow/common/random.h"
 
 #include "tarragonflow/flow/agent.h"
+#include "tarragonflow/flow/checkpoint.h"
 #include "tarragonflow/flow/handover.h"
 #include "tarragonflow/flow/agent_mark.h"
 #include "tarragonflow/flow/agent_load_report.h"
@@ -4201,6 +4202,57 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * An agent whose checkpoint isn't claimed opens no connection in the time
+ * within which a successor would use the checkpoint of its predecessor. Guards
+ * against a RST on a connection that this successor doesn't know.
+ */
+static void test_opened_before_claim(void)
+{
+	struct cluster cluster;
+	struct host *host;
+
+	cluster_init(&cluster, 1, 2);
+	host = &cluster.hosts[1];
+	host->agent.open_not_before_ms = cluster.now_ms + CHECKPOINT_MAX_AGE_MS;
+	advance_time(&cluster, CHECKPOINT_MAX_AGE_MS - 100);
+	send_server_report(&cluster, 1, "first", SERVER_READY, 2);
+	open_connection(&cluster, 1);
+	g_assert_cmpuint(host->accepted_syns, ==, 0);
+	/* The store doesn't respond. */
+	advance_time(&cluster, 100);
+	open_connection(&cluster, 2);
+	g_assert_cmpuint(host->accepted_syns, ==, 1);
+	cluster_finish(&cluster);
+}
+
+/* The flow table had no room for an inherited connection: it must not count as
+ * complete, else the caller gets a RST though its server lives. */
+static void test_inherited_without_room(void)
+{
+	struct cluster cluster;
+	struct agent *agent;
+	struct strbuf flows;
+
+	cluster_init(&cluster, 1, 2);
+	agent = &cluster.hosts[1].agent;
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	open_connection(&cluster, 2);
+	strbuf_init(&flows);
+	handover_export(agent, cluster.now_ms, &flows);
+	agent_finish(agent);
+	start_agent(&cluster, 1);
+	agent->flows.max_used = 1;
+	g_assert_true(handover_import(agent, (const uint8_t *)flows.data,
+				      flows.len, cluster.now_ms));
+	agent->flows.max_used = 2;
+	handover_confirm(agent, 0, cluster.now_ms);
+	g_assert_cmpint(agent->table_incomplete_until_ms, >, cluster.now_ms);
+	strbuf_finish(&flows);
+	cluster_finish(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -4276,6 +4328,10 @@
 			test_inherited_connections);
 	g_test_add_func("/search/inherited-incomplete-table",
 			test_inherited_incomplete_table);
+	g_test_add_func("/search/opened-before-claim",
+			test_opened_before_claim);
+	g_test_add_func("/search/inherited-without-room",
+			test_inherited_without_room);
 	g_test_add_func("/search/report-while-stopping",
 			test_report_while_stopping);
 	g_test_add_func("/search/zone-order", test_zone_order_states);
