The end of a server resets callers that wait for a long request

A caller whose request had run for more than 10 s got no RST when its server ended and waited out its deadline, since callers that are silent for that long were taken for ones that have given up. A caller whose route's timeout hasn't passed since its request still waits.

Found in review. /search/long-request-at-ended-server failed before (0 RSTs instead of 1).

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -19,8 +19,8 @@
 #define CLOSED_FLOW_LINGER_MS 10000
 #define HALF_OPEN_TIMEOUT_MS 30000
 /*
- * Callers of lost connections that have been silent for longer get their RST
- * only with their next packet. They wait for no response, and may have given up
+ * Callers of lost connections that have been silent for longer, and wait for no
+ * response, get their RST only with their next packet: they may have given up
  * and opened another connection from the same port elsewhere.
  */
 #define RESET_SILENCE_MAX_MS 10000
@@ -613,6 +613,22 @@
 	agent_reset_caller(agent, &last, sink);
 }
 
+/* Whether the caller of @flow may still wait for the response to a request: the
+ * route's timeout hasn't passed. */
+static bool caller_waits(const struct agent *agent, const struct flow *flow,
+			 int64_t now_ms)
+{
+	const struct route_view *route;
+	struct flow_key key;
+
+	if (!(flow->state_bits & FLOW_AWAITING_RESPONSE))
+		return false;
+	flow_get_key(&key, flow);
+	route = agent->view ? view_find_route(agent->view, &key) : NULL;
+	return !route || !route->timeout_ms ||
+	       (uint32_t)now_ms - flow->pending_since_ms < route->timeout_ms;
+}
+
 static void end_flow(struct agent *agent, struct flow *flow, int64_t now_ms,
 		     struct packet_sink *sink)
 {
@@ -625,7 +641,8 @@
 		return;
 	}
 	if (flow->state == FLOW_OPEN &&
-	    agent_flow_age(flow, now_ms) < RESET_SILENCE_MAX_MS)
+	    (agent_flow_age(flow, now_ms) < RESET_SILENCE_MAX_MS ||
+	     caller_waits(agent, flow, now_ms)))
 		reset_caller_of_flow(agent, flow, sink);
 	flow->state_bits |= FLOW_LOST;
 	/* The entry lingers for the caller's next packet. */
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -4253,6 +4253,29 @@
 	cluster_finish(&cluster);
 }
 
+/* A caller that has waited for a response for more than 10 s sends nothing
+ * more: guards against one that waits out its deadline although the end of its
+ * server is known. */
+static void test_long_request_at_ended_server(void)
+{
+	struct cluster cluster;
+	unsigned int owner;
+
+	cluster_init(&cluster, 3, 4);
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	owner = owner_of(&cluster, 1);
+	/* The server acknowledges the request, but has not responded yet. */
+	cluster.hosts[owner].server_running = false;
+	send_from_caller(&cluster, 1, FLAG_ACK, 100);
+	send_from_server(&cluster.hosts[owner], 1, FLAG_ACK, 0);
+	advance_time(&cluster, 15000);
+	send_server_report(&cluster, owner, "first", SERVER_READY, 60);
+	end_server(&cluster, owner);
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	cluster_finish(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -4305,6 +4328,8 @@
 			test_successor_reports_early);
 	g_test_add_func("/search/successor-opens-before-report",
 			test_successor_opens_before_report);
+	g_test_add_func("/search/long-request-at-ended-server",
+			test_long_request_at_ended_server);
 	g_test_add_func("/search/reset-before-server-ended",
 			test_reset_before_server_ended);
 	g_test_add_func("/search/reset-when-listener-closed",
