An agent with inherited connections waits longer for a server that doesn't listen

An agent that started took its server for ended when it had refused two checks 250 ms apart, and reset the connections that it had just taken over. They show that the server ran a moment ago, so it now gets as long as a server that has reported.

Found in review. /search/inherited-while-listener-closed failed before (ended after the second refusal).

--- a/flow/agent.c
+++ b/flow/agent.c
@@ -782,13 +782,14 @@
 /*
  * How long a server may be silent while it refuses connections. A running one
  * reports in every interval unless it has announced its end. Before the first
- * report there is mostly none, so two checks suffice.
+ * report there is mostly none, so two checks suffice, unless the connections of
+ * the predecessor show that it ran a moment ago.
  */
 static int64_t silence_limit_ms(const struct agent *agent)
 {
 	const struct server_watch *server = &agent->server;
 
-	if (!server->has_report)
+	if (!server->has_report && !agent_connection_count(agent))
 		return AGENT_SERVER_CHECK_MS;
 	if (!agent->report_interval_ms || server->report.state == SERVER_ENDING)
 		return server->lease_ms;
--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -4276,6 +4276,39 @@
 	cluster_finish(&cluster);
 }
 
+/*
+ * An agent that has taken over connections starts while its server doesn't
+ * listen. Guards against RSTs on these connections 250 ms later: the server ran
+ * when they were saved.
+ */
+static void test_inherited_while_listener_closed(void)
+{
+	struct cluster cluster;
+	struct agent *agent;
+	struct strbuf flows;
+
+	cluster_init(&cluster, 1, 2);
+	agent = &cluster.hosts[1].agent;
+	advance_time(&cluster, 200);
+	open_connection(&cluster, 1);
+	strbuf_init(&flows);
+	handover_export(agent, cluster.now_ms, &flows);
+	agent_finish(agent);
+	start_agent(&cluster, 1);
+	g_assert_true(handover_import(agent, (const uint8_t *)flows.data,
+				      flows.len, cluster.now_ms));
+	g_assert_false(refuse_server_check(&cluster, 1, 0));
+	advance_time(&cluster, SERVER_CHECK_MS);
+	g_assert_false(refuse_server_check(&cluster, 1, 0));
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 0);
+	/* It has not reported in time. */
+	advance_time(&cluster, SERVER_REPORT_LEASE_MS);
+	g_assert_true(refuse_server_check(&cluster, 1, 0));
+	g_assert_cmpuint(cluster.resets_to_callers, ==, 1);
+	strbuf_finish(&flows);
+	cluster_finish(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -4357,6 +4390,8 @@
 			test_opened_before_claim);
 	g_test_add_func("/search/inherited-without-room",
 			test_inherited_without_room);
+	g_test_add_func("/search/inherited-while-listener-closed",
+			test_inherited_while_listener_closed);
 	g_test_add_func("/search/report-while-stopping",
 			test_report_while_stopping);
 	g_test_add_func("/search/zone-order", test_zone_order_states);
