--- a/tests/unit/test_search.c
+++ b/tests/unit/test_search.c
@@ -4157,23 +4157,6 @@
 	cluster_finish(&cluster);
 }
 
-/* A report of the server must not make an agent that stops accept connections
- * again: they would not be among those that it has saved. */
-static void test_report_while_stopping(void)
-{
-	struct cluster cluster;
-	unsigned int accepted;
-
-	cluster_init(&cluster, 1, 2);
-	advance_time(&cluster, 200);
-	agent_drain(&cluster.hosts[1].agent);
-	send_server_report(&cluster, 1, "first", SERVER_READY, 2);
-	accepted = cluster.hosts[1].accepted_syns;
-	open_connection(&cluster, 1);
-	g_assert_cmpuint(cluster.hosts[1].accepted_syns, ==, accepted);
-	cluster_finish(&cluster);
-}
-
 /*
  * Guards against RSTs on connections that a server accepted after its start and
  * before its first report: the report of another server at the address closes
@@ -4392,8 +4375,6 @@
 			test_inherited_without_room);
 	g_test_add_func("/search/inherited-while-listener-closed",
 			test_inherited_while_listener_closed);
-	g_test_add_func("/search/report-while-stopping",
-			test_report_while_stopping);
 	g_test_add_func("/search/zone-order", test_zone_order_states);
 	g_test_add_func("/search/zone-returns-cold", test_zone_returns_cold);
 	g_test_add_func("/search/cold-report-before-limit",
