--- a/node/checkpoint_worker.c
+++ b/node/checkpoint_worker.c
@@ -230,6 +230,12 @@
 		   connections->len);
 	set_value(worker, WRITE_SAVE, &checkpoint);
 	checkpoint_finish(&checkpoint);
+	if (worker->object.value.len > STORE_VALUE_MAX) {
+		log_event(LOG_LEVEL_WARN, "checkpoint",
+			  "saved=0 reason=\"too many connections\" bytes=%zu",
+			  worker->object.value.len);
+		return;
+	}
 	while (!worker->object.done && make_call_in_time(worker, deadline_ms))
 		;
 	log_event(worker->object.done ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
