--- a/include/tarragonflow/node/checkpoint_worker.h
+++ b/include/tarragonflow/node/checkpoint_worker.h
@@ -26,7 +26,7 @@
 	struct random random;
 	/** Connections of the predecessor were found, and how long the server
 	 * may have others, ms. */
-	bool found;
+	bool predecessor_found;
 	int64_t incomplete_ms;
 };
 
--- a/node/checkpoint_worker.c
+++ b/node/checkpoint_worker.c
@@ -10,6 +10,7 @@
 #include "tarragonflow/store/call_policy.h"
 
 #define CALL_TIMEOUT_SHORT_MS 600
+
 /* Names of the writes of one process, part of their tokens. */
 #define WRITE_CLAIM 'c'
 #define WRITE_SAVE 's'
@@ -49,7 +50,7 @@
 	if (flows)
 		strbuf_add(&inherited->flows, flows->data, flows->len);
 	inherited->claimed = claimed;
-	inherited->complete = claimed && worker->found;
+	inherited->complete = claimed && worker->predecessor_found;
 	inherited->incomplete_ms = worker->incomplete_ms;
 	if (ring_push(&node->inherited_flows, inherited)) {
 		node_wake(node->packet_wake_fd);
@@ -73,10 +74,11 @@
 	readable = checkpoint_parse(&checkpoint,
 				    strbuf_str(&result->objects[0].value));
 	if (!readable || checkpoint.instance != worker->node->instance)
-		worker->found = readable &&
-				checkpoint_is_fresh(&checkpoint, result->epoch,
-						    started_ms);
-	if (readable && worker->found &&
+		worker->predecessor_found = readable &&
+					    checkpoint_is_fresh(&checkpoint,
+								result->epoch,
+								started_ms);
+	if (readable && worker->predecessor_found &&
 	    checkpoint.instance != worker->node->instance) {
 		worker->incomplete_ms = checkpoint.incomplete_ms;
 		push_inherited(worker, &checkpoint.connections, false);
@@ -122,7 +124,7 @@
 		if (result.op == STORE_OP_GET && result.n_objects)
 			take_over(worker, &result);
 		else if (result.status.code == STATUS_NOT_FOUND)
-			worker->found = false;
+			worker->predecessor_found = false;
 		store_result_finish(&result);
 		if (!worker->object.done)
 			wait_or_stop(worker, wait_ms);
@@ -147,7 +149,8 @@
 	char key[STORE_KEY_MAX];
 
 	worker->node = node;
-	worker->found = false;
+	worker->predecessor_found = false;
+	worker->incomplete_ms = 0;
 	atomic_init(&worker->stop, false);
 	worker->stop_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	random_init(&worker->random,
