--- a/node/packet_worker.c
+++ b/node/packet_worker.c
@@ -243,7 +243,8 @@
 			  agent_connection_count(&worker->agent));
 	else
 		log_event(LOG_LEVEL_WARN, "inherited-nothing",
-			  "reason=malformed");
+			  "reason=\"not valid, of another service, or its "
+			  "server has ended\"");
 }
 
 /* Takes over the connections of the predecessor that were read from the store.
