--- a/admit/waiting_syns.c
+++ b/admit/waiting_syns.c
@@ -11,7 +11,7 @@
  * tell them apart. */
 #define SECOND_COPY_MS 100
 #define THIRD_COPY_MS 400
-#define ALL_COPIES 7
+#define COPIES 3
 /* Time for the rejection to reach the caller before its timeout. */
 #define REJECTION_DELAY_MS 50
 /* With by_work, a SYN is in time when its objective leaves this much of the
@@ -46,7 +46,7 @@
 
 bool waiting_has_all_copies(const struct waiting *entry)
 {
-	return entry->copies == ALL_COPIES;
+	return entry->copies == (1U << COPIES) - 1;
 }
 
 bool waiting_syns_add(struct waiting_syns *syns, const struct waiting *entry)
--- a/include/tarragonflow/route/view.h
+++ b/include/tarragonflow/route/view.h
@@ -101,7 +101,6 @@
  */
 struct view {
 	int64_t config_revision;
-	uint64_t roster_version;
 	/**
 	 * Equal in two views whose rosters have the same agents that have not
 	 * left. Views that differ may each lack the owner of a connection.
--- a/route/view.c
+++ b/route/view.c
@@ -511,7 +511,6 @@
 	view->orders = *orders;
 	view->computed_ms = now_ms;
 	view->config_revision = manifest->release;
-	view->roster_version = roster->version;
 	view->seed = BUCKET_SEED;
 	view_build_services(view, manifest, roster);
 	view_build_routes(view, manifest);
